--- /dev/null
+++ b/src/caller/_forward.ts
@@ -0,0 +1,101 @@
+import type * as backends from "../backend_server/mod.ts";
+import * as httpClient from "../http_client/mod.ts";
+import type * as http from "node:http";
+import type * as callerContexts from "./caller_context.ts";
+
+/** Headers that a backend server is given from the caller. */
+const FORWARDED_HEADERS = ["content-type", "accept"] as const;
+
+/** A request to one backend server. */
+export interface ForwardRequest {
+  readonly path: string;
+  readonly requestId: string;
+  readonly isFreshConnection: boolean;
+  /** Gives the request up when aborted. */
+  readonly signal: AbortSignal;
+}
+
+function pickHeaders(
+  headers: http.IncomingHttpHeaders,
+): Readonly<Record<string, string>> {
+  const entries = FORWARDED_HEADERS
+    .map((name) => [name, headers[name]] as const)
+    .filter((entry): entry is readonly ["content-type" | "accept", string] =>
+      entry[1] !== undefined
+    );
+  return Object.fromEntries(entries);
+}
+
+/** Sends an admitted call to one backend server and keeps count of it. */
+export async function forwardCall(
+  context: callerContexts.CallerContext,
+  call: callerContexts.AdmittedCall,
+  server: backends.BackendServer,
+  forward: ForwardRequest,
+): Promise<httpClient.HttpOutcome> {
+  const { table, settings: { limits } } = context;
+  table.addRequest(server.id);
+  const outcome = await httpClient.sendRequest({
+    address: server.address,
+    port: server.port,
+    method: call.request.method ?? "GET",
+    path: forward.path,
+    headers: {
+      ...pickHeaders(call.request.headers),
+      "x-request-id": forward.requestId,
+    },
+    ...(call.body.length === 0 ? {} : { body: call.body }),
+    timeoutMs: Math.max(1, call.deadlineMs - context.clock.getMonotonicMs()),
+    connectTimeoutMs: limits.connectTimeoutMs,
+    isFreshConnection: forward.isFreshConnection,
+    signal: forward.signal,
+  });
+  table.removeRequest(server.id, outcome.kind !== "answered");
+  return checkEcho(outcome, forward.requestId);
+}
+
+/** An answer that names another request is never given on. */
+function checkEcho(
+  outcome: httpClient.HttpOutcome,
+  requestId: string,
+): httpClient.HttpOutcome {
+  if (outcome.kind !== "answered") return outcome;
+  const echoed = outcome.head.headers["x-request-id"];
+  if (echoed === undefined || echoed === requestId) return outcome;
+  return {
+    kind: "broken",
+    message: "it answered another request",
+    head: outcome.head,
+  };
+}
+
+/** Gives a backend server's whole answer to the caller. */
+export function answerWhole(
+  response: http.ServerResponse,
+  status: number,
+  contentType: string,
+  body: Buffer,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(status, {
+    "content-type": contentType,
+    "content-length": String(body.length),
+    "x-hoistscale-outcome": "ran",
+  });
+  response.end(body);
+}
+
+/** Reads the content type of an answer. */
+export function getContentType(head: httpClient.HttpHead): string {
+  const value = head.headers["content-type"];
+  return typeof value === "string" ? value : "application/octet-stream";
+}
+
+/** A signal that fires when the caller goes away. */
+export function watchCaller(response: http.ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
--- /dev/null
+++ b/src/caller/caller_listener.ts
@@ -0,0 +1,184 @@
+import type * as http from "node:http";
+import type * as accounts from "../client_account/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
+import * as results from "../results/mod.ts";
+import * as admitCalls from "./admit_call.ts";
+import * as answerAddresses from "./answer_addresses.ts";
+import type * as callerContexts from "./caller_context.ts";
+import * as findRoutes from "./find_route.ts";
+import * as serveCompletions from "./serve_completion.ts";
+import * as serveOnces from "./serve_once.ts";
+import * as serveRepeatables from "./serve_repeatable.ts";
+
+/** Answers the requests of trainers, which come to the same port. */
+export interface TrainerHandler {
+  handle(
+    call: callerContexts.AdmittedCall,
+    route: Extract<findRoutes.Route, { readonly kind: "trainer" }>,
+  ): Promise<void>;
+}
+
+/** Admits and serves what comes to a box's caller port. */
+export class CallerListener {
+  readonly #context: callerContexts.CallerContext;
+  readonly #trainers: TrainerHandler;
+  readonly #listener: httpServer.HttpListener;
+  readonly #inFlight = new Map<string, number>();
+
+  constructor(
+    context: callerContexts.CallerContext,
+    trainers: TrainerHandler,
+  ) {
+    this.#context = context;
+    this.#trainers = trainers;
+    const { receiveTimeoutMs } = context.settings.limits;
+    this.#listener = new httpServer.HttpListener(
+      (request, response) => this.#serve(request, response),
+      {
+        headersTimeoutMs: receiveTimeoutMs,
+        requestTimeoutMs: receiveTimeoutMs,
+      },
+    );
+  }
+
+  start(): Promise<void> {
+    const { box, listen } = this.#context.settings;
+    return this.#listener.listen(box.address, listen.callerPort);
+  }
+
+  getInFlight(): number {
+    return this.#listener.getInFlight();
+  }
+
+  /** Asks callers, with each answer, to go to another box. */
+  setDraining(): void {
+    this.#listener.setDraining();
+  }
+
+  close(force: boolean): void {
+    this.#listener.close(force);
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { settings, client, metrics } = this.#context;
+    const route = findRoutes.findRoute(
+      request.method ?? "",
+      request.url ?? "",
+      settings.services,
+    );
+    if (route.kind === "addresses") return this.#serveAddresses(response);
+    metrics.count("caller.requests");
+    const account = admitCalls.findAccount(request, client.getView());
+    if (account.kind === "failure") {
+      return this.#refuse(response, this.#preferLease(account.failure));
+    }
+    const admitted = admitCalls.admitCall(
+      account.value,
+      this.#getLoad(account.value),
+    );
+    if (admitted.kind === "failure") {
+      return this.#refuse(response, admitted.failure);
+    }
+    this.#countAccount(account.value.id, 1);
+    response.once("close", () => this.#countAccount(account.value.id, -1));
+    await this.#serveAdmitted({ request, response }, account.value, route);
+  }
+
+  async #serveAdmitted(
+    exchange: Pick<callerContexts.AdmittedCall, "request" | "response">,
+    account: accounts.ClientAccount,
+    route: findRoutes.Route,
+  ): Promise<void> {
+    const { clock, settings: { limits }, metrics } = this.#context;
+    const startMs = clock.getMonotonicMs();
+    const body = await httpServer.readBody(exchange.request, limits);
+    if (body.kind === "failure") {
+      return this.#refuse(exchange.response, body.failure);
+    }
+    const deadlineMs = startMs + limits.requestTimeoutMs;
+    const call = { ...exchange, account, body: body.value, deadlineMs };
+    await this.#dispatch(call, route);
+    metrics.recordMs("caller.ms", clock.getMonotonicMs() - startMs);
+  }
+
+  async #dispatch(
+    call: callerContexts.AdmittedCall,
+    route: findRoutes.Route,
+  ): Promise<void> {
+    switch (route.kind) {
+      case "completion":
+        return await serveCompletions.serveCompletion(
+          this.#context,
+          call,
+          route.format,
+        );
+      case "service":
+        return route.operation.repeatable
+          ? await serveRepeatables.serveRepeatable(this.#context, call, route)
+          : await serveOnces.serveOnce(this.#context, call, route);
+      case "trainer":
+        return await this.#trainers.handle(call, route);
+      case "addresses":
+        return this.#serveAddresses(call.response);
+      case "unknown": {
+        const { method, url } = call.request;
+        const message =
+          `Cannot serve the request: there is no route ${method} ${url}`;
+        return this.#refuse(
+          call.response,
+          results.createFailure("unknownRoute", message).failure,
+        );
+      }
+    }
+  }
+
+  #serveAddresses(response: http.ServerResponse): void {
+    const { client, settings: { addresses } } = this.#context;
+    if (!client.hasLease()) {
+      const failure = results.createFailure(
+        "noLease",
+        "Cannot tell addresses: the box holds no configuration lease",
+      );
+      return this.#refuse(response, failure.failure);
+    }
+    const { membership } = client.getView();
+    httpServer.answerJson(
+      response,
+      200,
+      answerAddresses.answerAddresses(membership, addresses.keepMs),
+    );
+  }
+
+  /** A box that is not current can't judge a token. */
+  #preferLease(failure: results.Failure): results.Failure {
+    if (this.#context.client.hasLease()) return failure;
+    return results.createFailure(
+      "noLease",
+      "Cannot admit the request: the box holds no configuration lease",
+      {
+        retryAfterMs: 200,
+      },
+    ).failure;
+  }
+
+  #getLoad(account: accounts.ClientAccount): admitCalls.AdmissionLoad {
+    return {
+      hasLease: this.#context.client.hasLease(),
+      inFlight: this.#listener.getInFlight(),
+      maxInFlight: this.#context.settings.limits.maxInFlight,
+      accountInFlight: this.#inFlight.get(account.id) ?? 0,
+    };
+  }
+
+  #countAccount(id: string, by: number): void {
+    this.#inFlight.set(id, (this.#inFlight.get(id) ?? 0) + by);
+  }
+
+  #refuse(response: http.ServerResponse, failure: results.Failure): void {
+    this.#context.metrics.count("caller.failures");
+    httpServer.answerFailure(response, failure);
+  }
+}
--- /dev/null
+++ b/src/caller/serve_repeatable.ts
@@ -0,0 +1,95 @@
+import * as crypto from "node:crypto";
+import type * as httpClient from "../http_client/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
+import * as results from "../results/mod.ts";
+import * as forwards from "./_forward.ts";
+import type * as callerContexts from "./caller_context.ts";
+import type * as findRoutes from "./find_route.ts";
+
+const MAX_TRIES = 4;
+const RETRY_AFTER_MS = 500;
+
+/**
+ * Serves a call that may be repeated: when one backend server fails, another
+ * is asked, within the retry budget and the deadline.
+ *
+ * @param context The box.
+ * @param call The call.
+ * @param route Its route.
+ */
+export async function serveRepeatable(
+  context: callerContexts.CallerContext,
+  call: callerContexts.AdmittedCall,
+  route: Extract<findRoutes.Route, { readonly kind: "service" }>,
+): Promise<void> {
+  const signal = forwards.watchCaller(call.response);
+  let excluded: ReadonlySet<string> = new Set();
+  let last: httpClient.HttpOutcome = {
+    kind: "notSent",
+    message: "no backend server is live",
+  };
+  context.budget.addFirstTry();
+  for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
+    if (attempt > 0 && !canRetry(context, call, last)) break;
+    const server = context.table.choose({
+      service: route.service.name,
+      model: undefined,
+      minVersion: 0,
+      excluded,
+    });
+    if (server === undefined) break;
+    excluded = new Set([...excluded, server.id]);
+    last = await forwards.forwardCall(context, call, server, {
+      path: route.path,
+      requestId: crypto.randomUUID(),
+      isFreshConnection: false,
+      signal,
+    });
+    if (last.kind === "answered") {
+      const type = forwards.getContentType(last.head);
+      return forwards.answerWhole(
+        call.response,
+        last.head.status,
+        type,
+        last.body,
+      );
+    }
+  }
+  httpServer.answerFailure(call.response, createLastFailure(last).failure);
+}
+
+function canRetry(
+  context: callerContexts.CallerContext,
+  call: callerContexts.AdmittedCall,
+  last: httpClient.HttpOutcome,
+): boolean {
+  if (context.clock.getMonotonicMs() >= call.deadlineMs) return false;
+  if (call.response.destroyed) return false;
+  if (last.kind === "notSent") return true;
+  if (!context.budget.takeRetry()) return false;
+  context.metrics.count("caller.retries");
+  return true;
+}
+
+function createLastFailure(
+  last: httpClient.HttpOutcome,
+): { readonly failure: results.Failure } {
+  if (last.kind === "notSent") {
+    return results.createFailure(
+      "noBackendServer",
+      `Cannot serve the call: ${last.message}`,
+      {
+        retryAfterMs: RETRY_AFTER_MS,
+      },
+    );
+  }
+  const message = last.kind === "broken" ? last.message : "it did not answer";
+  return results.createFailure(
+    "backendFailed",
+    `Cannot serve the call: ${message}`,
+    {
+      outcome: "unknown",
+      retryAfterMs: RETRY_AFTER_MS,
+    },
+  );
+}
--- /dev/null
+++ b/src/client_account/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The client account aggregate: who may ask, and under which policy.
+ *
+ * @example
+ * ```ts
+ * import * as accounts from "../client_account/mod.ts";
+ * accounts.accountPolicySchema.parse({ stalenessVersions: 2 });
+ * ```
+ * @module
+ */
+export * from "./client_account.ts";
--- /dev/null
+++ b/src/clock/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Time in milliseconds, behind one small interface.
+ *
+ * @example
+ * ```ts
+ * import * as clocks from "../clock/mod.ts";
+ * const clock = new clocks.SystemClock();
+ * clock.getMonotonicMs();
+ * ```
+ * @module
+ */
+export * from "./clock.ts";
+export * from "./fake_clock.ts";
+export * from "./sleep.ts";
+export * from "./system_clock.ts";
--- /dev/null
+++ b/src/consensus/_election.ts
@@ -0,0 +1,252 @@
+import * as uniform from "pure-rand/distribution/uniformInt";
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as authorities from "./authority.ts";
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import * as replications from "./_replication.ts";
+import * as replicaStates from "./replica_state.ts";
+
+/** Command of the entry that each leader begins its term with. */
+export const NO_OPERATION = { kind: "noOperation" } as const;
+
+/** Draws the next election time: one to two election timeouts from now. */
+export function resetElection(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  const { seed, electionTimeoutMs } = state.config;
+  const random = generator.xoroshiro128plus(seed * 7919 + state.draws);
+  const extraMs = uniform.uniformInt(random, 0, electionTimeoutMs);
+  const electionAtMs = nowMs + electionTimeoutMs + extraMs;
+  return { ...state, electionAtMs, draws: state.draws + 1 };
+}
+
+/** Enters a term as follower, saving the change of term. */
+export function enterTerm(
+  state: replicaStates.ReplicaState,
+  term: number,
+  leader?: string,
+): replicaStates.Transition {
+  const role = leader === undefined
+    ? { kind: "follower" as const }
+    : { kind: "follower" as const, leader };
+  if (term === state.term) return { state: { ...state, role }, effects: [] };
+  return {
+    state: { ...state, term, votedFor: undefined, role },
+    effects: [{ kind: "saveVote", term, votedFor: undefined }],
+  };
+}
+
+function createVoteRequests(
+  state: replicaStates.ReplicaState,
+  term: number,
+  isPreVote: boolean,
+): readonly replicaStates.Effect[] {
+  const lastIndex = replicaLogs.getLastIndex(state.log);
+  const lastTerm = replicaLogs.getTermAt(state.log, lastIndex) ?? 0;
+  const message: messages.VoteRequest = {
+    kind: "voteRequest",
+    term,
+    isPreVote,
+    lastIndex,
+    lastTerm,
+  };
+  return replicaStates.listOthers(state.config).map((to) => ({
+    kind: "send",
+    to,
+    message,
+  }));
+}
+
+/** Asks whether an election would be won, without disturbing the term. */
+export function startPreVote(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const votes = new Set([state.config.id]);
+  const next = resetElection(
+    { ...state, role: { kind: "preCandidate", votes } },
+    nowMs,
+  );
+  if (votes.size >= replicaStates.getQuorum(state.config)) {
+    return startElection(next, nowMs);
+  }
+  return {
+    state: next,
+    effects: createVoteRequests(next, state.term + 1, true),
+  };
+}
+
+function startElection(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const term = state.term + 1;
+  const votes = new Set([state.config.id]);
+  const votedFor = state.config.id;
+  const next = resetElection(
+    { ...state, term, votedFor, role: { kind: "candidate", votes } },
+    nowMs,
+  );
+  const save: replicaStates.Effect = { kind: "saveVote", term, votedFor };
+  if (votes.size >= replicaStates.getQuorum(state.config)) {
+    const won = startLeading(next, nowMs);
+    return { state: won.state, effects: [save, ...won.effects] };
+  }
+  return {
+    state: next,
+    effects: [save, ...createVoteRequests(next, term, false)],
+  };
+}
+
+function startLeading(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const firstIndex = replicaLogs.getLastIndex(state.log) + 1;
+  const entry = { index: firstIndex, term: state.term, command: NO_OPERATION };
+  const first: replicaStates.Progress = {
+    nextIndex: firstIndex,
+    matchIndex: 0,
+    answeredSentAtMs: Number.NEGATIVE_INFINITY,
+  };
+  const progress = new Map(
+    replicaStates.listOthers(state.config).map((id) => [id, first] as const),
+  );
+  const leading: replicaStates.ReplicaState = {
+    ...state,
+    log: replicaLogs.appendEntries(state.log, [entry]),
+    role: {
+      kind: "leader",
+      progress,
+      heartbeatAtMs: nowMs,
+      firstIndex,
+      sinceMs: nowMs,
+    },
+  };
+  const sent = replications.sendAppends(leading, nowMs);
+  return {
+    state: sent.state,
+    effects: [{ kind: "saveEntries", entries: [entry] }, ...sent.effects],
+  };
+}
+
+function isUpToDate(
+  state: replicaStates.ReplicaState,
+  request: messages.VoteRequest,
+): boolean {
+  const lastIndex = replicaLogs.getLastIndex(state.log);
+  const lastTerm = replicaLogs.getTermAt(state.log, lastIndex) ?? 0;
+  if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
+  return request.lastIndex >= lastIndex;
+}
+
+function hasRecentLeader(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): boolean {
+  if (state.role.kind === "leader") {
+    return nowMs < authorities.getAuthorityUntilMs(state, nowMs);
+  }
+  return nowMs < state.heardAtMs + state.config.electionTimeoutMs;
+}
+
+/** Answers a vote request; while a leader is heard it is refused unread. */
+export function handleVoteRequest(
+  state: replicaStates.ReplicaState,
+  from: string,
+  request: messages.VoteRequest,
+  nowMs: number,
+): replicaStates.Transition {
+  const { isPreVote, term } = request;
+  if (hasRecentLeader(state, nowMs) || term < state.term) {
+    return refuseVote(state, from, isPreVote);
+  }
+  if (isPreVote) {
+    if (!isUpToDate(state, request) || term <= state.term) {
+      return refuseVote(state, from, true);
+    }
+    return { state, effects: [createVoteReply(from, term, true, true)] };
+  }
+  const entered = term > state.term
+    ? enterTerm(state, term)
+    : { state, effects: [] };
+  const current = entered.state;
+  const canVote = current.votedFor === undefined || current.votedFor === from;
+  if (!canVote || !isUpToDate(current, request)) {
+    return {
+      state: current,
+      effects: [
+        ...entered.effects,
+        createVoteReply(from, current.term, false, false),
+      ],
+    };
+  }
+  const voted = resetElection({ ...current, votedFor: from }, nowMs);
+  return {
+    state: voted,
+    effects: [
+      { kind: "saveVote", term, votedFor: from },
+      createVoteReply(from, term, false, true),
+    ],
+  };
+}
+
+function refuseVote(
+  state: replicaStates.ReplicaState,
+  from: string,
+  isPreVote: boolean,
+): replicaStates.Transition {
+  return {
+    state,
+    effects: [createVoteReply(from, state.term, isPreVote, false)],
+  };
+}
+
+function createVoteReply(
+  to: string,
+  term: number,
+  isPreVote: boolean,
+  isGranted: boolean,
+): replicaStates.Effect {
+  const message: messages.VoteReply = {
+    kind: "voteReply",
+    term,
+    isPreVote,
+    isGranted,
+  };
+  return { kind: "send", to, message };
+}
+
+/** Counts a vote. */
+export function handleVoteReply(
+  state: replicaStates.ReplicaState,
+  from: string,
+  reply: messages.VoteReply,
+  nowMs: number,
+): replicaStates.Transition {
+  if (!reply.isGranted) {
+    if (reply.term > state.term) return enterTerm(state, reply.term);
+    return { state, effects: [] };
+  }
+  const { role } = state;
+  const expected = reply.isPreVote ? "preCandidate" : "candidate";
+  const term = reply.isPreVote ? state.term + 1 : state.term;
+  if (role.kind !== expected || reply.term !== term) {
+    return { state, effects: [] };
+  }
+  if (role.kind !== "preCandidate" && role.kind !== "candidate") {
+    return { state, effects: [] };
+  }
+  const votes = new Set([...role.votes, from]);
+  const counted: replicaStates.ReplicaState = {
+    ...state,
+    role: { ...role, votes },
+  };
+  if (votes.size < replicaStates.getQuorum(state.config)) {
+    return { state: counted, effects: [] };
+  }
+  return reply.isPreVote
+    ? startElection(counted, nowMs)
+    : startLeading(counted, nowMs);
+}
--- /dev/null
+++ b/src/consensus/_proposals.ts
@@ -0,0 +1,50 @@
+import * as results from "../results/mod.ts";
+import type * as replicaLogs from "./replica_log.ts";
+
+/** A proposal that waits to be committed. */
+export interface WaitingProposal {
+  readonly index: number;
+  readonly term: number;
+  readonly settle: (result: results.Result<unknown>) => void;
+}
+
+/** The proposals of this replica that are not yet settled. */
+export class ProposalTable {
+  readonly #waiting = new Map<number, WaitingProposal>();
+
+  /** Adds a proposal; one that waited at its index was overwritten. */
+  add(proposal: WaitingProposal): void {
+    const old = this.#waiting.get(proposal.index);
+    if (old !== undefined) refuseOverwritten(old);
+    this.#waiting.set(proposal.index, proposal);
+  }
+
+  /** Settles the proposal at a committed entry. */
+  settle(entry: replicaLogs.Entry, answer: unknown): void {
+    const proposal = this.#waiting.get(entry.index);
+    if (proposal === undefined) return;
+    this.#waiting.delete(entry.index);
+    if (proposal.term !== entry.term) return refuseOverwritten(proposal);
+    proposal.settle(results.createOk(answer));
+  }
+
+  /** Gives up proposals that a snapshot covers; what became of them is unknown. */
+  dropUpTo(index: number): void {
+    for (const [at, proposal] of this.#waiting) {
+      if (at > index) continue;
+      this.#waiting.delete(at);
+      proposal.settle(results.createFailure(
+        "changeUnknown",
+        "Cannot confirm the change: a snapshot replaced the log",
+        { outcome: "unknown" },
+      ));
+    }
+  }
+}
+
+function refuseOverwritten(proposal: WaitingProposal): void {
+  proposal.settle(results.createFailure(
+    "notLeader",
+    "Cannot accept the change: another leader replaced it",
+  ));
+}
--- /dev/null
+++ b/src/consensus/_replication.ts
@@ -0,0 +1,266 @@
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import * as replicaStates from "./replica_state.ts";
+
+const NO_TRANSITION_EFFECTS: readonly replicaStates.Effect[] = [];
+
+interface SentAppend {
+  readonly progress: replicaStates.Progress;
+  readonly effect: replicaStates.Effect;
+}
+
+function createAppend(
+  state: replicaStates.ReplicaState,
+  to: string,
+  progress: replicaStates.Progress,
+  nowMs: number,
+): SentAppend {
+  const previousIndex = progress.nextIndex - 1;
+  const previousTerm = replicaLogs.getTermAt(state.log, previousIndex);
+  if (previousTerm === undefined) {
+    const nextIndex = replicaLogs.getLastIndex(state.log) + 1;
+    return {
+      progress: { ...progress, nextIndex },
+      effect: { kind: "sendSnapshot", to },
+    };
+  }
+  const entries = replicaLogs.getEntries(
+    state.log,
+    progress.nextIndex,
+    state.config.maxBatchEntries,
+  );
+  const message: messages.AppendRequest = {
+    kind: "appendRequest",
+    term: state.term,
+    previousIndex,
+    previousTerm,
+    entries,
+    commitIndex: state.commitIndex,
+    sentAtMs: nowMs,
+  };
+  const nextIndex = progress.nextIndex + entries.length;
+  return {
+    progress: { ...progress, nextIndex },
+    effect: { kind: "send", to, message },
+  };
+}
+
+/** Sends each follower what it lacks, or a heartbeat. */
+export function sendAppends(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const { role } = state;
+  if (role.kind !== "leader") return { state, effects: [] };
+  const sent = [...role.progress].map(([to, progress]) =>
+    [to, createAppend(state, to, progress, nowMs)] as const
+  );
+  const progress = new Map(sent.map(([to, append]) => [to, append.progress]));
+  const heartbeatAtMs = nowMs + state.config.heartbeatMs;
+  const next = { ...state, role: { ...role, progress, heartbeatAtMs } };
+  return advanceCommit({
+    state: next,
+    effects: sent.map(([, append]) => append.effect),
+  });
+}
+
+function sendAppendTo(
+  state: replicaStates.ReplicaState,
+  to: string,
+  nowMs: number,
+): replicaStates.Transition {
+  const { role } = state;
+  if (role.kind !== "leader") return { state, effects: [] };
+  const progress = role.progress.get(to);
+  if (progress === undefined) return { state, effects: [] };
+  const sent = createAppend(state, to, progress, nowMs);
+  const next = new Map([...role.progress, [to, sent.progress] as const]);
+  return {
+    state: { ...state, role: { ...role, progress: next } },
+    effects: [sent.effect],
+  };
+}
+
+function advanceCommit(
+  transition: replicaStates.Transition,
+): replicaStates.Transition {
+  const { state } = transition;
+  if (state.role.kind !== "leader") return transition;
+  const matches = [...state.role.progress.values()].map((progress) =>
+    progress.matchIndex
+  );
+  const sorted = [replicaLogs.getLastIndex(state.log), ...matches].sort((
+    a,
+    b,
+  ) => b - a);
+  const index = sorted[replicaStates.getQuorum(state.config) - 1] ?? 0;
+  if (replicaLogs.getTermAt(state.log, index) !== state.term) return transition;
+  const committed = commitTo(state, index);
+  return {
+    state: committed.state,
+    effects: [...transition.effects, ...committed.effects],
+  };
+}
+
+function commitTo(
+  state: replicaStates.ReplicaState,
+  index: number,
+): replicaStates.Transition {
+  if (index <= state.commitIndex) {
+    return { state, effects: NO_TRANSITION_EFFECTS };
+  }
+  const count = index - state.commitIndex;
+  const entries = replicaLogs.getEntries(
+    state.log,
+    state.commitIndex + 1,
+    count,
+  );
+  return {
+    state: { ...state, commitIndex: index },
+    effects: [{ kind: "commit", entries }],
+  };
+}
+
+/** Adds commands to the leader's log and sends them on. */
+export function proposeCommands(
+  state: replicaStates.ReplicaState,
+  commands: readonly unknown[],
+  nowMs: number,
+): replicaStates.Transition {
+  if (state.role.kind !== "leader") return { state, effects: [] };
+  const firstIndex = replicaLogs.getLastIndex(state.log) + 1;
+  const entries = commands.map((command, offset): replicaLogs.Entry => ({
+    index: firstIndex + offset,
+    term: state.term,
+    command,
+  }));
+  const log = replicaLogs.appendEntries(state.log, entries);
+  const sent = sendAppends({ ...state, log }, nowMs);
+  return {
+    state: sent.state,
+    effects: [{ kind: "saveEntries", entries }, ...sent.effects],
+  };
+}
+
+function findNewEntries(
+  log: replicaLogs.ReplicaLog,
+  entries: readonly replicaLogs.Entry[],
+): readonly replicaLogs.Entry[] {
+  const first = entries.findIndex((entry) =>
+    entry.index > log.snapshotIndex &&
+    replicaLogs.getTermAt(log, entry.index) !== entry.term
+  );
+  return first < 0 ? [] : entries.slice(first);
+}
+
+function createAppendReply(
+  to: string,
+  reply: Omit<messages.AppendReply, "kind">,
+): replicaStates.Effect {
+  return { kind: "send", to, message: { kind: "appendReply", ...reply } };
+}
+
+/** Takes entries from the leader of the replica's term. */
+export function acceptAppend(
+  state: replicaStates.ReplicaState,
+  from: string,
+  request: messages.AppendRequest,
+): replicaStates.Transition {
+  const { term, sentAtMs, previousIndex, entries } = request;
+  const isCovered = previousIndex < state.log.snapshotIndex;
+  const isMatch = isCovered ||
+    replicaLogs.getTermAt(state.log, previousIndex) === request.previousTerm;
+  if (!isMatch) {
+    const index = Math.min(
+      replicaLogs.getLastIndex(state.log),
+      previousIndex - 1,
+    );
+    return {
+      state,
+      effects: [createAppendReply(from, { term, isMatch, index, sentAtMs })],
+    };
+  }
+  const added = findNewEntries(state.log, entries);
+  const log = replicaLogs.appendEntries(state.log, added);
+  const index = Math.max(previousIndex + entries.length, log.snapshotIndex);
+  const committed = commitTo(
+    { ...state, log },
+    Math.min(request.commitIndex, index),
+  );
+  const saves: readonly replicaStates.Effect[] = added.length === 0
+    ? []
+    : [{ kind: "saveEntries", entries: added }];
+  const reply = createAppendReply(from, { term, isMatch, index, sentAtMs });
+  return {
+    state: committed.state,
+    effects: [...saves, reply, ...committed.effects],
+  };
+}
+
+/** Takes a snapshot from the leader of the replica's term. */
+export function acceptSnapshot(
+  state: replicaStates.ReplicaState,
+  from: string,
+  request: messages.SnapshotRequest,
+): replicaStates.Transition {
+  const { snapshot, term, sentAtMs } = request;
+  if (snapshot.index <= state.commitIndex) {
+    const index = state.commitIndex;
+    return {
+      state,
+      effects: [
+        createAppendReply(from, { term, isMatch: true, index, sentAtMs }),
+      ],
+    };
+  }
+  const { index } = snapshot;
+  const log = {
+    snapshotIndex: index,
+    snapshotTerm: snapshot.term,
+    entries: [],
+  };
+  return {
+    state: { ...state, log, commitIndex: index },
+    effects: [
+      { kind: "restore", snapshot },
+      createAppendReply(from, { term, isMatch: true, index, sentAtMs }),
+    ],
+  };
+}
+
+/** Notes how far a follower is, and sends what it still lacks. */
+export function handleAppendReply(
+  state: replicaStates.ReplicaState,
+  from: string,
+  reply: messages.AppendReply,
+  nowMs: number,
+): replicaStates.Transition {
+  const { role } = state;
+  if (role.kind !== "leader" || reply.term !== state.term) {
+    return { state, effects: [] };
+  }
+  const old = role.progress.get(from);
+  if (old === undefined) return { state, effects: [] };
+  const answeredSentAtMs = Math.max(old.answeredSentAtMs, reply.sentAtMs);
+  const progress: replicaStates.Progress = reply.isMatch
+    ? {
+      answeredSentAtMs,
+      matchIndex: Math.max(old.matchIndex, reply.index),
+      nextIndex: Math.max(old.nextIndex, reply.index + 1),
+    }
+    : {
+      ...old,
+      answeredSentAtMs,
+      nextIndex: Math.max(old.matchIndex, reply.index) + 1,
+    };
+  const map = new Map([...role.progress, [from, progress] as const]);
+  const noted: replicaStates.ReplicaState = {
+    ...state,
+    role: { ...role, progress: map },
+  };
+  const isBehind = progress.nextIndex <= replicaLogs.getLastIndex(state.log);
+  const sent = isBehind
+    ? sendAppendTo(noted, from, nowMs)
+    : { state: noted, effects: NO_TRANSITION_EFFECTS };
+  return advanceCommit(sent);
+}
--- /dev/null
+++ b/src/consensus/_saved.ts
@@ -0,0 +1,54 @@
+import type * as replicaStates from "./replica_state.ts";
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import type * as stepReplica from "./step_replica.ts";
+
+/** A record in the durable log. */
+export type SavedRecord =
+  | {
+    readonly kind: "vote";
+    readonly term: number;
+    readonly votedFor?: string | undefined;
+  }
+  | { readonly kind: "entry"; readonly entry: replicaLogs.Entry };
+
+/** Rebuilds a replica from its snapshot and the records after it. */
+export function rebuildReplica(
+  snapshot: messages.Snapshot | undefined,
+  records: readonly SavedRecord[],
+): stepReplica.SavedReplica {
+  const empty = snapshot === undefined ? replicaLogs.EMPTY_LOG : {
+    snapshotIndex: snapshot.index,
+    snapshotTerm: snapshot.term,
+    entries: [],
+  };
+  const votes = records.filter((record) => record.kind === "vote");
+  const vote = votes.at(-1);
+  const entries: replicaLogs.Entry[] = [];
+  for (const record of records) {
+    if (record.kind !== "entry") continue;
+    const at = record.entry.index - empty.snapshotIndex - 1;
+    if (at < 0) continue;
+    entries.length = Math.min(entries.length, at);
+    entries.push(record.entry);
+  }
+  return {
+    term: vote?.term ?? snapshot?.term ?? 0,
+    votedFor: vote?.votedFor,
+    log: replicaLogs.appendEntries(empty, entries),
+  };
+}
+
+/** Gives what an effect writes to disk. */
+export function toRecords(
+  effect: replicaStates.Effect,
+): readonly SavedRecord[] {
+  switch (effect.kind) {
+    case "saveVote":
+      return [{ kind: "vote", term: effect.term, votedFor: effect.votedFor }];
+    case "saveEntries":
+      return effect.entries.map((entry) => ({ kind: "entry", entry }));
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/src/consensus/message.ts
@@ -0,0 +1,63 @@
+import type * as replicaLogs from "./replica_log.ts";
+
+/** Asks for a vote; a pre-vote asks whether a vote would be given. */
+export interface VoteRequest {
+  readonly kind: "voteRequest";
+  readonly term: number;
+  readonly isPreVote: boolean;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+/** Answers a vote request. */
+export interface VoteReply {
+  readonly kind: "voteReply";
+  readonly term: number;
+  readonly isPreVote: boolean;
+  readonly isGranted: boolean;
+}
+
+/** Carries log entries, or none as a heartbeat. */
+export interface AppendRequest {
+  readonly kind: "appendRequest";
+  readonly term: number;
+  readonly previousIndex: number;
+  readonly previousTerm: number;
+  readonly entries: readonly replicaLogs.Entry[];
+  readonly commitIndex: number;
+  /** Monotonic ms of the leader's clock at sending; echoed in the reply. */
+  readonly sentAtMs: number;
+}
+
+/** Answers an append or a snapshot. */
+export interface AppendReply {
+  readonly kind: "appendReply";
+  readonly term: number;
+  readonly isMatch: boolean;
+  /** Last index known to match, or a hint where to try next. */
+  readonly index: number;
+  readonly sentAtMs: number;
+}
+
+/** Carries the whole state to a replica that is too far behind. */
+export interface SnapshotRequest {
+  readonly kind: "snapshotRequest";
+  readonly term: number;
+  readonly snapshot: Snapshot;
+  readonly sentAtMs: number;
+}
+
+/** The state after an entry. */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly state: unknown;
+}
+
+/** A message between replicas. */
+export type Message =
+  | VoteRequest
+  | VoteReply
+  | AppendRequest
+  | AppendReply
+  | SnapshotRequest;
--- /dev/null
+++ b/src/consensus/replica_driver.ts
@@ -0,0 +1,331 @@
+import * as csp from "../csp/mod.ts";
+import * as results from "../results/mod.ts";
+import * as storage from "../storage/mod.ts";
+import * as saveds from "./_saved.ts";
+import * as proposals from "./_proposals.ts";
+import * as authorities from "./authority.ts";
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import type * as replicaOptions from "./replica_options.ts";
+import type * as replicaStates from "./replica_state.ts";
+import * as replicaStatuses from "./replica_status.ts";
+import * as stepReplica from "./step_replica.ts";
+
+const INBOX_CAPACITY = 8_192;
+const MAX_EVENTS_A_ROUND = 512;
+const TICK_MS = 20;
+
+type Settle = (result: results.Result<unknown>) => void;
+
+type DriverEvent =
+  | { readonly kind: "replica"; readonly event: replicaStates.ReplicaEvent }
+  | {
+    readonly kind: "proposal";
+    readonly command: unknown;
+    readonly settle: Settle;
+  };
+
+/** Runs one replica: its disk, its messages and its timer. */
+export class ReplicaDriver {
+  readonly #options: replicaOptions.ReplicaDriverOptions;
+  readonly #log: storage.DurableLog;
+  readonly #inbox = new csp.Channel<DriverEvent>(INBOX_CAPACITY);
+  readonly #proposals = new proposals.ProposalTable();
+  #state: replicaStates.ReplicaState;
+  #appliedIndex: number;
+  #appliedTerm: number;
+  #snapshotIndex: number;
+  #isStopped = false;
+
+  private constructor(
+    options: replicaOptions.ReplicaDriverOptions,
+    log: storage.DurableLog,
+    state: replicaStates.ReplicaState,
+  ) {
+    this.#options = options;
+    this.#log = log;
+    this.#state = state;
+    this.#appliedIndex = state.log.snapshotIndex;
+    this.#appliedTerm = state.log.snapshotTerm;
+    this.#snapshotIndex = state.log.snapshotIndex;
+  }
+
+  /**
+   * Opens the data folder and starts the replica.
+   *
+   * @throws FailureError `corruptLog` or `wrongFolder`.
+   */
+  static async open(
+    options: replicaOptions.ReplicaDriverOptions,
+  ): Promise<ReplicaDriver> {
+    const { config, clock, dataFolder, machine } = options;
+    const opened = await storage.DurableLog.open(dataFolder, config.id);
+    const snapshot = opened.loaded.snapshot as messages.Snapshot | undefined;
+    const records = opened.loaded.records as readonly saveds.SavedRecord[];
+    if (snapshot !== undefined) machine.restore(snapshot.state);
+    const saved = saveds.rebuildReplica(snapshot, records);
+    const state = stepReplica.createReplica(
+      config,
+      saved,
+      clock.getMonotonicMs(),
+    );
+    const driver = new ReplicaDriver(options, opened.log, state);
+    driver.#start();
+    return driver;
+  }
+
+  /** Tells whether this replica may act as leader now. */
+  hasAuthority(): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return authorities.hasAuthority(this.#state, nowMs);
+  }
+
+  /** Monotonic ms until which this replica surely leads. */
+  getAuthorityUntilMs(): number {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return authorities.getAuthorityUntilMs(this.#state, nowMs);
+  }
+
+  /** Tells the term; it fences orders of the leader. */
+  getTerm(): number {
+    return this.#state.term;
+  }
+
+  /** Id of the leader, as far as this replica knows. */
+  getLeader(): string | undefined {
+    return replicaStatuses.getLeader(this.#state);
+  }
+
+  getStatus(): replicaStatuses.ReplicaStatus {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return replicaStatuses.describeReplica(this.#state, nowMs);
+  }
+
+  /** Gives a message from another replica; dropped when the inbox is full. */
+  receive(from: string, message: messages.Message): void {
+    this.#inbox.offer({
+      kind: "replica",
+      event: { kind: "message", from, message },
+    });
+  }
+
+  /**
+   * Proposes a command.
+   *
+   * @param command The command.
+   * @param timeoutMs How long to wait for it to be committed.
+   * @returns The machine's answer; `notLeader` if it surely was not accepted,
+   * `changeUnknown` if that is not known.
+   */
+  propose(
+    command: unknown,
+    timeoutMs: number,
+  ): Promise<results.Result<unknown>> {
+    return new Promise((resolve) => {
+      const cancel = this.#options.clock.startTimer(timeoutMs, () => {
+        resolve(
+          results.createFailure(
+            "changeUnknown",
+            "Cannot confirm the change: no quorum answered in time",
+            {
+              outcome: "unknown",
+            },
+          ),
+        );
+      });
+      function settle(result: results.Result<unknown>): void {
+        cancel();
+        resolve(result);
+      }
+      if (this.#inbox.offer({ kind: "proposal", command, settle })) return;
+      settle(
+        results.createFailure(
+          "overloaded",
+          "Cannot accept the change: the inbox is full",
+          {
+            retryAfterMs: 100,
+          },
+        ),
+      );
+    });
+  }
+
+  /** Stops; what was synced stays. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    this.#inbox.close();
+    await this.#log.close();
+  }
+
+  #start(): void {
+    const { onFatal } = this.#options;
+    csp.runProcess(() => this.#run(), onFatal);
+    this.#startTick();
+  }
+
+  #startTick(): void {
+    if (this.#isStopped) return;
+    this.#options.clock.startTimer(TICK_MS, () => {
+      this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
+      this.#startTick();
+    });
+  }
+
+  *#run(): csp.Step<void> {
+    for (;;) {
+      const first = yield* this.#inbox.take();
+      if (first === csp.CLOSED) return;
+      const effects = this.#stepRound(this.#collectRound(first));
+      yield* this.#saveEffects(effects);
+      if (this.#isStopped) return;
+      for (const effect of effects) this.#runEffect(effect);
+      yield* this.#takeSnapshot();
+    }
+  }
+
+  #collectRound(first: DriverEvent): readonly DriverEvent[] {
+    const round: DriverEvent[] = [first];
+    while (round.length < MAX_EVENTS_A_ROUND) {
+      const next = this.#inbox.poll();
+      if (next === undefined) break;
+      round.push(next);
+    }
+    return round;
+  }
+
+  #stepRound(round: readonly DriverEvent[]): readonly replicaStates.Effect[] {
+    const proposals = round.filter((event) => event.kind === "proposal");
+    const effects = round.flatMap((event) =>
+      event.kind === "replica" ? this.#step(event.event) : []
+    );
+    return [...effects, ...this.#stepProposals(proposals)];
+  }
+
+  #stepProposals(
+    proposals: readonly Extract<DriverEvent, { readonly kind: "proposal" }>[],
+  ): readonly replicaStates.Effect[] {
+    if (proposals.length === 0) return [];
+    if (this.#state.role.kind !== "leader") {
+      const leader = this.getLeader();
+      for (const proposal of proposals) {
+        proposal.settle(
+          results.createFailure(
+            "notLeader",
+            `Cannot accept the change: the leader is ${leader ?? "unknown"}`,
+          ),
+        );
+      }
+      return [];
+    }
+    const firstIndex = replicaLogs.getLastIndex(this.#state.log) + 1;
+    proposals.forEach((proposal, offset) => {
+      this.#proposals.add({
+        index: firstIndex + offset,
+        term: this.#state.term,
+        settle: proposal.settle,
+      });
+    });
+    return this.#step({
+      kind: "propose",
+      commands: proposals.map((proposal) => proposal.command),
+    });
+  }
+
+  #step(event: replicaStates.ReplicaEvent): readonly replicaStates.Effect[] {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const transition = stepReplica.stepReplica(this.#state, event, nowMs);
+    this.#state = transition.state;
+    return transition.effects;
+  }
+
+  *#saveEffects(effects: readonly replicaStates.Effect[]): csp.Step<void> {
+    const restore = effects.findLastIndex((effect) =>
+      effect.kind === "restore"
+    );
+    if (restore >= 0) {
+      yield* this.#saveRestored(
+        effects[restore] as Extract<replicaStates.Effect, { kind: "restore" }>,
+      );
+    }
+    const records = effects.slice(restore + 1).flatMap(saveds.toRecords);
+    if (records.length > 0) yield* csp.waitFor(this.#log.append(records));
+  }
+
+  *#saveRestored(
+    effect: Extract<replicaStates.Effect, { kind: "restore" }>,
+  ): csp.Step<void> {
+    const { term, votedFor } = this.#state;
+    const vote: saveds.SavedRecord = { kind: "vote", term, votedFor };
+    yield* csp.waitFor(this.#log.compact(effect.snapshot, [vote]));
+    this.#snapshotIndex = effect.snapshot.index;
+  }
+
+  #runEffect(effect: replicaStates.Effect): void {
+    switch (effect.kind) {
+      case "saveVote":
+      case "saveEntries":
+        return;
+      case "restore":
+        return this.#restore(effect.snapshot);
+      case "send":
+        return this.#options.send(effect.to, effect.message);
+      case "sendSnapshot":
+        return this.#sendSnapshot(effect.to);
+      case "commit":
+        for (const entry of effect.entries) this.#applyEntry(entry);
+    }
+  }
+
+  #applyEntry(entry: replicaLogs.Entry): void {
+    if (entry.index <= this.#appliedIndex) return;
+    const answer = this.#options.machine.apply(entry.command);
+    this.#appliedIndex = entry.index;
+    this.#appliedTerm = entry.term;
+    this.#proposals.settle(entry, answer);
+  }
+
+  #restore(snapshot: messages.Snapshot): void {
+    if (snapshot.index <= this.#appliedIndex) return;
+    this.#options.machine.restore(snapshot.state);
+    this.#appliedIndex = snapshot.index;
+    this.#appliedTerm = snapshot.term;
+    this.#proposals.dropUpTo(snapshot.index);
+  }
+
+  #createSnapshot(): messages.Snapshot {
+    const state = this.#options.machine.save();
+    return { index: this.#appliedIndex, term: this.#appliedTerm, state };
+  }
+
+  #sendSnapshot(to: string): void {
+    const message: messages.SnapshotRequest = {
+      kind: "snapshotRequest",
+      term: this.#state.term,
+      snapshot: this.#createSnapshot(),
+      sentAtMs: this.#options.clock.getMonotonicMs(),
+    };
+    this.#options.send(to, message);
+  }
+
+  *#takeSnapshot(): csp.Step<void> {
+    const { snapshotEntries } = this.#options;
+    if (this.#appliedIndex - this.#snapshotIndex < snapshotEntries) return;
+    const { term, votedFor, log } = this.#state;
+    const rest = replicaLogs.getEntries(
+      log,
+      this.#appliedIndex + 1,
+      log.entries.length,
+    );
+    const records: readonly saveds.SavedRecord[] = [
+      { kind: "vote", term, votedFor },
+      ...rest.map((entry): saveds.SavedRecord => ({ kind: "entry", entry })),
+    ];
+    yield* csp.waitFor(this.#log.compact(this.#createSnapshot(), records));
+    this.#snapshotIndex = this.#appliedIndex;
+    const keptFrom = this.#appliedIndex - Math.floor(snapshotEntries / 2);
+    this.#state = {
+      ...this.#state,
+      log: replicaLogs.compactLog(log, Math.max(keptFrom, log.snapshotIndex)),
+    };
+  }
+}
--- /dev/null
+++ b/src/consensus/replica_log.ts
@@ -0,0 +1,90 @@
+/** One entry of the replicated log. */
+export interface Entry {
+  readonly index: number;
+  readonly term: number;
+  readonly command: unknown;
+}
+
+/** The entries after the last snapshot. */
+export interface ReplicaLog {
+  readonly snapshotIndex: number;
+  readonly snapshotTerm: number;
+  readonly entries: readonly Entry[];
+}
+
+/** An empty log. */
+export const EMPTY_LOG: ReplicaLog = {
+  snapshotIndex: 0,
+  snapshotTerm: 0,
+  entries: [],
+};
+
+/**
+ * Gives the index of the last entry.
+ *
+ * @param log The log.
+ * @returns The index; 0 for an empty log.
+ */
+export function getLastIndex(log: ReplicaLog): number {
+  return log.snapshotIndex + log.entries.length;
+}
+
+/**
+ * Gives the term of an entry.
+ *
+ * @param log The log.
+ * @param index The entry's index.
+ * @returns The term, or undefined when the log does not hold it.
+ */
+export function getTermAt(log: ReplicaLog, index: number): number | undefined {
+  if (index === log.snapshotIndex) return log.snapshotTerm;
+  return log.entries[index - log.snapshotIndex - 1]?.term;
+}
+
+/**
+ * Gives entries from an index on.
+ *
+ * @param log The log.
+ * @param fromIndex First index.
+ * @param limit How many at most.
+ * @returns The entries.
+ */
+export function getEntries(
+  log: ReplicaLog,
+  fromIndex: number,
+  limit: number,
+): readonly Entry[] {
+  const start = Math.max(0, fromIndex - log.snapshotIndex - 1);
+  return log.entries.slice(start, start + limit);
+}
+
+/**
+ * Adds entries, dropping what stood at their indexes and after.
+ *
+ * @param log The log.
+ * @param entries Consecutive entries; the first at most one past the end.
+ * @returns The new log.
+ */
+export function appendEntries(
+  log: ReplicaLog,
+  entries: readonly Entry[],
+): ReplicaLog {
+  const first = entries[0];
+  if (first === undefined) return log;
+  const kept = log.entries.slice(0, first.index - log.snapshotIndex - 1);
+  return { ...log, entries: [...kept, ...entries] };
+}
+
+/**
+ * Drops the entries up to an index that a snapshot now covers.
+ *
+ * @param log The log.
+ * @param index Last index of the snapshot.
+ * @returns The shorter log.
+ */
+export function compactLog(log: ReplicaLog, index: number): ReplicaLog {
+  const snapshotTerm = getTermAt(log, index);
+  if (snapshotTerm === undefined) return log;
+  const entries = log.entries.slice(index - log.snapshotIndex);
+  return { snapshotIndex: index, snapshotTerm, entries };
+}
--- /dev/null
+++ b/src/consensus/replica_status.ts
@@ -0,0 +1,67 @@
+import * as replicaLogs from "./replica_log.ts";
+import type * as replicaStates from "./replica_state.ts";
+
+/** What others may know of a replica. */
+export interface ReplicaStatus {
+  readonly role: replicaStates.ReplicaState["role"]["kind"];
+  readonly term: number;
+  readonly leader: string | undefined;
+  readonly commitIndex: number;
+  readonly lastIndex: number;
+  readonly followers: readonly FollowerStatus[];
+}
+
+/** How far a follower is, as its leader knows. */
+export interface FollowerStatus {
+  readonly id: string;
+  readonly matchIndex: number;
+  /** Time since the last answered message was sent, in ms. */
+  readonly silentMs: number;
+}
+
+/**
+ * Gives the id of the leader, as far as a replica knows.
+ *
+ * @param state The replica.
+ * @returns The id, or undefined.
+ */
+export function getLeader(
+  state: replicaStates.ReplicaState,
+): string | undefined {
+  switch (state.role.kind) {
+    case "leader":
+      return state.config.id;
+    case "follower":
+      return state.role.leader;
+    case "candidate":
+    case "preCandidate":
+      return undefined;
+  }
+}
+
+/**
+ * Describes a replica for operators.
+ *
+ * @param state The replica.
+ * @param nowMs Monotonic time, in ms.
+ * @returns Its status.
+ */
+export function describeReplica(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): ReplicaStatus {
+  const { role, term, commitIndex, log } = state;
+  const progress = role.kind === "leader" ? [...role.progress] : [];
+  return {
+    role: role.kind,
+    term,
+    leader: getLeader(state),
+    commitIndex,
+    lastIndex: replicaLogs.getLastIndex(log),
+    followers: progress.map(([id, entry]) => ({
+      id,
+      matchIndex: entry.matchIndex,
+      silentMs: Math.round(nowMs - entry.answeredSentAtMs),
+    })),
+  };
+}
--- /dev/null
+++ b/src/consensus/step_replica.ts
@@ -0,0 +1,153 @@
+import * as authorities from "./authority.ts";
+import * as elections from "./_election.ts";
+import * as replications from "./_replication.ts";
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import type * as replicaStates from "./replica_state.ts";
+
+/** What a replica finds on its disk. */
+export interface SavedReplica {
+  readonly term: number;
+  readonly votedFor: string | undefined;
+  readonly log: replicaLogs.ReplicaLog;
+}
+
+/** What a new replica finds. */
+export const EMPTY_REPLICA: SavedReplica = {
+  term: 0,
+  votedFor: undefined,
+  log: replicaLogs.EMPTY_LOG,
+};
+
+/**
+ * Starts a replica from what it saved. It gives no vote for one election
+ * timeout, since it may have heard a leader just before it stopped.
+ *
+ * @param config The configuration.
+ * @param saved What was on disk.
+ * @param nowMs Monotonic time, in ms.
+ * @returns The replica as a follower.
+ */
+export function createReplica(
+  config: replicaStates.ReplicaConfig,
+  saved: SavedReplica,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  const state: replicaStates.ReplicaState = {
+    config,
+    term: saved.term,
+    votedFor: saved.votedFor,
+    role: { kind: "follower" },
+    log: saved.log,
+    commitIndex: saved.log.snapshotIndex,
+    electionAtMs: 0,
+    heardAtMs: nowMs,
+    draws: 0,
+  };
+  return elections.resetElection(state, nowMs);
+}
+
+/**
+ * Moves a replica by one event. Nothing is written or sent here.
+ *
+ * @param state The replica.
+ * @param event What happened.
+ * @param nowMs Monotonic time, in ms.
+ * @returns The new state, and effects to carry out in order: all saves must
+ * be on disk before anything is sent.
+ */
+export function stepReplica(
+  state: replicaStates.ReplicaState,
+  event: replicaStates.ReplicaEvent,
+  nowMs: number,
+): replicaStates.Transition {
+  switch (event.kind) {
+    case "tick":
+      return stepTick(state, nowMs);
+    case "propose":
+      return replications.proposeCommands(state, event.commands, nowMs);
+    case "message":
+      return stepMessage(state, event.from, event.message, nowMs);
+  }
+}
+
+function stepTick(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  if (state.role.kind !== "leader") {
+    if (nowMs < state.electionAtMs) return { state, effects: [] };
+    return elections.startPreVote(state, nowMs);
+  }
+  const graceMs = state.config.electionTimeoutMs;
+  const isNew = nowMs < state.role.sinceMs + graceMs;
+  if (
+    !isNew && nowMs >= authorities.getAuthorityUntilMs(state, nowMs) + graceMs
+  ) {
+    const follower: replicaStates.ReplicaState = {
+      ...state,
+      role: { kind: "follower" },
+    };
+    return { state: elections.resetElection(follower, nowMs), effects: [] };
+  }
+  if (nowMs < state.role.heartbeatAtMs) return { state, effects: [] };
+  return replications.sendAppends(state, nowMs);
+}
+
+function stepMessage(
+  state: replicaStates.ReplicaState,
+  from: string,
+  message: messages.Message,
+  nowMs: number,
+): replicaStates.Transition {
+  switch (message.kind) {
+    case "voteRequest":
+      return elections.handleVoteRequest(state, from, message, nowMs);
+    case "voteReply":
+      return elections.handleVoteReply(state, from, message, nowMs);
+    case "appendRequest":
+    case "snapshotRequest":
+      return followLeader(state, from, message, nowMs);
+    case "appendReply":
+      if (message.term > state.term) {
+        return elections.enterTerm(state, message.term);
+      }
+      return replications.handleAppendReply(state, from, message, nowMs);
+  }
+}
+
+function followLeader(
+  state: replicaStates.ReplicaState,
+  from: string,
+  message: messages.AppendRequest | messages.SnapshotRequest,
+  nowMs: number,
+): replicaStates.Transition {
+  if (message.term < state.term) return refuseLeader(state, from, message);
+  const entered = elections.enterTerm(state, message.term, from);
+  const heard = elections.resetElection(
+    { ...entered.state, heardAtMs: nowMs },
+    nowMs,
+  );
+  const accepted = message.kind === "appendRequest"
+    ? replications.acceptAppend(heard, from, message)
+    : replications.acceptSnapshot(heard, from, message);
+  return {
+    state: accepted.state,
+    effects: [...entered.effects, ...accepted.effects],
+  };
+}
+
+function refuseLeader(
+  state: replicaStates.ReplicaState,
+  to: string,
+  message: messages.AppendRequest | messages.SnapshotRequest,
+): replicaStates.Transition {
+  const reply: messages.Message = {
+    kind: "appendReply",
+    term: state.term,
+    isMatch: false,
+    index: 0,
+    sentAtMs: message.sentAtMs,
+  };
+  return { state, effects: [{ kind: "send", to, message: reply }] };
+}
--- /dev/null
+++ b/src/control/leader_duties.ts
@@ -0,0 +1,199 @@
+import type * as backends from "../backend_server/mod.ts";
+import * as boxList from "../box_list/mod.ts";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
+import * as engines from "../engine/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import type * as settings from "../settings/mod.ts";
+import * as weightRollouts from "../weight_rollout/mod.ts";
+import * as weightStore from "../weight_store/mod.ts";
+import type * as controlServices from "./control_service.ts";
+
+const PROPOSE_TIMEOUT_MS = 2_000;
+const ORDER_RETRY_MS = 300;
+const FORGET_PERIOD_MS = 60_000;
+/** Time left of its authority that a leader needs to send an order, in ms. */
+const ORDER_MARGIN_MS = 50;
+
+/** What the duties need. */
+export interface LeaderDutiesOptions {
+  readonly settings: settings.Settings;
+  readonly control: settings.ControlSettings;
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly metrics: metrics.Metrics;
+  readonly service: controlServices.ControlService;
+}
+
+/** What the leader remembers of orders to one engine. */
+interface OrderMemory {
+  readonly isUnderWay: boolean;
+  readonly notBeforeMs: number;
+}
+
+/**
+ * What only the leader does: it reads the box list and the weight store, and
+ * orders engines to load weights. Each act is checked against its authority.
+ */
+export class LeaderDuties {
+  readonly #options: LeaderDutiesOptions;
+  readonly #boxList: boxList.BoxListClient;
+  readonly #weightStore: weightStore.WeightStoreClient;
+  #orders: ReadonlyMap<string, OrderMemory> = new Map();
+  #isStopped = false;
+
+  constructor(options: LeaderDutiesOptions) {
+    this.#options = options;
+    this.#boxList = new boxList.BoxListClient(options.settings.boxList.url);
+    this.#weightStore = new weightStore.WeightStoreClient(
+      options.settings.weightStore.url,
+    );
+  }
+
+  /** Starts every duty; each acts only while this replica leads. */
+  start(): void {
+    const { settings: { boxList: list, weightStore: store } } = this.#options;
+    this.#startDuty("boxList", list.pollMs, () => this.#readBoxList());
+    this.#startDuty("weightStore", store.pollMs, () => this.#readWeightStore());
+    this.#startDuty("weightRollout", store.pollMs, () => this.#rollWeights());
+    this.#startDuty("forgetOld", FORGET_PERIOD_MS, () => this.#forgetOld());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  #startDuty(name: string, periodMs: number, act: () => Promise<void>): void {
+    const { clock, log, service } = this.#options;
+    const isStopped = this.#getStopped.bind(this);
+    csp.runProcess(
+      function* () {
+        while (!isStopped()) {
+          if (service.getSession() !== undefined) yield* csp.waitFor(act());
+          yield* csp.waitFor(clocks.sleep(clock, periodMs));
+        }
+      },
+      (error) =>
+        log.write("error", "duty.ended", { name, message: String(error) }),
+    );
+  }
+
+  #getStopped(): boolean {
+    return this.#isStopped;
+  }
+
+  async #readBoxList(): Promise<void> {
+    const read = await this.#boxList.readServers();
+    if (read.kind === "failure") {
+      this.#options.log.write("warn", "box_list.unread", {
+        message: read.failure.message,
+      });
+      return;
+    }
+    this.#options.service.getSession()?.setServers(read.value);
+  }
+
+  async #readWeightStore(): Promise<void> {
+    const read = await this.#weightStore.readLatest();
+    if (read.kind === "failure") return;
+    const known = this.#options.service.getState().models;
+    for (const { model, weightVersion } of read.value) {
+      if ((known.get(model)?.weightVersion ?? 0) >= weightVersion) continue;
+      this.#options.log.write("info", "model.published", {
+        model,
+        weightVersion,
+      });
+      await this.#options.service.propose({
+        kind: "publishModel",
+        model,
+        weightVersion,
+      }, PROPOSE_TIMEOUT_MS);
+    }
+  }
+
+  async #forgetOld(): Promise<void> {
+    const { clock, control, service } = this.#options;
+    const beforeMs = clock.getWallMs() - control.claimRetentionMs;
+    await service.propose({ kind: "forgetOld", beforeMs }, PROPOSE_TIMEOUT_MS);
+  }
+
+  async #rollWeights(): Promise<void> {
+    const { clock, service, settings: { engines: limits } } = this.#options;
+    const servers = (service.getSession()?.getServers() ?? [])
+      .filter((server) =>
+        server.kind === "language" && server.state === "live"
+      );
+    const targets = [...service.getState().models.values()];
+    if (servers.length === 0 || targets.length === 0) return;
+    const views = await Promise.all(
+      servers.map((server) => this.#readView(server)),
+    );
+    const orders = weightRollouts.planOrders(
+      views.filter((view) => view !== undefined),
+      targets,
+      {
+        maxSwapFraction: limits.maxSwapFraction,
+        nowMs: clock.getMonotonicMs(),
+      },
+    );
+    for (const order of orders) {
+      const server = servers.find((candidate) =>
+        candidate.id === order.engineId
+      );
+      if (server !== undefined) void this.#giveOrder(server, order);
+    }
+  }
+
+  async #readView(
+    server: backends.BackendServer,
+  ): Promise<weightRollouts.EngineView | undefined> {
+    const report = await engines.readReport(server);
+    if (report.kind === "failure") return undefined;
+    const memory = this.#orders.get(server.id);
+    return {
+      id: server.id,
+      models: new Map(Object.entries(report.value.models)),
+      isBusy: memory?.isUnderWay === true || report.value.isSwapping,
+      notBeforeMs: memory?.notBeforeMs ?? 0,
+    };
+  }
+
+  async #giveOrder(
+    server: backends.BackendServer,
+    order: weightRollouts.PlannedOrder,
+  ): Promise<void> {
+    const {
+      clock,
+      log,
+      metrics: sink,
+      service,
+      settings: { engines: limits },
+    } = this.#options;
+    const session = service.getSession();
+    const leftMs = service.getAuthorityUntilMs() - clock.getMonotonicMs();
+    if (session === undefined || leftMs < ORDER_MARGIN_MS) return;
+    this.#noteOrder(server.id, { isUnderWay: true, notBeforeMs: 0 });
+    sink.count("order.sent");
+    const done = await engines.sendOrder(server, {
+      model: order.model,
+      weightVersion: order.weightVersion,
+      fence: session.term,
+      deadlineMs: limits.orderTimeoutMs,
+    });
+    const isDone = done.kind === "ok";
+    const notBeforeMs = isDone ? 0 : clock.getMonotonicMs() + ORDER_RETRY_MS;
+    this.#noteOrder(server.id, { isUnderWay: false, notBeforeMs });
+    log.write(isDone ? "info" : "warn", "order.ended", {
+      engine: server.id,
+      model: order.model,
+      weightVersion: order.weightVersion,
+      fence: session.term,
+      isDone,
+    });
+  }
+
+  #noteOrder(id: string, memory: OrderMemory): void {
+    this.#orders = new Map([...this.#orders, [id, memory] as const]);
+  }
+}
--- /dev/null
+++ b/src/csp/channel.ts
@@ -0,0 +1,45 @@
+import csp from "js-csp";
+import type * as raw from "js-csp";
+
+/** What `take` gives once a channel is closed and empty. */
+export const CLOSED: unique symbol = Symbol("closed");
+
+/** A step of a process; `yield*` it to receive its value. */
+export type Step<T> = Generator<unknown, T, unknown>;
+
+/**
+ * A bounded, typed channel over js-csp. A full channel refuses `offer`, so
+ * each sender states what it does then.
+ */
+export class Channel<T> {
+  readonly #raw: raw.RawChannel;
+
+  /** @param capacity How many values wait at most. */
+  constructor(capacity: number) {
+    this.#raw = csp.chan(capacity);
+  }
+
+  /** Adds a value without waiting; false when the channel is full or closed. */
+  offer(value: T): boolean {
+    if (this.#raw.is_closed()) return false;
+    return csp.offer(this.#raw, value);
+  }
+
+  /** Removes a value without waiting, if there is one. */
+  poll(): T | undefined {
+    const value = csp.poll(this.#raw);
+    if (value === csp.NO_VALUE || value === csp.CLOSED) return undefined;
+    return value as T;
+  }
+
+  /** Waits for the next value inside a process. */
+  *take(): Step<T | typeof CLOSED> {
+    const value = yield csp.take(this.#raw);
+    return value === csp.CLOSED ? CLOSED : value as T;
+  }
+
+  /** Closes the channel; values already in it can still be taken. */
+  close(): void {
+    this.#raw.close();
+  }
+}
--- /dev/null
+++ b/src/csp/run_process.ts
@@ -0,0 +1,21 @@
+import csp from "js-csp";
+import type * as channels from "./channel.ts";
+
+/**
+ * Starts a process that runs until its generator ends.
+ *
+ * @param body The process.
+ * @param onError Told of an error thrown by the process, which then ends.
+ */
+export function runProcess(
+  body: () => channels.Step<void>,
+  onError: (error: unknown) => void,
+): void {
+  csp.go(function* guardBody() {
+    try {
+      yield* body();
+    } catch (error) {
+      onError(error);
+    }
+  });
+}
--- /dev/null
+++ b/src/csp/wait_for.ts
@@ -0,0 +1,26 @@
+import csp from "js-csp";
+import type * as channels from "./channel.ts";
+
+interface Settled<T> {
+  readonly value?: T;
+  readonly error?: unknown;
+  readonly isError: boolean;
+}
+
+/**
+ * Waits for a promise inside a process.
+ *
+ * @param promise The promise.
+ * @returns Its value.
+ * @throws Whatever the promise rejects with.
+ */
+export function* waitFor<T>(promise: Promise<T>): channels.Step<T> {
+  const channel = csp.chan(1);
+  promise.then(
+    (value) => csp.putAsync(channel, { value, isError: false }),
+    (error: unknown) => csp.putAsync(channel, { error, isError: true }),
+  );
+  const settled = (yield csp.take(channel)) as Settled<T>;
+  if (settled.isError) throw settled.error;
+  return settled.value as T;
+}
--- /dev/null
+++ b/src/daemon/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The daemon of a box: every part, started and stopped in order.
+ *
+ * @example
+ * ```ts
+ * import * as daemons from "../daemon/mod.ts";
+ * await new daemons.Daemon(settings, console.log).start();
+ * ```
+ * @module
+ */
+export * from "./daemon.ts";
--- /dev/null
+++ b/src/engine/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Adapter to the model engines: reports, orders, token streams.
+ *
+ * @example
+ * ```ts
+ * import * as engines from "../engine/mod.ts";
+ * await engines.readReport(server);
+ * ```
+ * @module
+ */
+export * from "./engine_client.ts";
+export * from "./stream_completion.ts";
--- /dev/null
+++ b/src/generation/generate_tokens.ts
@@ -0,0 +1,144 @@
+import * as crypto from "node:crypto";
+import * as clocks from "../clock/mod.ts";
+import * as engines from "../engine/mod.ts";
+import * as results from "../results/mod.ts";
+import type * as routing from "../routing/mod.ts";
+
+const RETRY_DELAY_MS = 60;
+
+/** What is to be generated. */
+export interface GenerationRequest {
+  readonly service: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly priority: number;
+  /** Oldest weight version that may serve. */
+  readonly minVersion: number;
+}
+
+/** How a generation is run. */
+export interface GenerationOptions {
+  readonly clock: clocks.Clock;
+  readonly table: routing.ServerTable;
+  /** Time for the whole generation, in ms. */
+  readonly timeoutMs: number;
+  readonly connectTimeoutMs: number;
+  readonly signal: AbortSignal;
+  /** Receives each token once, in order. */
+  readonly onToken: (token: engines.GeneratedToken) => void;
+}
+
+/** Why a whole generation ended. */
+export interface GenerationEnd {
+  /** The engine's reason, such as `stop`. */
+  readonly reason: string;
+  /** Engines that took part. */
+  readonly engineCount: number;
+}
+
+/** One generation over as many engines as it takes. */
+class GenerationRun {
+  readonly #request: GenerationRequest;
+  readonly #options: GenerationOptions;
+  readonly #endMs: number;
+  readonly #tokens: number[] = [];
+  #excluded: ReadonlySet<string> = new Set();
+  #engineCount = 0;
+
+  constructor(request: GenerationRequest, options: GenerationOptions) {
+    this.#request = request;
+    this.#options = options;
+    this.#endMs = options.clock.getMonotonicMs() + options.timeoutMs;
+  }
+
+  async run(): Promise<results.Result<GenerationEnd>> {
+    for (;;) {
+      const end = await this.#tryEngine();
+      if (end !== undefined) return end;
+      if (this.#options.signal.aborted) {
+        return this.#fail("deadlineExceeded", "it was cancelled");
+      }
+      if (this.#getLeftMs() <= 0) {
+        return this.#fail("deadlineExceeded", "the deadline passed");
+      }
+    }
+  }
+
+  async #tryEngine(): Promise<results.Result<GenerationEnd> | undefined> {
+    const { service, model, minVersion } = this.#request;
+    const need = { service, model, minVersion, excluded: this.#excluded };
+    const server = this.#options.table.choose(need);
+    if (server === undefined) {
+      this.#excluded = new Set();
+      await clocks.sleep(this.#options.clock, RETRY_DELAY_MS);
+      return undefined;
+    }
+    this.#options.table.addRequest(server.id);
+    this.#engineCount += 1;
+    const end = await engines.streamCompletion(server, this.#createRequest(), {
+      timeoutMs: this.#getLeftMs(),
+      connectTimeoutMs: this.#options.connectTimeoutMs,
+      signal: this.#options.signal,
+      onToken: (token) => this.#takeToken(token),
+    });
+    const isFailed = end.kind !== "finished" && !this.#options.signal.aborted;
+    this.#options.table.removeRequest(server.id, isFailed);
+    if (end.kind === "finished") {
+      return results.createOk({
+        reason: end.reason,
+        engineCount: this.#engineCount,
+      });
+    }
+    this.#excluded = new Set([...this.#excluded, server.id]);
+    return undefined;
+  }
+
+  #createRequest(): engines.CompletionRequest {
+    const { model, prompt, maxTokens, priority } = this.#request;
+    const resumeTokens = [...this.#tokens];
+    return {
+      requestId: crypto.randomUUID(),
+      model,
+      prompt,
+      maxTokens,
+      priority,
+      resumeTokens,
+    };
+  }
+
+  #takeToken(token: engines.GeneratedToken): void {
+    this.#tokens.push(token.tokenId);
+    this.#options.onToken(token);
+  }
+
+  #getLeftMs(): number {
+    return this.#endMs - this.#options.clock.getMonotonicMs();
+  }
+
+  #fail(
+    code: results.CodeName,
+    reason: string,
+  ): results.Result<GenerationEnd> {
+    const outcome = this.#engineCount === 0 ? "notRun" : "unknown";
+    return results.createFailure(code, `Cannot generate: ${reason}`, {
+      outcome,
+      retryAfterMs: 1_000,
+    });
+  }
+}
+
+/**
+ * Generates tokens. When an engine fails, another goes on from the tokens
+ * that came so far, so that none is lost or doubled.
+ *
+ * @param request What is to be generated.
+ * @param options Bounds, and where tokens go.
+ * @returns The end, or `deadlineExceeded`.
+ */
+export function generateTokens(
+  request: GenerationRequest,
+  options: GenerationOptions,
+): Promise<results.Result<GenerationEnd>> {
+  return new GenerationRun(request, options).run();
+}
--- /dev/null
+++ b/src/generation/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Generation of tokens across engines, resumed where one fails.
+ *
+ * @example
+ * ```ts
+ * import * as generation from "../generation/mod.ts";
+ * await generation.generateTokens(request, options);
+ * ```
+ * @module
+ */
+export * from "./generate_tokens.ts";
--- /dev/null
+++ b/src/http_client/http_request.ts
@@ -0,0 +1,43 @@
+/** Where and what to send. */
+export interface HttpRequest {
+  readonly address: string;
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Buffer | string;
+  /** Time for the whole exchange, in ms. */
+  readonly timeoutMs: number;
+  /** Time to connect, in ms; default 1,000. */
+  readonly connectTimeoutMs?: number;
+  /** Largest answer, in bytes; default 16 MiB. */
+  readonly maxAnswerBytes?: number;
+  /** Use a connection of its own, never one that served before. */
+  readonly isFreshConnection?: boolean;
+  /** Gives the request up when aborted. */
+  readonly signal?: AbortSignal;
+}
+
+/** Head of an answer. */
+export interface HttpHead {
+  readonly status: number;
+  readonly headers: Readonly<
+    Record<string, string | readonly string[] | undefined>
+  >;
+}
+
+/** What became of a request. */
+export type HttpOutcome =
+  | {
+    readonly kind: "answered";
+    readonly head: HttpHead;
+    readonly body: Buffer;
+  }
+  /** No byte of the request left this process. */
+  | { readonly kind: "notSent"; readonly message: string }
+  /** It may have run; no whole answer came. */
+  | {
+    readonly kind: "broken";
+    readonly message: string;
+    readonly head?: HttpHead;
+  };
--- /dev/null
+++ b/src/http_client/open_exchange.ts
@@ -0,0 +1,147 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as agents from "./_agent.ts";
+import type * as httpRequests from "./http_request.ts";
+
+/** What an exchange tells its owner; exactly one of the last two, once. */
+export interface ExchangeListener {
+  /** The head of the answer came. */
+  onHead(head: httpRequests.HttpHead): void;
+  /** A part of the body came. */
+  onData(chunk: Buffer): void;
+  /** The answer is whole. */
+  onEnd(): void;
+  /** No whole answer will come; `isSent` tells whether it may have run. */
+  onFail(message: string, isSent: boolean): void;
+}
+
+/** A request that is under way. */
+export interface Exchange {
+  /** Gives the request up; the listener hears nothing more. */
+  cancel(): void;
+}
+
+/** Follows one request from connect to end. */
+class ExchangeRun implements Exchange {
+  readonly #listener: ExchangeListener;
+  readonly #request: http.ClientRequest;
+  #isSettled = false;
+  #isSent = false;
+  #timers: readonly NodeJS.Timeout[] = [];
+
+  constructor(
+    options: httpRequests.HttpRequest,
+    listener: ExchangeListener,
+  ) {
+    this.#listener = listener;
+    this.#request = http.request({
+      host: options.address,
+      port: options.port,
+      method: options.method,
+      path: options.path,
+      headers: createHeaders(options),
+      agent: options.isFreshConnection === true ? false : agents.SHARED_AGENT,
+    });
+    this.#watch(options);
+    this.#request.end(options.body);
+  }
+
+  cancel(): void {
+    this.#settle();
+    this.#request.destroy();
+  }
+
+  #watch(options: httpRequests.HttpRequest): void {
+    const connectMs = options.connectTimeoutMs ?? agents.DEFAULT_CONNECT_MS;
+    this.#timers = [
+      setTimeout(() => this.#fail("the deadline passed"), options.timeoutMs),
+    ];
+    this.#request.on(
+      "socket",
+      (socket) => this.#watchSocket(socket, connectMs),
+    );
+    this.#request.on("error", (error) => this.#fail(error.message));
+    this.#request.on("response", (answer) => this.#read(answer));
+    options.signal?.addEventListener(
+      "abort",
+      () => this.#fail("it was cancelled"),
+      { once: true },
+    );
+    if (options.signal?.aborted === true) this.#fail("it was cancelled");
+  }
+
+  #watchSocket(socket: net.Socket, connectMs: number): void {
+    if (!socket.connecting) {
+      this.#isSent = true;
+      return;
+    }
+    const timer = setTimeout(
+      () => this.#fail("the connection was not made in time"),
+      connectMs,
+    );
+    this.#timers = [...this.#timers, timer];
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      this.#isSent = true;
+    });
+  }
+
+  #read(answer: http.IncomingMessage): void {
+    if (this.#isSettled) return;
+    this.#listener.onHead({
+      status: answer.statusCode ?? 0,
+      headers: answer.headers,
+    });
+    answer.on("data", (chunk: Buffer) => {
+      if (!this.#isSettled) this.#listener.onData(chunk);
+    });
+    answer.on("error", (error) => this.#fail(error.message));
+    answer.on("close", () => {
+      if (!answer.complete) this.#fail("the answer ended early");
+    });
+    answer.on("end", () => this.#finish(answer.complete));
+  }
+
+  #finish(isComplete: boolean): void {
+    if (this.#isSettled) return;
+    if (!isComplete) return this.#fail("the answer ended early");
+    this.#settle();
+    this.#listener.onEnd();
+  }
+
+  #fail(message: string): void {
+    if (this.#isSettled) return;
+    this.#settle();
+    this.#request.destroy();
+    this.#listener.onFail(message, this.#isSent);
+  }
+
+  #settle(): void {
+    this.#isSettled = true;
+    for (const timer of this.#timers) clearTimeout(timer);
+  }
+}
+
+function createHeaders(
+  options: httpRequests.HttpRequest,
+): Readonly<Record<string, string>> {
+  const size = options.body === undefined
+    ? undefined
+    : Buffer.byteLength(options.body);
+  if (size === undefined) return { ...options.headers };
+  return { ...options.headers, "content-length": String(size) };
+}
+
+/**
+ * Sends a request and reports its answer as it comes.
+ *
+ * @param options The request.
+ * @param listener Told of the answer.
+ * @returns A handle to give it up.
+ */
+export function openExchange(
+  options: httpRequests.HttpRequest,
+  listener: ExchangeListener,
+): Exchange {
+  return new ExchangeRun(options, listener);
+}
--- /dev/null
+++ b/src/http_server/http_listener.ts
@@ -0,0 +1,82 @@
+import * as http from "node:http";
+import * as results from "../results/mod.ts";
+import * as answers from "./answer.ts";
+
+/** Answers one request. */
+export type HttpHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/** Bounds of a listener. */
+export interface HttpListenerOptions {
+  /** Time for the head of a request, in ms. */
+  readonly headersTimeoutMs: number;
+  /** Time for a whole request to arrive, in ms. */
+  readonly requestTimeoutMs: number;
+}
+
+const MAX_HEADER_BYTES = 16_384;
+const KEEP_ALIVE_MS = 30_000;
+
+/** An HTTP server whose requests in flight are counted. */
+export class HttpListener {
+  readonly #server: http.Server;
+  #inFlight = 0;
+  #isDraining = false;
+
+  constructor(handler: HttpHandler, options: HttpListenerOptions) {
+    this.#server = http.createServer({
+      headersTimeout: options.headersTimeoutMs,
+      requestTimeout: options.requestTimeoutMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+    });
+    this.#server.on(
+      "request",
+      (request, response) => this.#serve(handler, request, response),
+    );
+  }
+
+  /** Requests that are being answered. */
+  getInFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** From now on each answer asks its caller to use another connection. */
+  setDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Starts to listen. */
+  listen(address: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, address, () => resolve());
+    });
+  }
+
+  /** Stops; with `force` open connections are cut. */
+  close(force: boolean): void {
+    this.#server.close();
+    if (force) this.#server.closeAllConnections();
+    else this.#server.closeIdleConnections();
+  }
+
+  #serve(
+    handler: HttpHandler,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    this.#inFlight += 1;
+    response.once("close", () => {
+      this.#inFlight -= 1;
+    });
+    response.on("error", () => {});
+    if (this.#isDraining) response.setHeader("connection", "close");
+    handler(request, response).catch((error: unknown) => {
+      answers.answerFailure(response, results.toFailure(error));
+    });
+  }
+}
--- /dev/null
+++ b/src/http_server/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * HTTP listeners with bounds, and numbered answers.
+ *
+ * @example
+ * ```ts
+ * import * as httpServer from "../http_server/mod.ts";
+ * const body = await httpServer.readJson(request, limits);
+ * ```
+ * @module
+ */
+export * from "./answer.ts";
+export * from "./http_listener.ts";
+export * from "./read_body.ts";
--- /dev/null
+++ b/src/log/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Logs: one line of key=value pairs an event.
+ *
+ * @example
+ * ```ts
+ * import * as logs from "../log/mod.ts";
+ * new logs.Log("box-1", "info").write("info", "lease.granted", { untilMs: 5 });
+ * ```
+ * @module
+ */
+export * from "./log.ts";
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,52 @@
+import * as hotShots from "hot-shots";
+
+/** Names of every metric; docs/metrics.md lists them. */
+export type MetricName =
+  | "caller.requests"
+  | "caller.failures"
+  | "caller.ms"
+  | "caller.retries"
+  | "claim.ms"
+  | "commit.ms"
+  | "lease.lost"
+  | "order.sent"
+  | "sample.bound"
+  | "sample.discarded";
+
+/** Where metrics go. */
+export interface MetricsOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly enabled: boolean;
+}
+
+/** Sends counters and timings over UDP. */
+export class Metrics {
+  readonly #client: hotShots.StatsD;
+
+  constructor(options: MetricsOptions) {
+    this.#client = new hotShots.StatsD({
+      host: options.host,
+      port: options.port,
+      mock: !options.enabled,
+      prefix: "hoistscale.",
+      maxBufferSize: 1_400,
+      bufferFlushInterval: 1_000,
+      errorHandler: () => {},
+    });
+  }
+
+  /** Counts one event, or `by` of them. */
+  count(name: MetricName, by = 1): void {
+    this.#client.increment(name, by);
+  }
+
+  /** Records a duration in ms. */
+  recordMs(name: MetricName, valueMs: number): void {
+    this.#client.timing(name, valueMs);
+  }
+
+  close(): void {
+    this.#client.close();
+  }
+}
--- /dev/null
+++ b/src/metrics/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Metrics over UDP by hot-shots.
+ *
+ * @example
+ * ```ts
+ * import * as metrics from "../metrics/mod.ts";
+ * new metrics.Metrics({ host: "127.0.0.1", port: 8125, enabled: false });
+ * ```
+ * @module
+ */
+export * from "./metrics.ts";
--- /dev/null
+++ b/src/model_version/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The model version aggregate: versions only rise.
+ *
+ * @example
+ * ```ts
+ * import * as models from "../model_version/mod.ts";
+ * models.isNewer(undefined, 1);
+ * ```
+ * @module
+ */
+export * from "./model_version.ts";
--- /dev/null
+++ b/src/replicated_state/_changes.ts
@@ -0,0 +1,213 @@
+import * as crypto from "node:crypto";
+import type * as audit from "../audit_trail/mod.ts";
+import * as accounts from "../client_account/mod.ts";
+import * as models from "../model_version/mod.ts";
+import * as results from "../results/mod.ts";
+import * as templates from "../rollout_template/mod.ts";
+import type * as commands from "./command.ts";
+import type * as replicatedStates from "./replicated_state.ts";
+
+/** Audit records kept; the oldest go first. */
+const MAX_AUDIT_RECORDS = 50_000;
+
+/** A state after a command and the command's answer. */
+export interface Applied {
+  readonly state: replicatedStates.ReplicatedState;
+  readonly answer: commands.CommandAnswer;
+}
+
+/** What a change sets, once checked. */
+interface CheckedChange {
+  /** Values after the change, as JSON text. */
+  readonly after: string;
+  readonly put: (
+    state: replicatedStates.ReplicatedState,
+    revision: number,
+  ) => replicatedStates.ReplicatedState;
+}
+
+/** A change as the rules for all changes see it. */
+interface Change {
+  readonly origin: commands.ChangeOrigin;
+  readonly account: string;
+  readonly template: string | undefined;
+  readonly baseRevision: number;
+  readonly currentRevision: number;
+  /** Values before, as JSON text. */
+  readonly before: string | undefined;
+  /** All that the operator sent; a resend has the same. */
+  readonly sent: unknown;
+  readonly check: () => results.Result<CheckedChange>;
+}
+
+function hashChange(change: Change): string {
+  const { account, template, baseRevision, sent } = change;
+  const text = JSON.stringify([account, template, baseRevision, sent]);
+  return crypto.createHash("sha256").update(text).digest("hex");
+}
+
+function findWinner(
+  state: replicatedStates.ReplicatedState,
+  revision: number,
+): string {
+  const record = state.audit.findLast((entry) => entry.revision === revision);
+  return record?.requestId ?? "";
+}
+
+function decideChange(
+  state: replicatedStates.ReplicatedState,
+  change: Change,
+): Applied {
+  if (change.baseRevision !== change.currentRevision) {
+    const revision = change.currentRevision;
+    const wonBy = findWinner(state, revision);
+    return { state, answer: { kind: "conflict", revision, wonBy } };
+  }
+  const checked = change.check();
+  if (checked.kind === "failure") {
+    const { message } = checked.failure;
+    return { state, answer: { kind: "badParameters", message } };
+  }
+  const revision = state.revision + 1;
+  const put = checked.value.put(state, revision);
+  const record = createRecord(change, checked.value, revision);
+  const trail = put.audit.push(record).takeLast(MAX_AUDIT_RECORDS);
+  return {
+    state: { ...put, revision, audit: trail },
+    answer: { kind: "accepted", revision },
+  };
+}
+
+function createRecord(
+  change: Change,
+  checked: CheckedChange,
+  revision: number,
+): audit.AuditRecord {
+  return {
+    revision,
+    atMs: change.origin.atMs,
+    account: change.account,
+    template: change.template,
+    operator: change.origin.operator,
+    requestId: change.origin.requestId,
+    before: change.before,
+    after: checked.after,
+  };
+}
+
+function applyChange(
+  state: replicatedStates.ReplicatedState,
+  change: Change,
+): Applied {
+  const key = `${change.account}/${change.origin.requestId}`;
+  const digest = hashChange(change);
+  const known = state.requests.get(key);
+  if (known !== undefined) {
+    const isSame = known.digest === digest;
+    return { state, answer: isSame ? known.answer : { kind: "requestReused" } };
+  }
+  const decided = decideChange(state, change);
+  const { answer } = decided;
+  const { atMs } = change.origin;
+  const requests = decided.state.requests.set(key, { digest, answer, atMs });
+  return { state: { ...decided.state, requests }, answer };
+}
+
+function describeAccount(
+  account: Pick<accounts.ClientAccount, "policy" | "tokenSha256s">,
+): string {
+  const { policy, tokenSha256s } = account;
+  return JSON.stringify({ policy, tokens: tokenSha256s.length });
+}
+
+/** Applies a change of a client account. */
+export function applySetAccount(
+  state: replicatedStates.ReplicatedState,
+  command: commands.SetAccount,
+): Applied {
+  const { id, change } = command;
+  const current = state.accounts.get(id);
+  const tokenSha256s = command.tokenSha256s ?? current?.tokenSha256s ?? [];
+  return applyChange(state, {
+    origin: command.origin,
+    account: id,
+    template: undefined,
+    baseRevision: command.baseRevision,
+    currentRevision: current?.revision ?? 0,
+    before: current === undefined ? undefined : describeAccount(current),
+    sent: [command.tokenSha256s ?? null, change],
+    check() {
+      const checked = accounts.checkPolicy(current?.policy, change);
+      if (checked.kind === "failure") return checked;
+      const policy = checked.value;
+      return results.createOk({
+        after: describeAccount({ policy, tokenSha256s }),
+        put: (before, revision) => ({
+          ...before,
+          accounts: before.accounts.set(id, {
+            id,
+            tokenSha256s,
+            policy,
+            revision,
+          }),
+        }),
+      });
+    },
+  });
+}
+
+/** Applies a change of a rollout template. */
+export function applySetTemplate(
+  state: replicatedStates.ReplicatedState,
+  command: commands.SetTemplate,
+): Applied {
+  const { account, name, change } = command;
+  if (!state.accounts.has(account)) {
+    return { state, answer: { kind: "unknownAccount" } };
+  }
+  const key = templates.formatTemplateKey(account, name);
+  const current = state.templates.get(key);
+  return applyChange(state, {
+    origin: command.origin,
+    account,
+    template: name,
+    baseRevision: command.baseRevision,
+    currentRevision: current?.revision ?? 0,
+    before: current && JSON.stringify(current.parameters),
+    sent: change,
+    check() {
+      const checked = templates.checkParameters(current?.parameters, change);
+      if (checked.kind === "failure") return checked;
+      const parameters = checked.value;
+      return results.createOk({
+        after: JSON.stringify(parameters),
+        put: (before, revision) => ({
+          ...before,
+          templates: before.templates.set(key, {
+            account,
+            name,
+            parameters,
+            revision,
+          }),
+        }),
+      });
+    },
+  });
+}
+
+/** Notes a weight version; it is spread like a change but not audited. */
+export function applyPublishModel(
+  state: replicatedStates.ReplicatedState,
+  command: commands.PublishModel,
+): Applied {
+  const { model, weightVersion } = command;
+  if (!models.isNewer(state.models.get(model), weightVersion)) {
+    return { state, answer: { kind: "done" } };
+  }
+  const revision = state.revision + 1;
+  const entry = { model, weightVersion, revision };
+  return {
+    state: { ...state, revision, models: state.models.set(model, entry) },
+    answer: { kind: "accepted", revision },
+  };
+}
--- /dev/null
+++ b/src/replicated_state/snapshot.ts
@@ -0,0 +1,77 @@
+import * as immutable from "immutable";
+import type * as steps from "../rollout_step/mod.ts";
+import type * as replicatedStates from "./replicated_state.ts";
+
+/** A step as it stands in a snapshot. */
+interface SavedStep extends Omit<steps.RolloutStep, "bound" | "acknowledged"> {
+  readonly bound: readonly steps.Sample[];
+  readonly acknowledged: readonly number[];
+}
+
+/** Tables as lists of key and value. */
+type SavedTable<V> = readonly (readonly [string, V])[];
+
+type TableName = "accounts" | "templates" | "models" | "requests" | "claims";
+
+type TableValue<N extends TableName> =
+  replicatedStates.ReplicatedState[N] extends immutable.Map<string, infer V> ? V
+    : never;
+
+/** The replicated state as plain JSON. */
+export type SavedState =
+  & { readonly [N in TableName]: SavedTable<TableValue<N>> }
+  & {
+    readonly revision: number;
+    readonly audit:
+      readonly (replicatedStates.ReplicatedState["audit"] extends
+        immutable.List<infer R> ? R
+        : never)[];
+    readonly steps: readonly SavedStep[];
+  };
+
+/**
+ * Gives the state as plain JSON.
+ *
+ * @param state The state.
+ * @returns What {@linkcode loadState} reads.
+ */
+export function saveState(state: replicatedStates.ReplicatedState): SavedState {
+  return {
+    revision: state.revision,
+    accounts: [...state.accounts],
+    templates: [...state.templates],
+    models: [...state.models],
+    requests: [...state.requests],
+    claims: [...state.claims],
+    audit: [...state.audit],
+    steps: [...state.steps.values()].map((step) => ({
+      ...step,
+      bound: [...step.bound.values()],
+      acknowledged: [...step.acknowledged.values()],
+    })),
+  };
+}
+
+/**
+ * Reads a state from plain JSON.
+ *
+ * @param saved What {@linkcode saveState} gave.
+ * @returns The state.
+ */
+export function loadState(saved: SavedState): replicatedStates.ReplicatedState {
+  const loadedSteps = saved.steps.map((step): steps.RolloutStep => ({
+    ...step,
+    bound: immutable.Map(step.bound.map((sample) => [sample.slot, sample])),
+    acknowledged: immutable.Set(step.acknowledged),
+  }));
+  return {
+    revision: saved.revision,
+    accounts: immutable.Map(saved.accounts),
+    templates: immutable.Map(saved.templates),
+    models: immutable.Map(saved.models),
+    requests: immutable.Map(saved.requests),
+    claims: immutable.Map(saved.claims),
+    audit: immutable.List(saved.audit),
+    steps: immutable.Map(loadedSteps.map((step) => [step.id, step])),
+  };
+}
--- /dev/null
+++ b/src/rollout_template/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The rollout template aggregate: parameters and how they change.
+ *
+ * @example
+ * ```ts
+ * import * as templates from "../rollout_template/mod.ts";
+ * templates.checkParameters(undefined, { trainer: "t", model: "m" });
+ * ```
+ * @module
+ */
+export * from "./rollout_template.ts";
--- /dev/null
+++ b/src/routing/choose_server.ts
@@ -0,0 +1,63 @@
+import type * as backends from "../backend_server/mod.ts";
+
+/** A backend server as one box sees it. */
+export interface Candidate {
+  readonly server: backends.BackendServer;
+  /** Requests that it serves at once. */
+  readonly slots: number;
+  /** Requests expected in it: reported ones and those sent since. */
+  readonly expected: number;
+  /** Weight version by model; empty for plain servers. */
+  readonly models: ReadonlyMap<string, number>;
+  /** It failed lately; used only when all others failed too. */
+  readonly isSuspect: boolean;
+}
+
+/** What a request needs. */
+export interface Need {
+  readonly service: string;
+  /** Model that must be loaded; undefined for plain services. */
+  readonly model: string | undefined;
+  /** Oldest weight version that may serve. */
+  readonly minVersion: number;
+  /** Servers that were tried already. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+function canServe(candidate: Candidate, need: Need): boolean {
+  const { server, models } = candidate;
+  if (server.service !== need.service || server.state !== "live") return false;
+  if (need.excluded.has(server.id)) return false;
+  if (need.model === undefined) return true;
+  const weightVersion = models.get(need.model);
+  return weightVersion !== undefined && weightVersion >= need.minVersion;
+}
+
+/** Load after taking one more request, in servers' worth of slots. */
+function computeLoad(candidate: Candidate): number {
+  return (candidate.expected + 1) / candidate.slots;
+}
+
+/**
+ * Chooses by the power of two choices: of two servers drawn at random, the
+ * less loaded. Many boxes that see the same lagged report do not herd.
+ *
+ * @param candidates All backend servers.
+ * @param need What the request needs.
+ * @param draw Gives a number from 0 to below 1.
+ * @returns The server, or undefined if none can serve.
+ */
+export function chooseServer(
+  candidates: readonly Candidate[],
+  need: Need,
+  draw: () => number,
+): backends.BackendServer | undefined {
+  const able = candidates.filter((candidate) => canServe(candidate, need));
+  const sound = able.filter((candidate) => !candidate.isSuspect);
+  const pool = sound.length > 0 ? sound : able;
+  const first = pool[Math.floor(draw() * pool.length)];
+  const second = pool[Math.floor(draw() * pool.length)];
+  if (first === undefined || second === undefined) return undefined;
+  const isFirst = computeLoad(first) <= computeLoad(second);
+  return isFirst ? first.server : second.server;
+}
--- /dev/null
+++ b/src/routing/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Routing: which backend server takes a request.
+ *
+ * @example
+ * ```ts
+ * import * as routing from "../routing/mod.ts";
+ * routing.chooseServer(candidates, need, Math.random);
+ * ```
+ * @module
+ */
+export * from "./choose_server.ts";
+export * from "./server_table.ts";
--- /dev/null
+++ b/src/routing/server_table.ts
@@ -0,0 +1,141 @@
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as uniform from "pure-rand/distribution/uniformFloat64";
+import type * as prand from "pure-rand/types/RandomGenerator";
+import type * as backends from "../backend_server/mod.ts";
+import * as clocks from "../clock/mod.ts";
+import type * as control from "../control/mod.ts";
+import * as csp from "../csp/mod.ts";
+import * as engines from "../engine/mod.ts";
+import * as chooseServers from "./choose_server.ts";
+
+/** Time for which a server that failed is avoided, in ms. */
+const SUSPECT_MS = 1_000;
+const DEFAULT_SLOTS = 16;
+
+/** What a table needs. */
+export interface ServerTableOptions {
+  readonly clock: clocks.Clock;
+  readonly client: control.ControlClient;
+  /** Time between reports read from each server, in ms. */
+  readonly pollMs: number;
+  readonly seed: number;
+}
+
+/** What a box knows of one server. */
+interface ServerRecord {
+  readonly report: engines.ServerReport | undefined;
+  /** Requests of this box in it now. */
+  readonly inFlight: number;
+  /** Requests of this box that were in it at the last report. */
+  readonly inFlightAtReport: number;
+  readonly suspectUntilMs: number;
+}
+
+const UNKNOWN_SERVER: ServerRecord = {
+  report: undefined,
+  inFlight: 0,
+  inFlightAtReport: 0,
+  suspectUntilMs: 0,
+};
+
+/** Loads and health of the backend servers, as one box sees them. */
+export class ServerTable {
+  readonly #options: ServerTableOptions;
+  readonly #random: prand.RandomGenerator;
+  readonly #records = new Map<string, ServerRecord>();
+  #isStopped = false;
+
+  constructor(options: ServerTableOptions) {
+    this.#options = options;
+    this.#random = generator.xoroshiro128plus(options.seed);
+  }
+
+  /** Starts to read reports; runs until stopped. */
+  start(): void {
+    csp.runProcess(() => this.#run(), () => {});
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Chooses a server for a request. */
+  choose(need: chooseServers.Need): backends.BackendServer | undefined {
+    const { servers } = this.#options.client.getView().membership;
+    const candidates = servers.map((server) => this.#describe(server));
+    return chooseServers.chooseServer(
+      candidates,
+      need,
+      () => uniform.uniformFloat64(this.#random),
+    );
+  }
+
+  /** Notes that a request goes to a server. */
+  addRequest(id: string): void {
+    const record = this.#get(id);
+    this.#records.set(id, { ...record, inFlight: record.inFlight + 1 });
+  }
+
+  /** Notes that a request to a server ended, and how. */
+  removeRequest(id: string, isFailed: boolean): void {
+    const record = this.#get(id);
+    const suspectUntilMs = isFailed
+      ? this.#options.clock.getMonotonicMs() + SUSPECT_MS
+      : record.suspectUntilMs;
+    this.#records.set(id, {
+      ...record,
+      inFlight: record.inFlight - 1,
+      suspectUntilMs,
+    });
+  }
+
+  #get(id: string): ServerRecord {
+    return this.#records.get(id) ?? UNKNOWN_SERVER;
+  }
+
+  #describe(server: backends.BackendServer): chooseServers.Candidate {
+    const record = this.#get(server.id);
+    const { report } = record;
+    const reported = report === undefined ? 0 : report.active + report.queued;
+    const sentSince = record.inFlight - record.inFlightAtReport;
+    return {
+      server,
+      slots: report?.slots ?? DEFAULT_SLOTS,
+      expected: Math.max(record.inFlight, reported + sentSince),
+      models: new Map(Object.entries(report?.models ?? {})),
+      isSuspect: this.#options.clock.getMonotonicMs() < record.suspectUntilMs,
+    };
+  }
+
+  *#run(): csp.Step<void> {
+    while (!this.#isStopped) {
+      const { servers } = this.#options.client.getView().membership;
+      for (const id of this.#records.keys()) {
+        if (!servers.some((server) => server.id === id)) {
+          this.#records.delete(id);
+        }
+      }
+      yield* csp.waitFor(
+        Promise.all(servers.map((server) => this.#readReport(server))),
+      );
+      yield* csp.waitFor(
+        clocks.sleep(this.#options.clock, this.#options.pollMs),
+      );
+    }
+  }
+
+  async #readReport(server: backends.BackendServer): Promise<void> {
+    const read = await engines.readReport(server);
+    const record = this.#get(server.id);
+    if (read.kind === "failure") {
+      const suspectUntilMs = this.#options.clock.getMonotonicMs() + SUSPECT_MS;
+      this.#records.set(server.id, { ...record, suspectUntilMs });
+      return;
+    }
+    this.#records.set(server.id, {
+      ...record,
+      report: read.value,
+      inFlightAtReport: record.inFlight,
+    });
+  }
+}
--- /dev/null
+++ b/src/rpc/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * JSON-RPC 2.0 between boxes, one JSON text a line over TCP.
+ *
+ * @example
+ * ```ts
+ * import * as rpc from "../rpc/mod.ts";
+ * const client = new rpc.RpcClient({ address: "127.0.0.1", port: 8082 });
+ * ```
+ * @module
+ */
+export * from "./rpc_client.ts";
+export * from "./rpc_server.ts";
--- /dev/null
+++ b/src/rpc/rpc_client.ts
@@ -0,0 +1,98 @@
+import * as net from "node:net";
+import * as jsonRpc from "json-rpc-2.0";
+import * as results from "../results/mod.ts";
+import * as privates from "./_private.ts";
+
+/** Where a box listens for its peers. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Largest number of bytes that wait for one slow peer. */
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Calls another box by JSON-RPC over one TCP connection, made on demand. */
+export class RpcClient {
+  readonly #peer: PeerAddress;
+  readonly #client: jsonRpc.JSONRPCClient;
+  #socket: net.Socket | undefined;
+  #isClosed = false;
+
+  constructor(peer: PeerAddress) {
+    this.#peer = peer;
+    this.#client = new jsonRpc.JSONRPCClient((message) =>
+      this.#sendMessage(message)
+    );
+  }
+
+  /** Sends a message that has no answer; it may be lost. */
+  tell(method: string, params: object): void {
+    if (this.#isClosed) return;
+    try {
+      this.#client.notify(method, params);
+    } catch {
+      // A lost message is repeated by the protocol above.
+    }
+  }
+
+  /**
+   * Calls a method and waits for its result.
+   *
+   * @throws FailureError `connectFailed` or `deadlineExceeded`, unknown outcome.
+   */
+  async call<T>(method: string, params: object, timeoutMs: number): Promise<T> {
+    try {
+      return await this.#client.timeout(timeoutMs).request(method, params) as T;
+    } catch (error) {
+      throw new results.FailureError({
+        code: "connectFailed",
+        message: `Cannot call ${method} at ${this.#peer.address}: ${
+          (error as Error).message
+        }`,
+        outcome: "unknown",
+      });
+    }
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#socket?.destroy();
+  }
+
+  #sendMessage(message: unknown): void {
+    const socket = this.#openSocket();
+    if (socket.writableLength > MAX_BUFFERED_BYTES) {
+      socket.destroy();
+      throw new Error("the connection is full");
+    }
+    privates.writeMessage(socket, message);
+  }
+
+  #openSocket(): net.Socket {
+    if (this.#socket !== undefined && !this.#socket.destroyed) {
+      return this.#socket;
+    }
+    const socket = net.connect(this.#peer.port, this.#peer.address);
+    socket.setNoDelay(true);
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      if (socket.connecting) socket.destroy();
+    });
+    socket.on("connect", () => socket.setTimeout(0));
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => this.#dropSocket(socket));
+    privates.readMessages(
+      socket,
+      (message) => this.#client.receive(message as jsonRpc.JSONRPCResponse),
+    );
+    this.#socket = socket;
+    return socket;
+  }
+
+  #dropSocket(socket: net.Socket): void {
+    if (this.#socket !== socket) return;
+    this.#socket = undefined;
+    this.#client.rejectAllPendingRequests("the connection closed");
+  }
+}
--- /dev/null
+++ b/src/settings/load_settings.ts
@@ -0,0 +1,23 @@
+import * as fs from "node:fs";
+import * as results from "../results/mod.ts";
+import * as parseSettings from "./parse_settings.ts";
+import type * as settingsSchemas from "./settings_schema.ts";
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param file Path of the YAML file.
+ * @returns The settings, or a failure that says what is wrong and where.
+ */
+export function loadSettings(
+  file: string,
+): results.Result<settingsSchemas.Settings> {
+  try {
+    return parseSettings.parseSettings(fs.readFileSync(file, "utf8"), file);
+  } catch (error) {
+    return results.createFailure(
+      "badSettings",
+      `Cannot read settings: ${(error as Error).message}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/storage/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Durable files of a box: a checksummed log with snapshots.
+ *
+ * @example
+ * ```ts
+ * import * as storage from "../storage/mod.ts";
+ * const { log } = await storage.DurableLog.open("data", "box-1");
+ * await log.append([{ kind: "vote", term: 1 }]);
+ * ```
+ * @module
+ */
+export * from "./durable_log.ts";
+export * from "./record.ts";
--- /dev/null
+++ b/src/trainer/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Adapter to trainers: steps, slots, samples.
+ *
+ * @example
+ * ```ts
+ * import * as trainers from "../trainer/mod.ts";
+ * const service = new trainers.TrainerService(context);
+ * ```
+ * @module
+ */
+export * from "./step_feed.ts";
+export * from "./trainer_service.ts";
--- /dev/null
+++ b/tools/build/build_binary.ts
@@ -0,0 +1,81 @@
+/**
+ * Builds `dist/hoistscale`: one bundle inside a copy of the Node executable.
+ *
+ * @example `npm run build`
+ * @module
+ */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as esbuild from "esbuild";
+
+const BUNDLE = "dist/hoistscale.cjs";
+const BLOB = "dist/hoistscale.blob";
+const BINARY = "dist/hoistscale";
+const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const OPTIONAL_NATIVE_MODULES = [
+  "dtrace-provider",
+  "unix-dgram",
+  "mv",
+  "safe-json-stringify",
+];
+const BANNER =
+  `var importMetaUrl = require("node:url").pathToFileURL(__filename).href;
+process.removeAllListeners("warning");`;
+
+async function buildBundle(): Promise<void> {
+  await esbuild.build({
+    entryPoints: ["src/main.ts"],
+    outfile: BUNDLE,
+    bundle: true,
+    minify: true,
+    keepNames: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    external: OPTIONAL_NATIVE_MODULES,
+    define: { "import.meta.url": "importMetaUrl" },
+    banner: { js: BANNER },
+    logLevel: "error",
+  });
+}
+
+function buildBlob(): void {
+  const config = "dist/sea.json";
+  fs.writeFileSync(
+    config,
+    JSON.stringify({
+      main: BUNDLE,
+      output: BLOB,
+      disableExperimentalSEAWarning: true,
+      useCodeCache: true,
+    }),
+  );
+  childProcess.execFileSync(process.execPath, [
+    "--experimental-sea-config",
+    config,
+  ], { stdio: "pipe" });
+}
+
+function installBlob(): void {
+  fs.rmSync(BINARY, { force: true });
+  fs.copyFileSync(process.execPath, BINARY);
+  childProcess.execFileSync(process.execPath, [
+    "node_modules/postject/dist/cli.js",
+    BINARY,
+    "NODE_SEA_BLOB",
+    BLOB,
+    "--sentinel-fuse",
+    SEA_FUSE,
+  ], { stdio: "pipe" });
+  fs.chmodSync(BINARY, 0o755);
+}
+
+async function buildBinary(): Promise<void> {
+  fs.mkdirSync("dist", { recursive: true });
+  await buildBundle();
+  buildBlob();
+  installBlob();
+  console.log(`built ${BINARY}`);
+}
+
+await buildBinary();
