Run the main job on a deployment of processes and judge it from outside

Cause: no part had been seen to work with another. Change: stand-ins for engines, plain servers, platform, trainers and callers, each with its own ledger; a demo with five faults; a judge that reads only the ledgers. A trainer that asks another box for its step moved the step with each call, so samples made at the old box were lost; now the owner answers through the asked box and loses the step only when it no longer serves.

--- a/src/cli/admin_commands.ts
+++ b/src/cli/admin_commands.ts
@@ -134,7 +134,7 @@
   args: ChangeArguments & { readonly tokens: readonly string[] },
 ): Promise<number> {
   const tokens = args.tokens.length === 0 ? {} : { tokens: args.tokens };
-  return change(
+  return sendChange(
     args,
     `/v1/accounts/${args.account}`,
     (values) => ({ policy: values, ...tokens }),
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -33,7 +33,7 @@
 }
 
 function addChangeOptions<T>(parser: yargsTypes.Argv<T>) {
-  return addAdminOptions(parser).options({
+  return addAdminOptions(parser).implies("request-id", "revision").options({
     revision: {
       type: "number",
       describe:
@@ -51,7 +51,10 @@
   });
 }
 
-function addTemplateCommands(parser: yargsTypes.Argv, run: Run): yargsTypes.Argv {
+function addTemplateCommands(
+  parser: yargsTypes.Argv,
+  run: Run,
+): yargsTypes.Argv {
   return parser
     .command(
       "list <account>",
@@ -89,7 +92,10 @@
     .demandCommand(1, "Say what to do: list, show or set");
 }
 
-function addAccountCommands(parser: yargsTypes.Argv, run: Run): yargsTypes.Argv {
+function addAccountCommands(
+  parser: yargsTypes.Argv,
+  run: Run,
+): yargsTypes.Argv {
   return parser
     .command(
       "show <account>",
--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -86,6 +86,7 @@
       address: box.address,
       failureDomain: box.failureDomain,
       callerPort: listen.callerPort,
+      peerPort: listen.peerPort,
       isDraining: this.#isDraining,
     };
   }
--- a/src/control/protocol.ts
+++ b/src/control/protocol.ts
@@ -15,6 +15,7 @@
   awaitInForce: "control.awaitInForce",
   readAudit: "control.readAudit",
   readStatus: "control.readStatus",
+  trainer: "trainer.call",
 } as const;
 
 /** A message between replicas, with its sender. */
@@ -29,6 +30,7 @@
   readonly address: string;
   readonly failureDomain: string;
   readonly callerPort: number;
+  readonly peerPort: number;
   readonly isDraining: boolean;
 }
 
--- a/src/csp/channel.ts
+++ b/src/csp/channel.ts
@@ -21,7 +21,6 @@
 
   /** Adds a value without waiting; false when the channel is full or closed. */
   offer(value: T): boolean {
-    if (this.#raw.is_closed()) return false;
     return csp.offer(this.#raw, value);
   }
 
--- a/src/csp/js_csp.d.ts
+++ b/src/csp/js_csp.d.ts
@@ -1,7 +1,6 @@
 declare module "js-csp" {
   export interface RawChannel {
     close(): void;
-    is_closed(): boolean;
   }
   interface Csp {
     readonly CLOSED: null;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -64,7 +64,7 @@
         clock: this.#clock,
       }),
       connectTimeoutMs: checked.limits.connectTimeoutMs,
-    });
+    }, this.#rpcServer);
     const budget = new callers.RetryBudget(checked.limits.retryBudgetRatio);
     this.#callers = new callers.CallerListener(
       { ...parts, budget },
--- a/src/engine/mod.ts
+++ b/src/engine/mod.ts
@@ -9,4 +9,5 @@
  * @module
  */
 export * from "./engine_client.ts";
+export * from "./event_reader.ts";
 export * from "./stream_completion.ts";
--- a/src/engine/stream_completion.ts
+++ b/src/engine/stream_completion.ts
@@ -1,18 +1,6 @@
-import * as eventSource from "eventsource-parser";
-import * as z from "zod";
 import type * as backends from "../backend_server/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
-
-const END_MARK = "[DONE]";
-
-const chunkSchema = z.object({
-  weight_version: z.number().int(),
-  choices: z.array(z.object({
-    text: z.string(),
-    token_ids: z.array(z.number().int()),
-    finish_reason: z.string().nullable(),
-  })).length(1),
-});
+import * as eventReaders from "./event_reader.ts";
 
 /** What an engine is asked to generate. */
 export interface CompletionRequest {
@@ -53,18 +41,17 @@
 class CompletionStream implements httpClient.ExchangeListener {
   readonly #options: StreamOptions;
   readonly #resolve: (end: StreamEnd) => void;
-  readonly #parser: eventSource.EventSourceParser;
+  readonly #reader: eventReaders.EventReader;
   #status = 0;
   #reason: string | undefined;
-  #isEnded = false;
-  #fault: string | undefined;
+  #hasUnknownVersion = false;
 
   constructor(options: StreamOptions, resolve: (end: StreamEnd) => void) {
     this.#options = options;
     this.#resolve = resolve;
-    this.#parser = eventSource.createParser({
-      onEvent: (event) => this.#readEvent(event.data),
-    });
+    this.#reader = new eventReaders.EventReader((event) =>
+      this.#takeEvent(event)
+    );
   }
 
   onHead(head: httpClient.HttpHead): void {
@@ -72,7 +59,7 @@
   }
 
   onData(chunk: Buffer): void {
-    if (this.#status === 200) this.#parser.feed(chunk.toString("utf8"));
+    if (this.#status === 200) this.#reader.read(chunk);
   }
 
   onEnd(): void {
@@ -80,57 +67,31 @@
       return this.#resolve({ kind: "refused", status: this.#status });
     }
     if (
-      this.#isEnded && this.#reason !== undefined && this.#fault === undefined
+      this.#reader.isEnded() && this.#reason !== undefined &&
+      !this.#hasUnknownVersion
     ) {
       return this.#resolve({ kind: "finished", reason: this.#reason });
     }
-    this.#resolve({
-      kind: "broken",
-      message: this.#fault ?? "the stream ended early",
-    });
+    const message = this.#reader.getFault() ?? "the stream ended early";
+    this.#resolve({ kind: "broken", message });
   }
 
   onFail(message: string, isSent: boolean): void {
-    this.#resolve(
-      isSent ? { kind: "broken", message } : { kind: "notSent", message },
-    );
+    const kind = isSent ? "broken" : "notSent";
+    this.#resolve({ kind, message });
   }
 
-  #readEvent(data: string): void {
-    if (this.#isEnded || this.#fault !== undefined) return;
-    if (data === END_MARK) {
-      this.#isEnded = true;
+  /** A token whose weight version is not told can't name its origin. */
+  #takeEvent(event: eventReaders.CompletionEvent): void {
+    const { tokenIds, text, weightVersion, finishReason } = event;
+    if (finishReason !== null) this.#reason = finishReason;
+    if (weightVersion === undefined || this.#hasUnknownVersion) {
+      this.#hasUnknownVersion = true;
       return;
     }
-    const chunk = parseChunk(data);
-    if (chunk === undefined) {
-      this.#fault = "the engine sent a chunk that can't be read";
-      return;
+    for (const tokenId of tokenIds) {
+      this.#options.onToken({ tokenId, text, weightVersion });
     }
-    this.#readChunk(chunk);
-  }
-
-  #readChunk(chunk: z.infer<typeof chunkSchema>): void {
-    const [choice] = chunk.choices;
-    if (choice === undefined) return;
-    for (const tokenId of choice.token_ids) {
-      const token = {
-        tokenId,
-        text: choice.text,
-        weightVersion: chunk.weight_version,
-      };
-      this.#options.onToken(token);
-    }
-    if (choice.finish_reason !== null) this.#reason = choice.finish_reason;
-  }
-}
-
-function parseChunk(data: string): z.infer<typeof chunkSchema> | undefined {
-  try {
-    const parsed = chunkSchema.safeParse(JSON.parse(data));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
   }
 }
 
--- a/src/replicated_state/_steps.ts
+++ b/src/replicated_state/_steps.ts
@@ -29,25 +29,35 @@
   state: replicatedStates.ReplicatedState,
   command: commands.OpenStep,
 ): changes.Applied {
-  const { request, box } = command;
-  const known = state.steps.get(steps.formatStepId(request));
-  const step = known === undefined
-    ? steps.createStep(request, box)
-    : steps.takeStep(known, box);
+  const known = state.steps.get(steps.formatStepId(command.request));
+  if (known !== undefined) return takeKnownStep(state, known, command);
+  const step = steps.createStep(command.request, command.box);
   return {
     state: putStep(state, step),
     answer: { kind: "step", step: createView(step) },
   };
 }
 
-/** Makes a box the owner of a step. */
+/** Makes a box the owner of a step whose owner no longer serves. */
 export function applyTakeStep(
   state: replicatedStates.ReplicatedState,
   command: commands.TakeStep,
 ): changes.Applied {
   const known = state.steps.get(command.stepId);
   if (known === undefined) return { state, answer: { kind: "unknownStep" } };
-  const step = steps.takeStep(known, command.box);
+  return takeKnownStep(state, known, command);
+}
+
+function takeKnownStep(
+  state: replicatedStates.ReplicatedState,
+  known: steps.RolloutStep,
+  command: Pick<commands.TakeStep, "box" | "liveBoxes">,
+): changes.Applied {
+  const { box, liveBoxes } = command;
+  if (known.owner !== box && liveBoxes.includes(known.owner)) {
+    return { state, answer: { kind: "ownedBy", box: known.owner } };
+  }
+  const step = steps.takeStep(known, box);
   return {
     state: putStep(state, step),
     answer: { kind: "step", step: createView(step) },
--- a/src/replicated_state/command.ts
+++ b/src/replicated_state/command.ts
@@ -73,6 +73,8 @@
   readonly kind: "openStep";
   readonly request: steps.StepRequest;
   readonly box: string;
+  /** Boxes that serve; a step of one of them stays with it. */
+  readonly liveBoxes: readonly string[];
 }
 
 /** Makes a box the owner of an open step. */
@@ -80,6 +82,8 @@
   readonly kind: "takeStep";
   readonly stepId: string;
   readonly box: string;
+  /** Boxes that serve; a step of one of them stays with it. */
+  readonly liveBoxes: readonly string[];
 }
 
 /** Binds samples to slots. */
@@ -144,6 +148,7 @@
   | { readonly kind: "unknownAccount" }
   | { readonly kind: "unknownStep" }
   | { readonly kind: "step"; readonly step: StepView }
+  | { readonly kind: "ownedBy"; readonly box: string }
   | { readonly kind: "binding"; readonly answers: readonly steps.BindAnswer[] }
   | Exclude<claims.ClaimDecision, { readonly kind: "claimed" }>
   | { readonly kind: "claimed" };
--- a/src/trainer/step_feed.ts
+++ b/src/trainer/step_feed.ts
@@ -75,7 +75,7 @@
   }
 
   isComplete(): boolean {
-    return this.#acknowledged.size === this.#countSlots();
+    return this.#acknowledged.size === this.countSlots();
   }
 
   /**
@@ -125,7 +125,8 @@
     return results.createOk(undefined);
   }
 
-  #countSlots(): number {
+  /** Counts the slots of the step. */
+  countSlots(): number {
     return steps.countSlots({ request: this.#view.request });
   }
 
@@ -134,7 +135,7 @@
       this.#template,
     );
     const limit = template?.parameters.maxConcurrent ?? 0;
-    for (let slot = 0; slot < this.#countSlots(); slot += 1) {
+    for (let slot = 0; slot < this.countSlots(); slot += 1) {
       if (this.isStopped() || this.#running.size >= limit) return;
       if (this.#isMissing(slot)) this.#startSlot(slot);
     }
--- a/src/trainer/trainer_service.ts
+++ b/src/trainer/trainer_service.ts
@@ -1,10 +1,13 @@
 import * as z from "zod";
 import type * as callers from "../caller/mod.ts";
+import * as control from "../control/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import type * as replicated from "../replicated_state/mod.ts";
 import * as results from "../results/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
 import * as steps from "../rollout_step/mod.ts";
 import * as templates from "../rollout_template/mod.ts";
+import * as peerCalls from "./peer_calls.ts";
 import * as stepFeeds from "./step_feed.ts";
 
 const MAX_PROMPTS = 8_192;
@@ -34,17 +37,42 @@
   slots: z.array(z.number().int().min(0)).readonly(),
 });
 
-/** Answers trainers: a step is opened, fetched and acknowledged. */
+type Body = Readonly<Record<string, unknown>>;
+
+/** A trainer's request as it goes between boxes. */
+interface TrainerRequest {
+  readonly account: string;
+  readonly trainer: string;
+  readonly action: callers.TrainerAction;
+  readonly body: Body;
+}
+
+/** Where a step is worked on. */
+type Place =
+  | { readonly kind: "here"; readonly feed: stepFeeds.StepFeed }
+  | { readonly kind: "other"; readonly box: string };
+
+/**
+ * Answers trainers: a step is opened, fetched and acknowledged. A trainer may
+ * ask any box; the box that owns the step answers through it.
+ */
 export class TrainerService implements callers.TrainerHandler {
   readonly #context: stepFeeds.FeedContext;
   readonly #feeds = new Map<string, stepFeeds.StepFeed>();
+  readonly #peers = new peerCalls.PeerCalls();
 
-  constructor(context: stepFeeds.FeedContext) {
+  /** @param server Takes the requests that other boxes pass on. */
+  constructor(context: stepFeeds.FeedContext, server: rpc.RpcServer) {
     this.#context = context;
+    server.add(
+      control.METHODS.trainer,
+      (request: TrainerRequest) => this.#answer(request, false),
+    );
   }
 
   stop(): void {
     for (const feed of this.#feeds.values()) feed.stop();
+    this.#peers.close();
   }
 
   async handle(
@@ -52,147 +80,214 @@
     route: Parameters<callers.TrainerHandler["handle"]>[1],
   ): Promise<void> {
     const body = httpServer.parseObject(call.body);
-    const answer = body.kind === "failure"
-      ? body
-      : await this.#answer(call.account.id, route, body.value);
+    if (body.kind === "failure") {
+      return httpServer.answerFailure(call.response, body.failure);
+    }
+    const { trainer, action } = route;
+    const request = {
+      account: call.account.id,
+      trainer,
+      action,
+      body: body.value,
+    };
+    const answer = await this.#answer(request, true);
     if (answer.kind === "failure") {
       return httpServer.answerFailure(call.response, answer.failure);
     }
     httpServer.answerJson(call.response, 200, answer.value);
   }
 
-  #answer(
-    account: string,
-    route: Parameters<callers.TrainerHandler["handle"]>[1],
-    body: Readonly<Record<string, unknown>>,
+  async #answer(
+    request: TrainerRequest,
+    canForward: boolean,
   ): Promise<results.Result<object>> {
-    switch (route.action) {
-      case "open":
-        return this.#open(account, route.trainer, body);
-      case "fetch":
-        return this.#fetch(account, body);
-      case "acknowledge":
-        return this.#acknowledge(account, body);
+    const known = readStep(request);
+    if (known.kind === "failure") return known;
+    const place = await this.#findPlace(request, known.value, []);
+    if (place.kind === "failure") return place;
+    if (place.value.kind === "here") {
+      return await this.#serve(request, place.value.feed);
     }
+    if (!canForward) return refuseMoved();
+    return await this.#forward(request, known.value, place.value.box);
   }
 
-  async #open(
-    account: string,
-    trainer: string,
-    body: Readonly<Record<string, unknown>>,
+  /** Passes a request on; an owner that does not answer loses the step. */
+  async #forward(
+    request: TrainerRequest,
+    stepId: string,
+    owner: string,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(openSchema, body);
-    if (parsed.kind === "failure") return parsed;
-    const { template: name, step, prompts } = parsed.value;
-    const key = templates.formatTemplateKey(account, name);
-    const template = this.#context.client.getView().templates.get(key);
-    if (template === undefined || template.parameters.trainer !== trainer) {
-      return results.createFailure(
-        "unknownTemplate",
-        `Cannot open the step: no template ${name} feeds trainer ${trainer}`,
+    const { boxes } = this.#context.client.getView().membership;
+    const box = boxes.find((candidate) => candidate.id === owner);
+    const answer = box === undefined
+      ? undefined
+      : await this.#peers.call<results.Result<object>>(
+        box,
+        control.METHODS.trainer,
+        request,
       );
-    }
-    const { groupSize } = template.parameters;
-    const { box } = this.#getBox();
-    const opened = await this.#takeView({
-      kind: "openStep",
-      box,
-      request: { account, template: name, trainer, step, groupSize, prompts },
-    });
-    if (opened.kind === "failure") return opened;
-    const { stepId, request } = opened.value;
-    this.#startFeed(opened.value);
-    return results.createOk({ stepId, slots: steps.countSlots({ request }) });
+    if (answer !== undefined) return answer;
+    const place = await this.#findPlace(request, stepId, [owner]);
+    if (place.kind === "failure") return place;
+    if (place.value.kind === "other") return refuseMoved();
+    return await this.#serve(request, place.value.feed);
   }
 
-  async #fetch(
-    account: string,
-    body: Readonly<Record<string, unknown>>,
+  async #serve(
+    request: TrainerRequest,
+    feed: stepFeeds.StepFeed,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(fetchSchema, body);
-    if (parsed.kind === "failure") return parsed;
-    const { template, step, trainerVersion, waitMs } = parsed.value;
-    const feed = await this.#findFeed(
-      steps.formatStepId({ account, template, step }),
-    );
-    if (feed.kind === "failure") return feed;
-    const fetched = await feed.value.fetch(trainerVersion, waitMs);
-    if (fetched.kind === "failure") return fetched;
-    return results.createOk({
-      samples: fetched.value,
-      isComplete: feed.value.isComplete(),
-    });
+    switch (request.action) {
+      case "open":
+        return results.createOk({ slots: feed.countSlots() });
+      case "fetch":
+        return await fetchSamples(feed, request.body);
+      case "acknowledge":
+        return await this.#acknowledge(feed, request.body);
+    }
   }
 
   async #acknowledge(
-    account: string,
-    body: Readonly<Record<string, unknown>>,
+    feed: stepFeeds.StepFeed,
+    body: Body,
   ): Promise<results.Result<object>> {
     const parsed = parseFields(acknowledgeSchema, body);
     if (parsed.kind === "failure") return parsed;
-    const { template, step, slots } = parsed.value;
-    const stepId = steps.formatStepId({ account, template, step });
-    const feed = await this.#findFeed(stepId);
-    if (feed.kind === "failure") return feed;
-    const done = await feed.value.acknowledge(slots);
+    const done = await feed.acknowledge(parsed.value.slots);
     if (done.kind === "failure") return done;
-    const isComplete = feed.value.isComplete();
-    if (isComplete) this.#dropFeed(stepId);
-    return results.createOk({ isComplete });
+    return results.createOk({ isComplete: feed.isComplete() });
   }
 
-  /** A box that has no feed for the step takes the step over. */
-  async #findFeed(stepId: string): Promise<results.Result<stepFeeds.StepFeed>> {
+  async #findPlace(
+    request: TrainerRequest,
+    stepId: string,
+    deadBoxes: readonly string[],
+  ): Promise<results.Result<Place>> {
     const known = this.#feeds.get(stepId);
     if (known !== undefined && !known.isStopped()) {
-      return results.createOk(known);
+      return results.createOk({ kind: "here", feed: known });
     }
-    const taken = await this.#takeView({
-      kind: "takeStep",
-      stepId,
-      box: this.#getBox().box,
-    });
-    if (taken.kind === "failure") return taken;
-    return results.createOk(this.#startFeed(taken.value));
-  }
-
-  async #takeView(
-    command: replicated.OpenStep | replicated.TakeStep,
-  ): Promise<results.Result<replicated.StepView>> {
+    const command = this.#createCommand(request, stepId, deadBoxes);
+    if (command.kind === "failure") return command;
     const answer = await this.#context.client.propose(
-      command,
+      command.value,
       PROPOSE_TIMEOUT_MS,
     );
     if (answer.kind === "failure") return answer;
-    if (answer.value.kind === "step") {
-      return results.createOk(answer.value.step);
+    switch (answer.value.kind) {
+      case "step":
+        return results.createOk({
+          kind: "here",
+          feed: this.#startFeed(answer.value.step),
+        });
+      case "ownedBy":
+        return results.createOk({ kind: "other", box: answer.value.box });
+      default:
+        return results.createFailure(
+          "unknownStep",
+          "Cannot serve the step: it was not opened",
+        );
     }
-    return results.createFailure(
-      "unknownStep",
-      "Cannot serve the step: it was not opened",
-      {
-        retryAfterMs: RETRY_AFTER_MS,
-      },
-    );
+  }
+
+  #createCommand(
+    request: TrainerRequest,
+    stepId: string,
+    deadBoxes: readonly string[],
+  ): results.Result<replicated.OpenStep | replicated.TakeStep> {
+    const { client } = this.#context;
+    const box = client.getBoxView().id;
+    const liveBoxes = client.getView().membership.boxes
+      .filter((other) => !other.isDraining && !deadBoxes.includes(other.id))
+      .map((other) => other.id);
+    if (request.action !== "open") {
+      return results.createOk({ kind: "takeStep", stepId, box, liveBoxes });
+    }
+    const opened = this.#createStepRequest(request);
+    if (opened.kind === "failure") return opened;
+    return results.createOk({
+      kind: "openStep",
+      box,
+      liveBoxes,
+      request: opened.value,
+    });
+  }
+
+  #createStepRequest(
+    request: TrainerRequest,
+  ): results.Result<steps.StepRequest> {
+    const { account, trainer, body } = request;
+    const parsed = parseFields(openSchema, body);
+    if (parsed.kind === "failure") return parsed;
+    const { template: name, step, prompts } = parsed.value;
+    const key = templates.formatTemplateKey(account, name);
+    const template = this.#context.client.getView().templates.get(key);
+    if (template === undefined || template.parameters.trainer !== trainer) {
+      return results.createFailure(
+        "unknownTemplate",
+        `Cannot open the step: no template ${name} feeds trainer ${trainer}`,
+      );
+    }
+    const { groupSize } = template.parameters;
+    return results.createOk({
+      account,
+      template: name,
+      trainer,
+      step,
+      groupSize,
+      prompts,
+    });
   }
 
   #startFeed(view: replicated.StepView): stepFeeds.StepFeed {
     const known = this.#feeds.get(view.stepId);
     if (known !== undefined && !known.isStopped()) return known;
+    this.#dropFinished();
     const feed = new stepFeeds.StepFeed(this.#context, view);
     this.#feeds.set(view.stepId, feed);
     feed.start();
     return feed;
   }
 
-  #dropFeed(stepId: string): void {
-    this.#feeds.get(stepId)?.stop();
-    this.#feeds.delete(stepId);
+  #dropFinished(): void {
+    for (const [stepId, feed] of this.#feeds) {
+      if (feed.isStopped() || feed.isComplete()) this.#feeds.delete(stepId);
+    }
   }
+}
 
-  #getBox(): { readonly box: string } {
-    return { box: this.#context.client.getBoxView().id };
-  }
+async function fetchSamples(
+  feed: stepFeeds.StepFeed,
+  body: Body,
+): Promise<results.Result<object>> {
+  const parsed = parseFields(fetchSchema, body);
+  if (parsed.kind === "failure") return parsed;
+  const { trainerVersion, waitMs } = parsed.value;
+  const fetched = await feed.fetch(trainerVersion, waitMs);
+  if (fetched.kind === "failure") return fetched;
+  return results.createOk({
+    samples: fetched.value,
+    isComplete: feed.isComplete(),
+  });
+}
+
+function readStep(request: TrainerRequest): results.Result<string> {
+  const parsed = parseFields(z.object(stepFields), request.body);
+  if (parsed.kind === "failure") return parsed;
+  return results.createOk(
+    steps.formatStepId({ account: request.account, ...parsed.value }),
+  );
+}
+
+function refuseMoved(): results.Result<object> {
+  return results.createFailure(
+    "unknownStep",
+    "Cannot serve the step: it moves to another box",
+    {
+      retryAfterMs: RETRY_AFTER_MS,
+    },
+  );
 }
 
 function parseFields<T>(
--- /dev/null
+++ b/tools/demo/judge.ts
@@ -0,0 +1,331 @@
+import * as answerLengths from "../stand_ins/answer_length.ts";
+import type * as ledgers from "../stand_ins/ledger.ts";
+import * as tokenIndexes from "./token_index.ts";
+
+/** Time after its mark in which a leaving server may still get work, in ms. */
+const LEAVE_GRACE_MS = 3_000;
+
+/** What the judge must know besides the ledgers. */
+export interface JudgeOptions {
+  readonly lengths: answerLengths.LengthShape;
+  /** Longest sample of a rollout, in tokens. */
+  readonly sampleTokens: number;
+  /** Longest completion of a caller, in tokens. */
+  readonly completionTokens: number;
+}
+
+/** Violations and figures, counted from what really happened. */
+export interface Verdict {
+  readonly steps: number;
+  readonly samples: number;
+  readonly missingSamples: number;
+  readonly duplicateSamples: number;
+  readonly staleSamples: number;
+  readonly wrongProvenance: number;
+  readonly requests: number;
+  readonly failedRequests: number;
+  readonly truncatedAnswers: number;
+  readonly crossedAnswers: number;
+  readonly doubledNonRepeatable: number;
+  readonly falseNotRun: number;
+  readonly workAfterLeave: number;
+  readonly cutOffByPlannedStop: number;
+  readonly trainerIdleFraction: number;
+  readonly stalenessMs: Quantiles;
+}
+
+/** Three points of a distribution. */
+export interface Quantiles {
+  readonly p50: number;
+  readonly p99: number;
+  readonly max: number;
+}
+
+type Kind<K extends ledgers.LedgerEntry["kind"]> = Extract<
+  ledgers.LedgerEntry,
+  { readonly kind: K }
+>;
+
+function selectKind<K extends ledgers.LedgerEntry["kind"]>(
+  entries: readonly ledgers.LedgerEntry[],
+  kind: K,
+): readonly Kind<K>[] {
+  return entries.filter((entry): entry is Kind<K> => entry.kind === kind);
+}
+
+/**
+ * Gives three points of a distribution.
+ *
+ * @param values The values.
+ * @returns Median, 99th percentile and maximum; zeros when there are none.
+ */
+export function computeQuantiles(values: readonly number[]): Quantiles {
+  const sorted = [...values].sort((a, b) => a - b);
+  return {
+    p50: getQuantile(sorted, 0.5),
+    p99: getQuantile(sorted, 0.99),
+    max: getQuantile(sorted, 1),
+  };
+}
+
+function getQuantile(sorted: readonly number[], share: number): number {
+  const index = Math.min(sorted.length - 1, Math.floor(sorted.length * share));
+  return Math.round(sorted[index] ?? 0);
+}
+
+function selectFirstReceived(
+  samples: readonly ledgers.SampleEntry[],
+): readonly ledgers.SampleEntry[] {
+  const first = new Map<string, ledgers.SampleEntry>();
+  for (const sample of samples) {
+    const key = `${sample.trainer}/${sample.step}/${sample.slot}`;
+    if (!first.has(key)) first.set(key, sample);
+  }
+  return [...first.values()];
+}
+
+function countDuplicates(samples: readonly ledgers.SampleEntry[]): number {
+  const idsBySlot = new Map<string, ReadonlySet<string>>();
+  const slotsById = new Map<string, ReadonlySet<string>>();
+  for (const sample of samples) {
+    const slot = `${sample.trainer}/${sample.step}/${sample.slot}`;
+    idsBySlot.set(
+      slot,
+      new Set([...idsBySlot.get(slot) ?? [], sample.sampleId]),
+    );
+    slotsById.set(
+      sample.sampleId,
+      new Set([...slotsById.get(sample.sampleId) ?? [], slot]),
+    );
+  }
+  const extra = [...idsBySlot.values(), ...slotsById.values()].map((set) =>
+    set.size - 1
+  );
+  return extra.reduce((sum, count) => sum + count, 0);
+}
+
+function getToldVersion(
+  sample: ledgers.SampleEntry,
+  position: number,
+): number | undefined {
+  return sample.spans.find((span) =>
+    position >= span.start && position < span.end
+  )?.weightVersion;
+}
+
+function hasTrueProvenance(
+  sample: ledgers.SampleEntry,
+  index: tokenIndexes.TokenIndex,
+  options: JudgeOptions,
+): boolean {
+  const length = answerLengths.getAnswerLength(
+    sample.prompt,
+    options.sampleTokens,
+    options.lengths,
+  );
+  if (sample.tokens.length !== length) return false;
+  return sample.tokens.every((token, position) => {
+    const segment = tokenIndexes.findSegment(index, token);
+    return segment !== undefined && segment.prompt === sample.prompt &&
+      segment.model === sample.model &&
+      token - segment.firstToken + segment.firstPosition === position &&
+      segment.weightVersion === getToldVersion(sample, position);
+  });
+}
+
+function listSegments(
+  sample: ledgers.SampleEntry,
+  index: tokenIndexes.TokenIndex,
+): readonly ledgers.SegmentEntry[] {
+  return sample.tokens
+    .map((token) => tokenIndexes.findSegment(index, token))
+    .filter((segment) => segment !== undefined);
+}
+
+function getAgeMs(
+  sample: ledgers.SampleEntry,
+  index: tokenIndexes.TokenIndex,
+): number {
+  return sample.atMs -
+    Math.min(...listSegments(sample, index).map((segment) => segment.atMs));
+}
+
+function isStale(
+  sample: ledgers.SampleEntry,
+  index: tokenIndexes.TokenIndex,
+): boolean {
+  const oldest = Math.min(
+    ...listSegments(sample, index).map((segment) => segment.weightVersion),
+  );
+  return sample.trainerVersion - oldest > sample.maxVersionsBehind ||
+    getAgeMs(sample, index) > sample.maxAgeMs;
+}
+
+function isCrossed(
+  call: ledgers.CallEntry,
+  index: tokenIndexes.TokenIndex,
+): boolean {
+  if (!call.isAnswered) return false;
+  if (call.operation !== "completion") return call.answeredId !== call.callId;
+  return call.tokens.some((token) =>
+    tokenIndexes.findSegment(index, token)?.prompt !== call.prompt
+  );
+}
+
+function isTruncated(
+  call: ledgers.CallEntry,
+  index: tokenIndexes.TokenIndex,
+  options: JudgeOptions,
+): boolean {
+  if (!call.isAnswered) return false;
+  if (!call.isWhole) return true;
+  if (call.operation !== "completion") return false;
+  const length = answerLengths.getAnswerLength(
+    call.prompt,
+    options.completionTokens,
+    options.lengths,
+  );
+  const inOrder = call.tokens.every((token, position) => {
+    const segment = tokenIndexes.findSegment(index, token);
+    return segment !== undefined &&
+      token - segment.firstToken + segment.firstPosition === position;
+  });
+  return call.tokens.length !== length || !inOrder;
+}
+
+function countRuns(
+  runs: readonly ledgers.RunEntry[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const run of runs) {
+    counts.set(run.callId, (counts.get(run.callId) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function isFalseNotRun(
+  call: ledgers.CallEntry,
+  runs: ReadonlyMap<string, number>,
+): boolean {
+  if (call.operation === "completion") return false;
+  const mayHaveRun = call.tries.filter((item) =>
+    item.outcome !== "notRun" && item.outcome !== "refused" &&
+    item.outcome !== "notSent"
+  );
+  return mayHaveRun.length === 0 && (runs.get(call.callId) ?? 0) > 0;
+}
+
+function countWorkAfterLeave(entries: readonly ledgers.LedgerEntry[]): number {
+  const leaves = selectKind(entries, "event").filter((entry) =>
+    entry.event === "leave"
+  );
+  const segments = selectKind(entries, "segment").filter((segment) =>
+    segment.isFirst
+  );
+  const work = [
+    ...selectKind(entries, "run").map((run) => ({
+      target: run.server,
+      atMs: run.atMs,
+    })),
+    ...segments.map((segment) => ({
+      target: segment.engine,
+      atMs: segment.atMs,
+    })),
+  ];
+  return leaves.reduce(
+    (sum, leave) =>
+      sum +
+      work.filter((item) =>
+        item.target === leave.target && item.atMs > leave.atMs + LEAVE_GRACE_MS
+      ).length,
+    0,
+  );
+}
+
+function countCutOff(entries: readonly ledgers.LedgerEntry[]): number {
+  const events = selectKind(entries, "event");
+  const tries = selectKind(entries, "call").flatMap((call) => call.tries);
+  return events.filter((event) => event.event === "planStop").reduce(
+    (sum, begin) => {
+      const ended = events.find((event) =>
+        event.event === "stopped" && event.target === begin.target
+      );
+      const untilMs = (ended?.atMs ?? Number.POSITIVE_INFINITY) + 1_000;
+      const cut = tries.filter((item) =>
+        item.box === begin.target &&
+        (item.outcome === "broken" || item.outcome === "notSent") &&
+        item.endedMs >= begin.atMs && item.sentMs <= untilMs
+      );
+      return sum + cut.length;
+    },
+    0,
+  );
+}
+
+function computeIdleFraction(steps: readonly ledgers.StepEntry[]): number {
+  const idleMs = steps.reduce((sum, step) => sum + step.idleMs, 0);
+  const totalMs = steps.reduce((sum, step) => sum + step.totalMs, 0);
+  return totalMs === 0 ? 0 : Math.round(1_000 * idleMs / totalMs) / 1_000;
+}
+
+/**
+ * Judges a run by the ledgers of stand-ins, trainers and callers.
+ *
+ * @param entries All entries.
+ * @param options What the judge must know besides.
+ * @returns Violations and figures.
+ */
+export function judgeLedgers(
+  entries: readonly ledgers.LedgerEntry[],
+  options: JudgeOptions,
+): Verdict {
+  const index = tokenIndexes.buildTokenIndex(selectKind(entries, "segment"));
+  const received = selectKind(entries, "sample");
+  const samples = selectFirstReceived(received);
+  const steps = selectKind(entries, "step");
+  const calls = selectKind(entries, "call");
+  const runs = countRuns(selectKind(entries, "run"));
+  const syncs = calls.filter((call) => call.operation === "sync");
+  return {
+    steps: steps.length,
+    samples: samples.length,
+    missingSamples: steps.reduce(
+      (sum, step) => sum + step.slots - step.received,
+      0,
+    ),
+    duplicateSamples: countDuplicates(received),
+    staleSamples: samples.filter((sample) => isStale(sample, index)).length,
+    wrongProvenance:
+      samples.filter((sample) => !hasTrueProvenance(sample, index, options))
+        .length,
+    requests: calls.length,
+    failedRequests: calls.filter((call) => !call.isAnswered).length,
+    truncatedAnswers:
+      calls.filter((call) => isTruncated(call, index, options)).length,
+    crossedAnswers: calls.filter((call) => isCrossed(call, index)).length,
+    doubledNonRepeatable:
+      syncs.filter((call) => (runs.get(call.callId) ?? 0) > 1).length,
+    falseNotRun: calls.filter((call) => isFalseNotRun(call, runs)).length,
+    workAfterLeave: countWorkAfterLeave(entries),
+    cutOffByPlannedStop: countCutOff(entries),
+    trainerIdleFraction: computeIdleFraction(steps),
+    stalenessMs: computeQuantiles(
+      samples.map((sample) => getAgeMs(sample, index)),
+    ),
+  };
+}
+
+/** Counts that must be 0. */
+export const FAULT_COUNTS = [
+  "missingSamples",
+  "duplicateSamples",
+  "staleSamples",
+  "wrongProvenance",
+  "failedRequests",
+  "truncatedAnswers",
+  "crossedAnswers",
+  "doubledNonRepeatable",
+  "falseNotRun",
+  "workAfterLeave",
+  "cutOffByPlannedStop",
+] as const satisfies readonly (keyof Verdict)[];
--- /dev/null
+++ b/tools/stand_ins/run_engine.ts
@@ -0,0 +1,135 @@
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as distribution from "pure-rand/distribution/uniformFloat64";
+import * as engineCores from "./engine_core.ts";
+import * as jsonServers from "./json_server.ts";
+import * as ledgers from "./ledger.ts";
+
+/** What an engine process is told. */
+export interface EngineProcessSettings extends engineCores.EngineSettings {
+  readonly address: string;
+  readonly port: number;
+  readonly ledgerFile: string;
+  readonly storeUrl: string;
+  /** Refuses orders with an old fencing number. */
+  readonly checksFence: boolean;
+  /** Time of a weight swap, in ms. */
+  readonly swapMs: number;
+  /** Share of swaps that fail. */
+  readonly failedSwaps: number;
+  /** Age of the load reports, in ms. */
+  readonly reportLagMs: number;
+}
+
+/** One engine: it serves completions, reports and orders. */
+class EngineProcess {
+  readonly #settings: EngineProcessSettings;
+  readonly #ledger: ledgers.LedgerWriter;
+  readonly #core: engineCores.EngineCore;
+  readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
+  #report: object;
+  #fence = 0;
+
+  constructor(settings: EngineProcessSettings) {
+    this.#settings = settings;
+    this.#ledger = new ledgers.LedgerWriter(settings.ledgerFile);
+    this.#core = new engineCores.EngineCore(settings, this.#ledger);
+    this.#random = generator.xoroshiro128plus(settings.index);
+    this.#report = this.#core.describe();
+  }
+
+  async start(): Promise<void> {
+    const { address, port, reportLagMs } = this.#settings;
+    this.#core.start();
+    setInterval(() => {
+      this.#report = this.#core.describe();
+    }, reportLagMs);
+    await jsonServers.startServer(
+      address,
+      port,
+      (request) => this.#answer(request),
+    );
+  }
+
+  #answer(request: jsonServers.StandInRequest): Promise<void> | void {
+    switch (`${request.method} ${request.path}`) {
+      case "GET /v1/status":
+        return jsonServers.answerJson(request.response, 200, this.#report);
+      case "POST /v1/completions":
+        return this.#generate(request);
+      case "POST /v1/orders":
+        return this.#takeOrder(request);
+      default:
+        return jsonServers.answerJson(request.response, 404, {});
+    }
+  }
+
+  #generate({ json, response }: jsonServers.StandInRequest): void {
+    const model = String(json["model"]);
+    if (this.#core.getVersion(model) === undefined) {
+      return jsonServers.answerJson(response, 404, {
+        error: "the model is not loaded",
+      });
+    }
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    response.flushHeaders();
+    this.#core.add({
+      model,
+      prompt: String(json["prompt"]),
+      priority: Number(json["priority"] ?? 0),
+      position: ((json["resume_tokens"] ?? []) as readonly number[]).length,
+      maxTokens: Number(json["max_tokens"]),
+      response,
+    });
+  }
+
+  async #takeOrder(
+    { json, response }: jsonServers.StandInRequest,
+  ): Promise<void> {
+    const fence = Number(json["fence"]);
+    const isOld = this.#settings.checksFence && fence < this.#fence;
+    const isTaken = !isOld && !this.#core.isSwapping();
+    const model = String(json["model"]);
+    const weightVersion = Number(json["weight_version"]);
+    this.#ledger.add({
+      kind: "order",
+      engine: this.#settings.id,
+      model,
+      weightVersion,
+      fence,
+      isTaken,
+      atMs: Date.now(),
+    });
+    if (isOld) {
+      return jsonServers.answerJson(response, 409, {
+        error: "the fencing number is old",
+      });
+    }
+    if (!isTaken) {
+      return jsonServers.answerJson(response, 503, {
+        error: "a swap is under way",
+      });
+    }
+    this.#fence = Math.max(this.#fence, fence);
+    const isLoaded = await this.#load(model, weightVersion);
+    jsonServers.answerJson(response, isLoaded ? 200 : 503, {});
+  }
+
+  async #load(model: string, weightVersion: number): Promise<boolean> {
+    const path = `/v1/models/${
+      encodeURIComponent(model)
+    }/versions/${weightVersion}`;
+    const fetched = await fetch(`${this.#settings.storeUrl}${path}`).catch(() =>
+      undefined
+    );
+    if (fetched?.status !== 200) return false;
+    if (
+      distribution.uniformFloat64(this.#random) < this.#settings.failedSwaps
+    ) return false;
+    await this.#core.swap(model, weightVersion, this.#settings.swapMs);
+    return true;
+  }
+}
+
+await new EngineProcess(
+  JSON.parse(process.argv[2] ?? "{}") as EngineProcessSettings,
+).start();
--- /dev/null
+++ b/tools/stand_ins/run_plain_server.ts
@@ -0,0 +1,73 @@
+import * as zlib from "node:zlib";
+import * as jsonServers from "./json_server.ts";
+import * as ledgers from "./ledger.ts";
+
+/** What a plain server is told. */
+export interface PlainServerSettings {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+  readonly ledgerFile: string;
+  /** Time of one call, in ms. */
+  readonly callMs: number;
+  readonly slots: number;
+}
+
+const PAYLOAD = "vintage ".repeat(64);
+
+/** One plain server: stock lookups, and ledger syncs that count. */
+class PlainServerProcess {
+  readonly #settings: PlainServerSettings;
+  readonly #ledger: ledgers.LedgerWriter;
+  #active = 0;
+
+  constructor(settings: PlainServerSettings) {
+    this.#settings = settings;
+    this.#ledger = new ledgers.LedgerWriter(settings.ledgerFile);
+  }
+
+  async start(): Promise<void> {
+    const { address, port } = this.#settings;
+    await jsonServers.startServer(
+      address,
+      port,
+      (request) => this.#answer(request),
+    );
+  }
+
+  async #answer(request: jsonServers.StandInRequest): Promise<void> {
+    if (request.path === "/v1/status") {
+      return jsonServers.answerJson(request.response, 200, {
+        active: this.#active,
+        queued: 0,
+        slots: this.#settings.slots,
+      });
+    }
+    const operation = request.path.startsWith("/ledger-sync")
+      ? "sync"
+      : "lookup";
+    const callId = operation === "sync"
+      ? String(request.json["callId"])
+      : String(request.query.get("callId"));
+    this.#ledger.add({
+      kind: "run",
+      server: this.#settings.id,
+      operation,
+      callId,
+      atMs: Date.now(),
+    });
+    this.#active += 1;
+    await new Promise((resolve) => setTimeout(resolve, this.#settings.callMs));
+    this.#active -= 1;
+    const text = `${callId} ${PAYLOAD}`;
+    jsonServers.answerJson(request.response, 200, {
+      callId,
+      text,
+      checksum: zlib.crc32(text),
+    });
+  }
+}
+
+await new PlainServerProcess(
+  JSON.parse(process.argv[2] ?? "{}") as PlainServerSettings,
+).start();
--- /dev/null
+++ b/tools/stand_ins/run_trainer.ts
@@ -0,0 +1,183 @@
+import * as httpClient from "../../src/http_client/mod.ts";
+import * as addressBooks from "./address_book.ts";
+import * as ledgers from "./ledger.ts";
+
+/** What a trainer is told. */
+export interface TrainerSettings {
+  readonly name: string;
+  readonly template: string;
+  readonly model: string;
+  readonly token: string;
+  readonly seeds: readonly addressBooks.KnownAddress[];
+  readonly ledgerFile: string;
+  readonly storeUrl: string;
+  readonly steps: number;
+  readonly groups: number;
+  /** Samples for each prompt, as the template says. */
+  readonly groupSize: number;
+  /** Time to train on a step, in ms. */
+  readonly trainMs: number;
+  /** Staleness bound of the account, in versions. */
+  readonly maxVersionsBehind: number;
+  /** Staleness bound of the account, in ms. */
+  readonly maxAgeMs: number;
+  /** Stop after this time, in ms. */
+  readonly endMs: number;
+}
+
+interface ReceivedSample {
+  readonly slot: number;
+  readonly sampleId: string;
+  readonly tokens: readonly number[];
+  readonly spans: readonly ledgers.SpanEntry[];
+}
+
+const WAIT_MS = 2_000;
+const CALL_TIMEOUT_MS = 15_000;
+const PAUSE_MS = 100;
+
+/** A trainer: asks for steps, trains, publishes weights. */
+class TrainerProcess {
+  readonly #settings: TrainerSettings;
+  readonly #ledger: ledgers.LedgerWriter;
+  readonly #book: addressBooks.AddressBook;
+  #weightVersion = 1;
+
+  constructor(settings: TrainerSettings) {
+    this.#settings = settings;
+    this.#ledger = new ledgers.LedgerWriter(settings.ledgerFile);
+    this.#book = new addressBooks.AddressBook(
+      settings.seeds,
+      settings.name.length,
+    );
+  }
+
+  async run(): Promise<void> {
+    const endMs = Date.now() + this.#settings.endMs;
+    await this.#open(1);
+    for (
+      let step = 1;
+      step <= this.#settings.steps && Date.now() < endMs;
+      step += 1
+    ) {
+      const startMs = Date.now();
+      const received = await this.#collect(step);
+      const idleMs = Date.now() - startMs;
+      const isLast = step === this.#settings.steps;
+      if (!isLast) await this.#open(step + 1);
+      await sleep(this.#settings.trainMs);
+      await this.#publish();
+      this.#ledger.add({
+        kind: "step",
+        trainer: this.#settings.name,
+        step,
+        slots: this.#countSlots(),
+        received,
+        idleMs,
+        totalMs: Date.now() - startMs,
+      });
+    }
+  }
+
+  #countSlots(): number {
+    return this.#settings.groups * this.#settings.groupSize;
+  }
+
+  #getPrompt(step: number, group: number): string {
+    return `${this.#settings.name} tasting note ${step}.${group}`;
+  }
+
+  async #open(step: number): Promise<void> {
+    const prompts = Array.from(
+      { length: this.#settings.groups },
+      (_, group) => this.#getPrompt(step, group),
+    );
+    await this.#call("open", { step, prompts });
+  }
+
+  /** Fetches until every slot has come once. */
+  async #collect(step: number): Promise<number> {
+    const held = new Set<number>();
+    while (held.size < this.#countSlots()) {
+      const fetched = await this.#call("fetch", {
+        step,
+        trainerVersion: this.#weightVersion,
+        waitMs: WAIT_MS,
+      }) as {
+        readonly samples: readonly ReceivedSample[];
+        readonly isComplete: boolean;
+      };
+      for (const sample of fetched.samples) {
+        this.#note(step, sample);
+        held.add(sample.slot);
+      }
+      const slots = fetched.samples.map((sample) => sample.slot);
+      if (slots.length > 0) await this.#call("acknowledge", { step, slots });
+      if (fetched.isComplete) break;
+    }
+    return held.size;
+  }
+
+  #note(step: number, sample: ReceivedSample): void {
+    const { name, model, groupSize, maxVersionsBehind, maxAgeMs } =
+      this.#settings;
+    const { slot, sampleId, tokens, spans } = sample;
+    const prompt = `${this.#getPrompt(step, Math.floor(slot / groupSize))}#${
+      slot % groupSize
+    }`;
+    this.#ledger.add({
+      kind: "sample",
+      trainer: name,
+      model,
+      step,
+      slot,
+      prompt,
+      sampleId,
+      tokens,
+      spans,
+      trainerVersion: this.#weightVersion,
+      maxVersionsBehind,
+      maxAgeMs,
+      atMs: Date.now(),
+    });
+  }
+
+  async #publish(): Promise<void> {
+    this.#weightVersion += 1;
+    await httpClient.sendJson({
+      baseUrl: this.#settings.storeUrl,
+      method: "POST",
+      path: "/v1/models",
+      json: { model: this.#settings.model, weightVersion: this.#weightVersion },
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  /** Asks until answered; every trainer call may be repeated. */
+  async #call(action: string, body: object): Promise<unknown> {
+    const { name, template, token } = this.#settings;
+    for (;;) {
+      const known = await this.#book.pick();
+      const answer = await httpClient.sendJson({
+        baseUrl: `http://${known.address}:${known.port}`,
+        method: "POST",
+        path: `/v1/trainers/${name}/${action}`,
+        headers: { authorization: `Bearer ${token}` },
+        json: { template, ...body },
+        timeoutMs: CALL_TIMEOUT_MS,
+      });
+      if (answer.kind === "ok" && answer.value.status === 200) {
+        return answer.value.json;
+      }
+      this.#book.avoid(known.box);
+      await sleep(PAUSE_MS);
+    }
+  }
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+await new TrainerProcess(JSON.parse(process.argv[2] ?? "{}") as TrainerSettings)
+  .run();
