--- /dev/null
+++ b/src/consensus/consensus_test.ts
@@ -0,0 +1,118 @@
+import * as chai from "chai";
+import * as replicaLogs from "./replica_log.ts";
+import type * as replicaStates from "./replica_state.ts";
+import * as simulations from "./simulation_test.ts";
+import * as stepReplicas from "./step_replica.ts";
+
+const SCHEDULES = Number(process.env["HOISTSCALE_SCHEDULES"] ?? 400);
+
+const CALM: Omit<simulations.ScheduleOptions, "seed"> = {
+  replicas: 5,
+  rounds: 400,
+  lossChance: 0,
+  repeatChance: 0,
+  crashChance: 0,
+  cutChance: 0,
+  compactChance: 0,
+};
+
+const ROUGH: Omit<simulations.ScheduleOptions, "seed"> = {
+  replicas: 5,
+  rounds: 500,
+  lossChance: 60,
+  repeatChance: 60,
+  crashChance: 4,
+  cutChance: 10,
+  compactChance: 5,
+};
+
+describe("consensus", () => {
+  it("elects one leader and commits while nothing fails", () => {
+    const result = new simulations.Simulation({ ...CALM, seed: 1 }).run();
+    chai.expect(result.leaders).to.equal(1);
+    chai.expect(result.committed).to.be.greaterThan(50);
+  });
+
+  it(`keeps every invariant over ${SCHEDULES} schedules of 3 and 5 replicas`, () => {
+    let committed = 0;
+    for (let seed = 1; seed <= SCHEDULES; seed += 1) {
+      const replicas = seed % 2 === 0 ? 3 : 5;
+      committed +=
+        new simulations.Simulation({ ...ROUGH, replicas, seed }).run()
+          .committed;
+    }
+    chai.expect(committed).to.be.greaterThan(SCHEDULES * 10);
+  });
+
+  it("does not vote for one election timeout after a restart", () => {
+    const config = {
+      id: "a",
+      voters: ["a", "b", "c"],
+      electionTimeoutMs: 100,
+      heartbeatMs: 20,
+      maxBatchEntries: 8,
+      seed: 1,
+    };
+    const state = stepReplicas.createReplica(
+      config,
+      stepReplicas.EMPTY_REPLICA,
+      1_000,
+    );
+    const message = {
+      kind: "voteRequest",
+      term: 5,
+      isPreVote: false,
+      lastIndex: 0,
+      lastTerm: 0,
+    } as const;
+    const event = { kind: "message", from: "b", message } as const;
+    chai.expect(stepReplicas.stepReplica(state, event, 1_050).state.term).to
+      .equal(0);
+    chai.expect(stepReplicas.stepReplica(state, event, 1_101).state.votedFor).to
+      .equal("b");
+  });
+
+  it("does not commit an entry of an earlier term by counting replicas", () => {
+    const config = {
+      id: "a",
+      voters: ["a", "b", "c"],
+      electionTimeoutMs: 100,
+      heartbeatMs: 20,
+      maxBatchEntries: 8,
+      seed: 1,
+    };
+    const saved = {
+      term: 3,
+      votedFor: "a",
+      log: {
+        ...replicaLogs.EMPTY_LOG,
+        entries: [{ index: 1, term: 2, command: "old" }],
+      },
+    };
+    const follower = stepReplicas.createReplica(config, saved, 0);
+    const progress = { nextIndex: 2, matchIndex: 0, answeredSentAtMs: 0 };
+    const leader: replicaStates.ReplicaState = {
+      ...follower,
+      role: {
+        kind: "leader",
+        progress: new Map([["b", progress], ["c", progress]]),
+        heartbeatAtMs: 0,
+        firstIndex: 2,
+        sinceMs: 0,
+      },
+    };
+    const message = {
+      kind: "appendReply",
+      term: 3,
+      isMatch: true,
+      index: 1,
+      sentAtMs: 0,
+    } as const;
+    const after = stepReplicas.stepReplica(leader, {
+      kind: "message",
+      from: "b",
+      message,
+    }, 1);
+    chai.expect(after.state.commitIndex).to.equal(0);
+  });
+});
--- /dev/null
+++ b/src/consensus/simulation_test.ts
@@ -0,0 +1,340 @@
+import * as uniform from "pure-rand/distribution/uniformInt";
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as fakeNetworks from "./fake_network_test.ts";
+import * as saveds from "./_saved.ts";
+import * as authorities from "./authority.ts";
+import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
+import type * as replicaStates from "./replica_state.ts";
+import * as stepReplicas from "./step_replica.ts";
+
+/** What a schedule may do to the replicas. */
+export interface ScheduleOptions extends fakeNetworks.NetworkOptions {
+  readonly seed: number;
+  readonly replicas: number;
+  /** Rounds of 10 ms. */
+  readonly rounds: number;
+  /** Chances a round or a message, out of 1,000. */
+  readonly crashChance: number;
+  readonly cutChance: number;
+  readonly compactChance: number;
+}
+
+/** What a schedule brought about. */
+export interface ScheduleResult {
+  readonly committed: number;
+  readonly leaders: number;
+}
+
+interface Disk {
+  readonly snapshot: messages.Snapshot | undefined;
+  readonly records: readonly saveds.SavedRecord[];
+}
+
+interface SimulatedNode {
+  readonly config: replicaStates.ReplicaConfig;
+  /** Ticks of its clock for each tick of true time. */
+  readonly rate: number;
+  disk: Disk;
+  state: replicaStates.ReplicaState | undefined;
+  appliedIndex: number;
+  appliedTerm: number;
+  applied: readonly string[];
+}
+
+const ROUND_MS = 10;
+/** Leaders are disturbed more often than others, by this factor. */
+const LEADER_FACTOR = 4;
+const RATE_SPREAD = 50;
+const TIMEOUT_MS = 150;
+const PER_MILLE = 1_000;
+
+/**
+ * Replicas on a fake network, fake disks and clocks of different rates; every
+ * round the invariants of the log, the leaders and their authority are checked.
+ */
+export class Simulation {
+  readonly #options: ScheduleOptions;
+  readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
+  readonly #nodes: readonly SimulatedNode[];
+  readonly #committed = new Map<number, string>();
+  readonly #leaderOfTerm = new Map<number, string>();
+  readonly #network: fakeNetworks.FakeNetwork;
+  #nowMs = 0;
+  #proposed = 0;
+
+  constructor(options: ScheduleOptions) {
+    this.#options = options;
+    this.#random = generator.xoroshiro128plus(options.seed);
+    this.#network = new fakeNetworks.FakeNetwork(
+      options,
+      (max) => this.#draw(max),
+    );
+    const ids = Array.from(
+      { length: options.replicas },
+      (_, index) => `r${index}`,
+    );
+    this.#nodes = ids.map((id, index) => this.#createNode(id, index, ids));
+    for (const node of this.#nodes) this.#restart(node);
+  }
+
+  /**
+   * Runs the schedule.
+   *
+   * @throws Error naming the invariant that did not hold.
+   */
+  run(): ScheduleResult {
+    for (let round = 0; round < this.#options.rounds; round += 1) {
+      this.#nowMs += ROUND_MS;
+      this.#disturb();
+      this.#deliver();
+      for (const node of this.#nodes) this.#tick(node);
+      this.#checkAuthority();
+    }
+    return {
+      committed: this.#committed.size,
+      leaders: this.#leaderOfTerm.size,
+    };
+  }
+
+  #createNode(
+    id: string,
+    index: number,
+    ids: readonly string[],
+  ): SimulatedNode {
+    return {
+      config: {
+        id,
+        voters: ids,
+        electionTimeoutMs: TIMEOUT_MS,
+        heartbeatMs: TIMEOUT_MS / 5,
+        maxBatchEntries: 4,
+        seed: this.#options.seed * 31 + index,
+      },
+      rate: 1 + (this.#draw(2 * RATE_SPREAD) - RATE_SPREAD) / PER_MILLE,
+      disk: { snapshot: undefined, records: [] },
+      state: undefined,
+      appliedIndex: 0,
+      appliedTerm: 0,
+      applied: [],
+    };
+  }
+
+  #draw(max: number): number {
+    return uniform.uniformInt(this.#random, 0, max);
+  }
+
+  #happens(chance: number): boolean {
+    return this.#draw(PER_MILLE - 1) < chance;
+  }
+
+  #getClockMs(node: SimulatedNode): number {
+    return this.#nowMs * node.rate;
+  }
+
+  #disturb(): void {
+    for (const node of this.#nodes) {
+      const factor = node.state?.role.kind === "leader" ? LEADER_FACTOR : 1;
+      if (this.#happens(this.#options.crashChance * factor)) {
+        node.state = undefined;
+      } else if (node.state === undefined && this.#happens(100)) {
+        this.#restart(node);
+      }
+      if (this.#happens(this.#options.compactChance)) this.#compact(node);
+    }
+    if (this.#happens(this.#options.cutChance)) this.#changeCut();
+  }
+
+  /** Cuts one replica off, or one link, or heals all. */
+  #changeCut(): void {
+    const leader = this.#nodes.find((node) =>
+      node.state?.role.kind === "leader"
+    );
+    const victim = this.#happens(500) ? leader : this.#pickNode();
+    const others = this.#nodes.filter((node) => node !== victim);
+    const peers = this.#happens(500) ? others : [this.#pickNode()];
+    this.#network.changeCut(
+      victim?.config.id,
+      peers.map((peer) => peer?.config.id),
+    );
+  }
+
+  #pickNode(): SimulatedNode | undefined {
+    return this.#nodes[this.#draw(this.#nodes.length - 1)];
+  }
+
+  #restart(node: SimulatedNode): void {
+    const { snapshot, records } = node.disk;
+    const saved = saveds.rebuildReplica(snapshot, records);
+    node.state = stepReplicas.createReplica(
+      node.config,
+      saved,
+      this.#getClockMs(node),
+    );
+    node.applied = (snapshot?.state ?? []) as readonly string[];
+    node.appliedIndex = snapshot?.index ?? 0;
+    node.appliedTerm = snapshot?.term ?? 0;
+  }
+
+  #tick(node: SimulatedNode): void {
+    this.#step(node, { kind: "tick" });
+    if (node.state?.role.kind !== "leader" || !this.#happens(300)) return;
+    this.#proposed += 1;
+    this.#step(node, { kind: "propose", commands: [`c${this.#proposed}`] });
+  }
+
+  #deliver(): void {
+    for (const { from, to, message } of this.#network.takeDue(this.#nowMs)) {
+      const node = this.#nodes.find((candidate) => candidate.config.id === to);
+      if (node !== undefined) {
+        this.#step(node, { kind: "message", from, message });
+      }
+    }
+  }
+
+  #step(node: SimulatedNode, event: replicaStates.ReplicaEvent): void {
+    if (node.state === undefined) return;
+    const transition = stepReplicas.stepReplica(
+      node.state,
+      event,
+      this.#getClockMs(node),
+    );
+    node.state = transition.state;
+    if (!this.#save(node, transition.effects)) return;
+    for (const effect of transition.effects) this.#runEffect(node, effect);
+    this.#checkLeader(node);
+  }
+
+  /** Saves all or a part, crashing in between; false after a crash. */
+  #save(
+    node: SimulatedNode,
+    effects: readonly replicaStates.Effect[],
+  ): boolean {
+    const restore = effects.find((effect) => effect.kind === "restore");
+    if (restore !== undefined && node.state !== undefined) {
+      const { term, votedFor } = node.state;
+      node.disk = {
+        snapshot: restore.snapshot,
+        records: [{ kind: "vote", term, votedFor }],
+      };
+    }
+    const records = effects.flatMap(saveds.toRecords);
+    if (records.length === 0 || !this.#happens(this.#options.crashChance)) {
+      node.disk = { ...node.disk, records: [...node.disk.records, ...records] };
+      return true;
+    }
+    const kept = records.slice(0, this.#draw(records.length));
+    node.disk = { ...node.disk, records: [...node.disk.records, ...kept] };
+    node.state = undefined;
+    return false;
+  }
+
+  #runEffect(node: SimulatedNode, effect: replicaStates.Effect): void {
+    switch (effect.kind) {
+      case "saveVote":
+      case "saveEntries":
+        return;
+      case "restore":
+        node.applied = effect.snapshot.state as readonly string[];
+        node.appliedIndex = effect.snapshot.index;
+        node.appliedTerm = effect.snapshot.term;
+        return;
+      case "send":
+        return this.#send(node.config.id, effect.to, effect.message);
+      case "sendSnapshot":
+        return this.#send(node.config.id, effect.to, {
+          kind: "snapshotRequest",
+          term: node.state?.term ?? 0,
+          snapshot: this.#createSnapshot(node),
+          sentAtMs: this.#getClockMs(node),
+        });
+      case "commit":
+        for (const entry of effect.entries) this.#apply(node, entry);
+    }
+  }
+
+  #createSnapshot(node: SimulatedNode): messages.Snapshot {
+    return {
+      index: node.appliedIndex,
+      term: node.appliedTerm,
+      state: node.applied,
+    };
+  }
+
+  #send(from: string, to: string, message: messages.Message): void {
+    this.#network.send({ from, to, message }, this.#nowMs);
+  }
+
+  #apply(node: SimulatedNode, entry: replicaLogs.Entry): void {
+    if (entry.index <= node.appliedIndex) return;
+    this.#check(
+      entry.index === node.appliedIndex + 1,
+      `entry ${entry.index} is applied after ${node.appliedIndex}`,
+    );
+    const value = `${entry.term}:${JSON.stringify(entry.command)}`;
+    const known = this.#committed.get(entry.index);
+    this.#check(
+      known === undefined || known === value,
+      `entry ${entry.index} was ${known} and is ${value}`,
+    );
+    this.#committed.set(entry.index, value);
+    node.applied = [...node.applied, value];
+    node.appliedIndex = entry.index;
+    node.appliedTerm = entry.term;
+  }
+
+  #compact(node: SimulatedNode): void {
+    if (
+      node.state === undefined ||
+      node.appliedIndex <= node.state.log.snapshotIndex
+    ) return;
+    const { term, votedFor, log } = node.state;
+    const rest = replicaLogs.getEntries(
+      log,
+      node.appliedIndex + 1,
+      log.entries.length,
+    );
+    const entries = rest.map((entry): saveds.SavedRecord => ({
+      kind: "entry",
+      entry,
+    }));
+    node.disk = {
+      snapshot: this.#createSnapshot(node),
+      records: [{ kind: "vote", term, votedFor }, ...entries],
+    };
+    node.state = {
+      ...node.state,
+      log: replicaLogs.compactLog(log, node.appliedIndex),
+    };
+  }
+
+  #checkLeader(node: SimulatedNode): void {
+    if (node.state?.role.kind !== "leader") return;
+    const { id } = node.config;
+    const other = this.#leaderOfTerm.get(node.state.term) ?? id;
+    this.#check(
+      other === id,
+      `term ${node.state.term} has the leaders ${other} and ${id}`,
+    );
+    this.#leaderOfTerm.set(node.state.term, id);
+  }
+
+  #checkAuthority(): void {
+    const holders = this.#nodes.filter((node) =>
+      node.state !== undefined &&
+      authorities.hasAuthority(node.state, this.#getClockMs(node))
+    );
+    this.#check(
+      holders.length <= 1,
+      `${holders.length} replicas have authority at once`,
+    );
+  }
+
+  #check(isHeld: boolean, violation: string): void {
+    if (!isHeld) {
+      throw new Error(
+        `seed ${this.#options.seed}, ${this.#nowMs} ms: ${violation}`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/storage/storage_test.ts
@@ -0,0 +1,97 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as chai from "chai";
+import * as results from "../results/mod.ts";
+import * as durableLogs from "./durable_log.ts";
+
+async function getFailedCode(action: () => Promise<unknown>): Promise<string> {
+  try {
+    await action();
+    return "none";
+  } catch (error) {
+    return results.toFailure(error).code;
+  }
+}
+
+describe("storage", () => {
+  let folder = "";
+
+  beforeEach(() => {
+    folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-storage-"));
+  });
+
+  afterEach(() => {
+    fs.rmSync(folder, { recursive: true, force: true });
+  });
+
+  async function writeRecords(count: number): Promise<string> {
+    const { log } = await durableLogs.DurableLog.open(folder, "box-1");
+    for (let index = 0; index < count; index += 1) {
+      await log.append([{ index }]);
+    }
+    await log.close();
+    return path.join(folder, "log.0");
+  }
+
+  it("cuts a torn tail at any byte and keeps all whole records", async () => {
+    const file = await writeRecords(3);
+    const bytes = fs.readFileSync(file);
+    const whole = fs.readFileSync(file).lastIndexOf("HSL1");
+    for (let length = whole + 1; length < bytes.length; length += 1) {
+      fs.writeFileSync(file, bytes.subarray(0, length));
+      const { log, loaded } = await durableLogs.DurableLog.open(
+        folder,
+        "box-1",
+      );
+      await log.close();
+      chai.expect(loaded.records).to.deep.equal([{ index: 0 }, { index: 1 }]);
+      chai.expect(loaded.tornBytes).to.equal(length - whole);
+    }
+  });
+
+  it("refuses damage with whole records after it", async () => {
+    const file = await writeRecords(3);
+    const bytes = fs.readFileSync(file);
+    const second = bytes.indexOf("HSL1", 4);
+    for (let at = second; at < second + 16; at += 1) {
+      const damaged = Buffer.from(bytes);
+      damaged.writeUInt8(damaged.readUInt8(at) ^ 0x55, at);
+      fs.writeFileSync(file, damaged);
+      chai.expect(
+        await getFailedCode(() => durableLogs.DurableLog.open(folder, "box-1")),
+      ).to.equal("corruptLog");
+    }
+  });
+
+  it("refuses the folder of another box", async () => {
+    await writeRecords(1);
+    chai.expect(
+      await getFailedCode(() => durableLogs.DurableLog.open(folder, "box-2")),
+    ).to.equal("wrongFolder");
+  });
+
+  it("reads the snapshot and what follows it, whatever a crash left of the next one", async () => {
+    const { log } = await durableLogs.DurableLog.open(folder, "box-1");
+    await log.append([{ index: 0 }]);
+    await log.compact({ state: 7 }, [{ index: 1 }]);
+    await log.append([{ index: 2 }]);
+    await log.close();
+    fs.writeFileSync(path.join(folder, "log.2"), "half a file");
+    fs.writeFileSync(path.join(folder, "snapshot.2.tmp"), "half a file");
+    const { log: again, loaded } = await durableLogs.DurableLog.open(
+      folder,
+      "box-1",
+    );
+    await again.compact({ state: 8 }, []);
+    await again.close();
+    chai.expect(loaded.snapshot).to.deep.equal({ state: 7 });
+    chai.expect(loaded.records).to.deep.equal([{ index: 1 }, { index: 2 }]);
+    const { log: last, loaded: compacted } = await durableLogs.DurableLog.open(
+      folder,
+      "box-1",
+    );
+    await last.close();
+    chai.expect(compacted.snapshot).to.deep.equal({ state: 8 });
+  });
+});
