Carry a request with less: no names made at run time, no abort signals

Cause, from a profile under load: the bundler's kept names define a property for each closure made, AbortController with listeners cost about 4%, an answer left in two writes, each choice of a server rebuilt its maps, metrics that are off built their lines. An exchange also never left its signal's listeners. Change: names are not kept, a cancellation of our own that an exchange leaves when it ends, head and body in one write, maps made once a report.

--- a/src/caller/_forward.ts
+++ b/src/caller/_forward.ts
@@ -1,4 +1,5 @@
 import type * as backends from "../backend_server/mod.ts";
+import * as csp from "../csp/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as http from "node:http";
 import type * as callerContexts from "./caller_context.ts";
@@ -11,8 +12,8 @@
   readonly path: string;
   readonly requestId: string;
   readonly isFreshConnection: boolean;
-  /** Gives the request up when aborted. */
-  readonly signal: AbortSignal;
+  /** Gives the request up when cancelled. */
+  readonly cancellation: csp.Cancellation;
 }
 
 function pickHeaders(
@@ -48,7 +49,7 @@
     timeoutMs: Math.max(1, call.deadlineMs - context.clock.getMonotonicMs()),
     connectTimeoutMs: limits.connectTimeoutMs,
     isFreshConnection: forward.isFreshConnection,
-    signal: forward.signal,
+    cancellation: forward.cancellation,
   });
   table.removeRequest(server.id, outcome.kind !== "answered");
   return checkEcho(outcome, forward.requestId);
@@ -69,7 +70,10 @@
   };
 }
 
-/** Gives a backend server's whole answer to the caller. */
+/**
+ * Gives a backend server's whole answer to the caller. As a latin1 string,
+ * which keeps every byte, head and body leave in one write.
+ */
 export function answerWhole(
   response: http.ServerResponse,
   status: number,
@@ -82,7 +86,7 @@
     "content-length": String(body.length),
     "x-hoistscale-outcome": "ran",
   });
-  response.end(body);
+  response.end(body.toString("latin1"), "latin1");
 }
 
 /** Reads the content type of an answer. */
@@ -91,11 +95,11 @@
   return typeof value === "string" ? value : "application/octet-stream";
 }
 
-/** A signal that fires when the caller goes away. */
-export function watchCaller(response: http.ServerResponse): AbortSignal {
-  const controller = new AbortController();
+/** Cancels what is done for a caller that goes away. */
+export function watchCaller(response: http.ServerResponse): csp.Cancellation {
+  const cancellation = new csp.Cancellation();
   response.once("close", () => {
-    if (!response.writableFinished) controller.abort();
+    if (!response.writableFinished) cancellation.cancel();
   });
-  return controller.signal;
+  return cancellation;
 }
--- a/src/caller/serve_completion.ts
+++ b/src/caller/serve_completion.ts
@@ -95,7 +95,7 @@
     table: context.table,
     timeoutMs: call.deadlineMs - context.clock.getMonotonicMs(),
     connectTimeoutMs: context.settings.limits.connectTimeoutMs,
-    signal: forwards.watchCaller(call.response),
+    cancellation: forwards.watchCaller(call.response),
     onToken: (token) => writer.add(token),
   });
   writer.end(end);
--- a/src/caller/serve_once.ts
+++ b/src/caller/serve_once.ts
@@ -1,4 +1,5 @@
 import * as crypto from "node:crypto";
+import * as csp from "../csp/mod.ts";
 import type * as claims from "../call_claim/mod.ts";
 import * as clocks from "../clock/mod.ts";
 import type * as httpClient from "../http_client/mod.ts";
@@ -151,7 +152,7 @@
 
   /** Tries servers until one took a byte of the request. */
   async #forward(): Promise<httpClient.HttpOutcome> {
-    const neverAborted = new AbortController().signal;
+    const neverCancelled = new csp.Cancellation();
     let excluded: ReadonlySet<string> = new Set();
     let last: httpClient.HttpOutcome = {
       kind: "notSent",
@@ -170,7 +171,7 @@
         path: this.#route.path,
         requestId: this.#claimId,
         isFreshConnection: true,
-        signal: neverAborted,
+        cancellation: neverCancelled,
       });
       if (last.kind !== "notSent") return last;
     }
--- a/src/caller/serve_repeatable.ts
+++ b/src/caller/serve_repeatable.ts
@@ -22,7 +22,7 @@
   call: callerContexts.AdmittedCall,
   route: Extract<findRoutes.Route, { readonly kind: "service" }>,
 ): Promise<void> {
-  const signal = forwards.watchCaller(call.response);
+  const cancellation = forwards.watchCaller(call.response);
   let excluded: ReadonlySet<string> = new Set();
   let last: httpClient.HttpOutcome = {
     kind: "notSent",
@@ -43,7 +43,7 @@
       path: route.path,
       requestId: crypto.randomUUID(),
       isFreshConnection: false,
-      signal,
+      cancellation,
     });
     if (last.kind === "answered") {
       const type = forwards.getContentType(last.head);
--- a/src/csp/mod.ts
+++ b/src/csp/mod.ts
@@ -11,6 +11,7 @@
  * ```
  * @module
  */
+export * from "./cancellation.ts";
 export * from "./channel.ts";
 export * from "./run_process.ts";
 export * from "./signal.ts";
--- a/src/engine/stream_completion.ts
+++ b/src/engine/stream_completion.ts
@@ -1,4 +1,5 @@
 import type * as backends from "../backend_server/mod.ts";
+import type * as csp from "../csp/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as eventReaders from "./event_reader.ts";
 
@@ -33,7 +34,7 @@
 export interface StreamOptions {
   readonly timeoutMs: number;
   readonly connectTimeoutMs: number;
-  readonly signal: AbortSignal;
+  readonly cancellation: csp.Cancellation;
   readonly onToken: (token: GeneratedToken) => void;
 }
 
@@ -130,7 +131,7 @@
       body,
       timeoutMs: options.timeoutMs,
       connectTimeoutMs: options.connectTimeoutMs,
-      signal: options.signal,
+      cancellation: options.cancellation,
     }, new CompletionStream(options, resolve));
   });
 }
--- a/src/generation/generate_tokens.ts
+++ b/src/generation/generate_tokens.ts
@@ -1,5 +1,6 @@
 import * as crypto from "node:crypto";
 import * as clocks from "../clock/mod.ts";
+import type * as csp from "../csp/mod.ts";
 import * as engines from "../engine/mod.ts";
 import * as results from "../results/mod.ts";
 import type * as routing from "../routing/mod.ts";
@@ -24,7 +25,7 @@
   /** Time for the whole generation, in ms. */
   readonly timeoutMs: number;
   readonly connectTimeoutMs: number;
-  readonly signal: AbortSignal;
+  readonly cancellation: csp.Cancellation;
   /** Receives each token once, in order. */
   readonly onToken: (token: engines.GeneratedToken) => void;
 }
@@ -56,7 +57,7 @@
     for (;;) {
       const end = await this.#tryEngine();
       if (end !== undefined) return end;
-      if (this.#options.signal.aborted) {
+      if (this.#options.cancellation.isCancelled()) {
         return this.#fail("deadlineExceeded", "it was cancelled");
       }
       if (this.#getLeftMs() <= 0) {
@@ -79,10 +80,11 @@
     const end = await engines.streamCompletion(server, this.#createRequest(), {
       timeoutMs: this.#getLeftMs(),
       connectTimeoutMs: this.#options.connectTimeoutMs,
-      signal: this.#options.signal,
+      cancellation: this.#options.cancellation,
       onToken: (token) => this.#takeToken(token),
     });
-    const isFailed = end.kind !== "finished" && !this.#options.signal.aborted;
+    const isFailed = end.kind !== "finished" &&
+      !this.#options.cancellation.isCancelled();
     this.#options.table.removeRequest(server.id, isFailed);
     if (end.kind === "finished") {
       return results.createOk({
--- a/src/http_client/http_request.ts
+++ b/src/http_client/http_request.ts
@@ -1,3 +1,5 @@
+import type * as csp from "../csp/mod.ts";
+
 /** Where and what to send. */
 export interface HttpRequest {
   readonly address: string;
@@ -14,8 +16,8 @@
   readonly maxAnswerBytes?: number;
   /** Use a connection of its own, never one that served before. */
   readonly isFreshConnection?: boolean;
-  /** Gives the request up when aborted. */
-  readonly signal?: AbortSignal;
+  /** Gives the request up when cancelled. */
+  readonly cancellation?: csp.Cancellation;
 }
 
 /** Head of an answer. */
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import type * as net from "node:net";
+import type * as csp from "../csp/mod.ts";
 import * as agents from "./_agent.ts";
 import type * as httpRequests from "./http_request.ts";
 
@@ -27,13 +28,18 @@
   readonly #request: http.ClientRequest;
   #isSettled = false;
   #isSent = false;
-  #timers: readonly NodeJS.Timeout[] = [];
+  readonly #cancellation: csp.Cancellation | undefined;
+  readonly #onCancel: () => void;
+  #timer: NodeJS.Timeout | undefined;
+  #connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
     options: httpRequests.HttpRequest,
     listener: ExchangeListener,
   ) {
     this.#listener = listener;
+    this.#cancellation = options.cancellation;
+    this.#onCancel = () => this.#fail("it was cancelled");
     this.#request = http.request({
       host: options.address,
       port: options.port,
@@ -53,21 +59,18 @@
 
   #watch(options: httpRequests.HttpRequest): void {
     const connectMs = options.connectTimeoutMs ?? agents.DEFAULT_CONNECT_MS;
-    this.#timers = [
-      setTimeout(() => this.#fail("the deadline passed"), options.timeoutMs),
-    ];
+    this.#timer = setTimeout(
+      () => this.#fail("the deadline passed"),
+      options.timeoutMs,
+    );
     this.#request.on(
       "socket",
       (socket) => this.#watchSocket(socket, connectMs),
     );
     this.#request.on("error", (error) => this.#fail(error.message));
     this.#request.on("response", (answer) => this.#read(answer));
-    options.signal?.addEventListener(
-      "abort",
-      () => this.#fail("it was cancelled"),
-      { once: true },
-    );
-    if (options.signal?.aborted === true) this.#fail("it was cancelled");
+    this.#cancellation?.add(this.#onCancel);
+    if (this.#cancellation?.isCancelled() === true) this.#onCancel();
   }
 
   #watchSocket(socket: net.Socket, connectMs: number): void {
@@ -75,13 +78,12 @@
       this.#isSent = true;
       return;
     }
-    const timer = setTimeout(
+    this.#connectTimer = setTimeout(
       () => this.#fail("the connection was not made in time"),
       connectMs,
     );
-    this.#timers = [...this.#timers, timer];
     socket.once("connect", () => {
-      clearTimeout(timer);
+      clearTimeout(this.#connectTimer);
       this.#isSent = true;
     });
   }
@@ -118,7 +120,9 @@
 
   #settle(): void {
     this.#isSettled = true;
-    for (const timer of this.#timers) clearTimeout(timer);
+    clearTimeout(this.#timer);
+    clearTimeout(this.#connectTimer);
+    this.#cancellation?.remove(this.#onCancel);
   }
 }
 
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -22,13 +22,13 @@
 
 /** Sends counters and timings over UDP. */
 export class Metrics {
-  readonly #client: hotShots.StatsD;
+  readonly #client: hotShots.StatsD | undefined;
 
   constructor(options: MetricsOptions) {
+    if (!options.enabled) return;
     this.#client = new hotShots.StatsD({
       host: options.host,
       port: options.port,
-      mock: !options.enabled,
       prefix: "hoistscale.",
       maxBufferSize: 1_400,
       bufferFlushInterval: 1_000,
@@ -38,15 +38,15 @@
 
   /** Counts one event, or `by` of them. */
   count(name: MetricName, by = 1): void {
-    this.#client.increment(name, by);
+    this.#client?.increment(name, by);
   }
 
   /** Records a duration in ms. */
   recordMs(name: MetricName, valueMs: number): void {
-    this.#client.timing(name, valueMs);
+    this.#client?.timing(name, valueMs);
   }
 
   close(): void {
-    this.#client.close();
+    this.#client?.close();
   }
 }
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -24,6 +24,8 @@
 /** What a box knows of one server. */
 interface ServerRecord {
   readonly report: engines.ServerReport | undefined;
+  /** Weight version by model, as reported. */
+  readonly models: ReadonlyMap<string, number>;
   /** Requests of this box in it now. */
   readonly inFlight: number;
   /** Requests of this box that were in it at the last report. */
@@ -33,6 +35,7 @@
 
 const UNKNOWN_SERVER: ServerRecord = {
   report: undefined,
+  models: new Map(),
   inFlight: 0,
   inFlightAtReport: 0,
   suspectUntilMs: 0,
@@ -102,7 +105,7 @@
       server,
       slots: report?.slots ?? DEFAULT_SLOTS,
       expected: Math.max(record.inFlight, reported + sentSince),
-      models: new Map(Object.entries(report?.models ?? {})),
+      models: record.models,
       isSuspect: this.#options.clock.getMonotonicMs() < record.suspectUntilMs,
     };
   }
@@ -135,6 +138,7 @@
     this.#records.set(server.id, {
       ...record,
       report: read.value,
+      models: new Map(Object.entries(read.value.models)),
       inFlightAtReport: record.inFlight,
     });
   }
--- a/src/trainer/step_feed.ts
+++ b/src/trainer/step_feed.ts
@@ -42,7 +42,7 @@
   readonly #context: FeedContext;
   readonly #view: replicated.StepView;
   readonly #template: string;
-  readonly #stopped = new AbortController();
+  readonly #stopped = new csp.Cancellation();
   readonly #ready = new Map<number, ReadySample>();
   readonly #bound = new Map<number, steps.Sample>();
   readonly #acknowledged: Set<number>;
@@ -66,12 +66,12 @@
 
   /** Gives up what is under way; what was bound stays bound. */
   stop(): void {
-    this.#stopped.abort();
+    this.#stopped.cancel();
     this.#changed.notify();
   }
 
   isStopped(): boolean {
-    return this.#stopped.signal.aborted;
+    return this.#stopped.isCancelled();
   }
 
   isComplete(): boolean {
@@ -186,7 +186,7 @@
       table,
       timeoutMs: GENERATION_TIMEOUT_MS,
       connectTimeoutMs,
-      signal: this.#stopped.signal,
+      cancellation: this.#stopped,
       onToken: (token) => {
         if (tokens.length === 0) startedMs = clock.getMonotonicMs();
         tokens.push(token.tokenId);
--- a/tools/build/build_binary.ts
+++ b/tools/build/build_binary.ts
@@ -28,7 +28,6 @@
     outfile: BUNDLE,
     bundle: true,
     minify: true,
-    keepNames: true,
     platform: "node",
     target: "node20",
     format: "cjs",
--- a/tools/demo/judge_test.ts
+++ b/tools/demo/judge_test.ts
@@ -3,6 +3,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as backends from "../../src/backend_server/mod.ts";
+import * as csp from "../../src/csp/mod.ts";
 import * as engines from "../../src/engine/mod.ts";
 import * as steps from "../../src/rollout_step/mod.ts";
 import * as engineCores from "../stand_ins/engine_core.ts";
@@ -68,7 +69,7 @@
   }, {
     timeoutMs: 5_000,
     connectTimeoutMs: 1_000,
-    signal: new AbortController().signal,
+    cancellation: new csp.Cancellation(),
     onToken(token) {
       tokens.push(token.tokenId);
       spans = steps.addToken(spans, token.weightVersion);
