--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -13,7 +13,7 @@
 
 const INBOX_CAPACITY = 8_192;
 const MAX_EVENTS_A_ROUND = 512;
-const TICK_MS = 20;
+const TICK_MS = 50;
 
 type Settle = (result: results.Result<unknown>) => void;
 
--- a/src/csp/channel.ts
+++ b/src/csp/channel.ts
@@ -1,4 +1,4 @@
-import csp from "js-csp";
+import * as jsCsps from "./_js_csp.ts";
 import type * as raw from "js-csp";
 
 /** What `take` gives once a channel is closed and empty. */
@@ -16,25 +16,27 @@
 
   /** @param capacity How many values wait at most. */
   constructor(capacity: number) {
-    this.#raw = csp.chan(capacity);
+    this.#raw = jsCsps.jsCsp.chan(capacity);
   }
 
   /** Adds a value without waiting; false when the channel is full or closed. */
   offer(value: T): boolean {
-    return csp.offer(this.#raw, value);
+    return jsCsps.jsCsp.offer(this.#raw, value);
   }
 
   /** Removes a value without waiting, if there is one. */
   poll(): T | undefined {
-    const value = csp.poll(this.#raw);
-    if (value === csp.NO_VALUE || value === csp.CLOSED) return undefined;
+    const value = jsCsps.jsCsp.poll(this.#raw);
+    if (value === jsCsps.jsCsp.NO_VALUE || value === jsCsps.jsCsp.CLOSED) {
+      return undefined;
+    }
     return value as T;
   }
 
   /** Waits for the next value inside a process. */
   *take(): Step<T | typeof CLOSED> {
-    const value = yield csp.take(this.#raw);
-    return value === csp.CLOSED ? CLOSED : value as T;
+    const value = yield jsCsps.jsCsp.take(this.#raw);
+    return value === jsCsps.jsCsp.CLOSED ? CLOSED : value as T;
   }
 
   /** Closes the channel; values already in it can still be taken. */
--- a/src/csp/js_csp.d.ts
+++ b/src/csp/js_csp.d.ts
@@ -2,7 +2,7 @@
   export interface RawChannel {
     close(): void;
   }
-  interface Csp {
+  export interface Csp {
     readonly CLOSED: null;
     readonly NO_VALUE: unknown;
     chan(bufferSize?: number): RawChannel;
@@ -13,6 +13,6 @@
     poll(channel: RawChannel): unknown;
     putAsync(channel: RawChannel, value: unknown): void;
   }
-  const csp: Csp;
+  const csp: Csp | undefined;
   export default csp;
 }
--- a/src/csp/run_process.ts
+++ b/src/csp/run_process.ts
@@ -1,4 +1,4 @@
-import csp from "js-csp";
+import * as jsCsps from "./_js_csp.ts";
 import type * as channels from "./channel.ts";
 
 /**
@@ -11,7 +11,7 @@
   body: () => channels.Step<void>,
   onError: (error: unknown) => void,
 ): void {
-  csp.go(function* guardBody() {
+  jsCsps.jsCsp.go(function* guardBody() {
     try {
       yield* body();
     } catch (error) {
--- a/src/csp/wait_for.ts
+++ b/src/csp/wait_for.ts
@@ -1,4 +1,4 @@
-import csp from "js-csp";
+import * as jsCsps from "./_js_csp.ts";
 import type * as channels from "./channel.ts";
 
 interface Settled<T> {
@@ -15,12 +15,13 @@
  * @throws Whatever the promise rejects with.
  */
 export function* waitFor<T>(promise: Promise<T>): channels.Step<T> {
-  const channel = csp.chan(1);
+  const channel = jsCsps.jsCsp.chan(1);
   promise.then(
-    (value) => csp.putAsync(channel, { value, isError: false }),
-    (error: unknown) => csp.putAsync(channel, { error, isError: true }),
+    (value) => jsCsps.jsCsp.putAsync(channel, { value, isError: false }),
+    (error: unknown) =>
+      jsCsps.jsCsp.putAsync(channel, { error, isError: true }),
   );
-  const settled = (yield csp.take(channel)) as Settled<T>;
+  const settled = (yield jsCsps.jsCsp.take(channel)) as Settled<T>;
   if (settled.isError) throw settled.error;
   return settled.value as T;
 }
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -105,7 +105,7 @@
     ),
   }).readonly(),
   boxList: z.strictObject({ url: httpUrl, pollMs: ms.default(300) }).readonly(),
-  weightStore: z.strictObject({ url: httpUrl, pollMs: ms.default(200) })
+  weightStore: z.strictObject({ url: httpUrl, pollMs: ms.default(500) })
     .readonly(),
   scorer: z.strictObject({
     url: httpUrl,
--- a/tools/bench/process_usage.ts
+++ b/tools/bench/process_usage.ts
@@ -1,7 +1,6 @@
 import * as fs from "node:fs";
 
-/** Ticks a second of the kernel's process times. */
-const TICKS_PER_SECOND = 100;
+const NANOSECONDS = 1_000_000_000;
 const BYTES_PER_MB = 1_048_576;
 const BYTES_PER_KB = 1_024;
 
@@ -20,6 +19,20 @@
   return Number(match?.[1] ?? 0) * BYTES_PER_KB / BYTES_PER_MB;
 }
 
+/**
+ * Sums the run times of all threads. The kernel counts them in ns, while the
+ * times in `/proc/PID/stat` are sampled and blame short, regular work wrongly.
+ */
+function readCpuSeconds(pid: number): number {
+  const folder = `/proc/${pid}/task`;
+  const times = fs.readdirSync(folder).map((thread) =>
+    Number(
+      fs.readFileSync(`${folder}/${thread}/schedstat`, "utf8").split(" ")[0],
+    )
+  );
+  return times.reduce((sum, time) => sum + time, 0) / NANOSECONDS;
+}
+
 /**
  * Reads what a process has used, as the kernel tells.
  *
@@ -27,12 +40,9 @@
  * @returns Its usage.
  */
 export function readUsage(pid: number): ProcessUsage {
-  const stat = fs.readFileSync(`/proc/${pid}/stat`, "utf8");
-  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-  const ticks = Number(fields[11]) + Number(fields[12]);
   const status = fs.readFileSync(`/proc/${pid}/status`, "utf8");
   return {
-    cpuSeconds: ticks / TICKS_PER_SECOND,
+    cpuSeconds: readCpuSeconds(pid),
     residentMb: Math.round(10 * readField(status, "VmRSS")) / 10,
     privateMb: Math.round(10 * readField(status, "RssAnon")) / 10,
   };
