Measure changes and failover; a frozen leader no longer holds calls

Cause: a box waited for a frozen leader with its whole deadline (8 s for a change), and ticked 20 times a second with nothing due. Change: one try of a replica takes 1 s at most, the wait for in force asks in pieces; the replica sets its timer for what is due next. npm run bench -- control: changes at 10 times the target's rate and more, kill and freeze of the leader, stale orders from the engine's own ledger.

--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -3,6 +3,7 @@
 import * as storage from "../storage/mod.ts";
 import * as saveds from "./_saved.ts";
 import * as proposals from "./_proposals.ts";
+import * as tickTimers from "./_tick_timer.ts";
 import * as authorities from "./authority.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
@@ -13,7 +14,6 @@
 
 const INBOX_CAPACITY = 8_192;
 const MAX_EVENTS_A_ROUND = 512;
-const TICK_MS = 50;
 
 type Settle = (result: results.Result<unknown>) => void;
 
@@ -31,6 +31,7 @@
   readonly #log: storage.DurableLog;
   readonly #inbox = new csp.Channel<DriverEvent>(INBOX_CAPACITY);
   readonly #proposals = new proposals.ProposalTable();
+  readonly #timer: tickTimers.TickTimer;
   #state: replicaStates.ReplicaState;
   #appliedIndex: number;
   #appliedTerm: number;
@@ -45,6 +46,9 @@
     this.#options = options;
     this.#log = log;
     this.#state = state;
+    this.#timer = new tickTimers.TickTimer(options.clock, () => {
+      this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
+    });
     this.#appliedIndex = state.log.snapshotIndex;
     this.#appliedTerm = state.log.snapshotTerm;
     this.#snapshotIndex = state.log.snapshotIndex;
@@ -153,6 +157,7 @@
   /** Stops; what was synced stays. */
   async stop(): Promise<void> {
     this.#isStopped = true;
+    this.#timer.stop();
     this.#inbox.close();
     await this.#log.close();
   }
@@ -160,15 +165,13 @@
   #start(): void {
     const { onFatal } = this.#options;
     csp.runProcess(() => this.#run(), onFatal);
-    this.#startTick();
+    this.#setTick();
   }
 
-  #startTick(): void {
+  #setTick(): void {
+    const { role, electionAtMs } = this.#state;
     if (this.#isStopped) return;
-    this.#options.clock.startTimer(TICK_MS, () => {
-      this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
-      this.#startTick();
-    });
+    this.#timer.set(role.kind === "leader" ? role.heartbeatAtMs : electionAtMs);
   }
 
   *#run(): csp.Step<void> {
@@ -180,6 +183,7 @@
       if (this.#isStopped) return;
       for (const effect of effects) this.#runEffect(effect);
       yield* this.#takeSnapshot();
+      this.#setTick();
     }
   }
 
--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -10,6 +10,8 @@
 
 const RETRY_MS = 50;
 const CALL_SLACK_MS = 300;
+/** Longest wait for one replica, which may be frozen, in ms. */
+const TRY_MS = 1_000;
 const FIRST_CALL_MS = 1_500;
 /** Share of a lease that a box uses; the rest covers clock rates. */
 const LEASE_FRACTION = 0.9;
@@ -136,7 +138,11 @@
     for (;;) {
       const leftMs = endMs - clock.getMonotonicMs();
       if (leftMs <= 0) return createCallFailure(method, mayHaveRun);
-      const tried = await this.#callOnce<T>(method, params, leftMs);
+      const tried = await this.#callOnce<T>(
+        method,
+        params,
+        Math.min(TRY_MS, leftMs),
+      );
       if (tried.kind === "ok" && tried.value.kind !== "notLeader") return tried;
       if (tried.kind === "failure") mayHaveRun = true;
       await clocks.sleep(
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -6,9 +6,6 @@
   | "caller.failures"
   | "caller.ms"
   | "caller.retries"
-  | "claim.ms"
-  | "commit.ms"
-  | "lease.lost"
   | "order.sent"
   | "sample.bound"
   | "sample.discarded";
--- a/src/operator/operator_service.ts
+++ b/src/operator/operator_service.ts
@@ -10,6 +10,8 @@
 const PROPOSE_TIMEOUT_MS = 8_000;
 const READ_TIMEOUT_MS = 3_000;
 const DEFAULT_WAIT_MS = 10_000;
+/** Wait of one question to a leader, which may be cut off, in ms. */
+const IN_FORCE_TRY_MS = 500;
 const DEFAULT_AUDIT_LIMIT = 100;
 
 const changeFields = {
@@ -187,16 +189,28 @@
       return { revision, isInForce: false, inForceMs: undefined };
     }
     const startMs = this.#clock.getMonotonicMs();
-    const request: control.InForceRequest = { revision, timeoutMs: waitMs };
+    for (;;) {
+      const isInForce = await this.#askInForce(revision);
+      const tookMs = Math.round(this.#clock.getMonotonicMs() - startMs);
+      if (isInForce) return { revision, isInForce, inForceMs: tookMs };
+      if (tookMs >= waitMs) {
+        return { revision, isInForce, inForceMs: undefined };
+      }
+    }
+  }
+
+  async #askInForce(revision: number): Promise<boolean> {
+    const request: control.InForceRequest = {
+      revision,
+      timeoutMs: IN_FORCE_TRY_MS,
+    };
     const waited = await this.#client.callLeader<control.InForceReply>(
       control.METHODS.awaitInForce,
       request,
-      waitMs,
+      2 * IN_FORCE_TRY_MS,
     );
-    const isInForce = waited.kind === "ok" && waited.value.kind === "waited" &&
+    return waited.kind === "ok" && waited.value.kind === "waited" &&
       waited.value.isInForce;
-    const tookMs = Math.round(this.#clock.getMonotonicMs() - startMs);
-    return { revision, isInForce, inForceMs: isInForce ? tookMs : undefined };
   }
 }
 
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -37,7 +37,7 @@
   electionTimeoutMs: ms.default(600).describe(
     "Shortest silence after which a replica asks to lead, in ms",
   ),
-  heartbeatMs: ms.default(100).describe(
+  heartbeatMs: ms.default(150).describe(
     "Time between heartbeats of the leader, in ms",
   ),
   snapshotEntries: z.number().int().min(16).default(4_000).describe(
--- /dev/null
+++ b/tools/bench/bench_control.ts
@@ -0,0 +1,316 @@
+import * as httpClient from "../../src/http_client/mod.ts";
+import * as cascades from "../deployment/cascade.ts";
+import * as deployments from "../deployment/deployment.ts";
+import * as ledgers from "../stand_ins/ledger.ts";
+import * as judges from "../demo/judge.ts";
+import * as processUsages from "./process_usage.ts";
+
+const FOLDER = "out/bench/control";
+const START_TIMEOUT_MS = 30_000;
+const CHANGE_EVERY_MS = 150;
+const CHANGES = 100;
+const IDLE_SECONDS = 10;
+const MODEL = "sommelier-lm";
+const TEMPLATE_PATH = "/v1/accounts/cascade/templates/notes";
+const IN_FORCE_WAIT_MS = 10_000;
+const CALL_TIMEOUT_MS = 12_000;
+
+/** An accepted change. */
+interface Accepted {
+  readonly revision: number;
+  readonly isInForce: boolean;
+  /** Time from sending to the answer that it is in force, in ms. */
+  readonly tookMs: number;
+}
+
+/** One run over a number of boxes. */
+class ControlBench {
+  readonly #boxes: readonly cascades.DeployedBox[];
+  readonly #deployment: deployments.Deployment;
+  #turn = 0;
+  #revision = 0;
+  #weightVersion = 1;
+  #down: string | undefined;
+  #accepted: readonly Accepted[] = [];
+
+  constructor(boxCount: number) {
+    this.#boxes = cascades.listBoxes(boxCount, Math.min(5, boxCount));
+    this.#deployment = new deployments.Deployment({
+      folder: FOLDER,
+      boxes: this.#boxes,
+      servers: cascades.listServers(1, 1),
+      models: { [MODEL]: 1 },
+      engine: {
+        slots: 4,
+        stepMs: 20,
+        lengths: { median: 10, sigma: 0.1 },
+        swapMs: 50,
+        failedSwaps: 0,
+      },
+      plain: { callMs: 1, slots: 8 },
+      downloadsPerSecond: 4,
+    });
+  }
+
+  async run(): Promise<void> {
+    try {
+      this.#deployment.start();
+      await this.#setUp();
+      const idle = await this.#measureUsage(() => sleep(IDLE_SECONDS * 1_000));
+      const changing = await this.#measureUsage(() => this.#runChanges());
+      const failoverMs = await this.#measureFailover("SIGKILL");
+      const frozenMs = await this.#measureFailover("SIGSTOP");
+      await this.#report({ idle, changing, failoverMs, frozenMs });
+    } finally {
+      await this.#deployment.stop();
+    }
+  }
+
+  async #setUp(): Promise<void> {
+    const endMs = Date.now() + START_TIMEOUT_MS;
+    while (await this.#countCurrent() < this.#boxes.length) {
+      if (Date.now() > endMs) {
+        throw new Error("Cannot start the bench: not every box has a lease");
+      }
+      await sleep(200);
+    }
+    await this.#put("/v1/accounts/cascade", {
+      requestId: "account",
+      baseRevision: 0,
+      tokens: ["token-of-the-bench"],
+    });
+    const created = await this.#put(TEMPLATE_PATH, {
+      requestId: "template",
+      baseRevision: 0,
+      parameters: { trainer: "t", model: MODEL },
+    });
+    this.#revision = created.revision;
+  }
+
+  async #countCurrent(): Promise<number> {
+    const status = await this.#ask("GET", "/v1/status");
+    return ((status as { readonly boxes?: readonly unknown[] } | undefined)
+      ?.boxes ?? []).length;
+  }
+
+  async #runChanges(): Promise<void> {
+    for (let count = 0; count < CHANGES; count += 1) {
+      const dueMs = Date.now() + CHANGE_EVERY_MS;
+      await this.#change(`change-${count}`);
+      await sleep(Math.max(0, dueMs - Date.now()));
+    }
+  }
+
+  async #change(
+    requestId: string,
+    waitMs = IN_FORCE_WAIT_MS,
+  ): Promise<Accepted> {
+    const accepted = await this.#put(TEMPLATE_PATH, {
+      requestId,
+      baseRevision: this.#revision,
+      parameters: { maxConcurrent: 1 + this.#accepted.length },
+      waitMs,
+    });
+    this.#revision = accepted.revision;
+    this.#accepted = [...this.#accepted, accepted];
+    return accepted;
+  }
+
+  /** Time from a leader's end to the next accepted change, in ms. */
+  async #measureFailover(signal: "SIGKILL" | "SIGSTOP"): Promise<number> {
+    const status = await this.#ask("GET", "/v1/status") as {
+      readonly leader: string;
+    };
+    const startMs = Date.now();
+    this.#down = status.leader;
+    this.#deployment.get(status.leader).kill(signal);
+    await this.#change(`after-${signal}`, 0);
+    const tookMs = Date.now() - startMs;
+    await this.#publish();
+    await sleep(4_000);
+    if (signal === "SIGSTOP") {
+      this.#deployment.get(status.leader).kill("SIGCONT");
+    } else this.#deployment.startBox(status.leader);
+    this.#down = undefined;
+    await sleep(4_000);
+    return tookMs;
+  }
+
+  /** Gives the leader orders to send to the engine. */
+  async #publish(): Promise<void> {
+    this.#weightVersion += 1;
+    await httpClient.sendJson({
+      baseUrl:
+        `http://${cascades.WEIGHT_STORE_ADDRESS}:${cascades.PLATFORM_PORT}`,
+      method: "POST",
+      path: "/v1/models",
+      json: { model: MODEL, weightVersion: this.#weightVersion },
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  /** Counts orders that came after one with a higher fencing number. */
+  #countStaleOrders(): OrderCounts {
+    const entries = ledgers.readLedgers(this.#deployment.getLedgerFolder());
+    const orders = entries.filter((entry) => entry.kind === "order").sort((
+      a,
+      b,
+    ) => a.atMs - b.atMs);
+    let fence = 0;
+    let staleOrders = 0;
+    for (const order of orders) {
+      if (order.fence < fence) staleOrders += 1;
+      fence = Math.max(fence, order.fence);
+    }
+    return { orders: orders.length, staleOrders };
+  }
+
+  /** Sends a change until it is answered, always under the same id. */
+  async #put(path: string, body: object): Promise<Accepted> {
+    const startMs = Date.now();
+    for (;;) {
+      const answer = await this.#ask("PUT", path, body);
+      if (answer !== undefined) {
+        return { ...answer as Accepted, tookMs: Date.now() - startMs };
+      }
+      await sleep(20);
+    }
+  }
+
+  async #ask(method: string, path: string, json?: unknown): Promise<unknown> {
+    this.#turn += 1;
+    const up = this.#boxes.filter((candidate) => candidate.box !== this.#down);
+    const box = up[this.#turn % up.length] as cascades.DeployedBox;
+    const answer = await httpClient.sendJson({
+      baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+      method,
+      path,
+      headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+      timeoutMs: method === "GET" ? 3_000 : CALL_TIMEOUT_MS,
+      ...(json === undefined ? {} : { json }),
+    });
+    return answer.kind === "ok" && answer.value.status === 200
+      ? answer.value.json
+      : undefined;
+  }
+
+  async #measureUsage(action: () => Promise<void>): Promise<Usage> {
+    const before = this.#readUsages();
+    const startMs = Date.now();
+    await action();
+    const seconds = (Date.now() - startMs) / 1_000;
+    const after = this.#readUsages();
+    const fractions = after.map((usage, index) =>
+      (usage.cpuSeconds - (before[index]?.cpuSeconds ?? 0)) / seconds
+    );
+    const entries = fractions.filter((_, index) =>
+      this.#boxes[index]?.hasState === false
+    );
+    return {
+      replicaCpuFraction: trim(
+        getMean(
+          fractions.filter((_, index) => this.#boxes[index]?.hasState === true),
+        ),
+      ),
+      entryCpuFraction: trim(getMean(entries)),
+      maxCpuFraction: trim(Math.max(...fractions)),
+      meanResidentMb: trim(getMean(after.map((usage) => usage.residentMb))),
+    };
+  }
+
+  #readUsages(): readonly processUsages.ProcessUsage[] {
+    return this.#boxes.map((box) =>
+      processUsages.readUsage(this.#deployment.get(box.box).getPid())
+    );
+  }
+
+  async #report(
+    measured: {
+      readonly idle: Usage;
+      readonly changing: Usage;
+      readonly failoverMs: number;
+      readonly frozenMs: number;
+    },
+  ): Promise<void> {
+    const inForceMs = judges.computeQuantiles(
+      this.#accepted.slice(0, CHANGES).map((accepted) => accepted.tookMs),
+    );
+    const audit = await this.#ask(
+      "GET",
+      "/v1/audit?limit=1000&template=notes",
+    ) as { readonly records: readonly { readonly revision: number }[] };
+    const kept = new Set(audit.records.map((record) => record.revision));
+    const lostChanges =
+      this.#accepted.filter((accepted) => !kept.has(accepted.revision)).length;
+    const revertedChanges = await this.#countReverted();
+    console.log(
+      `${this.#boxes.length} boxes, ${this.#accepted.length} changes; in force p50 ${inForceMs.p50} ms, p99 ${inForceMs.p99} ms, max ${inForceMs.max} ms`,
+    );
+    console.log(
+      `change accepted after a leader's kill: ${measured.failoverMs} ms; after its freeze: ${measured.frozenMs} ms`,
+    );
+    console.log(
+      JSON.stringify({
+        boxes: this.#boxes.length,
+        lostChanges,
+        revertedChanges,
+        doubleAccepted: kept.size === audit.records.length ? 0 : 1,
+        inForceMs,
+        ...this.#countStaleOrders(),
+        ...measured,
+      }),
+    );
+  }
+
+  async #countReverted(): Promise<number> {
+    const seen = await Promise.all(this.#boxes.map(async (box) => {
+      const answer = await httpClient.sendJson({
+        baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+        method: "GET",
+        path: TEMPLATE_PATH,
+        headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+        timeoutMs: 2_000,
+      });
+      return answer.kind === "ok"
+        ? (answer.value.json as { readonly revision?: number }).revision ?? 0
+        : 0;
+    }));
+    return seen.filter((revision) => revision !== this.#revision).length;
+  }
+}
+
+/** Orders that the engine was given. */
+interface OrderCounts {
+  readonly orders: number;
+  readonly staleOrders: number;
+}
+
+/** Processor time and memory of the daemons. */
+interface Usage {
+  readonly replicaCpuFraction: number;
+  readonly entryCpuFraction: number;
+  readonly maxCpuFraction: number;
+  readonly meanResidentMb: number;
+}
+
+function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) /
+    Math.max(1, values.length);
+}
+
+function trim(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/**
+ * Measures changes, failover and the cost of control.
+ *
+ * @param boxCount How many boxes; five of them hold the state.
+ */
+export async function benchControl(boxCount: number): Promise<void> {
+  await new ControlBench(boxCount).run();
+}
--- a/tools/bench/bench_path.ts
+++ b/tools/bench/bench_path.ts
@@ -14,7 +14,6 @@
 const BACKEND_ADDRESS = "127.0.6.2";
 const PASS_ADDRESS = "127.0.6.3";
 const BOX_LIST_ADDRESS = "127.0.6.4";
-const RELAY_PORT = 8092;
 const ROUNDS = 3;
 const WARM_UP_SECONDS = 2;
 const ROUND_SECONDS = 4;
@@ -65,7 +64,11 @@
     file,
     yaml.stringify({
       box: { id: "box-1", address: BOX_ADDRESS, failureDomain: "port-louis" },
-      replicas: [{ id: "box-1", address: BOX_ADDRESS, port: RELAY_PORT }],
+      replicas: [{
+        id: "box-1",
+        address: BOX_ADDRESS,
+        port: cascades.RELAY_PORT,
+      }],
       control: { dataFolder: path.join(FOLDER, "data") },
       administration: { rootTokenSha256: accounts.hashToken(ROOT_TOKEN) },
       boxList: { url },
@@ -218,7 +221,7 @@
   const settings = writeSettings();
   const relay = new linkRelays.LinkRelay({
     listenAddress: BOX_ADDRESS,
-    listenPort: RELAY_PORT,
+    listenPort: cascades.RELAY_PORT,
     targetAddress: BOX_ADDRESS,
     targetPort: cascades.PEER_PORT,
   });
--- /dev/null
+++ b/tools/bench/bench_slopes.ts
@@ -0,0 +1,265 @@
+import * as httpClient from "../../src/http_client/mod.ts";
+import * as cascades from "../deployment/cascade.ts";
+import * as deployments from "../deployment/deployment.ts";
+import * as linkRelays from "../deployment/link_relay.ts";
+import * as judges from "../demo/judge.ts";
+import * as processUsages from "./process_usage.ts";
+
+const FOLDER = "out/bench/slopes";
+const SIZES = [6, 12, 24, 48];
+const REPLICAS = 5;
+const START_TIMEOUT_MS = 60_000;
+const SETTLE_MS = 5_000;
+const IDLE_SECONDS = 10;
+const CHANGES = 40;
+const CALL_TIMEOUT_MS = 10_000;
+const BYTES_PER_KB = 1_024;
+const TEMPLATE_PATH = "/v1/accounts/cascade/templates/notes";
+
+/** What one size of deployment costs. */
+interface SizeFigures {
+  readonly boxes: number;
+  readonly leaderCpu: number;
+  readonly followerCpu: number;
+  readonly entryCpu: number;
+  readonly leaderCpuChanging: number;
+  readonly entryCpuChanging: number;
+  readonly leaderMb: number;
+  readonly entryMb: number;
+  readonly entryKbPerS: number;
+  readonly entryKbPerChange: number;
+  readonly inForceP50Ms: number;
+  readonly inForceMaxMs: number;
+}
+
+/** One deployment of a given size. */
+class SizeRun {
+  readonly #boxes: readonly cascades.DeployedBox[];
+  readonly #deployment: deployments.Deployment;
+  readonly #relays: readonly linkRelays.LinkRelay[];
+  #revision = 0;
+
+  constructor(size: number) {
+    this.#boxes = cascades.listBoxes(size, REPLICAS);
+    const relayed = this.#boxes.at(-1)?.box;
+    this.#deployment = new deployments.Deployment({
+      folder: FOLDER,
+      boxes: this.#boxes,
+      servers: cascades.listServers(1, 1),
+      models: { "sommelier-lm": 1 },
+      engine: {
+        slots: 4,
+        stepMs: 20,
+        lengths: { median: 10, sigma: 0.1 },
+        swapMs: 50,
+        failedSwaps: 0,
+      },
+      plain: { callMs: 1, slots: 8 },
+      downloadsPerSecond: 4,
+      ...(relayed === undefined ? {} : { relayedBox: relayed }),
+    });
+    this.#relays = this.#boxes.filter((box) => box.hasState).map((box) =>
+      new linkRelays.LinkRelay({
+        listenAddress: box.address,
+        listenPort: cascades.RELAY_PORT,
+        targetAddress: box.address,
+        targetPort: cascades.PEER_PORT,
+      })
+    );
+  }
+
+  async run(): Promise<SizeFigures> {
+    try {
+      await Promise.all(this.#relays.map((relay) => relay.start()));
+      this.#deployment.start();
+      await this.#setUp();
+      return await this.#measure();
+    } finally {
+      for (const relay of this.#relays) relay.stop();
+      await this.#deployment.stop();
+    }
+  }
+
+  async #setUp(): Promise<void> {
+    const endMs = Date.now() + START_TIMEOUT_MS;
+    for (;;) {
+      const status = await this.#ask("GET", "/v1/status") as {
+        readonly boxes?: readonly unknown[];
+      } | undefined;
+      if (status?.boxes?.length === this.#boxes.length) break;
+      if (Date.now() > endMs) {
+        throw new Error("Cannot start the bench: not every box has a lease");
+      }
+      await sleep(300);
+    }
+    await this.#ask("PUT", "/v1/accounts/cascade", {
+      requestId: "account",
+      baseRevision: 0,
+      tokens: ["token-of-the-bench"],
+    });
+    await this.#change(0);
+    await sleep(SETTLE_MS);
+  }
+
+  async #measure(): Promise<SizeFigures> {
+    const { leader } = await this.#ask("GET", "/v1/status") as {
+      readonly leader: string;
+    };
+    const idleBytes = this.#getBytes();
+    const idle = await this.#measureCpu(() => sleep(IDLE_SECONDS * 1_000));
+    const idlePerS = (this.#getBytes() - idleBytes) / IDLE_SECONDS;
+    const tookMs: number[] = [];
+    const startMs = Date.now();
+    const changeBytes = this.#getBytes();
+    const changing = await this.#measureCpu(async () => {
+      for (let count = 1; count <= CHANGES; count += 1) {
+        tookMs.push(await this.#change(count));
+      }
+    });
+    const idleShare = idlePerS * (Date.now() - startMs) / 1_000;
+    const perChange = (this.#getBytes() - changeBytes - idleShare) / CHANGES;
+    const inForce = judges.computeQuantiles(tookMs);
+    return {
+      boxes: this.#boxes.length,
+      leaderCpu: trim(idle.get(leader) ?? 0),
+      followerCpu: trim(
+        this.#getMean(idle, (box) => box.hasState && box.box !== leader),
+      ),
+      entryCpu: trim(this.#getMean(idle, (box) => !box.hasState)),
+      leaderCpuChanging: trim(changing.get(leader) ?? 0),
+      entryCpuChanging: trim(this.#getMean(changing, (box) => !box.hasState)),
+      leaderMb: this.#readUsage(leader).residentMb,
+      entryMb: this.#readUsage(this.#boxes.at(-1)?.box ?? "").residentMb,
+      entryKbPerS: trim(idlePerS / BYTES_PER_KB),
+      entryKbPerChange: trim(perChange / BYTES_PER_KB),
+      inForceP50Ms: inForce.p50,
+      inForceMaxMs: inForce.max,
+    };
+  }
+
+  async #change(count: number): Promise<number> {
+    const startMs = Date.now();
+    const answer = await this.#ask("PUT", TEMPLATE_PATH, {
+      requestId: `change-${count}`,
+      baseRevision: this.#revision,
+      parameters: {
+        trainer: "t",
+        model: "sommelier-lm",
+        maxConcurrent: count + 1,
+      },
+    });
+    if (answer === undefined) {
+      throw new Error("Cannot change the template: the box refused");
+    }
+    this.#revision = (answer as { readonly revision: number }).revision;
+    return Date.now() - startMs;
+  }
+
+  async #measureCpu(
+    action: () => Promise<void>,
+  ): Promise<ReadonlyMap<string, number>> {
+    const before = new Map(
+      this.#boxes.map((box) => [box.box, this.#readUsage(box.box).cpuSeconds]),
+    );
+    const startMs = Date.now();
+    await action();
+    const seconds = (Date.now() - startMs) / 1_000;
+    return new Map(this.#boxes.map((box) => [
+      box.box,
+      (this.#readUsage(box.box).cpuSeconds - (before.get(box.box) ?? 0)) /
+      seconds,
+    ]));
+  }
+
+  #readUsage(box: string): processUsages.ProcessUsage {
+    return processUsages.readUsage(this.#deployment.get(box).getPid());
+  }
+
+  #getMean(
+    fractions: ReadonlyMap<string, number>,
+    isWanted: (box: cascades.DeployedBox) => boolean,
+  ): number {
+    const values = this.#boxes.filter(isWanted).map((box) =>
+      fractions.get(box.box) ?? 0
+    );
+    return values.reduce((sum, value) => sum + value, 0) /
+      Math.max(1, values.length);
+  }
+
+  #getBytes(): number {
+    return this.#relays.reduce((sum, relay) => sum + relay.getBytes(), 0);
+  }
+
+  async #ask(method: string, path: string, json?: unknown): Promise<unknown> {
+    const box = this.#boxes.at(-2) as cascades.DeployedBox;
+    const answer = await httpClient.sendJson({
+      baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+      method,
+      path,
+      headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+      timeoutMs: CALL_TIMEOUT_MS,
+      ...(json === undefined ? {} : { json }),
+    });
+    return answer.kind === "ok" && answer.value.status === 200
+      ? answer.value.json
+      : undefined;
+  }
+}
+
+/** Slope of a least-squares line over the number of boxes. */
+function computeSlope(
+  figures: readonly SizeFigures[],
+  read: (figure: SizeFigures) => number,
+): number {
+  const meanX = figures.reduce((sum, figure) => sum + figure.boxes, 0) /
+    figures.length;
+  const meanY = figures.reduce((sum, figure) => sum + read(figure), 0) /
+    figures.length;
+  const products = figures.reduce(
+    (sum, figure) => sum + (figure.boxes - meanX) * (read(figure) - meanY),
+    0,
+  );
+  const squares = figures.reduce(
+    (sum, figure) => sum + (figure.boxes - meanX) ** 2,
+    0,
+  );
+  return products / squares;
+}
+
+function trim(value: number): number {
+  return Math.round(value * 100_000) / 100_000;
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/** Measures how cost grows with the number of daemons. */
+export async function benchSlopes(): Promise<void> {
+  const figures: SizeFigures[] = [];
+  for (const size of SIZES) {
+    const figure = await new SizeRun(size).run();
+    figures.push(figure);
+    console.log(
+      Object.entries(figure).map(([name, value]) => `${name} ${value}`).join(
+        ", ",
+      ),
+    );
+  }
+  console.log(JSON.stringify({
+    sizes: figures,
+    slopesPerBox: {
+      leaderCpu: trim(computeSlope(figures, (figure) => figure.leaderCpu)),
+      entryCpu: trim(computeSlope(figures, (figure) => figure.entryCpu)),
+      leaderMb: trim(computeSlope(figures, (figure) => figure.leaderMb)),
+      entryMb: trim(computeSlope(figures, (figure) => figure.entryMb)),
+      entryKbPerS: trim(computeSlope(figures, (figure) => figure.entryKbPerS)),
+      entryKbPerChange: trim(
+        computeSlope(figures, (figure) => figure.entryKbPerChange),
+      ),
+      inForceP50Ms: trim(
+        computeSlope(figures, (figure) => figure.inForceP50Ms),
+      ),
+    },
+  }));
+}
--- a/tools/bench/run_bench.ts
+++ b/tools/bench/run_bench.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import yargs from "yargs";
+import * as benchControls from "./bench_control.ts";
 import * as benchPaths from "./bench_path.ts";
+import * as benchSlopes from "./bench_slopes.ts";
 
 await yargs(process.argv.slice(2))
   .scriptName("npm run bench --")
@@ -16,6 +18,18 @@
     {},
     () => benchPaths.benchPath(),
   )
+  .command(
+    "control",
+    "Changes, failover, cost of control",
+    { boxes: { type: "number", default: 12 } },
+    (args) => benchControls.benchControl(args.boxes),
+  )
+  .command(
+    "slopes",
+    "How cost grows with the number of daemons",
+    {},
+    () => benchSlopes.benchSlopes(),
+  )
   .demandCommand(1, "Say what to measure")
   .strict()
   .parseAsync();
--- a/tools/deployment/cascade.ts
+++ b/tools/deployment/cascade.ts
@@ -21,6 +21,7 @@
 export const CALLER_PORT = 8080;
 export const ADMIN_PORT = 8081;
 export const PEER_PORT = 8082;
+export const RELAY_PORT = 8092;
 export const SERVER_PORT = 8090;
 export const PLATFORM_PORT = 8095;
 
--- a/tools/deployment/deployment.ts
+++ b/tools/deployment/deployment.ts
@@ -23,6 +23,8 @@
   >;
   readonly plain: Pick<plainRuns.PlainServerSettings, "callMs" | "slots">;
   readonly downloadsPerSecond: number;
+  /** A box that reaches the replicas through relays at `RELAY_PORT`. */
+  readonly relayedBox?: string;
 }
 
 const BINARY = "dist/hoistscale";
@@ -183,6 +185,9 @@
       replicas: boxes.filter((other) => other.hasState).map((other) => ({
         id: other.box,
         address: other.address,
+        port: box.box === this.options.relayedBox
+          ? cascades.RELAY_PORT
+          : cascades.PEER_PORT,
       })),
       ...(box.hasState
         ? { control: { dataFolder: path.join(folder, "data", box.box) } }
