--- a/src/caller/serve_once.ts
+++ b/src/caller/serve_once.ts
@@ -159,12 +159,10 @@
       message: "no backend server is live",
     };
     for (;;) {
-      const server = this.#context.table.choose({
-        service: this.#route.service.name,
-        model: undefined,
-        minVersion: 0,
+      const server = this.#context.table.choosePlain(
+        this.#route.service.name,
         excluded,
-      });
+      );
       if (server === undefined) return last;
       excluded = new Set([...excluded, server.id]);
       last = await forwards.forwardCall(this.#context, this.#call, server, {
--- a/src/caller/serve_repeatable.ts
+++ b/src/caller/serve_repeatable.ts
@@ -31,12 +31,7 @@
   context.budget.addFirstTry();
   for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
     if (attempt > 0 && !canRetry(context, call, last)) break;
-    const server = context.table.choose({
-      service: route.service.name,
-      model: undefined,
-      minVersion: 0,
-      excluded,
-    });
+    const server = context.table.choosePlain(route.service.name, excluded);
     if (server === undefined) break;
     excluded = new Set([...excluded, server.id]);
     last = await forwards.forwardCall(context, call, server, {
--- a/src/engine/mod.ts
+++ b/src/engine/mod.ts
@@ -8,6 +8,7 @@
  * ```
  * @module
  */
+export * from "./cache_events.ts";
 export * from "./engine_client.ts";
 export * from "./event_reader.ts";
 export * from "./stream_completion.ts";
--- a/src/generation/generate_tokens.ts
+++ b/src/generation/generate_tokens.ts
@@ -69,7 +69,7 @@
   async #tryEngine(): Promise<results.Result<GenerationEnd> | undefined> {
     const { service, model, minVersion } = this.#request;
     const need = { service, model, minVersion, excluded: this.#excluded };
-    const server = this.#options.table.choose(need);
+    const server = this.#options.table.choosePrompt(need, this.#request.prompt);
     if (server === undefined) {
       this.#excluded = new Set();
       await clocks.sleep(this.#options.clock, RETRY_DELAY_MS);
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -22,8 +22,13 @@
   readonly minVersion: number;
   /** Servers that were tried already. */
   readonly excluded: ReadonlySet<string>;
+  /** Servers that likely hold the prompt's prefix. */
+  readonly preferred: ReadonlySet<string>;
 }
 
+/** Load, against the mean, up to which a server that holds the prefix is used. */
+const AFFINITY_LOAD_BOUND = 1.25;
+
 function canServe(candidate: Candidate, need: Need): boolean {
   const { server, models } = candidate;
   if (server.service !== need.service || server.state !== "live") return false;
@@ -38,9 +43,29 @@
   return (candidate.expected + 1) / candidate.slots;
 }
 
+/** The least loaded server that holds the prefix, unless its load is high. */
+function choosePreferred(
+  pool: readonly Candidate[],
+  preferred: ReadonlySet<string>,
+): backends.BackendServer | undefined {
+  if (preferred.size === 0) return undefined;
+  const [best] = pool
+    .filter((candidate) => preferred.has(candidate.server.id))
+    .sort((a, b) => computeLoad(a) - computeLoad(b));
+  if (best === undefined) return undefined;
+  const total = pool.reduce(
+    (sum, candidate) => sum + computeLoad(candidate),
+    0,
+  );
+  const bound = AFFINITY_LOAD_BOUND * total / pool.length;
+  return computeLoad(best) <= bound ? best.server : undefined;
+}
+
 /**
- * Chooses by the power of two choices: of two servers drawn at random, the
- * less loaded. Many boxes that see the same lagged report do not herd.
+ * Chooses a server that holds the prompt's prefix while its load is bounded
+ * by the mean; otherwise by the power of two choices: of two servers drawn at
+ * random, the less loaded. Many boxes that see the same lagged report do not
+ * herd.
  *
  * @param candidates All backend servers.
  * @param need What the request needs.
@@ -55,6 +80,8 @@
   const able = candidates.filter((candidate) => canServe(candidate, need));
   const sound = able.filter((candidate) => !candidate.isSuspect);
   const pool = sound.length > 0 ? sound : able;
+  const holder = choosePreferred(pool, need.preferred);
+  if (holder !== undefined) return holder;
   const first = pool[Math.floor(draw() * pool.length)];
   const second = pool[Math.floor(draw() * pool.length)];
   if (first === undefined || second === undefined) return undefined;
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -9,4 +9,5 @@
  * @module
  */
 export * from "./choose_server.ts";
+export * from "./prefix_table.ts";
 export * from "./server_table.ts";
--- /dev/null
+++ b/src/routing/routing_test.ts
@@ -0,0 +1,122 @@
+import * as chai from "chai";
+import * as chooseServers from "./choose_server.ts";
+import * as prefixTables from "./prefix_table.ts";
+
+function createCandidate(
+  id: string,
+  fields: Partial<chooseServers.Candidate> = {},
+): chooseServers.Candidate {
+  return {
+    server: {
+      id,
+      service: "lm",
+      kind: "language",
+      address: "127.0.0.1",
+      port: 1,
+      failureDomain: "d",
+      state: "live",
+      checksFence: false,
+    },
+    slots: 10,
+    expected: 0,
+    models: new Map([["lm", 3]]),
+    isSuspect: false,
+    ...fields,
+  };
+}
+
+function createNeed(
+  fields: Partial<chooseServers.Need> = {},
+): chooseServers.Need {
+  return {
+    service: "lm",
+    model: "lm",
+    minVersion: 0,
+    excluded: new Set(),
+    preferred: new Set(),
+    ...fields,
+  };
+}
+
+function choose(
+  candidates: readonly chooseServers.Candidate[],
+  need: chooseServers.Need,
+  draws: readonly number[] = [0, 0.99],
+): string | undefined {
+  let turn = 0;
+  const server = chooseServers.chooseServer(
+    candidates,
+    need,
+    () => draws[turn++ % draws.length] ?? 0,
+  );
+  return server?.id;
+}
+
+describe("routing", () => {
+  it("takes the less loaded of the two servers that are drawn", () => {
+    const pair = [
+      createCandidate("a", { expected: 5 }),
+      createCandidate("b", { expected: 4 }),
+    ];
+    chai.expect(choose(pair, createNeed())).to.equal("b");
+    chai.expect(
+      choose([
+        createCandidate("a", { expected: 5, slots: 100 }),
+        createCandidate("b", { expected: 4 }),
+      ], createNeed()),
+    ).to.equal("a");
+  });
+
+  it("never takes a leaving, excluded or outdated server", () => {
+    const leaving = createCandidate("a");
+    const candidates = [
+      { ...leaving, server: { ...leaving.server, state: "leaving" as const } },
+      createCandidate("b"),
+      createCandidate("c", { models: new Map([["lm", 2]]) }),
+    ];
+    chai.expect(choose(candidates, createNeed({ minVersion: 3 }))).to.equal(
+      "b",
+    );
+    chai.expect(
+      choose(
+        candidates,
+        createNeed({ minVersion: 3, excluded: new Set(["b"]) }),
+      ),
+    ).to.equal(undefined);
+    chai.expect(choose(candidates, createNeed({ model: "other" }))).to.equal(
+      undefined,
+    );
+  });
+
+  it("takes a suspect server only when all are suspect", () => {
+    const suspect = createCandidate("a", { isSuspect: true });
+    chai.expect(
+      choose([suspect, createCandidate("b", { expected: 9 })], createNeed()),
+    ).to.equal("b");
+    chai.expect(choose([suspect], createNeed())).to.equal("a");
+  });
+
+  it("takes the server that holds the prefix while its load is near the mean", () => {
+    const need = createNeed({ preferred: new Set(["a"]) });
+    const others = ["b", "c", "d"].map((id) =>
+      createCandidate(id, { expected: 4 })
+    );
+    chai.expect(
+      choose([createCandidate("a", { expected: 5 }), ...others], need),
+    ).to.equal("a");
+    chai.expect(
+      choose([createCandidate("a", { expected: 9 }), ...others], need),
+    ).to.equal("d");
+  });
+
+  it("forgets a server's prefixes when they are evicted or its events have a gap", () => {
+    const table = new prefixTables.PrefixTable();
+    table.add("p", "a");
+    table.add("p", "b");
+    table.add("q", "b");
+    table.remove("p", "a");
+    chai.expect([...table.find("p")]).to.deep.equal(["b"]);
+    table.removeServer("b");
+    chai.expect(table.find("p").size + table.find("q").size).to.equal(0);
+  });
+});
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -7,10 +7,12 @@
 import * as csp from "../csp/mod.ts";
 import * as engines from "../engine/mod.ts";
 import * as chooseServers from "./choose_server.ts";
+import * as prefixTables from "./prefix_table.ts";
 
 /** Time for which a server that failed is avoided, in ms. */
 const SUSPECT_MS = 1_000;
 const DEFAULT_SLOTS = 16;
+const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** What a table needs. */
 export interface ServerTableOptions {
@@ -31,6 +33,8 @@
   /** Requests of this box that were in it at the last report. */
   readonly inFlightAtReport: number;
   readonly suspectUntilMs: number;
+  /** Last cache event that was read. */
+  readonly cacheSequence: number;
 }
 
 const UNKNOWN_SERVER: ServerRecord = {
@@ -39,6 +43,7 @@
   inFlight: 0,
   inFlightAtReport: 0,
   suspectUntilMs: 0,
+  cacheSequence: 0,
 };
 
 /** Loads and health of the backend servers, as one box sees them. */
@@ -46,6 +51,7 @@
   readonly #options: ServerTableOptions;
   readonly #random: prand.RandomGenerator;
   readonly #records = new Map<string, ServerRecord>();
+  readonly #prefixes = new prefixTables.PrefixTable();
   #isStopped = false;
 
   constructor(options: ServerTableOptions) {
@@ -73,6 +79,32 @@
     );
   }
 
+  /** Chooses a server of a plain service. */
+  choosePlain(
+    service: string,
+    excluded: ReadonlySet<string>,
+  ): backends.BackendServer | undefined {
+    return this.choose({
+      service,
+      model: undefined,
+      minVersion: 0,
+      excluded,
+      preferred: NO_SERVERS,
+    });
+  }
+
+  /** Chooses a server for a prompt, and notes that it will hold the prefix. */
+  choosePrompt(
+    need: Omit<chooseServers.Need, "preferred">,
+    prompt: string,
+  ): backends.BackendServer | undefined {
+    const prefix = engines.hashPrefix(prompt);
+    const preferred = this.#prefixes.find(prefix);
+    const server = this.choose({ ...need, preferred });
+    if (server !== undefined) this.#prefixes.add(prefix, server.id);
+    return server;
+  }
+
   /** Notes that a request goes to a server. */
   addRequest(id: string): void {
     const record = this.#get(id);
@@ -119,7 +151,7 @@
         }
       }
       yield* csp.waitFor(
-        Promise.all(servers.map((server) => this.#readReport(server))),
+        Promise.all(servers.map((server) => this.#readServer(server))),
       );
       yield* csp.waitFor(
         clocks.sleep(this.#options.clock, this.#options.pollMs),
@@ -127,12 +159,38 @@
     }
   }
 
+  async #readServer(server: backends.BackendServer): Promise<void> {
+    await this.#readReport(server);
+    if (server.kind === "language") await this.#readCacheEvents(server);
+  }
+
+  /** A gap in the events means that evictions may have been missed. */
+  async #readCacheEvents(server: backends.BackendServer): Promise<void> {
+    const { cacheSequence } = this.#get(server.id);
+    const read = await engines.readCacheEvents(server, cacheSequence);
+    if (read.kind === "failure") return;
+    let expected = cacheSequence + 1;
+    for (const { sequence, kind, prefix } of read.value) {
+      if (sequence !== expected) this.#prefixes.removeServer(server.id);
+      expected = sequence + 1;
+      if (kind === "stored") this.#prefixes.add(prefix, server.id);
+      else this.#prefixes.remove(prefix, server.id);
+    }
+    const record = this.#get(server.id);
+    this.#records.set(server.id, { ...record, cacheSequence: expected - 1 });
+  }
+
   async #readReport(server: backends.BackendServer): Promise<void> {
     const read = await engines.readReport(server);
     const record = this.#get(server.id);
     if (read.kind === "failure") {
       const suspectUntilMs = this.#options.clock.getMonotonicMs() + SUSPECT_MS;
-      this.#records.set(server.id, { ...record, suspectUntilMs });
+      this.#prefixes.removeServer(server.id);
+      this.#records.set(server.id, {
+        ...record,
+        suspectUntilMs,
+        cacheSequence: 0,
+      });
       return;
     }
     this.#records.set(server.id, {
--- /dev/null
+++ b/src/weight_rollout/plan_orders_test.ts
@@ -0,0 +1,71 @@
+import * as chai from "chai";
+import * as planOrders from "./plan_orders.ts";
+
+const LIMITS = { maxSwapFraction: 0.5, nowMs: 1_000 };
+
+function createEngine(
+  id: string,
+  weightVersion: number,
+  fields: Partial<planOrders.EngineView> = {},
+): planOrders.EngineView {
+  return {
+    id,
+    models: new Map([["lm", weightVersion]]),
+    isBusy: false,
+    notBeforeMs: 0,
+    ...fields,
+  };
+}
+
+describe("weight rollout", () => {
+  it("orders only the newest version and keeps a floor of engines serving", () => {
+    const engines = ["a", "b", "c", "d"].map((id) => createEngine(id, 1));
+    const orders = planOrders.planOrders(engines, [{
+      model: "lm",
+      weightVersion: 5,
+    }], LIMITS);
+    chai.expect(orders).to.deep.equal([
+      { engineId: "a", model: "lm", weightVersion: 5 },
+      { engineId: "b", model: "lm", weightVersion: 5 },
+    ]);
+  });
+
+  it("counts engines that switch already against the floor", () => {
+    const engines = [
+      createEngine("a", 1, { isBusy: true }),
+      createEngine("b", 1),
+      createEngine("c", 1),
+      createEngine("d", 1),
+    ];
+    const orders = planOrders.planOrders(engines, [{
+      model: "lm",
+      weightVersion: 2,
+    }], LIMITS);
+    chai.expect(orders.map((order) => order.engineId)).to.deep.equal(["b"]);
+  });
+
+  it("never orders an older version, and waits after a failed order", () => {
+    const ahead = createEngine("a", 9);
+    const waiting = createEngine("b", 1, { notBeforeMs: 1_001 });
+    chai.expect(
+      planOrders.planOrders([ahead, waiting], [{
+        model: "lm",
+        weightVersion: 5,
+      }], LIMITS),
+    ).to.deep.equal([]);
+  });
+
+  it("orders first the model that is furthest behind", () => {
+    const engine = {
+      ...createEngine("a", 4),
+      models: new Map([["lm", 4], ["lm:x", 1]]),
+    };
+    const targets = [{ model: "lm", weightVersion: 5 }, {
+      model: "lm:x",
+      weightVersion: 5,
+    }];
+    chai.expect(planOrders.planOrders([engine], targets, LIMITS)).to.deep.equal(
+      [{ engineId: "a", model: "lm:x", weightVersion: 5 }],
+    );
+  });
+});
--- a/tools/build/build_binary.ts
+++ b/tools/build/build_binary.ts
@@ -11,6 +11,7 @@
 const BUNDLE = "dist/hoistscale.cjs";
 const BLOB = "dist/hoistscale.blob";
 const BINARY = "dist/hoistscale";
+const UNINSTALLED = "dist/hoistscale.new";
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const OPTIONAL_NATIVE_MODULES = [
   "dtrace-provider",
@@ -56,16 +57,19 @@
 }
 
 function installBlob(): void {
+  fs.rmSync(UNINSTALLED, { force: true });
   fs.rmSync(BINARY, { force: true });
-  fs.copyFileSync(process.execPath, BINARY);
+  fs.copyFileSync(process.execPath, UNINSTALLED);
   childProcess.execFileSync(process.execPath, [
     "node_modules/postject/dist/cli.js",
-    BINARY,
+    UNINSTALLED,
     "NODE_SEA_BLOB",
     BLOB,
     "--sentinel-fuse",
     SEA_FUSE,
   ], { stdio: "pipe" });
+  fs.copyFileSync(UNINSTALLED, BINARY);
+  fs.rmSync(UNINSTALLED);
   fs.chmodSync(BINARY, 0o755);
 }
 
--- a/tools/stand_ins/engine_core.ts
+++ b/tools/stand_ins/engine_core.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as answerLengths from "./answer_length.ts";
+import * as cacheLogs from "./cache_log.ts";
 import type * as ledgers from "./ledger.ts";
 
 /** How an engine is made to lie, for tests of the counting. */
@@ -48,6 +49,7 @@
   #active: Generation[] = [];
   #queued: Generation[] = [];
   #segmentCount = Math.floor(Date.now() / 1_000) % 100_000 * 50;
+  readonly #cacheLog = new cacheLogs.CacheLog();
   #arrivals = 0;
   #isSwapping = false;
 
@@ -77,6 +79,11 @@
     };
   }
 
+  /** Cache events that are told by now. */
+  listCacheEvents(after: number): readonly cacheLogs.ToldEvent[] {
+    return this.#cacheLog.list(after);
+  }
+
   getVersion(model: string): number | undefined {
     return this.#versions.get(model);
   }
@@ -132,10 +139,12 @@
     const isCached = this.#prefixes.delete(prefix);
     this.#prefixes.set(prefix, true);
     const oldest = this.#prefixes.keys().next().value;
+    if (!isCached) this.#cacheLog.add("stored", prefix);
     if (
       this.#prefixes.size > this.settings.cachedPrompts && oldest !== undefined
     ) {
       this.#prefixes.delete(oldest);
+      this.#cacheLog.add("evicted", oldest);
     }
     return isCached ? 0 : Math.ceil(prompt.length / PREFILL_CHARACTERS_A_STEP);
   }
--- a/tools/stand_ins/run_engine.ts
+++ b/tools/stand_ins/run_engine.ts
@@ -54,6 +54,12 @@
     switch (`${request.method} ${request.path}`) {
       case "GET /v1/status":
         return jsonServers.answerJson(request.response, 200, this.#report);
+      case "GET /v1/cache-events": {
+        const events = this.#core.listCacheEvents(
+          Number(request.query.get("after")),
+        );
+        return jsonServers.answerJson(request.response, 200, { events });
+      }
       case "POST /v1/completions":
         return this.#generate(request);
       case "POST /v1/orders":
