Set roles of engines, hand leadership over at a planned stop

Change: server-role sets what an engine is given, as a change with revision and audit; the leader orders it under its fencing number and requests keep to it; adapters are ordered as such. A leader that is stopped steps down first, then asks a follower with every entry to lead at once. Result: schedules hold with handovers at any moment; seen failing first with the leader kept in its role, and with a handover of an earlier term taken.

--- a/src/backend_server/mod.ts
+++ b/src/backend_server/mod.ts
@@ -9,3 +9,4 @@
  * @module
  */
 export * from "./backend_server.ts";
+export * from "./server_role.ts";
--- a/src/caller/serve_completion.ts
+++ b/src/caller/serve_completion.ts
@@ -89,6 +89,7 @@
     prompt: completion.prompt,
     maxTokens: completion.maxTokens,
     priority: CALLER_PRIORITY,
+    use: "caller",
     minVersion: 0,
   }, {
     clock: context.clock,
--- a/src/cli/admin_commands.ts
+++ b/src/cli/admin_commands.ts
@@ -175,6 +175,18 @@
   return current.failure;
 }
 
+/** Sets the role of an engine: mixed, rollout or caller. */
+export function setRole(
+  args: Omit<ChangeArguments, "account" | "values"> & {
+    readonly server: string;
+    readonly role: string;
+  },
+): Promise<number> {
+  const { role, server } = args;
+  const change = { ...args, account: "", values: [] };
+  return sendChange(change, `/v1/servers/${server}/role`, () => ({ role }));
+}
+
 /** Shows a client account's policy. */
 export async function showAccount(
   args: AdminArguments & { readonly account: string },
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -162,6 +162,15 @@
       addAdminOptions,
       (args) => run(adminCommands.startDrain(args)),
     )
+    .command(
+      "server-role <server> <role>",
+      "Set what an engine is given: mixed, rollout or caller",
+      (args) =>
+        addChangeOptions(args)
+          .positional("server", { type: "string", demandOption: true })
+          .positional("role", { type: "string", demandOption: true }),
+      (args) => run(adminCommands.setRole(args)),
+    )
     .command(
       "log-level <level>",
       "Change the log level of the asked box",
--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -37,17 +37,21 @@
   };
 }
 
+/** Why votes are asked for. */
+type VoteKind = "preVote" | "vote" | "transfer";
+
 function createVoteRequests(
   state: replicaStates.ReplicaState,
   term: number,
-  isPreVote: boolean,
+  kind: VoteKind,
 ): readonly replicaStates.Effect[] {
   const lastIndex = replicaLogs.getLastIndex(state.log);
   const lastTerm = replicaLogs.getTermAt(state.log, lastIndex) ?? 0;
   const message: messages.VoteRequest = {
     kind: "voteRequest",
     term,
-    isPreVote,
+    isPreVote: kind === "preVote",
+    isTransfer: kind === "transfer",
     lastIndex,
     lastTerm,
   };
@@ -73,13 +77,14 @@
   }
   return {
     state: next,
-    effects: createVoteRequests(next, state.term + 1, true),
+    effects: createVoteRequests(next, state.term + 1, "preVote"),
   };
 }
 
 function startElection(
   state: replicaStates.ReplicaState,
   nowMs: number,
+  kind: VoteKind = "vote",
 ): replicaStates.Transition {
   const term = state.term + 1;
   const votes = new Set([state.config.id]);
@@ -95,7 +100,7 @@
   }
   return {
     state: next,
-    effects: [save, ...createVoteRequests(next, term, false)],
+    effects: [save, ...createVoteRequests(next, term, kind)],
   };
 }
 
@@ -159,7 +164,8 @@
   nowMs: number,
 ): replicaStates.Transition {
   const { isPreVote, term } = request;
-  if (hasRecentLeader(state, nowMs) || term < state.term) {
+  const isBlocked = !request.isTransfer && hasRecentLeader(state, nowMs);
+  if (isBlocked || term < state.term) {
     return refuseVote(state, from, isPreVote);
   }
   if (isPreVote) {
@@ -250,3 +256,46 @@
     ? startElection(counted, nowMs)
     : startLeading(counted, nowMs);
 }
+
+/**
+ * Steps down in favour of a follower that has every entry. Authority ends
+ * before the follower is told, so there are never two with it.
+ */
+export function transferLeadership(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  if (state.role.kind !== "leader") return { state, effects: [] };
+  const lastIndex = replicaLogs.getLastIndex(state.log);
+  const successor = [...state.role.progress].find(([, progress]) =>
+    progress.matchIndex === lastIndex
+  )?.[0];
+  if (successor === undefined) return { state, effects: [] };
+  const follower = resetElection(
+    { ...state, role: { kind: "follower" } },
+    nowMs,
+  );
+  const message: messages.TransferRequest = {
+    kind: "transferRequest",
+    term: state.term,
+  };
+  return {
+    state: follower,
+    effects: [{ kind: "send", to: successor, message }],
+  };
+}
+
+/**
+ * Asks for votes at once. Only in the term that the leader gave up: in any
+ * later term another may lead, and the votes of the next term are given once.
+ */
+export function handleTransferRequest(
+  state: replicaStates.ReplicaState,
+  request: messages.TransferRequest,
+  nowMs: number,
+): replicaStates.Transition {
+  if (request.term !== state.term || state.role.kind !== "follower") {
+    return { state, effects: [] };
+  }
+  return startElection(state, nowMs, "transfer");
+}
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -14,6 +14,7 @@
   crashChance: 0,
   cutChance: 0,
   compactChance: 0,
+  transferChance: 0,
 };
 
 const ROUGH: Omit<simulations.ScheduleOptions, "seed"> = {
@@ -24,6 +25,16 @@
   crashChance: 4,
   cutChance: 10,
   compactChance: 5,
+  transferChance: 5,
+};
+
+const CONFIG: replicaStates.ReplicaConfig = {
+  id: "a",
+  voters: ["a", "b", "c"],
+  electionTimeoutMs: 100,
+  heartbeatMs: 20,
+  maxBatchEntries: 8,
+  seed: 1,
 };
 
 describe("consensus", () => {
@@ -45,16 +56,8 @@
   });
 
   it("does not vote for one election timeout after a restart", () => {
-    const config = {
-      id: "a",
-      voters: ["a", "b", "c"],
-      electionTimeoutMs: 100,
-      heartbeatMs: 20,
-      maxBatchEntries: 8,
-      seed: 1,
-    };
     const state = stepReplicas.createReplica(
-      config,
+      CONFIG,
       stepReplicas.EMPTY_REPLICA,
       1_000,
     );
@@ -62,6 +65,7 @@
       kind: "voteRequest",
       term: 5,
       isPreVote: false,
+      isTransfer: false,
       lastIndex: 0,
       lastTerm: 0,
     } as const;
@@ -73,14 +77,6 @@
   });
 
   it("does not commit an entry of an earlier term by counting replicas", () => {
-    const config = {
-      id: "a",
-      voters: ["a", "b", "c"],
-      electionTimeoutMs: 100,
-      heartbeatMs: 20,
-      maxBatchEntries: 8,
-      seed: 1,
-    };
     const saved = {
       term: 3,
       votedFor: "a",
@@ -89,7 +85,7 @@
         entries: [{ index: 1, term: 2, command: "old" }],
       },
     };
-    const follower = stepReplicas.createReplica(config, saved, 0);
+    const follower = stepReplicas.createReplica(CONFIG, saved, 0);
     const progress = { nextIndex: 2, matchIndex: 0, answeredSentAtMs: 0 };
     const leader: replicaStates.ReplicaState = {
       ...follower,
@@ -115,4 +111,27 @@
     }, 1);
     chai.expect(after.state.commitIndex).to.equal(0);
   });
+
+  it("hands leadership over without a pause and without two leaders", () => {
+    const result = new simulations.Simulation({
+      ...CALM,
+      transferChance: 20,
+      seed: 3,
+    }).run();
+    chai.expect(result.leaders).to.be.greaterThan(4);
+    chai.expect(result.committed).to.be.greaterThan(90);
+  });
+
+  it("ignores a handover of an earlier term, when another may lead", () => {
+    const saved = { ...stepReplicas.EMPTY_REPLICA, term: 4 };
+    const state = stepReplicas.createReplica(CONFIG, saved, 0);
+    const message = { kind: "transferRequest", term: 3 } as const;
+    const late = { kind: "message", from: "b", message } as const;
+    const current = { ...late, message: { ...message, term: 4 } };
+    chai.expect(stepReplicas.stepReplica(state, late, 1).effects).to.deep.equal(
+      [],
+    );
+    chai.expect(stepReplicas.stepReplica(state, current, 1).state.role.kind).to
+      .equal("candidate");
+  });
 });
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -5,6 +5,8 @@
   readonly kind: "voteRequest";
   readonly term: number;
   readonly isPreVote: boolean;
+  /** The leader gave up for this candidate; it is no reason to refuse. */
+  readonly isTransfer: boolean;
   readonly lastIndex: number;
   readonly lastTerm: number;
 }
@@ -54,10 +56,17 @@
   readonly state: unknown;
 }
 
+/** A leader that has just stepped down asks a follower to lead. */
+export interface TransferRequest {
+  readonly kind: "transferRequest";
+  readonly term: number;
+}
+
 /** A message between replicas. */
 export type Message =
   | VoteRequest
   | VoteReply
   | AppendRequest
   | AppendReply
-  | SnapshotRequest;
+  | SnapshotRequest
+  | TransferRequest;
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -154,6 +154,11 @@
     });
   }
 
+  /** Hands leadership to a follower that has every entry, if there is one. */
+  transfer(): void {
+    this.#inbox.offer({ kind: "replica", event: { kind: "transfer" } });
+  }
+
   /** Stops; what was synced stays. */
   async stop(): Promise<void> {
     this.#isStopped = true;
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -57,6 +57,7 @@
 /** What a replica is told. */
 export type ReplicaEvent =
   | { readonly kind: "tick" }
+  | { readonly kind: "transfer" }
   | {
     readonly kind: "message";
     readonly from: string;
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -18,6 +18,7 @@
   readonly crashChance: number;
   readonly cutChance: number;
   readonly compactChance: number;
+  readonly transferChance: number;
 }
 
 /** What a schedule brought about. */
@@ -128,10 +129,6 @@
     return this.#draw(PER_MILLE - 1) < chance;
   }
 
-  #getClockMs(node: SimulatedNode): number {
-    return this.#nowMs * node.rate;
-  }
-
   #disturb(): void {
     for (const node of this.#nodes) {
       const factor = node.state?.role.kind === "leader" ? LEADER_FACTOR : 1;
@@ -169,7 +166,7 @@
     node.state = stepReplicas.createReplica(
       node.config,
       saved,
-      this.#getClockMs(node),
+      this.#nowMs * node.rate,
     );
     node.applied = (snapshot?.state ?? []) as readonly string[];
     node.appliedIndex = snapshot?.index ?? 0;
@@ -178,6 +175,9 @@
 
   #tick(node: SimulatedNode): void {
     this.#step(node, { kind: "tick" });
+    if (this.#happens(this.#options.transferChance)) {
+      this.#step(node, { kind: "transfer" });
+    }
     if (node.state?.role.kind !== "leader" || !this.#happens(300)) return;
     this.#proposed += 1;
     this.#step(node, { kind: "propose", commands: [`c${this.#proposed}`] });
@@ -197,7 +197,7 @@
     const transition = stepReplicas.stepReplica(
       node.state,
       event,
-      this.#getClockMs(node),
+      this.#nowMs * node.rate,
     );
     node.state = transition.state;
     if (!this.#save(node, transition.effects)) return;
@@ -246,7 +246,7 @@
           kind: "snapshotRequest",
           term: node.state?.term ?? 0,
           snapshot: this.#createSnapshot(node),
-          sentAtMs: this.#getClockMs(node),
+          sentAtMs: this.#nowMs * node.rate,
         });
       case "commit":
         for (const entry of effect.entries) this.#apply(node, entry);
@@ -267,10 +267,8 @@
 
   #apply(node: SimulatedNode, entry: replicaLogs.Entry): void {
     if (entry.index <= node.appliedIndex) return;
-    this.#check(
-      entry.index === node.appliedIndex + 1,
-      `entry ${entry.index} is applied after ${node.appliedIndex}`,
-    );
+    const isNext = entry.index === node.appliedIndex + 1;
+    this.#check(isNext, `entry ${entry.index} follows ${node.appliedIndex}`);
     const value = `${entry.term}:${JSON.stringify(entry.command)}`;
     const known = this.#committed.get(entry.index);
     this.#check(
@@ -322,7 +320,7 @@
   #checkAuthority(): void {
     const holders = this.#nodes.filter((node) =>
       node.state !== undefined &&
-      authorities.hasAuthority(node.state, this.#getClockMs(node))
+      authorities.hasAuthority(node.state, this.#nowMs * node.rate)
     );
     this.#check(
       holders.length <= 1,
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -64,6 +64,8 @@
   switch (event.kind) {
     case "tick":
       return stepTick(state, nowMs);
+    case "transfer":
+      return elections.transferLeadership(state, nowMs);
     case "propose":
       return replications.proposeCommands(state, event.commands, nowMs);
     case "message":
@@ -105,6 +107,8 @@
       return elections.handleVoteRequest(state, from, message, nowMs);
     case "voteReply":
       return elections.handleVoteReply(state, from, message, nowMs);
+    case "transferRequest":
+      return elections.handleTransferRequest(state, message, nowMs);
     case "appendRequest":
     case "snapshotRequest":
       return followLeader(state, from, message, nowMs);
--- a/src/control/control_service.ts
+++ b/src/control/control_service.ts
@@ -1,4 +1,4 @@
-import type * as clocks from "../clock/mod.ts";
+import * as clocks from "../clock/mod.ts";
 import * as consensus from "../consensus/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as audit from "../audit_trail/mod.ts";
@@ -13,6 +13,8 @@
 
 const MAX_AUDIT_REPLY = 1_000;
 const REFRESH_MS = 100;
+const RESIGN_MS = 1_000;
+const RESIGN_TRY_MS = 20;
 
 /** What a control service needs. */
 export interface ControlServiceOptions {
@@ -70,6 +72,19 @@
     this.#startRefresh();
   }
 
+  /** Hands leadership over before a planned stop, within a bounded time. */
+  async resign(): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + RESIGN_MS;
+    while (
+      this.#driver?.getStatus().role === "leader" &&
+      clock.getMonotonicMs() < endMs
+    ) {
+      this.#driver.transfer();
+      await clocks.sleep(clock, RESIGN_TRY_MS);
+    }
+  }
+
   async stop(): Promise<void> {
     this.#isStopped = true;
     for (const peer of this.#peers.values()) peer.close();
@@ -259,6 +274,7 @@
       boxes: session.describeBoxes(),
       servers: session.getServers(),
       models: [...state.models.values()],
+      roles: [...state.roles.values()],
     };
   }
 }
--- a/src/control/leader_duties.ts
+++ b/src/control/leader_duties.ts
@@ -125,7 +125,7 @@
         server.kind === "language" && server.state === "live"
       );
     const targets = [...service.getState().models.values()];
-    if (servers.length === 0 || targets.length === 0) return;
+    if (servers.length === 0) return;
     const views = await Promise.all(
       servers.map((server) => this.#readView(server)),
     );
@@ -155,6 +155,9 @@
       id: server.id,
       models: new Map(Object.entries(report.value.models)),
       isBusy: memory?.isUnderWay === true || report.value.isSwapping,
+      role: report.value.role,
+      wantedRole: this.#options.service.getState().roles.get(server.id)?.role ??
+        "mixed",
       notBeforeMs: memory?.notBeforeMs ?? 0,
     };
   }
@@ -176,8 +179,7 @@
     this.#noteOrder(server.id, { isUnderWay: true, notBeforeMs: 0 });
     sink.count("order.sent");
     const done = await engines.sendOrder(server, {
-      model: order.model,
-      weightVersion: order.weightVersion,
+      action: order.action,
       fence: session.term,
       deadlineMs: limits.orderTimeoutMs,
     });
@@ -186,8 +188,7 @@
     this.#noteOrder(server.id, { isUnderWay: false, notBeforeMs });
     log.write(isDone ? "info" : "warn", "order.ended", {
       engine: server.id,
-      model: order.model,
-      weightVersion: order.weightVersion,
+      ...order.action,
       fence: session.term,
       isDone,
     });
--- a/src/control/protocol.ts
+++ b/src/control/protocol.ts
@@ -128,4 +128,5 @@
   readonly boxes: readonly BoxStatus[];
   readonly servers: readonly backends.BackendServer[];
   readonly models: readonly models.ModelVersion[];
+  readonly roles: readonly backends.RoleSetting[];
 };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -156,6 +156,7 @@
     while (this.#callers.getInFlight() > 0) {
       await clocks.sleep(this.#clock, DRAIN_CHECK_MS);
     }
+    await this.#control?.service.resign();
     this.#log.write("info", "drain.ended");
     await this.#stopParts(false);
     this.#end({ kind: "stopped" });
--- /dev/null
+++ b/src/daemon/one_box_test.ts
@@ -0,0 +1,224 @@
+import * as fs from "node:fs";
+import * as http from "node:http";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as accounts from "../client_account/mod.ts";
+import * as httpClient from "../http_client/mod.ts";
+import * as settings from "../settings/mod.ts";
+import * as daemons from "./daemon.ts";
+
+/** Tokens of the account `cascade` and of the root operator. */
+export const TOKEN = "token-of-cascade";
+export const ROOT = "token-of-root";
+
+/** Bound on a whole test file's start, in ms. */
+export const TEST_TIMEOUT_MS = 30_000;
+
+/** How the stand-in backend server treats a call. */
+export type Manner = "answer" | "truncate" | "reset" | "swap" | "silent";
+
+/** An answer with a numbered error. */
+export interface Answer {
+  readonly status: number;
+  readonly json: {
+    readonly error: {
+      readonly name: string;
+      readonly code: number;
+      readonly outcome: string;
+    };
+  };
+}
+
+/** What a request may hold besides method and path. */
+export interface SendOptions {
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly json?: unknown;
+  readonly port?: number;
+  readonly token?: string;
+}
+
+const PORT = 8390;
+const START_MS = 15_000;
+
+/** One real daemon with a backend server that can lie, for tests. */
+export class OneBox {
+  readonly address: string;
+  /** A listed backend server where nothing listens. */
+  readonly deadUrl: string;
+  manner: Manner = "answer";
+  runs: readonly string[] = [];
+  readonly #network: string;
+  readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-box-"));
+  #servers: readonly http.Server[] = [];
+  #daemon: daemons.Daemon | undefined;
+
+  /** @param network Third number of the loopback addresses. */
+  constructor(network: number) {
+    this.#network = `127.0.${network}`;
+    this.address = `${this.#network}.1`;
+    this.deadUrl = `http://${this.#network}.3:${PORT}`;
+  }
+
+  async start(): Promise<void> {
+    this.#servers = [
+      await startServer(
+        `${this.#network}.4`,
+        (_request, response) => this.#servePlatform(response),
+      ),
+      await startServer(
+        `${this.#network}.2`,
+        (request, response) => this.#serveBackend(request, response),
+      ),
+    ];
+    this.#daemon = new daemons.Daemon(this.#createSettings(), () => {});
+    await this.#daemon.start();
+    const endMs = Date.now() + START_MS;
+    for (;;) {
+      const change = {
+        baseRevision: 0,
+        requestId: "create",
+        tokens: [TOKEN],
+        waitMs: 2_000,
+      };
+      await this.send("PUT", "/v1/accounts/cascade", {
+        json: change,
+        port: 8081,
+        token: ROOT,
+      });
+      const tried = await this.send("GET", "/services/app/stock");
+      if (tried.status === 200) return;
+      if (Date.now() > endMs) {
+        throw new Error(`Cannot start the box: ${JSON.stringify(tried)}`);
+      }
+    }
+  }
+
+  async stop(): Promise<void> {
+    await this.#daemon?.stop();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+    fs.rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async send(
+    method: string,
+    target: string,
+    options: SendOptions = {},
+  ): Promise<Answer> {
+    const { token = TOKEN, port = 8080, headers = {}, ...rest } = options;
+    const answer = await httpClient.sendJson({
+      ...rest,
+      baseUrl: `http://${this.address}:${port}`,
+      method,
+      path: target,
+      headers: { authorization: `Bearer ${token}`, ...headers },
+      timeoutMs: 5_000,
+    });
+    if (answer.kind === "failure") throw new Error(answer.failure.message);
+    return {
+      status: answer.value.status,
+      json: answer.value.json as Answer["json"],
+    };
+  }
+
+  #servePlatform(response: http.ServerResponse): void {
+    const servers = [2, 3].map((host) => ({
+      id: `app-${host}`,
+      service: "app",
+      kind: "plain",
+      address: `${this.#network}.${host}`,
+      port: PORT,
+      failureDomain: "d",
+      state: "live",
+    }));
+    response.end(JSON.stringify({ servers, models: [] }));
+  }
+
+  #serveBackend(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    if (request.url === "/v1/status") {
+      response.end(JSON.stringify({ active: 0, queued: 0, slots: 4 }));
+      return;
+    }
+    this.runs = [...this.runs, request.url ?? ""];
+    request.resume();
+    this.#answerInManner(request, response);
+  }
+
+  #answerInManner(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const body = JSON.stringify({ url: request.url });
+    switch (this.manner) {
+      case "silent":
+        return;
+      case "reset":
+        request.socket.destroy();
+        return;
+      case "truncate":
+        response.writeHead(200, { "content-length": body.length + 10 });
+        response.write(body);
+        setTimeout(() => request.socket.destroy(), 5);
+        return;
+      case "swap":
+        response.setHeader("x-request-id", "another");
+        response.end(body);
+        return;
+      case "answer":
+        response.setHeader(
+          "x-request-id",
+          String(request.headers["x-request-id"]),
+        );
+        response.end(body);
+    }
+  }
+
+  #createSettings(): settings.Settings {
+    const url = `http://${this.#network}.4:${PORT}`;
+    return settings.settingsSchema.parse({
+      box: { id: "box-1", address: this.address, failureDomain: "d" },
+      replicas: [{ id: "box-1", address: this.address }],
+      control: {
+        dataFolder: this.#folder,
+        electionTimeoutMs: 100,
+        heartbeatMs: 20,
+      },
+      administration: { rootTokenSha256: accounts.hashToken(ROOT) },
+      boxList: { url, pollMs: 50 },
+      weightStore: { url },
+      scorer: { url },
+      lease: { leaseMs: 300, syncWaitMs: 50 },
+      limits: {
+        maxBodyBytes: 1_000,
+        receiveTimeoutMs: 300,
+        requestTimeoutMs: 1_000,
+        connectTimeoutMs: 200,
+      },
+      services: [{
+        name: "app",
+        kind: "plain",
+        operations: [
+          { method: "GET", path: "/stock", repeatable: true },
+          { method: "POST", path: "/sync", repeatable: false },
+        ],
+      }],
+      log: { level: "error" },
+    });
+  }
+}
+
+async function startServer(
+  address: string,
+  handler: http.RequestListener,
+): Promise<http.Server> {
+  const server = http.createServer(handler);
+  await new Promise<void>((resolve) =>
+    server.listen(PORT, address, () => resolve())
+  );
+  return server;
+}
--- a/src/engine/engine_client.ts
+++ b/src/engine/engine_client.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import type * as backends from "../backend_server/mod.ts";
+import * as backends from "../backend_server/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as results from "../results/mod.ts";
 
@@ -10,15 +10,24 @@
   queued: z.number().int(),
   slots: z.number().int().positive(),
   isSwapping: z.boolean().default(false),
+  role: z.enum(backends.SERVER_ROLES).default("mixed"),
 }).readonly();
 
 /** What a backend server reports of itself. */
 export type ServerReport = z.infer<typeof statusSchema>;
 
-/** An order to load weights. */
-export interface LoadOrder {
-  readonly model: string;
-  readonly weightVersion: number;
+/** What an engine is ordered to do. */
+export type OrderAction =
+  | {
+    readonly kind: "load" | "loadAdapter";
+    readonly model: string;
+    readonly weightVersion: number;
+  }
+  | { readonly kind: "setRole"; readonly role: backends.ServerRole };
+
+/** An order to an engine. */
+export interface EngineOrder {
+  readonly action: OrderAction;
   /** Fencing number; rises with each leader. */
   readonly fence: number;
   /** Time after which the engine must not begin, in ms from now. */
@@ -53,16 +62,16 @@
 }
 
 /**
- * Orders an engine to load weights: `POST /v1/orders`.
+ * Orders an engine to load weights or to change its role: `POST /v1/orders`.
  *
  * @param server The engine.
  * @param order The order.
- * @returns Ok once the weights serve; `notLeader` if the engine has seen a
+ * @returns Ok once it is done; `notLeader` if the engine has seen a
  * newer fencing number; `backendFailed` if the load failed.
  */
 export async function sendOrder(
   server: backends.BackendServer,
-  order: LoadOrder,
+  order: EngineOrder,
 ): Promise<results.Result<undefined>> {
   const answer = await httpClient.sendJson({
     baseUrl: formatUrl(server),
@@ -70,9 +79,7 @@
     method: "POST",
     timeoutMs: order.deadlineMs,
     json: {
-      kind: "load",
-      model: order.model,
-      weight_version: order.weightVersion,
+      ...formatAction(order.action),
       fence: order.fence,
       deadline_ms: order.deadlineMs,
     },
@@ -94,3 +101,15 @@
 function formatUrl(server: backends.BackendServer): string {
   return `http://${server.address}:${server.port}`;
 }
+
+function formatAction(action: OrderAction): object {
+  switch (action.kind) {
+    case "load":
+    case "loadAdapter": {
+      const { kind, model, weightVersion } = action;
+      return { kind, model, weight_version: weightVersion };
+    }
+    case "setRole":
+      return { kind: "set_role", role: action.role };
+  }
+}
--- a/src/generation/generate_tokens.ts
+++ b/src/generation/generate_tokens.ts
@@ -1,4 +1,5 @@
 import * as crypto from "node:crypto";
+import type * as backends from "../backend_server/mod.ts";
 import * as clocks from "../clock/mod.ts";
 import type * as csp from "../csp/mod.ts";
 import * as engines from "../engine/mod.ts";
@@ -14,6 +15,7 @@
   readonly prompt: string;
   readonly maxTokens: number;
   readonly priority: number;
+  readonly use: backends.ServerUse;
   /** Oldest weight version that may serve. */
   readonly minVersion: number;
 }
@@ -67,8 +69,8 @@
   }
 
   async #tryEngine(): Promise<results.Result<GenerationEnd> | undefined> {
-    const { service, model, minVersion } = this.#request;
-    const need = { service, model, minVersion, excluded: this.#excluded };
+    const { service, model, minVersion, use } = this.#request;
+    const need = { service, model, minVersion, use, excluded: this.#excluded };
     const server = this.#options.table.choosePrompt(need, this.#request.prompt);
     if (server === undefined) {
       this.#excluded = new Set();
--- a/src/operator/check_access.ts
+++ b/src/operator/check_access.ts
@@ -72,6 +72,8 @@
     case "status":
     case "unknown":
       return results.createOk(undefined);
+    case "getRole":
+    case "setRole":
     case "setAccount":
     case "drain":
     case "logLevel":
--- a/src/operator/operator_listener.ts
+++ b/src/operator/operator_listener.ts
@@ -85,6 +85,8 @@
         return service.listTemplates(route.account);
       case "getTemplate":
         return service.getTemplate(route.account, route.template);
+      case "getRole":
+        return await service.getRole(route.server);
       case "audit":
         return await service.readAudit(operator, route.query);
       case "status":
@@ -94,6 +96,7 @@
         return results.createOk({ isDraining: true });
       case "setAccount":
       case "setTemplate":
+      case "setRole":
       case "logLevel":
         return await this.#answerChange(request, operator, route);
       case "unknown":
@@ -109,7 +112,7 @@
     operator: accesses.Operator,
     route: Extract<
       operatorRoutes.OperatorRoute,
-      { kind: "setAccount" | "setTemplate" | "logLevel" }
+      { kind: "setAccount" | "setTemplate" | "setRole" | "logLevel" }
     >,
   ): Promise<results.Result<object>> {
     const body = await httpServer.readJson(
@@ -123,6 +126,8 @@
         return await service.setAccount(operator, route.account, body.value);
       case "setTemplate":
         return await service.setTemplate(operator, route, body.value);
+      case "setRole":
+        return await service.setRole(operator, route.server, body.value);
       case "logLevel":
         return this.#setLogLevel(body.value["level"]);
     }
--- a/src/operator/operator_routes.ts
+++ b/src/operator/operator_routes.ts
@@ -13,6 +13,8 @@
     readonly account: string;
     readonly template: string;
   }
+  | { readonly kind: "getRole"; readonly server: string }
+  | { readonly kind: "setRole"; readonly server: string }
   | { readonly kind: "audit"; readonly query: URLSearchParams }
   | { readonly kind: "status" }
   | { readonly kind: "drain" }
@@ -20,10 +22,22 @@
   | { readonly kind: "unknown" };
 
 const NAME = "([a-z0-9][a-z0-9_.-]{0,62})";
+const SERVER_PATH = new RegExp(`^/v1/servers/${NAME}/role$`);
 const ACCOUNT_PATH = new RegExp(`^/v1/accounts/${NAME}$`);
 const TEMPLATES_PATH = new RegExp(`^/v1/accounts/${NAME}/templates$`);
 const TEMPLATE_PATH = new RegExp(`^/v1/accounts/${NAME}/templates/${NAME}$`);
 
+function findServerRoute(method: string, path: string): OperatorRoute {
+  const server = SERVER_PATH.exec(path)?.[1];
+  if (server !== undefined && method === "GET") {
+    return { kind: "getRole", server };
+  }
+  if (server !== undefined && method === "PUT") {
+    return { kind: "setRole", server };
+  }
+  return { kind: "unknown" };
+}
+
 function findAccountRoute(method: string, path: string): OperatorRoute {
   const account = ACCOUNT_PATH.exec(path)?.[1];
   if (account !== undefined && method === "GET") {
@@ -67,6 +81,8 @@
     case "PUT /v1/log-level":
       return { kind: "logLevel" };
     default:
-      return findAccountRoute(method, pathname);
+      return pathname.startsWith("/v1/servers/")
+        ? findServerRoute(method, pathname)
+        : findAccountRoute(method, pathname);
   }
 }
--- a/src/operator/operator_service.ts
+++ b/src/operator/operator_service.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import * as backends from "../backend_server/mod.ts";
 import * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import * as control from "../control/mod.ts";
@@ -32,6 +33,11 @@
   tokens: z.array(z.string().min(8)).min(1).max(8).optional(),
 });
 
+const roleChangeSchema = z.strictObject({
+  ...changeFields,
+  role: z.enum(backends.SERVER_ROLES),
+});
+
 const auditSchema = z.object({
   account: z.string().optional(),
   template: z.string().optional(),
@@ -128,6 +134,36 @@
     }, waitMs);
   }
 
+  /** Gives the role that is set for an engine; `mixed` at revision 0 if none. */
+  async getRole(server: string): Promise<results.Result<object>> {
+    const read = await this.readStatus();
+    if (read.kind === "failure") return read;
+    const { roles } = read.value as Extract<
+      control.StatusReply,
+      { readonly kind: "status" }
+    >;
+    const known = roles.find((setting) => setting.server === server);
+    return results.createOk(known ?? { server, role: "mixed", revision: 0 });
+  }
+
+  async setRole(
+    operator: accesses.Operator,
+    server: string,
+    body: Body,
+  ): Promise<results.Result<object>> {
+    const parsed = parseFields(roleChangeSchema, body);
+    if (parsed.kind === "failure") return parsed;
+    const { baseRevision, requestId, role, waitMs } = parsed.value;
+    const origin = this.#createOrigin(operator, requestId);
+    return await this.#proposeChange({
+      kind: "setServerRole",
+      origin,
+      baseRevision,
+      server,
+      role,
+    }, waitMs);
+  }
+
   async readAudit(
     operator: accesses.Operator,
     query: URLSearchParams,
@@ -171,7 +207,10 @@
   }
 
   async #proposeChange(
-    command: replicated.SetAccount | replicated.SetTemplate,
+    command:
+      | replicated.SetAccount
+      | replicated.SetTemplate
+      | replicated.SetServerRole,
     waitMs: number,
   ): Promise<results.Result<object>> {
     const answer = await this.#client.propose(command, PROPOSE_TIMEOUT_MS);
--- a/src/replicated_state/_changes.ts
+++ b/src/replicated_state/_changes.ts
@@ -10,6 +10,9 @@
 /** Audit records kept; the oldest go first. */
 const MAX_AUDIT_RECORDS = 50_000;
 
+/** Stands in the audit trail for what belongs to no client account. */
+const ROOT_ACCOUNT = "(root)";
+
 /** A state after a command and the command's answer. */
 export interface Applied {
   readonly state: replicatedStates.ReplicatedState;
@@ -195,6 +198,32 @@
   });
 }
 
+/** Applies a change of an engine's role, which belongs to no account. */
+export function applySetServerRole(
+  state: replicatedStates.ReplicatedState,
+  command: commands.SetServerRole,
+): Applied {
+  const { server, role } = command;
+  const current = state.roles.get(server);
+  return applyChange(state, {
+    origin: command.origin,
+    account: ROOT_ACCOUNT,
+    template: undefined,
+    baseRevision: command.baseRevision,
+    currentRevision: current?.revision ?? 0,
+    before: current && JSON.stringify({ server, role: current.role }),
+    sent: [server, role],
+    check: () =>
+      results.createOk({
+        after: JSON.stringify({ server, role }),
+        put: (before, revision) => ({
+          ...before,
+          roles: before.roles.set(server, { server, role, revision }),
+        }),
+      }),
+  });
+}
+
 /** Notes a weight version; it is spread like a change but not audited. */
 export function applyPublishModel(
   state: replicatedStates.ReplicatedState,
--- a/src/replicated_state/apply_command.ts
+++ b/src/replicated_state/apply_command.ts
@@ -23,6 +23,8 @@
       return changes.applySetAccount(state, command);
     case "setTemplate":
       return changes.applySetTemplate(state, command);
+    case "setServerRole":
+      return changes.applySetServerRole(state, command);
     case "publishModel":
       return changes.applyPublishModel(state, command);
     case "claimCall":
--- a/src/replicated_state/command.ts
+++ b/src/replicated_state/command.ts
@@ -1,3 +1,4 @@
+import type * as backends from "../backend_server/mod.ts";
 import type * as claims from "../call_claim/mod.ts";
 import type * as steps from "../rollout_step/mod.ts";
 
@@ -37,6 +38,16 @@
   readonly change: ChangeValues;
 }
 
+/** Sets the role of an engine. */
+export interface SetServerRole {
+  readonly kind: "setServerRole";
+  readonly origin: ChangeOrigin;
+  /** Revision that the change was made against; 0 for the first. */
+  readonly baseRevision: number;
+  readonly server: string;
+  readonly role: backends.ServerRole;
+}
+
 /** Notes a weight version found in the weight store. */
 export interface PublishModel {
   readonly kind: "publishModel";
@@ -113,6 +124,7 @@
   | { readonly kind: "noOperation" }
   | SetAccount
   | SetTemplate
+  | SetServerRole
   | PublishModel
   | ClaimCall
   | FinishCall
--- a/src/replicated_state/replicated_state.ts
+++ b/src/replicated_state/replicated_state.ts
@@ -1,5 +1,6 @@
 import * as immutable from "immutable";
 import type * as audit from "../audit_trail/mod.ts";
+import type * as backends from "../backend_server/mod.ts";
 import type * as claims from "../call_claim/mod.ts";
 import type * as accounts from "../client_account/mod.ts";
 import type * as models from "../model_version/mod.ts";
@@ -20,6 +21,7 @@
   readonly revision: number;
   readonly accounts: immutable.Map<string, accounts.ClientAccount>;
   readonly templates: immutable.Map<string, templates.RolloutTemplate>;
+  readonly roles: immutable.Map<string, backends.RoleSetting>;
   readonly models: immutable.Map<string, models.ModelVersion>;
   readonly audit: immutable.List<audit.AuditRecord>;
   readonly requests: immutable.Map<string, AnsweredRequest>;
@@ -32,6 +34,7 @@
   revision: 0,
   accounts: immutable.Map(),
   templates: immutable.Map(),
+  roles: immutable.Map(),
   models: immutable.Map(),
   audit: immutable.List(),
   requests: immutable.Map(),
--- a/src/replicated_state/snapshot.ts
+++ b/src/replicated_state/snapshot.ts
@@ -11,7 +11,13 @@
 /** Tables as lists of key and value. */
 type SavedTable<V> = readonly (readonly [string, V])[];
 
-type TableName = "accounts" | "templates" | "models" | "requests" | "claims";
+type TableName =
+  | "accounts"
+  | "templates"
+  | "roles"
+  | "models"
+  | "requests"
+  | "claims";
 
 type TableValue<N extends TableName> =
   replicatedStates.ReplicatedState[N] extends immutable.Map<string, infer V> ? V
@@ -40,6 +46,7 @@
     revision: state.revision,
     accounts: [...state.accounts],
     templates: [...state.templates],
+    roles: [...state.roles],
     models: [...state.models],
     requests: [...state.requests],
     claims: [...state.claims],
@@ -68,6 +75,7 @@
     revision: saved.revision,
     accounts: immutable.Map(saved.accounts),
     templates: immutable.Map(saved.templates),
+    roles: immutable.Map(saved.roles),
     models: immutable.Map(saved.models),
     requests: immutable.Map(saved.requests),
     claims: immutable.Map(saved.claims),
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -1,4 +1,4 @@
-import type * as backends from "../backend_server/mod.ts";
+import * as backends from "../backend_server/mod.ts";
 
 /** A backend server as one box sees it. */
 export interface Candidate {
@@ -11,6 +11,8 @@
   readonly models: ReadonlyMap<string, number>;
   /** It failed lately; used only when all others failed too. */
   readonly isSuspect: boolean;
+  /** Role as reported. */
+  readonly role: backends.ServerRole;
 }
 
 /** What a request needs. */
@@ -18,6 +20,8 @@
   readonly service: string;
   /** Model that must be loaded; undefined for plain services. */
   readonly model: string | undefined;
+  /** What the request is for. */
+  readonly use: backends.ServerUse;
   /** Oldest weight version that may serve. */
   readonly minVersion: number;
   /** Servers that were tried already. */
@@ -33,6 +37,7 @@
   const { server, models } = candidate;
   if (server.service !== need.service || server.state !== "live") return false;
   if (need.excluded.has(server.id)) return false;
+  if (!backends.canUse(candidate.role, need.use)) return false;
   if (need.model === undefined) return true;
   const weightVersion = models.get(need.model);
   return weightVersion !== undefined && weightVersion >= need.minVersion;
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -21,6 +21,7 @@
     expected: 0,
     models: new Map([["lm", 3]]),
     isSuspect: false,
+    role: "mixed",
     ...fields,
   };
 }
@@ -30,6 +31,7 @@
 ): chooseServers.Need {
   return {
     service: "lm",
+    use: "caller",
     model: "lm",
     minVersion: 0,
     excluded: new Set(),
@@ -88,6 +90,17 @@
     );
   });
 
+  it("keeps to an engine's role", () => {
+    const candidates = [
+      createCandidate("a", { role: "rollout" }),
+      createCandidate("b", { role: "caller", expected: 9 }),
+    ];
+    chai.expect(choose(candidates, createNeed())).to.equal("b");
+    chai.expect(choose(candidates, createNeed({ use: "rollout" }))).to.equal(
+      "a",
+    );
+  });
+
   it("takes a suspect server only when all are suspect", () => {
     const suspect = createCandidate("a", { isSuspect: true });
     chai.expect(
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -87,6 +87,7 @@
     return this.choose({
       service,
       model: undefined,
+      use: "caller",
       minVersion: 0,
       excluded,
       preferred: NO_SERVERS,
@@ -138,6 +139,7 @@
       slots: report?.slots ?? DEFAULT_SLOTS,
       expected: Math.max(record.inFlight, reported + sentSince),
       models: record.models,
+      role: report?.role ?? "mixed",
       isSuspect: this.#options.clock.getMonotonicMs() < record.suspectUntilMs,
     };
   }
--- a/src/trainer/step_feed.ts
+++ b/src/trainer/step_feed.ts
@@ -180,6 +180,7 @@
       prompt,
       maxTokens: parameters.maxTokens,
       priority: parameters.priority,
+      use: "rollout",
       minVersion: this.#getMinVersion(template, account),
     }, {
       clock,
--- a/src/weight_rollout/plan_orders.ts
+++ b/src/weight_rollout/plan_orders.ts
@@ -1,3 +1,6 @@
+import type * as backends from "../backend_server/mod.ts";
+import type * as engines from "../engine/mod.ts";
+
 /** What is known of an engine when orders are planned. */
 export interface EngineView {
   readonly id: string;
@@ -5,6 +8,9 @@
   readonly models: ReadonlyMap<string, number>;
   /** An order to it is under way, or it switches weights. */
   readonly isBusy: boolean;
+  /** Role as reported, and as operators set it. */
+  readonly role: backends.ServerRole;
+  readonly wantedRole: backends.ServerRole;
   /** No order before this monotonic time, in ms; set after a failure. */
   readonly notBeforeMs: number;
 }
@@ -16,8 +22,9 @@
 }
 
 /** An order to give now. */
-export interface PlannedOrder extends WeightTarget {
+export interface PlannedOrder {
   readonly engineId: string;
+  readonly action: engines.OrderAction;
 }
 
 /** Bounds on a plan. */
@@ -27,21 +34,29 @@
   readonly nowMs: number;
 }
 
+/** An adapter is named `base:name`. */
+function createLoad(target: WeightTarget): engines.OrderAction {
+  const kind = target.model.includes(":") ? "loadAdapter" : "load";
+  return { kind, model: target.model, weightVersion: target.weightVersion };
+}
+
 function findOrder(
   engine: EngineView,
   targets: readonly WeightTarget[],
 ): PlannedOrder | undefined {
-  const behind = targets
+  const engineId = engine.id;
+  if (engine.role !== engine.wantedRole) {
+    return { engineId, action: { kind: "setRole", role: engine.wantedRole } };
+  }
+  const [behind] = targets
     .map((target) => ({
-      ...target,
-      engineId: engine.id,
+      target,
       lag: target.weightVersion - (engine.models.get(target.model) ?? 0),
     }))
-    .filter((target) => target.lag > 0)
-    .sort((a, b) => b.lag - a.lag)[0];
+    .filter((entry) => entry.lag > 0)
+    .sort((a, b) => b.lag - a.lag);
   if (behind === undefined) return undefined;
-  const { engineId, model, weightVersion } = behind;
-  return { engineId, model, weightVersion };
+  return { engineId, action: createLoad(behind.target) };
 }
 
 /**
--- a/src/weight_rollout/plan_orders_test.ts
+++ b/src/weight_rollout/plan_orders_test.ts
@@ -13,6 +13,8 @@
     models: new Map([["lm", weightVersion]]),
     isBusy: false,
     notBeforeMs: 0,
+    role: "mixed",
+    wantedRole: "mixed",
     ...fields,
   };
 }
@@ -25,8 +27,14 @@
       weightVersion: 5,
     }], LIMITS);
     chai.expect(orders).to.deep.equal([
-      { engineId: "a", model: "lm", weightVersion: 5 },
-      { engineId: "b", model: "lm", weightVersion: 5 },
+      {
+        engineId: "a",
+        action: { kind: "load", model: "lm", weightVersion: 5 },
+      },
+      {
+        engineId: "b",
+        action: { kind: "load", model: "lm", weightVersion: 5 },
+      },
     ]);
   });
 
@@ -65,7 +73,25 @@
       weightVersion: 5,
     }];
     chai.expect(planOrders.planOrders([engine], targets, LIMITS)).to.deep.equal(
-      [{ engineId: "a", model: "lm:x", weightVersion: 5 }],
+      [{
+        engineId: "a",
+        action: { kind: "loadAdapter", model: "lm:x", weightVersion: 5 },
+      }],
     );
   });
+
+  it("orders a role before weights", () => {
+    const engine = createEngine("a", 1, { wantedRole: "rollout" });
+    chai.expect(
+      planOrders.planOrders(
+        [engine],
+        [{ model: "lm", weightVersion: 5 }],
+        LIMITS,
+      ),
+    )
+      .to.deep.equal([{
+        engineId: "a",
+        action: { kind: "setRole", role: "rollout" },
+      }]);
+  });
 });
--- a/tools/demo/fault_plan.ts
+++ b/tools/demo/fault_plan.ts
@@ -3,6 +3,8 @@
 import * as ledgers from "../stand_ins/ledger.ts";
 import type * as demoOperators from "./demo_operator.ts";
 
+const ROLE_TIMEOUT_MS = 3_000;
+
 /** What the plan works on. */
 export interface FaultPlanOptions {
   readonly deployment: deployments.Deployment;
@@ -38,6 +40,10 @@
       .boxes[6] as cascades.DeployedBox;
     await this.#sleepUntil(startMs + 6_000);
     this.#killEngine(engine);
+    await this.#sleepUntil(startMs + 9_000);
+    await this.#setRole(
+      this.#options.deployment.options.servers[7] as cascades.DeployedServer,
+    );
     await this.#sleepUntil(startMs + 12_000);
     await this.#leaveServer(leaving);
     await this.#sleepUntil(startMs + 16_000);
@@ -58,6 +64,27 @@
     this.#options.deployment.get(engine.id).kill("SIGKILL");
   }
 
+  /** Sets an engine's role and asks the engine itself whether it took it. */
+  async #setRole(server: cascades.DeployedServer): Promise<void> {
+    this.#options.tell(`engine ${server.id} is set to take rollouts only`);
+    await this.#options.operator.sendChange(
+      ["server-role", server.id, "rollout"],
+      "role-1",
+      0,
+    );
+    const endMs = Date.now() + ROLE_TIMEOUT_MS;
+    while (Date.now() < endMs) {
+      const answer = await fetch(
+        `http://${server.address}:${server.port}/v1/status`,
+      );
+      if (
+        (await answer.json() as { readonly role: string }).role === "rollout"
+      ) return;
+      await sleep(100);
+    }
+    this.#options.addFault(`engine ${server.id} did not take its role`);
+  }
+
   async #leaveServer(server: cascades.DeployedServer): Promise<void> {
     this.#options.tell(`backend server ${server.id} is marked as leaving`);
     await fetch(
--- a/tools/stand_ins/engine_core.ts
+++ b/tools/stand_ins/engine_core.ts
@@ -52,6 +52,7 @@
   readonly #cacheLog = new cacheLogs.CacheLog();
   #arrivals = 0;
   #isSwapping = false;
+  #role = "mixed";
 
   constructor(settings: EngineSettings, ledger: ledgers.LedgerWriter) {
     this.settings = settings;
@@ -76,6 +77,7 @@
       queued: this.#queued.length,
       slots: this.settings.slots,
       isSwapping: this.#isSwapping,
+      role: this.#role,
     };
   }
 
@@ -130,6 +132,11 @@
     this.#isSwapping = false;
   }
 
+  /** Takes a role; callers of the engine honour it. */
+  setRole(role: string): void {
+    this.#role = role;
+  }
+
   isSwapping(): boolean {
     return this.#isSwapping;
   }
--- a/tools/stand_ins/run_engine.ts
+++ b/tools/stand_ins/run_engine.ts
@@ -94,8 +94,8 @@
     const fence = Number(json["fence"]);
     const isOld = this.#settings.checksFence && fence < this.#fence;
     const isTaken = !isOld && !this.#core.isSwapping();
-    const model = String(json["model"]);
-    const weightVersion = Number(json["weight_version"]);
+    const model = String(json["model"] ?? "");
+    const weightVersion = Number(json["weight_version"] ?? 0);
     this.#ledger.add({
       kind: "order",
       engine: this.#settings.id,
@@ -116,6 +116,10 @@
       });
     }
     this.#fence = Math.max(this.#fence, fence);
+    if (json["kind"] === "set_role") {
+      this.#core.setRole(String(json["role"]));
+      return jsonServers.answerJson(response, 200, {});
+    }
     const isLoaded = await this.#load(model, weightVersion);
     jsonServers.answerJson(response, isLoaded ? 200 : 503, {});
   }
