--- /dev/null
+++ b/tools/bench/bench_rolling.ts
@@ -0,0 +1,206 @@
+import * as httpClient from "../../src/http_client/mod.ts";
+import * as cascades from "../deployment/cascade.ts";
+import * as deployments from "../deployment/deployment.ts";
+import * as judges from "../demo/judge.ts";
+import type * as callerRuns from "../stand_ins/run_callers.ts";
+import * as ledgers from "../stand_ins/ledger.ts";
+
+const FOLDER = "out/bench/rolling";
+const BOXES = 9;
+const REPLICAS = 5;
+const START_TIMEOUT_MS = 30_000;
+const CALLS_PER_SECOND = 120;
+const COMPLETION_TOKENS = 64;
+const LENGTHS = { median: 20, sigma: 0.6 };
+const ACCOUNT_TOKEN = "account-token-of-the-bench";
+/** Longest time that one box may take to stop and serve again, in ms. */
+const BOX_TIMEOUT_MS = 30_000;
+const OPERATIONS = ["lookup", "sync", "completion"] as const;
+
+/** Restarts every box in turn under load. */
+class RollingRun {
+  readonly #boxes = cascades.listBoxes(BOXES, REPLICAS);
+  readonly #deployment = new deployments.Deployment({
+    folder: FOLDER,
+    boxes: this.#boxes,
+    servers: cascades.listServers(4, 4),
+    models: { "sommelier-lm": 1 },
+    engine: {
+      slots: 16,
+      stepMs: 6,
+      lengths: LENGTHS,
+      swapMs: 100,
+      failedSwaps: 0,
+    },
+    plain: { callMs: 4, slots: 32 },
+    downloadsPerSecond: 8,
+  });
+  readonly #events = new ledgers.LedgerWriter(
+    this.#deployment.getLedgerFile("events"),
+  );
+  #exitCodes: readonly (number | null)[] = [];
+
+  async run(): Promise<void> {
+    try {
+      this.#deployment.start();
+      await this.#waitForBoxes(BOXES);
+      await this.#createAccount();
+      const callers = this.#startCallers();
+      const startMs = Date.now();
+      for (const box of this.#boxes) await this.#restart(box);
+      const rollingMs = Date.now() - startMs;
+      callers.kill("SIGTERM");
+      await callers.ended;
+      this.#report(rollingMs);
+    } finally {
+      await this.#deployment.stop();
+    }
+  }
+
+  #startCallers() {
+    const settings: callerRuns.CallerSettings = {
+      name: "till",
+      token: ACCOUNT_TOKEN,
+      seeds: this.#boxes,
+      ledgerFile: this.#deployment.getLedgerFile("callers"),
+      service: "cellar-app",
+      model: "sommelier-lm",
+      seed: 5,
+      requestsPerSecond: CALLS_PER_SECOND,
+      syncShare: 0.2,
+      completionShare: 0.1,
+      maxTokens: COMPLETION_TOKENS,
+      runMs: BOXES * BOX_TIMEOUT_MS,
+    };
+    return this.#deployment.startClient("callers", "run_callers", settings);
+  }
+
+  async #restart(box: cascades.DeployedBox): Promise<void> {
+    const startMs = Date.now();
+    this.#events.add({
+      kind: "event",
+      event: "planStop",
+      target: box.box,
+      atMs: startMs,
+    });
+    const child = this.#deployment.get(box.box);
+    child.kill("SIGTERM");
+    const end = await child.ended;
+    const stoppedMs = Date.now();
+    this.#events.add({
+      kind: "event",
+      event: "stopped",
+      target: box.box,
+      atMs: stoppedMs,
+    });
+    this.#exitCodes = [...this.#exitCodes, end.code];
+    this.#deployment.startBox(box.box);
+    await this.#waitForBoxes(BOXES);
+    console.log(
+      `${box.box} stopped in ${stoppedMs - startMs} ms, served again after ${
+        Date.now() - stoppedMs
+      } ms`,
+    );
+  }
+
+  /** Waits until so many boxes are told to callers. */
+  async #waitForBoxes(count: number): Promise<void> {
+    const endMs = Date.now() + START_TIMEOUT_MS;
+    for (;;) {
+      const told = await Promise.all(
+        this.#boxes.map((box) => this.#countTold(box)),
+      );
+      if (told.every((number) => number === count)) return;
+      if (Date.now() > endMs) {
+        throw new Error(
+          `Cannot go on: ${told.join(",")} of ${count} boxes are told`,
+        );
+      }
+      await sleep(100);
+    }
+  }
+
+  async #countTold(box: cascades.DeployedBox): Promise<number> {
+    const answer = await httpClient.sendJson({
+      baseUrl: `http://${box.address}:${box.port}`,
+      method: "GET",
+      path: "/v1/addresses",
+      timeoutMs: 1_000,
+    });
+    if (answer.kind === "failure" || answer.value.status !== 200) return 0;
+    return (answer.value.json as { readonly addresses: readonly unknown[] })
+      .addresses.length;
+  }
+
+  async #createAccount(): Promise<void> {
+    const answer = await httpClient.sendJson({
+      baseUrl: `http://${this.#boxes[0]?.address}:${cascades.ADMIN_PORT}`,
+      method: "PUT",
+      path: "/v1/accounts/cascade",
+      headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+      json: { baseRevision: 0, requestId: "create", tokens: [ACCOUNT_TOKEN] },
+      timeoutMs: 15_000,
+    });
+    if (answer.kind === "failure" || answer.value.status !== 200) {
+      throw new Error("Cannot create the account");
+    }
+  }
+
+  #report(rollingMs: number): void {
+    const entries = ledgers.readLedgers(this.#deployment.getLedgerFolder());
+    const verdict = judges.judgeLedgers(entries, {
+      lengths: LENGTHS,
+      sampleTokens: 0,
+      completionTokens: COMPLETION_TOKENS,
+    });
+    const calls = entries.filter((entry) => entry.kind === "call");
+    const refusedTries =
+      calls.flatMap((call) => call.tries).filter((item) =>
+        item.outcome !== "answered"
+      ).length;
+    const latencyMs = Object.fromEntries(OPERATIONS.map((operation) => [
+      operation,
+      judges.computeQuantiles(
+        calls.filter((call) => call.operation === operation).map(getLatencyMs),
+      ),
+    ]));
+    const {
+      requests,
+      failedRequests,
+      truncatedAnswers,
+      crossedAnswers,
+      doubledNonRepeatable,
+      falseNotRun,
+      cutOffByPlannedStop,
+    } = verdict;
+    const exitCodes = this.#exitCodes;
+    console.log(JSON.stringify({
+      boxes: BOXES,
+      rollingMs,
+      exitCodes,
+      requests,
+      refusedTries,
+      failedRequests,
+      truncatedAnswers,
+      crossedAnswers,
+      doubledNonRepeatable,
+      falseNotRun,
+      cutOffByPlannedStop,
+      latencyMs,
+    }));
+  }
+}
+
+/** From the first send to the final answer, in ms. */
+function getLatencyMs(call: ledgers.CallEntry): number {
+  return (call.tries.at(-1)?.endedMs ?? 0) - (call.tries[0]?.sentMs ?? 0);
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/** Restarts every box in turn while callers ask. */
+export async function benchRolling(): Promise<void> {
+  await new RollingRun().run();
+}
--- a/tools/bench/run_bench.ts
+++ b/tools/bench/run_bench.ts
@@ -8,6 +8,7 @@
 import yargs from "yargs";
 import * as benchControls from "./bench_control.ts";
 import * as benchPaths from "./bench_path.ts";
+import * as benchRollings from "./bench_rolling.ts";
 import * as benchSlopes from "./bench_slopes.ts";
 
 await yargs(process.argv.slice(2))
@@ -24,6 +25,12 @@
     { boxes: { type: "number", default: 12 } },
     (args) => benchControls.benchControl(args.boxes),
   )
+  .command(
+    "rolling",
+    "Restarts every box in turn under load",
+    {},
+    () => benchRollings.benchRolling(),
+  )
   .command(
     "slopes",
     "How cost grows with the number of daemons",
--- a/tools/stand_ins/run_callers.ts
+++ b/tools/stand_ins/run_callers.ts
@@ -60,6 +60,7 @@
   readonly #book: addressBooks.AddressBook;
   readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
   #count = 0;
+  #isStopped = false;
 
   constructor(settings: CallerSettings) {
     this.#settings = settings;
@@ -68,13 +69,18 @@
     this.#random = generator.xoroshiro128plus(settings.seed);
   }
 
+  /** Sends nothing more; what is under way is still awaited. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Sends on a fixed schedule, then waits for the last answers. */
   async run(): Promise<void> {
     const { requestsPerSecond, runMs } = this.#settings;
     const startMs = Date.now();
     const running: Promise<void>[] = [];
     const total = Math.floor(requestsPerSecond * runMs / 1_000);
-    for (let index = 0; index < total; index += 1) {
+    for (let index = 0; index < total && !this.#isStopped; index += 1) {
       const dueMs = startMs + index * 1_000 / requestsPerSecond;
       await sleep(Math.max(0, dueMs - Date.now()));
       running.push(this.#runCall(this.#draw()));
@@ -270,5 +276,8 @@
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
 
-await new CallerProcess(JSON.parse(process.argv[2] ?? "{}") as CallerSettings)
-  .run();
+const callers = new CallerProcess(
+  JSON.parse(process.argv[2] ?? "{}") as CallerSettings,
+);
+process.once("SIGTERM", () => callers.stop());
+await callers.run();
