Never call a lookup not run after a try that may have run

Cause: when one backend server broke off and the next refused the connection, only the last try decided, so the caller was told 'not run' although the first may have run it. Found by a test that failed when the tries came in that order.

--- a/src/caller/serve_repeatable.ts
+++ b/src/caller/serve_repeatable.ts
@@ -34,25 +34,34 @@
     const server = context.table.choosePlain(route.service.name, excluded);
     if (server === undefined) break;
     excluded = new Set([...excluded, server.id]);
-    last = await forwards.forwardCall(context, call, server, {
+    const outcome = await forwards.forwardCall(context, call, server, {
       path: route.path,
       requestId: crypto.randomUUID(),
       isFreshConnection: false,
       cancellation,
     });
-    if (last.kind === "answered") {
-      const type = forwards.getContentType(last.head);
+    if (outcome.kind === "answered") {
+      const type = forwards.getContentType(outcome.head);
       return forwards.answerWhole(
         call.response,
-        last.head.status,
+        outcome.head.status,
         type,
-        last.body,
+        outcome.body,
       );
     }
+    last = mergeOutcomes(last, outcome);
   }
   httpServer.answerFailure(call.response, createLastFailure(last).failure);
 }
 
+/** Once a try may have run, no later try makes "not run" true again. */
+function mergeOutcomes(
+  before: httpClient.HttpOutcome,
+  now: httpClient.HttpOutcome,
+): httpClient.HttpOutcome {
+  return before.kind === "broken" ? before : now;
+}
+
 function canRetry(
   context: callerContexts.CallerContext,
   call: callerContexts.AdmittedCall,
