Lose a disk and the next leader in the demo

Change: the killed leading box comes back with an empty folder, and six seconds later the box that leads then is killed.

--- a/tools/demo/fault_plan.ts
+++ b/tools/demo/fault_plan.ts
@@ -52,10 +52,12 @@
     this.#options.tell(`engine ${engine.id} is started again`);
     this.#options.deployment.startServer(engine, 2);
     const killed = await this.#killLeader();
-    await this.#sleepUntil(startMs + 34_000);
-    this.#options.tell(`entry box ${killed} is started again`);
-    this.#options.deployment.startBox(killed);
-    this.#down = new Set([...this.#down].filter((box) => box !== killed));
+    await this.#sleepUntil(startMs + 32_000);
+    this.#startWithoutDisk(killed);
+    await this.#sleepUntil(startMs + 38_000);
+    const second = await this.#killLeader();
+    await this.#sleepUntil(startMs + 43_000);
+    this.#startBox(second);
     await stopped;
   }
 
@@ -64,6 +66,19 @@
     this.#options.deployment.get(engine.id).kill("SIGKILL");
   }
 
+  /** The box's disk was lost: it comes back as a new replica. */
+  #startWithoutDisk(box: string): void {
+    this.#options.tell(`entry box ${box} lost its disk`);
+    this.#options.deployment.removeState(box);
+    this.#startBox(box);
+  }
+
+  #startBox(box: string): void {
+    this.#options.tell(`entry box ${box} is started again`);
+    this.#options.deployment.startBox(box);
+    this.#down = new Set([...this.#down].filter((other) => other !== box));
+  }
+
   /** Sets an engine's role and asks the engine itself whether it took it. */
   async #setRole(server: cascades.DeployedServer): Promise<void> {
     this.#options.tell(`engine ${server.id} is set to take rollouts only`);
--- a/tools/deployment/deployment.ts
+++ b/tools/deployment/deployment.ts
@@ -78,6 +78,11 @@
     ]);
   }
 
+  /** Empties the data folder of a box that does not run. */
+  removeState(id: string): void {
+    fs.rmSync(this.#getDataFolder(id), { recursive: true, force: true });
+  }
+
   startBox(id: string): void {
     this.#add(
       new childs.Child({
@@ -156,6 +161,10 @@
     );
   }
 
+  #getDataFolder(id: string): string {
+    return path.join(this.options.folder, "data", id);
+  }
+
   #getLogFolder(): string {
     return path.join(this.options.folder, "logs");
   }
@@ -203,7 +212,7 @@
           : cascades.PEER_PORT,
       })),
       ...(box.hasState
-        ? { control: { dataFolder: path.join(folder, "data", box.box) } }
+        ? { control: { dataFolder: this.#getDataFolder(box.box) } }
         : {}),
       administration: { rootTokenSha256: accounts.hashToken(ROOT_TOKEN) },
       boxList: { url: getUrl(cascades.BOX_LIST_ADDRESS) },
