--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -120,7 +120,7 @@
       : record.suspectUntilMs;
     this.#records.set(id, {
       ...record,
-      inFlight: record.inFlight - 1,
+      inFlight: Math.max(0, record.inFlight - 1),
       suspectUntilMs,
     });
   }
--- a/src/trainer/step_feed.ts
+++ b/src/trainer/step_feed.ts
@@ -49,6 +49,7 @@
   readonly #running = new Set<number>();
   readonly #changed = new csp.Signal();
   #trainerVersion = 0;
+  #binding: Promise<results.Result<undefined>> | undefined;
 
   constructor(context: FeedContext, view: replicated.StepView) {
     this.#context = context;
@@ -224,7 +225,15 @@
     return `${prompts[Math.floor(slot / groupSize)]}#${slot % groupSize}`;
   }
 
-  async #bindReady(): Promise<results.Result<undefined>> {
+  /** Fetches that come at once share one binding. */
+  #bindReady(): Promise<results.Result<undefined>> {
+    this.#binding ??= this.#offerReady().finally(() => {
+      this.#binding = undefined;
+    });
+    return this.#binding;
+  }
+
+  async #offerReady(): Promise<results.Result<undefined>> {
     const offered = [...this.#ready.values()];
     if (offered.length === 0 || this.isStopped()) {
       return results.createOk(undefined);
