End the write under way before a stop closes the log

Cause: a planned stop closed the log file while a write ran; the process then reported a failed disk and would end with a code other than 0. Seen by reading, then in a test: 'file closed' in every run with the fault.

--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -37,6 +37,7 @@
   #appliedTerm: number;
   #snapshotIndex: number;
   #isStopped = false;
+  #ended: Promise<void> = Promise.resolve();
 
   private constructor(
     options: replicaOptions.ReplicaDriverOptions,
@@ -158,17 +159,17 @@
     this.#inbox.offer({ kind: "replica", event: { kind: "transfer" } });
   }
 
-  /** Stops; what was synced stays. */
+  /** Stops once the write under way has ended; what was synced stays. */
   async stop(): Promise<void> {
     this.#isStopped = true;
     this.#timer.stop();
     this.#inbox.close();
+    await this.#ended;
     await this.#log.close();
   }
 
   #start(): void {
-    const { onFatal } = this.#options;
-    csp.runProcess(() => this.#run(), onFatal);
+    this.#ended = csp.runProcess(() => this.#run(), this.#options.onFatal);
     this.#setTick();
   }
 
--- /dev/null
+++ b/src/consensus/replica_driver_test.ts
@@ -0,0 +1,120 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as makeDataFolders from "./make_data_folder.ts";
+import * as replicaDrivers from "./replica_driver.ts";
+
+/** Counts commands; its state is the list of them. */
+class ListMachine {
+  values: readonly unknown[] = [];
+
+  apply(command: unknown): number {
+    this.values = [...this.values, command];
+    return this.values.length;
+  }
+
+  save(): unknown {
+    return this.values;
+  }
+
+  restore(state: unknown): void {
+    this.values = state as readonly unknown[];
+  }
+}
+
+describe("replica driver", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-driver-"));
+  let fatal: readonly unknown[] = [];
+
+  after(() => fs.rmSync(folder, { recursive: true, force: true }));
+
+  function openDriver(
+    machine: ListMachine,
+  ): Promise<replicaDrivers.ReplicaDriver> {
+    return replicaDrivers.ReplicaDriver.open({
+      config: {
+        id: "a",
+        voters: ["a"],
+        electionTimeoutMs: 50,
+        heartbeatMs: 10,
+        maxBatchEntries: 8,
+        seed: 1,
+      },
+      clock: new clocks.SystemClock(),
+      dataFolder: folder,
+      machine,
+      snapshotEntries: 16,
+      send: () => {},
+      onFatal: (error) => {
+        fatal = [...fatal, error];
+      },
+    });
+  }
+
+  async function proposeUntilDone(
+    driver: replicaDrivers.ReplicaDriver,
+    command: string,
+  ): Promise<void> {
+    for (;;) {
+      const result = await driver.propose(command, 5_000);
+      if (result.kind === "ok") return;
+      await clocks.sleep(new clocks.SystemClock(), 10);
+    }
+  }
+
+  it("does not lead from a folder that was not made for a first start", async () => {
+    const empty = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-empty-"));
+    const machine = new ListMachine();
+    const driver = await replicaDrivers.ReplicaDriver.open({
+      config: {
+        id: "a",
+        voters: ["a"],
+        electionTimeoutMs: 10,
+        heartbeatMs: 5,
+        maxBatchEntries: 8,
+        seed: 1,
+      },
+      clock: new clocks.SystemClock(),
+      dataFolder: empty,
+      machine,
+      snapshotEntries: 16,
+      send: () => {},
+      onFatal: () => {},
+    });
+    await clocks.sleep(new clocks.SystemClock(), 100);
+    chai.expect(driver.getStatus().role).to.equal("follower");
+    await driver.stop();
+    fs.rmSync(empty, { recursive: true, force: true });
+  });
+
+  it("keeps every accepted command over stops under load, with snapshots in between", async () => {
+    await makeDataFolders.makeDataFolder({ folder, owner: "a", wallMs: 1 });
+    const accepted: string[] = [];
+    for (let round = 0; round < 8; round += 1) {
+      const machine = new ListMachine();
+      const driver = await openDriver(machine);
+      await proposeUntilDone(driver, `first ${round}`);
+      accepted.push(`first ${round}`);
+      const burst = Array.from(
+        { length: 30 },
+        (_, index) => `${round}.${index}`,
+      );
+      const proposals = burst.map(async (command) => {
+        const result = await driver.propose(command, 200);
+        if (result.kind === "ok") accepted.push(command);
+      });
+      if (round % 2 === 0) await proposals[0];
+      else await new Promise((resolve) => setImmediate(resolve));
+      await driver.stop();
+      await Promise.all(proposals);
+    }
+    const machine = new ListMachine();
+    const driver = await openDriver(machine);
+    await proposeUntilDone(driver, "last");
+    await driver.stop();
+    chai.expect(machine.values).to.include.members(accepted);
+    chai.expect(fatal).to.deep.equal([]);
+  });
+});
--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -46,7 +46,7 @@
 
   /** Starts to sync; runs until stopped. */
   start(): void {
-    csp.runProcess(() => this.#run(), (error) => {
+    void csp.runProcess(() => this.#run(), (error) => {
       const message = (error as Error).message;
       this.#options.log.write("error", "sync.ended", { message });
     });
--- a/src/control/leader_duties.ts
+++ b/src/control/leader_duties.ts
@@ -67,7 +67,7 @@
   #startDuty(name: string, periodMs: number, act: () => Promise<void>): void {
     const { clock, log, service } = this.#options;
     const isStopped = this.#getStopped.bind(this);
-    csp.runProcess(
+    void csp.runProcess(
       function* () {
         while (!isStopped()) {
           if (service.getSession() !== undefined) yield* csp.waitFor(act());
--- a/src/csp/run_process.ts
+++ b/src/csp/run_process.ts
@@ -6,16 +6,20 @@
  *
  * @param body The process.
  * @param onError Told of an error thrown by the process, which then ends.
+ * @returns A promise that resolves once the process has ended, either way.
  */
 export function runProcess(
   body: () => channels.Step<void>,
   onError: (error: unknown) => void,
-): void {
-  jsCsps.jsCsp.go(function* guardBody() {
-    try {
-      yield* body();
-    } catch (error) {
-      onError(error);
-    }
+): Promise<void> {
+  return new Promise((resolve) => {
+    jsCsps.jsCsp.go(function* guardBody() {
+      try {
+        yield* body();
+      } catch (error) {
+        onError(error);
+      }
+      resolve();
+    });
   });
 }
--- a/src/operator/operator_test.ts
+++ b/src/operator/operator_test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as httpClient from "../http_client/mod.ts";
 import * as oneBoxes from "../daemon/one_box_test.ts";
 
 const box = new oneBoxes.OneBox(9);
@@ -115,4 +116,34 @@
     };
     chai.expect(records.length).to.equal(1);
   });
+
+  it("refuses a body that is not JSON", async () => {
+    const outcome = await httpClient.sendRequest({
+      address: box.address,
+      port: 8081,
+      method: "PUT",
+      path: "/v1/accounts/cascade/templates/notes",
+      headers: { authorization: `Bearer ${oneBoxes.TOKEN}` },
+      body: '{"baseRevision": 0,',
+      timeoutMs: 5_000,
+    });
+    const text = outcome.kind === "answered"
+      ? outcome.body.toString("utf8")
+      : "";
+    chai.expect(text).to.contain("malformedBody");
+  });
+
+  it("changes the log level of a running box, and only to one that exists", async () => {
+    const change = { port: 8081, token: oneBoxes.ROOT };
+    const set = await box.send("PUT", "/v1/log-level", {
+      ...change,
+      json: { level: "error" },
+    });
+    const wrong = await box.send("PUT", "/v1/log-level", {
+      ...change,
+      json: { level: "loud" },
+    });
+    chai.expect(set.status).to.equal(200);
+    chai.expect(wrong.json.error).to.include({ name: "badParameters" });
+  });
 });
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -61,7 +61,7 @@
 
   /** Starts to read reports; runs until stopped. */
   start(): void {
-    csp.runProcess(() => this.#run(), () => {});
+    void csp.runProcess(() => this.#run(), () => {});
   }
 
   stop(): void {
--- a/tools/bench/bench_control.ts
+++ b/tools/bench/bench_control.ts
@@ -1,17 +1,20 @@
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as cascades from "../deployment/cascade.ts";
-import * as deployments from "../deployment/deployment.ts";
+import * as askAdmins from "../deployment/ask_admin.ts";
+import type * as deployments from "../deployment/deployment.ts";
+import * as controlDeployments from "./control_deployment.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
 import * as judges from "../demo/judge.ts";
 import * as processUsages from "./process_usage.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 const FOLDER = "out/bench/control";
 const START_TIMEOUT_MS = 30_000;
 const CHANGE_EVERY_MS = 150;
 const CHANGES = 100;
+/** Time after the start in which the engine still compiles, in ms. */
+const SETTLE_MS = 40_000;
 const IDLE_SECONDS = 10;
-const MODEL = "sommelier-lm";
-const TEMPLATE_PATH = "/v1/accounts/cascade/templates/notes";
 const IN_FORCE_WAIT_MS = 10_000;
 const CALL_TIMEOUT_MS = 12_000;
 
@@ -35,20 +38,10 @@
 
   constructor(boxCount: number) {
     this.#boxes = cascades.listBoxes(boxCount, Math.min(5, boxCount));
-    this.#deployment = new deployments.Deployment({
+    const boxes = this.#boxes;
+    this.#deployment = controlDeployments.createControlDeployment({
       folder: FOLDER,
-      boxes: this.#boxes,
-      servers: cascades.listServers(1, 1),
-      models: { [MODEL]: 1 },
-      engine: {
-        slots: 4,
-        stepMs: 20,
-        lengths: { median: 10, sigma: 0.1 },
-        swapMs: 50,
-        failedSwaps: 0,
-      },
-      plain: { callMs: 1, slots: 8 },
-      downloadsPerSecond: 4,
+      boxes,
     });
   }
 
@@ -56,7 +49,10 @@
     try {
       this.#deployment.start();
       await this.#setUp();
-      const idle = await this.#measureUsage(() => sleep(IDLE_SECONDS * 1_000));
+      await sleeps.sleep(SETTLE_MS);
+      const idle = await this.#measureUsage(() =>
+        sleeps.sleep(IDLE_SECONDS * 1_000)
+      );
       const changing = await this.#measureUsage(() => this.#runChanges());
       const failoverMs = await this.#measureFailover("SIGKILL");
       const frozenMs = await this.#measureFailover("SIGSTOP");
@@ -72,17 +68,17 @@
       if (Date.now() > endMs) {
         throw new Error("Cannot start the bench: not every box has a lease");
       }
-      await sleep(200);
+      await sleeps.sleep(200);
     }
     await this.#put("/v1/accounts/cascade", {
       requestId: "account",
       baseRevision: 0,
       tokens: ["token-of-the-bench"],
     });
-    const created = await this.#put(TEMPLATE_PATH, {
+    const created = await this.#put(controlDeployments.TEMPLATE_PATH, {
       requestId: "template",
       baseRevision: 0,
-      parameters: { trainer: "t", model: MODEL },
+      parameters: { trainer: "t", model: controlDeployments.MODEL },
     });
     this.#revision = created.revision;
   }
@@ -97,7 +93,7 @@
     for (let count = 0; count < CHANGES; count += 1) {
       const dueMs = Date.now() + CHANGE_EVERY_MS;
       await this.#change(`change-${count}`);
-      await sleep(Math.max(0, dueMs - Date.now()));
+      await sleeps.sleep(Math.max(0, dueMs - Date.now()));
     }
   }
 
@@ -105,7 +101,7 @@
     requestId: string,
     waitMs = IN_FORCE_WAIT_MS,
   ): Promise<Accepted> {
-    const accepted = await this.#put(TEMPLATE_PATH, {
+    const accepted = await this.#put(controlDeployments.TEMPLATE_PATH, {
       requestId,
       baseRevision: this.#revision,
       parameters: { maxConcurrent: 1 + this.#accepted.length },
@@ -127,12 +123,12 @@
     await this.#change(`after-${signal}`, 0);
     const tookMs = Date.now() - startMs;
     await this.#publish();
-    await sleep(4_000);
+    await sleeps.sleep(4_000);
     if (signal === "SIGSTOP") {
       this.#deployment.get(status.leader).kill("SIGCONT");
     } else this.#deployment.startBox(status.leader);
     this.#down = undefined;
-    await sleep(4_000);
+    await sleeps.sleep(4_000);
     return tookMs;
   }
 
@@ -144,7 +140,10 @@
         `http://${cascades.WEIGHT_STORE_ADDRESS}:${cascades.PLATFORM_PORT}`,
       method: "POST",
       path: "/v1/models",
-      json: { model: MODEL, weightVersion: this.#weightVersion },
+      json: {
+        model: controlDeployments.MODEL,
+        weightVersion: this.#weightVersion,
+      },
       timeoutMs: CALL_TIMEOUT_MS,
     });
   }
@@ -173,7 +172,7 @@
       if (answer !== undefined) {
         return { ...answer as Accepted, tookMs: Date.now() - startMs };
       }
-      await sleep(20);
+      await sleeps.sleep(20);
     }
   }
 
@@ -181,17 +180,12 @@
     this.#turn += 1;
     const up = this.#boxes.filter((candidate) => candidate.box !== this.#down);
     const box = up[this.#turn % up.length] as cascades.DeployedBox;
-    const answer = await httpClient.sendJson({
-      baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+    return await askAdmins.askAdmin(box.address, {
       method,
       path,
-      headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
       timeoutMs: method === "GET" ? 3_000 : CALL_TIMEOUT_MS,
       ...(json === undefined ? {} : { json }),
     });
-    return answer.kind === "ok" && answer.value.status === 200
-      ? answer.value.json
-      : undefined;
   }
 
   async #measureUsage(action: () => Promise<void>): Promise<Usage> {
@@ -264,16 +258,12 @@
 
   async #countReverted(): Promise<number> {
     const seen = await Promise.all(this.#boxes.map(async (box) => {
-      const answer = await httpClient.sendJson({
-        baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+      const answer = await askAdmins.askAdmin(box.address, {
         method: "GET",
-        path: TEMPLATE_PATH,
-        headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+        path: controlDeployments.TEMPLATE_PATH,
         timeoutMs: 2_000,
-      });
-      return answer.kind === "ok"
-        ? (answer.value.json as { readonly revision?: number }).revision ?? 0
-        : 0;
+      }) as { readonly revision?: number } | undefined;
+      return answer?.revision ?? 0;
     }));
     return seen.filter((revision) => revision !== this.#revision).length;
   }
@@ -302,10 +292,6 @@
   return Math.round(value * 10_000) / 10_000;
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /**
  * Measures changes, failover and the cost of control.
  *
--- a/tools/bench/bench_path.ts
+++ b/tools/bench/bench_path.ts
@@ -9,6 +9,7 @@
 import * as linkRelays from "../deployment/link_relay.ts";
 import * as httpLoads from "./http_load.ts";
 import * as processUsages from "./process_usage.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 const FOLDER = "out/bench/path";
 const BOX_ADDRESS = "127.0.6.1";
@@ -146,7 +147,7 @@
       timeoutMs: 15_000,
     });
     if (answer.kind === "ok" && answer.value.status === 200) break;
-    await sleep(200);
+    await sleeps.sleep(200);
   }
   for (;;) {
     const tried = await httpLoads.runClosedLoop(TARGETS.hoistscale, 1, 0.1);
@@ -154,7 +155,7 @@
     if (Date.now() > endMs) {
       throw new Error("Cannot start the bench: the box does not serve");
     }
-    await sleep(100);
+    await sleeps.sleep(100);
   }
 }
 
@@ -241,10 +242,10 @@
   });
   try {
     await createAccount();
-    await sleep(2_000);
+    await sleeps.sleep(2_000);
     const before = processUsages.readUsage(daemon.getPid());
     const bytesBefore = relay.getBytes();
-    await sleep(IDLE_SECONDS * 1_000);
+    await sleeps.sleep(IDLE_SECONDS * 1_000);
     const idle = processUsages.readUsage(daemon.getPid());
     const idleBytes = relay.getBytes() - bytesBefore;
     const figures = await measureTargets();
@@ -290,7 +291,3 @@
     ...usage,
   }));
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/tools/bench/bench_rolling.ts
+++ b/tools/bench/bench_rolling.ts
@@ -4,6 +4,7 @@
 import * as judges from "../demo/judge.ts";
 import type * as callerRuns from "../stand_ins/run_callers.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 const FOLDER = "out/bench/rolling";
 const BOXES = 9;
@@ -116,7 +117,7 @@
           `Cannot go on: ${told.join(",")} of ${count} boxes are told`,
         );
       }
-      await sleep(100);
+      await sleeps.sleep(100);
     }
   }
 
@@ -196,10 +197,6 @@
   return (call.tries.at(-1)?.endedMs ?? 0) - (call.tries[0]?.sentMs ?? 0);
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /** Restarts every box in turn while callers ask. */
 export async function benchRolling(): Promise<void> {
   await new RollingRun().run();
--- a/tools/bench/bench_slopes.ts
+++ b/tools/bench/bench_slopes.ts
@@ -1,20 +1,22 @@
-import * as httpClient from "../../src/http_client/mod.ts";
 import * as cascades from "../deployment/cascade.ts";
-import * as deployments from "../deployment/deployment.ts";
+import * as askAdmins from "../deployment/ask_admin.ts";
+import type * as deployments from "../deployment/deployment.ts";
+import * as controlDeployments from "./control_deployment.ts";
 import * as linkRelays from "../deployment/link_relay.ts";
 import * as judges from "../demo/judge.ts";
 import * as processUsages from "./process_usage.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 const FOLDER = "out/bench/slopes";
 const SIZES = [6, 12, 24, 48];
 const REPLICAS = 5;
 const START_TIMEOUT_MS = 60_000;
-const SETTLE_MS = 5_000;
+/** Time after the start in which the engine still compiles, in ms. */
+const SETTLE_MS = 40_000;
 const IDLE_SECONDS = 10;
 const CHANGES = 40;
 const CALL_TIMEOUT_MS = 10_000;
 const BYTES_PER_KB = 1_024;
-const TEMPLATE_PATH = "/v1/accounts/cascade/templates/notes";
 
 /** What one size of deployment costs. */
 interface SizeFigures {
@@ -42,20 +44,9 @@
   constructor(size: number) {
     this.#boxes = cascades.listBoxes(size, REPLICAS);
     const relayed = this.#boxes.at(-1)?.box;
-    this.#deployment = new deployments.Deployment({
+    this.#deployment = controlDeployments.createControlDeployment({
       folder: FOLDER,
       boxes: this.#boxes,
-      servers: cascades.listServers(1, 1),
-      models: { "sommelier-lm": 1 },
-      engine: {
-        slots: 4,
-        stepMs: 20,
-        lengths: { median: 10, sigma: 0.1 },
-        swapMs: 50,
-        failedSwaps: 0,
-      },
-      plain: { callMs: 1, slots: 8 },
-      downloadsPerSecond: 4,
       ...(relayed === undefined ? {} : { relayedBox: relayed }),
     });
     this.#relays = this.#boxes.filter((box) => box.hasState).map((box) =>
@@ -90,7 +81,7 @@
       if (Date.now() > endMs) {
         throw new Error("Cannot start the bench: not every box has a lease");
       }
-      await sleep(300);
+      await sleeps.sleep(300);
     }
     await this.#ask("PUT", "/v1/accounts/cascade", {
       requestId: "account",
@@ -98,7 +89,7 @@
       tokens: ["token-of-the-bench"],
     });
     await this.#change(0);
-    await sleep(SETTLE_MS);
+    await sleeps.sleep(SETTLE_MS);
   }
 
   async #measure(): Promise<SizeFigures> {
@@ -106,7 +97,9 @@
       readonly leader: string;
     };
     const idleBytes = this.#getBytes();
-    const idle = await this.#measureCpu(() => sleep(IDLE_SECONDS * 1_000));
+    const idle = await this.#measureCpu(() =>
+      sleeps.sleep(IDLE_SECONDS * 1_000)
+    );
     const idlePerS = (this.#getBytes() - idleBytes) / IDLE_SECONDS;
     const tookMs: number[] = [];
     const startMs = Date.now();
@@ -139,12 +132,12 @@
 
   async #change(count: number): Promise<number> {
     const startMs = Date.now();
-    const answer = await this.#ask("PUT", TEMPLATE_PATH, {
+    const answer = await this.#ask("PUT", controlDeployments.TEMPLATE_PATH, {
       requestId: `change-${count}`,
       baseRevision: this.#revision,
       parameters: {
         trainer: "t",
-        model: "sommelier-lm",
+        model: controlDeployments.MODEL,
         maxConcurrent: count + 1,
       },
     });
@@ -192,17 +185,12 @@
 
   async #ask(method: string, path: string, json?: unknown): Promise<unknown> {
     const box = this.#boxes.at(-2) as cascades.DeployedBox;
-    const answer = await httpClient.sendJson({
-      baseUrl: `http://${box.address}:${cascades.ADMIN_PORT}`,
+    return await askAdmins.askAdmin(box.address, {
       method,
       path,
-      headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
       timeoutMs: CALL_TIMEOUT_MS,
       ...(json === undefined ? {} : { json }),
     });
-    return answer.kind === "ok" && answer.value.status === 200
-      ? answer.value.json
-      : undefined;
   }
 }
 
@@ -230,10 +218,6 @@
   return Math.round(value * 100_000) / 100_000;
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /** Measures how cost grows with the number of daemons. */
 export async function benchSlopes(): Promise<void> {
   const figures: SizeFigures[] = [];
--- a/tools/demo/config_watch.ts
+++ b/tools/demo/config_watch.ts
@@ -1,4 +1,5 @@
 import * as httpClient from "../../src/http_client/mod.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 /** Where the administration API of a box is. */
 export interface WatchedBox {
@@ -59,7 +60,7 @@
         .filter((box) => this.#options.isUp(box.box))
         .every((box) => (this.#seen.get(box.box)?.revision ?? 0) >= revision);
       if (isEverywhere) return true;
-      await sleep(POLL_MS);
+      await sleeps.sleep(POLL_MS);
     }
     return false;
   }
@@ -71,7 +72,7 @@
   async #watch(box: WatchedBox): Promise<void> {
     while (!this.#isStopped) {
       await this.#read(box);
-      await sleep(POLL_MS);
+      await sleeps.sleep(POLL_MS);
     }
   }
 
@@ -104,7 +105,3 @@
   return now.revision === before.revision &&
     JSON.stringify(now.parameters) !== JSON.stringify(before.parameters);
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/tools/demo/fault_plan.ts
+++ b/tools/demo/fault_plan.ts
@@ -2,6 +2,7 @@
 import type * as deployments from "../deployment/deployment.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
 import type * as demoOperators from "./demo_operator.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 const ROLE_TIMEOUT_MS = 3_000;
 
@@ -95,7 +96,7 @@
       if (
         (await answer.json() as { readonly role: string }).role === "rollout"
       ) return;
-      await sleep(100);
+      await sleeps.sleep(100);
     }
     this.#options.addFault(`engine ${server.id} did not take its role`);
   }
@@ -158,10 +159,6 @@
   }
 
   async #sleepUntil(atMs: number): Promise<void> {
-    await sleep(Math.max(0, atMs - Date.now()));
+    await sleeps.sleep(Math.max(0, atMs - Date.now()));
   }
 }
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/tools/demo/run_demo.ts
+++ b/tools/demo/run_demo.ts
@@ -16,6 +16,7 @@
 import * as demoSettings from "./demo_settings.ts";
 import * as faultPlans from "./fault_plan.ts";
 import * as judges from "./judge.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 
 /** One run of the demo. */
 class Demo {
@@ -93,7 +94,7 @@
           "Cannot start the deployment: not every box has a lease",
         );
       }
-      await sleep(200);
+      await sleeps.sleep(200);
     }
     for (const item of demoSettings.ACCOUNTS) await this.#createAccount(item);
     this.#watch.start();
@@ -267,7 +268,7 @@
         );
       }
       this.#inForceMs = [...this.#inForceMs, Date.now() - sentMs];
-      await sleep(demoSettings.CHANGE_EVERY_MS);
+      await sleeps.sleep(demoSettings.CHANGE_EVERY_MS);
     }
   }
 
@@ -308,8 +309,4 @@
   }
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 process.exitCode = await new Demo().run() ? 0 : 1;
--- /dev/null
+++ b/tools/deployment/ask_admin.ts
@@ -0,0 +1,33 @@
+import * as httpClient from "../../src/http_client/mod.ts";
+import * as cascades from "./cascade.ts";
+import * as deployments from "./deployment.ts";
+
+/** A question to the administration API of a box. */
+export interface AdminQuestion {
+  readonly method: string;
+  readonly path: string;
+  readonly timeoutMs: number;
+  readonly json?: unknown;
+}
+
+/**
+ * Asks a box as root operator.
+ *
+ * @param address IP number of the box.
+ * @param question What is asked.
+ * @returns The answer's JSON, or undefined unless it was 200.
+ */
+export async function askAdmin(
+  address: string,
+  question: AdminQuestion,
+): Promise<unknown> {
+  const answer = await httpClient.sendJson({
+    ...question,
+    baseUrl: `http://${address}:${cascades.ADMIN_PORT}`,
+    headers: { authorization: `Bearer ${deployments.ROOT_TOKEN}` },
+  });
+  if (answer.kind === "failure" || answer.value.status !== 200) {
+    return undefined;
+  }
+  return answer.value.json;
+}
--- a/tools/stand_ins/run_callers.ts
+++ b/tools/stand_ins/run_callers.ts
@@ -5,6 +5,7 @@
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as addressBooks from "./address_book.ts";
 import * as ledgers from "./ledger.ts";
+import * as sleeps from "./sleep.ts";
 
 /** What the callers' process is told. */
 export interface CallerSettings {
@@ -82,7 +83,7 @@
     const total = Math.floor(requestsPerSecond * runMs / 1_000);
     for (let index = 0; index < total && !this.#isStopped; index += 1) {
       const dueMs = startMs + index * 1_000 / requestsPerSecond;
-      await sleep(Math.max(0, dueMs - Date.now()));
+      await sleeps.sleep(Math.max(0, dueMs - Date.now()));
       running.push(this.#runCall(this.#draw()));
     }
     await Promise.all(running);
@@ -118,7 +119,7 @@
       if (last.outcome === "answered" || last.outcome === "refused") break;
       if (last.outcome === "unknown" && call.operation === "sync") break;
       if (last.outcome !== "notRun") this.#book.avoid(known.box);
-      await sleep(last.retryAfterMs);
+      await sleeps.sleep(last.retryAfterMs);
     }
     const { answeredId, isWhole, tokens, outcome } = last;
     const isAnswered = outcome === "answered";
@@ -272,10 +273,6 @@
   };
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 const callers = new CallerProcess(
   JSON.parse(process.argv[2] ?? "{}") as CallerSettings,
 );
--- a/tools/stand_ins/run_platform.ts
+++ b/tools/stand_ins/run_platform.ts
@@ -1,4 +1,5 @@
 import * as jsonServers from "./json_server.ts";
+import * as sleeps from "./sleep.ts";
 
 /** What a platform service is told; each is a process of its own. */
 export type PlatformSettings =
@@ -32,10 +33,6 @@
   readonly state: "live" | "leaving";
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /** Tells servers late; `POST /boxes/ID` with a state changes one. */
 async function runBoxList(
   settings: Extract<PlatformSettings, { kind: "boxList" }>,
@@ -98,7 +95,7 @@
       }
       if (allowance <= 0) return jsonServers.answerJson(response, 429, {});
       allowance -= 1;
-      await sleep(settings.downloadMs);
+      await sleeps.sleep(settings.downloadMs);
       jsonServers.answerJson(response, 200, {});
     },
   );
@@ -112,7 +109,7 @@
     settings.address,
     settings.port,
     async ({ json, response }) => {
-      await sleep(settings.scoreMs);
+      await sleeps.sleep(settings.scoreMs);
       const { length } = (json["tokens"] ?? []) as readonly number[];
       jsonServers.answerJson(response, 200, { score: 1 / (1 + length) });
     },
--- a/tools/stand_ins/run_trainer.ts
+++ b/tools/stand_ins/run_trainer.ts
@@ -1,6 +1,7 @@
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as addressBooks from "./address_book.ts";
 import * as ledgers from "./ledger.ts";
+import * as sleeps from "./sleep.ts";
 
 /** What a trainer is told. */
 export interface TrainerSettings {
@@ -65,7 +66,7 @@
       const idleMs = Date.now() - startMs;
       const isLast = step === this.#settings.steps;
       if (!isLast) await this.#open(step + 1);
-      await sleep(this.#settings.trainMs);
+      await sleeps.sleep(this.#settings.trainMs);
       await this.#publish();
       this.#ledger.add({
         kind: "step",
@@ -170,14 +171,10 @@
         return answer.value.json;
       }
       this.#book.avoid(known.box);
-      await sleep(PAUSE_MS);
+      await sleeps.sleep(PAUSE_MS);
     }
   }
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 await new TrainerProcess(JSON.parse(process.argv[2] ?? "{}") as TrainerSettings)
   .run();
