--- a/src/caller/caller_listener.ts
+++ b/src/caller/caller_listener.ts
@@ -2,19 +2,19 @@
 import type * as accounts from "../client_account/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import * as results from "../results/mod.ts";
-import * as admitCalls from "./admit_call.ts";
+import * as admitCall from "./admit_call.ts";
 import * as answerAddresses from "./answer_addresses.ts";
 import type * as callerContexts from "./caller_context.ts";
-import * as findRoutes from "./find_route.ts";
-import * as serveCompletions from "./serve_completion.ts";
-import * as serveOnces from "./serve_once.ts";
-import * as serveRepeatables from "./serve_repeatable.ts";
+import * as findRoute from "./find_route.ts";
+import * as serveCompletion from "./serve_completion.ts";
+import * as serveOnce from "./serve_once.ts";
+import * as serveRepeatable from "./serve_repeatable.ts";
 
 /** Answers the requests of trainers, which come to the same port. */
 export interface TrainerHandler {
   handle(
     call: callerContexts.AdmittedCall,
-    route: Extract<findRoutes.Route, { readonly kind: "trainer" }>,
+    route: Extract<findRoute.Route, { readonly kind: "trainer" }>,
   ): Promise<void>;
 }
 
@@ -64,18 +64,18 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const { settings, client, metrics } = this.#context;
-    const route = findRoutes.findRoute(
+    const route = findRoute.findRoute(
       request.method ?? "",
       request.url ?? "",
       settings.services,
     );
     if (route.kind === "addresses") return this.#serveAddresses(response);
     metrics.count("caller.requests");
-    const account = admitCalls.findAccount(request, client.getView());
+    const account = admitCall.findAccount(request, client.getView());
     if (account.kind === "failure") {
       return this.#refuse(response, this.#preferLease(account.failure));
     }
-    const admitted = admitCalls.admitCall(
+    const admitted = admitCall.admitCall(
       account.value,
       this.#getLoad(account.value),
     );
@@ -90,7 +90,7 @@
   async #serveAdmitted(
     exchange: Pick<callerContexts.AdmittedCall, "request" | "response">,
     account: accounts.ClientAccount,
-    route: findRoutes.Route,
+    route: findRoute.Route,
   ): Promise<void> {
     const { clock, settings: { limits }, metrics } = this.#context;
     const startMs = clock.getMonotonicMs();
@@ -106,19 +106,19 @@
 
   async #dispatch(
     call: callerContexts.AdmittedCall,
-    route: findRoutes.Route,
+    route: findRoute.Route,
   ): Promise<void> {
     switch (route.kind) {
       case "completion":
-        return await serveCompletions.serveCompletion(
+        return await serveCompletion.serveCompletion(
           this.#context,
           call,
           route.format,
         );
       case "service":
         return route.operation.repeatable
-          ? await serveRepeatables.serveRepeatable(this.#context, call, route)
-          : await serveOnces.serveOnce(this.#context, call, route);
+          ? await serveRepeatable.serveRepeatable(this.#context, call, route)
+          : await serveOnce.serveOnce(this.#context, call, route);
       case "trainer":
         return await this.#trainers.handle(call, route);
       case "addresses":
@@ -164,7 +164,7 @@
     ).failure;
   }
 
-  #getLoad(account: accounts.ClientAccount): admitCalls.AdmissionLoad {
+  #getLoad(account: accounts.ClientAccount): admitCall.AdmissionLoad {
     return {
       hasLease: this.#context.client.hasLease(),
       inFlight: this.#listener.getInFlight(),
--- a/src/caller/serve_once.ts
+++ b/src/caller/serve_once.ts
@@ -8,7 +8,7 @@
 import * as results from "../results/mod.ts";
 import * as forwards from "./_forward.ts";
 import type * as callerContexts from "./caller_context.ts";
-import type * as findRoutes from "./find_route.ts";
+import type * as findRoute from "./find_route.ts";
 
 const CLAIM_TIMEOUT_MS = 5_000;
 const HELD_WAIT_MS = 2_000;
@@ -16,7 +16,7 @@
 const MAX_KEY_LENGTH = 200;
 const RETRY_AFTER_MS = 500;
 
-type ServiceRoute = Extract<findRoutes.Route, { readonly kind: "service" }>;
+type ServiceRoute = Extract<findRoute.Route, { readonly kind: "service" }>;
 
 /**
  * Serves a call that must not be repeated. Its key is claimed durably before
--- a/src/caller/serve_repeatable.ts
+++ b/src/caller/serve_repeatable.ts
@@ -4,7 +4,7 @@
 import * as results from "../results/mod.ts";
 import * as forwards from "./_forward.ts";
 import type * as callerContexts from "./caller_context.ts";
-import type * as findRoutes from "./find_route.ts";
+import type * as findRoute from "./find_route.ts";
 
 const MAX_TRIES = 4;
 const RETRY_AFTER_MS = 500;
@@ -20,7 +20,7 @@
 export async function serveRepeatable(
   context: callerContexts.CallerContext,
   call: callerContexts.AdmittedCall,
-  route: Extract<findRoutes.Route, { readonly kind: "service" }>,
+  route: Extract<findRoute.Route, { readonly kind: "service" }>,
 ): Promise<void> {
   const cancellation = forwards.watchCaller(call.response);
   let excluded: ReadonlySet<string> = new Set();
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -6,7 +6,7 @@
 import * as settings from "../settings/mod.ts";
 import * as reports from "./_report.ts";
 import * as adminCommands from "./admin_commands.ts";
-import * as runServes from "./run_serve.ts";
+import * as runServe from "./run_serve.ts";
 
 /** Version of the program. */
 export const VERSION = "0.1.0";
@@ -143,7 +143,7 @@
       "serve",
       "Run the daemon of a box",
       { settings: settingsOption },
-      (args) => run(runServes.runServe(args.settings)),
+      (args) => run(runServe.runServe(args.settings)),
     )
     .command(
       "check",
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -3,7 +3,7 @@
 import type * as replicaStates from "./replica_state.ts";
 import type * as simulatedNodes from "./simulated_node_test.ts";
 import * as simulations from "./simulation_test.ts";
-import * as stepReplicas from "./step_replica.ts";
+import * as stepReplica from "./step_replica.ts";
 
 const SCHEDULES = Number(process.env["HOISTSCALE_SCHEDULES"] ?? 400);
 
@@ -59,9 +59,9 @@
   });
 
   it("does not vote for one election timeout after a restart", () => {
-    const state = stepReplicas.createReplica(
+    const state = stepReplica.createReplica(
       CONFIG,
-      stepReplicas.EMPTY_REPLICA,
+      stepReplica.EMPTY_REPLICA,
       1_000,
     );
     const message = {
@@ -73,9 +73,9 @@
       lastTerm: 0,
     } as const;
     const event = { kind: "message", from: "b", message } as const;
-    chai.expect(stepReplicas.stepReplica(state, event, 1_050).state.term).to
+    chai.expect(stepReplica.stepReplica(state, event, 1_050).state.term).to
       .equal(0);
-    chai.expect(stepReplicas.stepReplica(state, event, 1_101).state.votedFor).to
+    chai.expect(stepReplica.stepReplica(state, event, 1_101).state.votedFor).to
       .equal("b");
   });
 
@@ -89,7 +89,7 @@
         entries: [{ index: 1, term: 2, command: "old" }],
       },
     };
-    const follower = stepReplicas.createReplica(CONFIG, saved, 0);
+    const follower = stepReplica.createReplica(CONFIG, saved, 0);
     const { identity } = follower;
     const progress = {
       nextIndex: 2,
@@ -115,7 +115,7 @@
       sentAtMs: 0,
       identity,
     } as const;
-    const after = stepReplicas.stepReplica(leader, {
+    const after = stepReplica.stepReplica(leader, {
       kind: "message",
       from: "b",
       message,
@@ -134,15 +134,15 @@
   });
 
   it("ignores a handover of an earlier term, when another may lead", () => {
-    const saved = { ...stepReplicas.EMPTY_REPLICA, term: 4 };
-    const state = stepReplicas.createReplica(CONFIG, saved, 0);
+    const saved = { ...stepReplica.EMPTY_REPLICA, term: 4 };
+    const state = stepReplica.createReplica(CONFIG, saved, 0);
     const message = { kind: "transferRequest", term: 3 } as const;
     const late = { kind: "message", from: "b", message } as const;
     const current = { ...late, message: { ...message, term: 4 } };
-    chai.expect(stepReplicas.stepReplica(state, late, 1).effects).to.deep.equal(
+    chai.expect(stepReplica.stepReplica(state, late, 1).effects).to.deep.equal(
       [],
     );
-    chai.expect(stepReplicas.stepReplica(state, current, 1).state.role.kind).to
+    chai.expect(stepReplica.stepReplica(state, current, 1).state.role.kind).to
       .equal("candidate");
   });
 
--- a/src/consensus/make_data_folder.ts
+++ b/src/consensus/make_data_folder.ts
@@ -1,6 +1,6 @@
 import * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
-import type * as saveds from "./_saved.ts";
+import type * as savedRecords from "./_saved_record.ts";
 
 /** What a data folder is made for. */
 export interface DataFolderOptions {
@@ -28,7 +28,7 @@
   const isUsed = loaded.records.length > 0 || loaded.snapshot !== undefined;
   if (!isUsed) {
     const identity = { incarnation: wallMs, isAdmitted: true };
-    const record: saveds.SavedRecord = { kind: "identity", identity };
+    const record: savedRecords.SavedRecord = { kind: "identity", identity };
     await log.append([record]);
   }
   await log.close();
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -1,7 +1,8 @@
 import * as csp from "../csp/mod.ts";
 import * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
-import * as saveds from "./_saved.ts";
+import * as driverEvents from "./_driver_event.ts";
+import * as savedRecords from "./_saved_record.ts";
 import * as proposals from "./_proposals.ts";
 import * as tickTimers from "./_tick_timer.ts";
 import * as authorities from "./authority.ts";
@@ -13,23 +14,12 @@
 import * as stepReplica from "./step_replica.ts";
 
 const INBOX_CAPACITY = 8_192;
-const MAX_EVENTS_A_ROUND = 512;
-
-type Settle = (result: results.Result<unknown>) => void;
-
-type DriverEvent =
-  | { readonly kind: "replica"; readonly event: replicaStates.ReplicaEvent }
-  | {
-    readonly kind: "proposal";
-    readonly command: unknown;
-    readonly settle: Settle;
-  };
 
 /** Runs one replica: its disk, its messages and its timer. */
 export class ReplicaDriver {
   readonly #options: replicaOptions.ReplicaDriverOptions;
   readonly #log: storage.DurableLog;
-  readonly #inbox = new csp.Channel<DriverEvent>(INBOX_CAPACITY);
+  readonly #inbox = new csp.Channel<driverEvents.DriverEvent>(INBOX_CAPACITY);
   readonly #proposals = new proposals.ProposalTable();
   readonly #timer: tickTimers.TickTimer;
   #state: replicaStates.ReplicaState;
@@ -66,11 +56,12 @@
     const { config, clock, dataFolder, machine } = options;
     const opened = await storage.DurableLog.open(dataFolder, config.id);
     const snapshot = opened.loaded.snapshot as messages.Snapshot | undefined;
-    const records = opened.loaded.records as readonly saveds.SavedRecord[];
-    const made = saveds.createFirst(records, clock.getWallMs());
+    const records = opened.loaded
+      .records as readonly savedRecords.SavedRecord[];
+    const made = savedRecords.createFirst(records, clock.getWallMs());
     await opened.log.append(made);
     if (snapshot !== undefined) machine.restore(snapshot.state);
-    const saved = saveds.rebuildReplica(snapshot, [...records, ...made]);
+    const saved = savedRecords.rebuildReplica(snapshot, [...records, ...made]);
     const nowMs = clock.getMonotonicMs();
     const state = stepReplica.createReplica(config, saved, nowMs);
     const driver = new ReplicaDriver(options, opened.log, state);
@@ -183,7 +174,9 @@
     for (;;) {
       const first = yield* this.#inbox.take();
       if (first === csp.CLOSED) return;
-      const effects = this.#stepRound(this.#collectRound(first));
+      const effects = this.#stepRound(
+        driverEvents.collectRound(this.#inbox, first),
+      );
       yield* this.#saveEffects(effects);
       if (this.#isStopped) return;
       for (const effect of effects) this.#runEffect(effect);
@@ -192,17 +185,9 @@
     }
   }
 
-  #collectRound(first: DriverEvent): readonly DriverEvent[] {
-    const round: DriverEvent[] = [first];
-    while (round.length < MAX_EVENTS_A_ROUND) {
-      const next = this.#inbox.poll();
-      if (next === undefined) break;
-      round.push(next);
-    }
-    return round;
-  }
-
-  #stepRound(round: readonly DriverEvent[]): readonly replicaStates.Effect[] {
+  #stepRound(
+    round: readonly driverEvents.DriverEvent[],
+  ): readonly replicaStates.Effect[] {
     const proposals = round.filter((event) => event.kind === "proposal");
     const effects = round.flatMap((event) =>
       event.kind === "replica" ? this.#step(event.event) : []
@@ -211,7 +196,10 @@
   }
 
   #stepProposals(
-    proposals: readonly Extract<DriverEvent, { readonly kind: "proposal" }>[],
+    proposals: readonly Extract<
+      driverEvents.DriverEvent,
+      { readonly kind: "proposal" }
+    >[],
   ): readonly replicaStates.Effect[] {
     if (proposals.length === 0) return [];
     if (this.#state.role.kind !== "leader") {
@@ -256,14 +244,14 @@
         effects[restore] as Extract<replicaStates.Effect, { kind: "restore" }>,
       );
     }
-    const records = effects.slice(restore + 1).flatMap(saveds.toRecords);
+    const records = effects.slice(restore + 1).flatMap(savedRecords.toRecords);
     if (records.length > 0) yield* csp.waitFor(this.#log.append(records));
   }
 
   *#saveRestored(
     effect: Extract<replicaStates.Effect, { kind: "restore" }>,
   ): csp.Step<void> {
-    const head = saveds.createHead(this.#state);
+    const head = savedRecords.createHead(this.#state);
     yield* csp.waitFor(this.#log.compact(effect.snapshot, head));
     this.#snapshotIndex = effect.snapshot.index;
   }
@@ -325,9 +313,12 @@
       this.#appliedIndex + 1,
       log.entries.length,
     );
-    const records: readonly saveds.SavedRecord[] = [
-      ...saveds.createHead(this.#state),
-      ...rest.map((entry): saveds.SavedRecord => ({ kind: "entry", entry })),
+    const records: readonly savedRecords.SavedRecord[] = [
+      ...savedRecords.createHead(this.#state),
+      ...rest.map((entry): savedRecords.SavedRecord => ({
+        kind: "entry",
+        entry,
+      })),
     ];
     yield* csp.waitFor(this.#log.compact(this.#createSnapshot(), records));
     this.#snapshotIndex = this.#appliedIndex;
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -3,7 +3,7 @@
 import * as path from "node:path";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
-import * as makeDataFolders from "./make_data_folder.ts";
+import * as makeDataFolder from "./make_data_folder.ts";
 import * as replicaDrivers from "./replica_driver.ts";
 
 /** Counts commands; its state is the list of them. */
@@ -90,7 +90,7 @@
   });
 
   it("keeps every accepted command over stops under load, with snapshots in between", async () => {
-    await makeDataFolders.makeDataFolder({ folder, owner: "a", wallMs: 1 });
+    await makeDataFolder.makeDataFolder({ folder, owner: "a", wallMs: 1 });
     const accepted: string[] = [];
     for (let round = 0; round < 8; round += 1) {
       const machine = new ListMachine();
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -1,5 +1,5 @@
 import type * as fakeNetworks from "./fake_network_test.ts";
-import type * as saveds from "./_saved.ts";
+import type * as savedRecords from "./_saved_record.ts";
 import type * as messages from "./message.ts";
 import type * as replicaStates from "./replica_state.ts";
 
@@ -27,7 +27,7 @@
 /** What a replica's disk holds. */
 export interface Disk {
   readonly snapshot: messages.Snapshot | undefined;
-  readonly records: readonly saveds.SavedRecord[];
+  readonly records: readonly savedRecords.SavedRecord[];
 }
 
 /** A replica with its disk and what it applied. */
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -1,13 +1,13 @@
 import * as uniform from "pure-rand/distribution/uniformInt";
 import * as generator from "pure-rand/generator/xoroshiro128plus";
 import * as fakeNetworks from "./fake_network_test.ts";
-import * as saveds from "./_saved.ts";
+import * as savedRecords from "./_saved_record.ts";
 import * as authorities from "./authority.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import type * as replicaStates from "./replica_state.ts";
 import type * as simulatedNodes from "./simulated_node_test.ts";
-import * as stepReplicas from "./step_replica.ts";
+import * as stepReplica from "./step_replica.ts";
 
 const ROUND_MS = 10;
 /** Leaders are disturbed more often than others, by this factor. */
@@ -16,7 +16,7 @@
 const TIMEOUT_MS = 150;
 const PER_MILLE = 1_000;
 
-const FIRST_RECORD: saveds.SavedRecord = {
+const FIRST_RECORD: savedRecords.SavedRecord = {
   kind: "identity",
   identity: { incarnation: 0, isAdmitted: true },
 };
@@ -148,8 +148,8 @@
 
   #restart(node: simulatedNodes.SimulatedNode): void {
     const { snapshot, records } = node.disk;
-    const saved = saveds.rebuildReplica(snapshot, records);
-    node.state = stepReplicas.createReplica(
+    const saved = savedRecords.rebuildReplica(snapshot, records);
+    node.state = stepReplica.createReplica(
       node.config,
       saved,
       this.#nowMs * node.rate,
@@ -183,7 +183,7 @@
     event: replicaStates.ReplicaEvent,
   ): void {
     if (node.state === undefined) return;
-    const transition = stepReplicas.stepReplica(
+    const transition = stepReplica.stepReplica(
       node.state,
       event,
       this.#nowMs * node.rate,
@@ -203,10 +203,10 @@
     if (restore !== undefined && node.state !== undefined) {
       node.disk = {
         snapshot: restore.snapshot,
-        records: saveds.createHead(node.state),
+        records: savedRecords.createHead(node.state),
       };
     }
-    const records = effects.flatMap(saveds.toRecords);
+    const records = effects.flatMap(savedRecords.toRecords);
     if (records.length === 0 || !this.#happens(this.#options.crashChance)) {
       node.disk = { ...node.disk, records: [...node.disk.records, ...records] };
       return true;
@@ -284,13 +284,13 @@
       node.appliedIndex + 1,
       log.entries.length,
     );
-    const entries = rest.map((entry): saveds.SavedRecord => ({
+    const entries = rest.map((entry): savedRecords.SavedRecord => ({
       kind: "entry",
       entry,
     }));
     node.disk = {
       snapshot: this.#createSnapshot(node),
-      records: [...saveds.createHead(node.state), ...entries],
+      records: [...savedRecords.createHead(node.state), ...entries],
     };
     node.state = {
       ...node.state,
--- a/src/replicated_state/replicated_state_test.ts
+++ b/src/replicated_state/replicated_state_test.ts
@@ -1,6 +1,6 @@
 import * as chai from "chai";
 import type * as steps from "../rollout_step/mod.ts";
-import * as applyCommands from "./apply_command.ts";
+import * as applyCommand from "./apply_command.ts";
 import type * as commands from "./command.ts";
 import * as replicatedStates from "./replicated_state.ts";
 import * as snapshots from "./snapshot.ts";
@@ -12,7 +12,7 @@
   state = replicatedStates.EMPTY_STATE;
 
   apply(command: commands.Command): commands.CommandAnswer {
-    const applied = applyCommands.applyCommand(this.state, command);
+    const applied = applyCommand.applyCommand(this.state, command);
     this.state = applied.state;
     return applied.answer;
   }
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -1,11 +1,11 @@
 import * as chai from "chai";
-import * as chooseServers from "./choose_server.ts";
+import * as chooseServer from "./choose_server.ts";
 import * as prefixTables from "./prefix_table.ts";
 
 function createCandidate(
   id: string,
-  fields: Partial<chooseServers.Candidate> = {},
-): chooseServers.Candidate {
+  fields: Partial<chooseServer.Candidate> = {},
+): chooseServer.Candidate {
   return {
     server: {
       id,
@@ -27,8 +27,8 @@
 }
 
 function createNeed(
-  fields: Partial<chooseServers.Need> = {},
-): chooseServers.Need {
+  fields: Partial<chooseServer.Need> = {},
+): chooseServer.Need {
   return {
     service: "lm",
     use: "caller",
@@ -41,12 +41,12 @@
 }
 
 function choose(
-  candidates: readonly chooseServers.Candidate[],
-  need: chooseServers.Need,
+  candidates: readonly chooseServer.Candidate[],
+  need: chooseServer.Need,
   draws: readonly number[] = [0, 0.99],
 ): string | undefined {
   let turn = 0;
-  const server = chooseServers.chooseServer(
+  const server = chooseServer.chooseServer(
     candidates,
     need,
     () => draws[turn++ % draws.length] ?? 0,
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -6,7 +6,7 @@
 import type * as control from "../control/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as engines from "../engine/mod.ts";
-import * as chooseServers from "./choose_server.ts";
+import * as chooseServer from "./choose_server.ts";
 import * as prefixTables from "./prefix_table.ts";
 
 /** Time for which a server that failed is avoided, in ms. */
@@ -69,10 +69,10 @@
   }
 
   /** Chooses a server for a request. */
-  choose(need: chooseServers.Need): backends.BackendServer | undefined {
+  choose(need: chooseServer.Need): backends.BackendServer | undefined {
     const { servers } = this.#options.client.getView().membership;
     const candidates = servers.map((server) => this.#describe(server));
-    return chooseServers.chooseServer(
+    return chooseServer.chooseServer(
       candidates,
       need,
       () => uniform.uniformFloat64(this.#random),
@@ -96,7 +96,7 @@
 
   /** Chooses a server for a prompt, and notes that it will hold the prefix. */
   choosePrompt(
-    need: Omit<chooseServers.Need, "preferred">,
+    need: Omit<chooseServer.Need, "preferred">,
     prompt: string,
   ): backends.BackendServer | undefined {
     const prefix = engines.hashPrefix(prompt);
@@ -129,7 +129,7 @@
     return this.#records.get(id) ?? UNKNOWN_SERVER;
   }
 
-  #describe(server: backends.BackendServer): chooseServers.Candidate {
+  #describe(server: backends.BackendServer): chooseServer.Candidate {
     const record = this.#get(server.id);
     const { report } = record;
     const reported = report === undefined ? 0 : report.active + report.queued;
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -1,7 +1,7 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
 import * as results from "../results/mod.ts";
-import * as privates from "./_private.ts";
+import * as internals from "./_private.ts";
 
 /** Where a box listens for its peers. */
 export interface PeerAddress {
@@ -67,7 +67,7 @@
       socket.destroy();
       throw new Error("the connection is full");
     }
-    privates.writeMessage(socket, message);
+    internals.writeMessage(socket, message);
   }
 
   #openSocket(): net.Socket {
@@ -82,7 +82,7 @@
     socket.on("connect", () => socket.setTimeout(0));
     socket.on("error", () => socket.destroy());
     socket.on("close", () => this.#dropSocket(socket));
-    privates.readMessages(
+    internals.readMessages(
       socket,
       (message) => this.#client.receive(message as jsonRpc.JSONRPCResponse),
     );
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -1,6 +1,6 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
-import * as privates from "./_private.ts";
+import * as internals from "./_private.ts";
 
 /** Answers a method; a returned promise is waited for. */
 export type RpcHandler = (params: never) => unknown;
@@ -45,7 +45,7 @@
         [...this.#sockets].filter((other) => other !== socket),
       );
     });
-    privates.readMessages(
+    internals.readMessages(
       socket,
       (message) => void this.#answerMessage(socket, message),
     );
@@ -53,6 +53,6 @@
 
   async #answerMessage(socket: net.Socket, message: unknown): Promise<void> {
     const answer = await this.#rpc.receive(message as jsonRpc.JSONRPCRequest);
-    if (answer !== null) privates.writeMessage(socket, answer);
+    if (answer !== null) internals.writeMessage(socket, answer);
   }
 }
--- a/tools/bench/bench_control.ts
+++ b/tools/bench/bench_control.ts
@@ -1,6 +1,6 @@
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as cascades from "../deployment/cascade.ts";
-import * as askAdmins from "../deployment/ask_admin.ts";
+import * as askAdmin from "../deployment/ask_admin.ts";
 import type * as deployments from "../deployment/deployment.ts";
 import * as controlDeployments from "./control_deployment.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
@@ -180,7 +180,7 @@
     this.#turn += 1;
     const up = this.#boxes.filter((candidate) => candidate.box !== this.#down);
     const box = up[this.#turn % up.length] as cascades.DeployedBox;
-    return await askAdmins.askAdmin(box.address, {
+    return await askAdmin.askAdmin(box.address, {
       method,
       path,
       timeoutMs: method === "GET" ? 3_000 : CALL_TIMEOUT_MS,
@@ -258,7 +258,7 @@
 
   async #countReverted(): Promise<number> {
     const seen = await Promise.all(this.#boxes.map(async (box) => {
-      const answer = await askAdmins.askAdmin(box.address, {
+      const answer = await askAdmin.askAdmin(box.address, {
         method: "GET",
         path: controlDeployments.TEMPLATE_PATH,
         timeoutMs: 2_000,
--- a/tools/bench/bench_path.ts
+++ b/tools/bench/bench_path.ts
@@ -5,7 +5,7 @@
 import * as accounts from "../../src/client_account/mod.ts";
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as cascades from "../deployment/cascade.ts";
-import * as childs from "../deployment/child.ts";
+import * as children from "../deployment/child.ts";
 import * as linkRelays from "../deployment/link_relay.ts";
 import * as httpLoads from "./http_load.ts";
 import * as processUsages from "./process_usage.ts";
@@ -91,8 +91,8 @@
   name: string,
   program: string,
   args: readonly string[],
-): childs.Child {
-  return new childs.Child({
+): children.Child {
+  return new children.Child({
     name,
     command: process.execPath,
     args: ["--import=tsx", program, ...args],
@@ -100,7 +100,7 @@
   });
 }
 
-function startParts(): readonly childs.Child[] {
+function startParts(): readonly children.Child[] {
   const server = {
     id: "cellar-app-1",
     service: "cellar-app",
@@ -234,7 +234,7 @@
     "--settings",
     settings,
   ]);
-  const daemon = new childs.Child({
+  const daemon = new children.Child({
     name: "box-1",
     command: "dist/hoistscale",
     args: ["serve", "--settings", settings],
@@ -261,7 +261,7 @@
     });
   } finally {
     relay.stop();
-    await childs.stopChildren([daemon, ...parts]);
+    await children.stopChildren([daemon, ...parts]);
   }
 }
 
--- a/tools/bench/bench_slopes.ts
+++ b/tools/bench/bench_slopes.ts
@@ -1,5 +1,5 @@
 import * as cascades from "../deployment/cascade.ts";
-import * as askAdmins from "../deployment/ask_admin.ts";
+import * as askAdmin from "../deployment/ask_admin.ts";
 import type * as deployments from "../deployment/deployment.ts";
 import * as controlDeployments from "./control_deployment.ts";
 import * as linkRelays from "../deployment/link_relay.ts";
@@ -185,7 +185,7 @@
 
   async #ask(method: string, path: string, json?: unknown): Promise<unknown> {
     const box = this.#boxes.at(-2) as cascades.DeployedBox;
-    return await askAdmins.askAdmin(box.address, {
+    return await askAdmin.askAdmin(box.address, {
       method,
       path,
       timeoutMs: CALL_TIMEOUT_MS,
--- a/tools/bench/run_bench.ts
+++ b/tools/bench/run_bench.ts
@@ -6,9 +6,9 @@
  * @module
  */
 import yargs from "yargs";
-import * as benchControls from "./bench_control.ts";
-import * as benchPaths from "./bench_path.ts";
-import * as benchRollings from "./bench_rolling.ts";
+import * as benchControl from "./bench_control.ts";
+import * as benchPath from "./bench_path.ts";
+import * as benchRolling from "./bench_rolling.ts";
 import * as benchSlopes from "./bench_slopes.ts";
 
 await yargs(process.argv.slice(2))
@@ -17,19 +17,19 @@
     "path",
     "What the path adds to a request",
     {},
-    () => benchPaths.benchPath(),
+    () => benchPath.benchPath(),
   )
   .command(
     "control",
     "Changes, failover, cost of control",
     { boxes: { type: "number", default: 12 } },
-    (args) => benchControls.benchControl(args.boxes),
+    (args) => benchControl.benchControl(args.boxes),
   )
   .command(
     "rolling",
     "Restarts every box in turn under load",
     {},
-    () => benchRollings.benchRolling(),
+    () => benchRolling.benchRolling(),
   )
   .command(
     "slopes",
--- a/tools/deployment/deployment.ts
+++ b/tools/deployment/deployment.ts
@@ -7,7 +7,7 @@
 import type * as plainRuns from "../stand_ins/run_plain_server.ts";
 import type * as platformRuns from "../stand_ins/run_platform.ts";
 import * as cascades from "./cascade.ts";
-import * as childs from "./child.ts";
+import * as children from "./child.ts";
 
 /** Token of the deployment's root operator; it exists on loopback only. */
 export const ROOT_TOKEN = "root-token-of-the-demo";
@@ -36,8 +36,8 @@
 /** A whole deployment as processes on loopback addresses. */
 export class Deployment {
   readonly options: DeploymentOptions;
-  #children: ReadonlyMap<string, childs.Child> = new Map();
-  #all: readonly childs.Child[] = [];
+  #children: ReadonlyMap<string, children.Child> = new Map();
+  #all: readonly children.Child[] = [];
 
   constructor(options: DeploymentOptions) {
     this.options = options;
@@ -85,7 +85,7 @@
 
   startBox(id: string): void {
     this.#add(
-      new childs.Child({
+      new children.Child({
         name: id,
         command: BINARY,
         args: ["serve", "--settings", this.#getSettingsFile(id)],
@@ -123,12 +123,12 @@
   }
 
   /** Starts another stand-in, such as a trainer or the callers. */
-  startClient(name: string, program: string, settings: object): childs.Child {
+  startClient(name: string, program: string, settings: object): children.Child {
     this.#startStandIn(name, program, settings);
     return this.get(name);
   }
 
-  get(name: string): childs.Child {
+  get(name: string): children.Child {
     const child = this.#children.get(name);
     if (child === undefined) {
       throw new Error(`Cannot find the process ${name}: it was not started`);
@@ -138,17 +138,17 @@
 
   /** Ends every process that this deployment started. */
   stop(): Promise<void> {
-    return childs.stopChildren(this.#all);
+    return children.stopChildren(this.#all);
   }
 
-  #add(child: childs.Child): void {
+  #add(child: children.Child): void {
     this.#all = [...this.#all, child];
     this.#children = new Map([...this.#children, [child.name, child] as const]);
   }
 
   #startStandIn(name: string, program: string, settings: object): void {
     this.#add(
-      new childs.Child({
+      new children.Child({
         name,
         command: process.execPath,
         args: [
--- a/tools/reference/reference_test.ts
+++ b/tools/reference/reference_test.ts
@@ -2,15 +2,15 @@
 import * as chai from "chai";
 import * as results from "../../src/results/mod.ts";
 import * as settings from "../../src/settings/mod.ts";
-import * as renderReferences from "./render_reference.ts";
+import * as renderReference from "./render_reference.ts";
 
 describe("reference", () => {
   it("matches the generated pages", () => {
     chai.expect(fs.readFileSync("docs/codes.md", "utf8")).to.equal(
-      renderReferences.renderCodes(),
+      renderReference.renderCodes(),
     );
     chai.expect(fs.readFileSync("docs/settings.md", "utf8")).to.equal(
-      renderReferences.renderSettings(),
+      renderReference.renderSettings(),
     );
   });
 
--- a/tools/reference/write_reference.ts
+++ b/tools/reference/write_reference.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as fs from "node:fs";
-import * as renderReferences from "./render_reference.ts";
+import * as renderReference from "./render_reference.ts";
 
-fs.writeFileSync("docs/codes.md", renderReferences.renderCodes());
-fs.writeFileSync("docs/settings.md", renderReferences.renderSettings());
+fs.writeFileSync("docs/codes.md", renderReference.renderCodes());
+fs.writeFileSync("docs/settings.md", renderReference.renderSettings());
