Show an account's operator no model and no role of others

Cause: status named every model with its versions to any operator. Change: for the operator of a client account it names only models of its own templates, and no roles. The global revision number still tells that others change something; listed as open.

--- /dev/null
+++ b/src/operator/limit_status_test.ts
@@ -0,0 +1,50 @@
+import * as chai from "chai";
+import type * as control from "../control/mod.ts";
+import * as templates from "../rollout_template/mod.ts";
+import * as limitStatus from "./limit_status.ts";
+
+function createTemplate(
+  account: string,
+  model: string,
+): templates.RolloutTemplate {
+  const parameters = templates.templateParametersSchema.parse({
+    trainer: "t",
+    model,
+  });
+  return { account, name: "notes", parameters, revision: 1 };
+}
+
+describe("status for an account's operator", () => {
+  it("names no model of another account and no role", () => {
+    const status: Extract<control.StatusReply, { kind: "status" }> = {
+      kind: "status",
+      leader: "box-1",
+      revision: 3,
+      replica: {
+        role: "leader",
+        term: 1,
+        leader: "box-1",
+        commitIndex: 1,
+        lastIndex: 1,
+        followers: [],
+      },
+      boxes: [],
+      servers: [],
+      models: [{ model: "lm", weightVersion: 1, revision: 1 }, {
+        model: "lm:other",
+        weightVersion: 2,
+        revision: 2,
+      }],
+      roles: [{ server: "lm-1", role: "rollout", revision: 3 }],
+    };
+    const all = [
+      createTemplate("cascade", "lm"),
+      createTemplate("nordeste", "lm:other"),
+    ];
+    const limited = limitStatus.limitStatus(status, "cascade", all);
+    chai.expect(limited.models.map((entry) => entry.model)).to.deep.equal([
+      "lm",
+    ]);
+    chai.expect(limited.roles).to.deep.equal([]);
+  });
+});
--- a/src/operator/operator_listener.ts
+++ b/src/operator/operator_listener.ts
@@ -90,7 +90,7 @@
       case "audit":
         return await service.readAudit(operator, route.query);
       case "status":
-        return await service.readStatus();
+        return await service.readStatus(operator);
       case "drain":
         onDrain();
         return results.createOk({ isDraining: true });
--- a/src/operator/operator_service.ts
+++ b/src/operator/operator_service.ts
@@ -7,6 +7,7 @@
 import * as results from "../results/mod.ts";
 import * as templates from "../rollout_template/mod.ts";
 import type * as accesses from "./check_access.ts";
+import * as limitStatus from "./limit_status.ts";
 
 const PROPOSE_TIMEOUT_MS = 8_000;
 const READ_TIMEOUT_MS = 3_000;
@@ -56,6 +57,8 @@
   readonly inForceMs: number | undefined;
 }
 
+type Status = Extract<control.StatusReply, { readonly kind: "status" }>;
+
 type Body = Readonly<Record<string, unknown>>;
 
 /** Carries out what operators ask. */
@@ -136,12 +139,9 @@
 
   /** Gives the role that is set for an engine; `mixed` at revision 0 if none. */
   async getRole(server: string): Promise<results.Result<object>> {
-    const read = await this.readStatus();
+    const read = await this.#readLeader(control.METHODS.readStatus, {});
     if (read.kind === "failure") return read;
-    const { roles } = read.value as Extract<
-      control.StatusReply,
-      { readonly kind: "status" }
-    >;
+    const { roles } = read.value as Status;
     const known = roles.find((setting) => setting.server === server);
     return results.createOk(known ?? { server, role: "mixed", revision: 0 });
   }
@@ -181,8 +181,17 @@
     return await this.#readLeader(control.METHODS.readAudit, request);
   }
 
-  readStatus(): Promise<results.Result<object>> {
-    return this.#readLeader(control.METHODS.readStatus, {});
+  /** Reads the leader's view, limited to what the operator may see. */
+  async readStatus(
+    operator: accesses.Operator,
+  ): Promise<results.Result<object>> {
+    const read = await this.#readLeader(control.METHODS.readStatus, {});
+    if (read.kind === "failure" || operator.kind === "root") return read;
+    const all = [...this.#client.getView().templates.values()];
+    const status = read.value as Status;
+    return results.createOk(
+      limitStatus.limitStatus(status, operator.account, all),
+    );
   }
 
   async #readLeader(
