--- a/src/caller/admit_call.ts
+++ b/src/caller/admit_call.ts
@@ -1,10 +1,10 @@
 import type * as http from "node:http";
 import * as accounts from "../client_account/mod.ts";
 import type * as control from "../control/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
 import * as results from "../results/mod.ts";
 
 const RETRY_AFTER_MS = 200;
-const BEARER = /^Bearer (.+)$/;
 
 /**
  * Finds the client account of a request's bearer token.
@@ -17,7 +17,7 @@
   request: http.IncomingMessage,
   view: control.ControlView,
 ): results.Result<accounts.ClientAccount> {
-  const token = BEARER.exec(request.headers.authorization ?? "")?.[1];
+  const token = httpServer.readBearer(request);
   if (token === undefined) {
     return results.createFailure(
       "badToken",
--- a/src/caller/serve_completion.ts
+++ b/src/caller/serve_completion.ts
@@ -4,6 +4,7 @@
 import type * as engines from "../engine/mod.ts";
 import * as generation from "../generation/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
+import * as models from "../model_version/mod.ts";
 import * as results from "../results/mod.ts";
 import * as forwards from "./_forward.ts";
 import type * as callerContexts from "./caller_context.ts";
@@ -84,7 +85,7 @@
   const completion = parsed.value;
   const writer = new CompletionWriter(call.response, format, completion);
   const end = await generation.generateTokens({
-    service: getService(completion.model),
+    service: models.getService(completion.model),
     model: completion.model,
     prompt: completion.prompt,
     maxTokens: completion.maxTokens,
@@ -102,17 +103,6 @@
   writer.end(end);
 }
 
-/**
- * Gives the service that serves a model: an adapter `base:name` is served by
- * the servers of its base.
- *
- * @param model Name of the model.
- * @returns Name of the service.
- */
-export function getService(model: string): string {
-  return model.split(":")[0] ?? model;
-}
-
 /** Writes one completion as it is generated. */
 class CompletionWriter {
   readonly #response: http.ServerResponse;
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -10,4 +10,6 @@
  */
 export * from "./answer.ts";
 export * from "./http_listener.ts";
+export * from "./parse_fields.ts";
+export * from "./read_bearer.ts";
 export * from "./read_body.ts";
--- a/src/model_version/mod.ts
+++ b/src/model_version/mod.ts
@@ -8,4 +8,5 @@
  * ```
  * @module
  */
+export * from "./get_service.ts";
 export * from "./model_version.ts";
--- a/src/operator/check_access.ts
+++ b/src/operator/check_access.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import * as accounts from "../client_account/mod.ts";
 import type * as control from "../control/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
 import * as results from "../results/mod.ts";
 import type * as operatorRoutes from "./operator_routes.ts";
 
@@ -9,8 +10,6 @@
   | { readonly kind: "root" }
   | { readonly kind: "account"; readonly account: string };
 
-const BEARER = /^Bearer (.+)$/;
-
 /**
  * Finds out who asks.
  *
@@ -24,7 +23,7 @@
   rootTokenSha256: string,
   view: control.ControlView,
 ): results.Result<Operator> {
-  const token = BEARER.exec(request.headers.authorization ?? "")?.[1];
+  const token = httpServer.readBearer(request);
   if (token === undefined) {
     return results.createFailure(
       "badToken",
--- a/src/operator/operator_service.ts
+++ b/src/operator/operator_service.ts
@@ -3,6 +3,7 @@
 import * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import * as control from "../control/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
 import type * as replicated from "../replicated_state/mod.ts";
 import * as results from "../results/mod.ts";
 import * as templates from "../rollout_template/mod.ts";
@@ -106,7 +107,7 @@
     route: { readonly account: string; readonly template: string },
     body: Body,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(templateChangeSchema, body);
+    const parsed = httpServer.parseFields(templateChangeSchema, body);
     if (parsed.kind === "failure") return parsed;
     const { baseRevision, requestId, parameters, waitMs } = parsed.value;
     return await this.#proposeChange({
@@ -124,7 +125,7 @@
     id: string,
     body: Body,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(accountChangeSchema, body);
+    const parsed = httpServer.parseFields(accountChangeSchema, body);
     if (parsed.kind === "failure") return parsed;
     const { baseRevision, requestId, policy, tokens, waitMs } = parsed.value;
     return await this.#proposeChange({
@@ -151,7 +152,7 @@
     server: string,
     body: Body,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(roleChangeSchema, body);
+    const parsed = httpServer.parseFields(roleChangeSchema, body);
     if (parsed.kind === "failure") return parsed;
     const { baseRevision, requestId, role, waitMs } = parsed.value;
     const origin = this.#createOrigin(operator, requestId);
@@ -168,7 +169,10 @@
     operator: accesses.Operator,
     query: URLSearchParams,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(auditSchema, Object.fromEntries(query));
+    const parsed = httpServer.parseFields(
+      auditSchema,
+      Object.fromEntries(query),
+    );
     if (parsed.kind === "failure") return parsed;
     const { after, from, limit, ...rest } = parsed.value;
     const account = operator.kind === "account"
@@ -294,15 +298,3 @@
       );
   }
 }
-
-function parseFields<T>(schema: z.ZodType<T>, body: Body): results.Result<T> {
-  const parsed = schema.safeParse(body);
-  if (parsed.success) return results.createOk(parsed.data);
-  const issue = parsed.error.issues[0];
-  return results.createFailure(
-    "badParameters",
-    `Cannot read the request: ${
-      issue?.path.join(".") || "body"
-    }: ${issue?.message}`,
-  );
-}
--- a/src/trainer/step_feed.ts
+++ b/src/trainer/step_feed.ts
@@ -5,6 +5,7 @@
 import * as generation from "../generation/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
+import * as models from "../model_version/mod.ts";
 import type * as replicated from "../replicated_state/mod.ts";
 import * as results from "../results/mod.ts";
 import * as steps from "../rollout_step/mod.ts";
@@ -176,7 +177,7 @@
     let spans: readonly steps.VersionSpan[] = [];
     let startedMs = clock.getMonotonicMs();
     const end = await generation.generateTokens({
-      service: parameters.model.split(":")[0] ?? "",
+      service: models.getService(parameters.model),
       model: parameters.model,
       prompt,
       maxTokens: parameters.maxTokens,
--- a/src/trainer/trainer_service.ts
+++ b/src/trainer/trainer_service.ts
@@ -152,7 +152,7 @@
     feed: stepFeeds.StepFeed,
     body: Body,
   ): Promise<results.Result<object>> {
-    const parsed = parseFields(acknowledgeSchema, body);
+    const parsed = httpServer.parseFields(acknowledgeSchema, body);
     if (parsed.kind === "failure") return parsed;
     const done = await feed.acknowledge(parsed.value.slots);
     if (done.kind === "failure") return done;
@@ -218,7 +218,7 @@
     request: TrainerRequest,
   ): results.Result<steps.StepRequest> {
     const { account, trainer, body } = request;
-    const parsed = parseFields(openSchema, body);
+    const parsed = httpServer.parseFields(openSchema, body);
     if (parsed.kind === "failure") return parsed;
     const { template: name, step, prompts } = parsed.value;
     const key = templates.formatTemplateKey(account, name);
@@ -261,7 +261,7 @@
   feed: stepFeeds.StepFeed,
   body: Body,
 ): Promise<results.Result<object>> {
-  const parsed = parseFields(fetchSchema, body);
+  const parsed = httpServer.parseFields(fetchSchema, body);
   if (parsed.kind === "failure") return parsed;
   const { trainerVersion, waitMs } = parsed.value;
   const fetched = await feed.fetch(trainerVersion, waitMs);
@@ -273,7 +273,7 @@
 }
 
 function readStep(request: TrainerRequest): results.Result<string> {
-  const parsed = parseFields(z.object(stepFields), request.body);
+  const parsed = httpServer.parseFields(z.object(stepFields), request.body);
   if (parsed.kind === "failure") return parsed;
   return results.createOk(
     steps.formatStepId({ account: request.account, ...parsed.value }),
@@ -289,16 +289,3 @@
     },
   );
 }
-
-function parseFields<T>(
-  schema: z.ZodType<T>,
-  body: Readonly<Record<string, unknown>>,
-): results.Result<T> {
-  const parsed = schema.safeParse(body);
-  if (parsed.success) return results.createOk(parsed.data);
-  const issue = parsed.error.issues[0];
-  return results.createFailure(
-    "badParameters",
-    `Cannot read the request: ${issue?.path.join(".")}: ${issue?.message}`,
-  );
-}
