Let a replica set gain and lose voters, one at a time

Cause: the voters stood in the settings; a box replaced at another address or retired could never leave or join the replica set. Change: a log entry names the voters and holds once appended; a leader feeds learners, and adds or removes one voter at a time once its own term is established and the newcomer has caught up. A first entry founds a set.

--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -55,7 +55,7 @@
     lastIndex,
     lastTerm,
   };
-  return replicaStates.listOthers(state.config).map((to) => ({
+  return replicaStates.listOthers(state).map((to) => ({
     kind: "send",
     to,
     message,
@@ -72,7 +72,7 @@
     { ...state, role: { kind: "preCandidate", votes } },
     nowMs,
   );
-  if (votes.size >= replicaStates.getQuorum(state.config)) {
+  if (votes.size >= replicaStates.getQuorum(state)) {
     return startElection(next, nowMs);
   }
   return {
@@ -94,7 +94,7 @@
     nowMs,
   );
   const save: replicaStates.Effect = { kind: "saveVote", term, votedFor };
-  if (votes.size >= replicaStates.getQuorum(state.config)) {
+  if (votes.size >= replicaStates.getQuorum(state)) {
     const won = startLeading(next, nowMs);
     return { state: won.state, effects: [save, ...won.effects] };
   }
@@ -110,14 +110,9 @@
 ): replicaStates.Transition {
   const firstIndex = replicaLogs.getLastIndex(state.log) + 1;
   const entry = { index: firstIndex, term: state.term, command: NO_OPERATION };
-  const first: replicaStates.Progress = {
-    nextIndex: firstIndex,
-    matchIndex: 0,
-    answeredSentAtMs: Number.NEGATIVE_INFINITY,
-    identity: { incarnation: 0, isAdmitted: false },
-  };
+  const first = replicaStates.createProgress(firstIndex);
   const progress = new Map(
-    replicaStates.listOthers(state.config).map((id) => [id, first] as const),
+    replicaStates.listFollowers(state).map((id) => [id, first] as const),
   );
   const leading: replicaStates.ReplicaState = {
     ...state,
@@ -245,12 +240,15 @@
   if (role.kind !== "preCandidate" && role.kind !== "candidate") {
     return { state, effects: [] };
   }
+  if (!replicaStates.listVoters(state).includes(from)) {
+    return { state, effects: [] };
+  }
   const votes = new Set([...role.votes, from]);
   const counted: replicaStates.ReplicaState = {
     ...state,
     role: { ...role, votes },
   };
-  if (votes.size < replicaStates.getQuorum(state.config)) {
+  if (votes.size < replicaStates.getQuorum(state)) {
     return { state: counted, effects: [] };
   }
   return reply.isPreVote
@@ -268,8 +266,10 @@
 ): replicaStates.Transition {
   if (state.role.kind !== "leader") return { state, effects: [] };
   const lastIndex = replicaLogs.getLastIndex(state.log);
-  const successor = [...state.role.progress].find(([, progress]) =>
-    progress.matchIndex === lastIndex && progress.identity.isAdmitted
+  const voters = replicaStates.listVoters(state);
+  const successor = [...state.role.progress].find(([id, progress]) =>
+    voters.includes(id) && progress.matchIndex === lastIndex &&
+    progress.identity.isAdmitted
   )?.[0];
   if (successor === undefined) return { state, effects: [] };
   const follower = resetElection(
@@ -295,7 +295,8 @@
   request: messages.TransferRequest,
   nowMs: number,
 ): replicaStates.Transition {
-  const canLead = state.role.kind === "follower" && state.identity.isAdmitted;
+  const canLead = state.role.kind === "follower" &&
+    replicaStates.isVoter(state);
   if (request.term !== state.term || !canLead) {
     return { state, effects: [] };
   }
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -92,14 +92,14 @@
 ): replicaStates.Transition {
   const { state } = transition;
   if (state.role.kind !== "leader") return transition;
-  const matches = replicaStates.listAdmitted(state.role).map((progress) =>
+  const matches = replicaStates.listAdmitted(state).map((progress) =>
     progress.matchIndex
   );
-  const sorted = [replicaLogs.getLastIndex(state.log), ...matches].sort((
-    a,
-    b,
-  ) => b - a);
-  const index = sorted[replicaStates.getQuorum(state.config) - 1] ?? 0;
+  const own = replicaStates.isVoter(state)
+    ? [replicaLogs.getLastIndex(state.log)]
+    : [];
+  const sorted = [...own, ...matches].sort((a, b) => b - a);
+  const index = sorted[replicaStates.getQuorum(state) - 1] ?? 0;
   if (replicaLogs.getTermAt(state.log, index) !== state.term) return transition;
   const committed = commitTo(state, index);
   return {
@@ -256,11 +256,7 @@
     };
   }
   const { index } = snapshot;
-  const log = {
-    snapshotIndex: index,
-    snapshotTerm: snapshot.term,
-    entries: [],
-  };
+  const log = replicaLogs.createLog(snapshot);
   return {
     state: { ...state, log, commitIndex: index },
     effects: [
--- a/src/consensus/_saved_record.ts
+++ b/src/consensus/_saved_record.ts
@@ -1,6 +1,7 @@
 import type * as replicaStates from "./replica_state.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
+import type * as replicaSets from "./replica_set.ts";
 import type * as stepReplica from "./step_replica.ts";
 
 /** A record in the durable log. */
@@ -29,6 +30,25 @@
   return [{ kind: "identity", identity }];
 }
 
+/** Term of the entry that founds a replica set. */
+const FOUNDING_TERM = 1;
+
+/**
+ * Gives the records of a replica that founds a replica set: all founders write
+ * the same first entry, so it counts as committed from the start.
+ */
+export function createFounding(
+  voters: readonly string[],
+  wallMs: number,
+): readonly SavedRecord[] {
+  const command: replicaSets.ReplicaSetCommand = { kind: "replicaSet", voters };
+  return [
+    { kind: "identity", identity: { incarnation: wallMs, isAdmitted: true } },
+    { kind: "vote", term: FOUNDING_TERM },
+    { kind: "entry", entry: { index: 1, term: FOUNDING_TERM, command } },
+  ];
+}
+
 /** Gives the records that a new log begins with. */
 export function createHead(
   state: replicaStates.ReplicaState,
@@ -42,11 +62,9 @@
   snapshot: messages.Snapshot | undefined,
   records: readonly SavedRecord[],
 ): stepReplica.SavedReplica {
-  const empty = snapshot === undefined ? replicaLogs.EMPTY_LOG : {
-    snapshotIndex: snapshot.index,
-    snapshotTerm: snapshot.term,
-    entries: [],
-  };
+  const empty = snapshot === undefined
+    ? replicaLogs.EMPTY_LOG
+    : replicaLogs.createLog(snapshot);
   const votes = records.filter((record) => record.kind === "vote");
   const vote = votes.at(-1);
   const identities = records.filter((record) => record.kind === "identity");
--- a/src/consensus/authority.ts
+++ b/src/consensus/authority.ts
@@ -19,10 +19,11 @@
   nowMs: number,
 ): number {
   if (state.role.kind !== "leader") return 0;
-  const answers = replicaStates.listAdmitted(state.role)
+  const answers = replicaStates.listAdmitted(state)
     .map((progress) => progress.answeredSentAtMs);
-  const newest = [nowMs, ...answers].sort((a, b) => b - a);
-  const quorumAtMs = newest[replicaStates.getQuorum(state.config) - 1] ?? 0;
+  const own = replicaStates.isVoter(state) ? [nowMs] : [];
+  const newest = [...own, ...answers].sort((a, b) => b - a);
+  const quorumAtMs = newest[replicaStates.getQuorum(state) - 1] ?? 0;
   return quorumAtMs + state.config.electionTimeoutMs * AUTHORITY_FRACTION;
 }
 
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -17,6 +17,8 @@
   compactChance: 0,
   transferChance: 0,
   wipeChance: 0,
+  spares: 0,
+  memberChance: 0,
 };
 
 const ROUGH: Omit<simulatedNodes.ScheduleOptions, "seed"> = {
@@ -29,6 +31,8 @@
   compactChance: 5,
   transferChance: 5,
   wipeChance: 0,
+  spares: 0,
+  memberChance: 0,
 };
 
 const CONFIG: replicaStates.ReplicaConfig = {
@@ -155,4 +159,24 @@
     }
     chai.expect(committed).to.be.greaterThan(SCHEDULES * 10);
   });
+
+  it("keeps every invariant while voters are added, removed and wiped", () => {
+    let sets = 0;
+    let committed = 0;
+    for (let seed = 1; seed <= SCHEDULES; seed += 1) {
+      const schedule = {
+        ...ROUGH,
+        replicas: 3 + seed % 2,
+        spares: 2,
+        memberChance: 30,
+        wipeChance: seed % 3 === 0 ? 500 : 0,
+        seed,
+      };
+      const result = new simulations.Simulation(schedule).run();
+      sets += result.sets;
+      committed += result.committed;
+    }
+    chai.expect(committed).to.be.greaterThan(SCHEDULES * 10);
+    chai.expect(sets).to.be.greaterThan(SCHEDULES * 3);
+  });
 });
--- a/src/consensus/make_data_folder.ts
+++ b/src/consensus/make_data_folder.ts
@@ -1,6 +1,6 @@
 import * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
-import type * as savedRecords from "./_saved_record.ts";
+import * as savedRecords from "./_saved_record.ts";
 
 /** What a data folder is made for. */
 export interface DataFolderOptions {
@@ -9,6 +9,8 @@
   readonly owner: string;
   /** Wall time, in ms; it becomes the replica's incarnation. */
   readonly wallMs: number;
+  /** Voters of the set; undefined where the settings of each box name them. */
+  readonly voters?: readonly string[];
 }
 
 /**
@@ -23,13 +25,16 @@
 export async function makeDataFolder(
   options: DataFolderOptions,
 ): Promise<results.Result<undefined>> {
-  const { folder, owner, wallMs } = options;
+  const { folder, owner, wallMs, voters } = options;
   const { log, loaded } = await storage.DurableLog.open(folder, owner);
   const isUsed = loaded.records.length > 0 || loaded.snapshot !== undefined;
   if (!isUsed) {
     const identity = { incarnation: wallMs, isAdmitted: true };
-    const record: savedRecords.SavedRecord = { kind: "identity", identity };
-    await log.append([record]);
+    await log.append(
+      voters === undefined
+        ? [{ kind: "identity", identity }]
+        : savedRecords.createFounding(voters, wallMs),
+    );
   }
   await log.close();
   if (!isUsed) return results.createOk(undefined);
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -65,6 +65,8 @@
   readonly index: number;
   readonly term: number;
   readonly state: unknown;
+  /** Voters after the entry; undefined where the configuration names them. */
+  readonly voters?: readonly string[] | undefined;
 }
 
 /** A leader that has just stepped down asks a follower to lead. */
--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -16,6 +16,7 @@
 export * from "./replica_driver.ts";
 export * from "./replica_log.ts";
 export * from "./replica_options.ts";
+export * from "./replica_set.ts";
 export * from "./replica_state.ts";
 export * from "./replica_status.ts";
 export * from "./step_replica.ts";
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -9,7 +9,8 @@
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import type * as replicaOptions from "./replica_options.ts";
-import type * as replicaStates from "./replica_state.ts";
+import * as replicaStates from "./replica_state.ts";
+import * as replicaSets from "./replica_set.ts";
 import * as replicaStatuses from "./replica_status.ts";
 import * as stepReplica from "./step_replica.ts";
 
@@ -96,6 +97,27 @@
     return replicaStatuses.describeReplica(this.#state, nowMs);
   }
 
+  /** Ids of the voters, as this replica's log names them. */
+  listVoters(): readonly string[] {
+    return replicaStates.listVoters(this.#state);
+  }
+
+  /** Names the replicas to feed beside the voters, should this replica lead. */
+  setLearners(learners: readonly string[]): void {
+    this.#inbox.offer({
+      kind: "replica",
+      event: { kind: "setLearners", learners },
+    });
+  }
+
+  /** Asks to add or remove one voter; see `listVoters` for what came of it. */
+  changeVoters(voters: readonly string[]): void {
+    this.#inbox.offer({
+      kind: "replica",
+      event: { kind: "changeVoters", voters },
+    });
+  }
+
   /** Gives a message from another replica; dropped when the inbox is full. */
   receive(from: string, message: messages.Message): void {
     this.#inbox.offer({
@@ -291,7 +313,10 @@
 
   #createSnapshot(): messages.Snapshot {
     const state = this.#options.machine.save();
-    return { index: this.#appliedIndex, term: this.#appliedTerm, state };
+    const index = this.#appliedIndex;
+    const { voters } =
+      replicaSets.findReplicaSet(this.#state.log, index) ?? { voters: undefined };
+    return { index, term: this.#appliedTerm, state, voters };
   }
 
   #sendSnapshot(to: string): void {
--- a/src/consensus/replica_log.ts
+++ b/src/consensus/replica_log.ts
@@ -1,3 +1,6 @@
+import type * as messages from "./message.ts";
+import * as replicaSets from "./replica_set.ts";
+
 /** One entry of the replicated log. */
 export interface Entry {
   readonly index: number;
@@ -10,6 +13,8 @@
   readonly snapshotIndex: number;
   readonly snapshotTerm: number;
   readonly entries: readonly Entry[];
+  /** Replica sets that the snapshot and the entries bring, oldest first. */
+  readonly replicaSets: readonly replicaSets.ReplicaSet[];
 }
 
 /** An empty log. */
@@ -17,8 +22,25 @@
   snapshotIndex: 0,
   snapshotTerm: 0,
   entries: [],
+  replicaSets: [],
 };
 
+/**
+ * Makes the log that begins with a snapshot.
+ *
+ * @param snapshot The snapshot.
+ * @returns A log without entries.
+ */
+export function createLog(snapshot: messages.Snapshot): ReplicaLog {
+  const { index, term, voters } = snapshot;
+  return {
+    snapshotIndex: index,
+    snapshotTerm: term,
+    entries: [],
+    replicaSets: voters === undefined ? [] : [{ index, voters }],
+  };
+}
+
 /**
  * Gives the index of the last entry.
  *
@@ -72,7 +94,15 @@
   const first = entries[0];
   if (first === undefined) return log;
   const kept = log.entries.slice(0, first.index - log.snapshotIndex - 1);
-  return { ...log, entries: [...kept, ...entries] };
+  const sets = log.replicaSets.filter((set) => set.index < first.index);
+  const added = entries.flatMap((entry) =>
+    replicaSets.parseReplicaSet(entry) ?? []
+  );
+  return {
+    ...log,
+    entries: [...kept, ...entries],
+    replicaSets: [...sets, ...added],
+  };
 }
 
 /**
@@ -86,5 +116,7 @@
   const snapshotTerm = getTermAt(log, index);
   if (snapshotTerm === undefined) return log;
   const entries = log.entries.slice(index - log.snapshotIndex);
-  return { snapshotIndex: index, snapshotTerm, entries };
+  const covered = replicaSets.findReplicaSet(log, index)?.index ?? 0;
+  const sets = log.replicaSets.filter((set) => set.index >= covered);
+  return { snapshotIndex: index, snapshotTerm, entries, replicaSets: sets };
 }
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -1,10 +1,11 @@
 import type * as messages from "./message.ts";
 import type * as replicaLogs from "./replica_log.ts";
+import * as replicaSets from "./replica_set.ts";
 
 /** What does not change while a replica runs. */
 export interface ReplicaConfig {
   readonly id: string;
-  /** Ids of all voting replicas, this one among them. */
+  /** Ids of the voting replicas until the log names others. */
   readonly voters: readonly string[];
   /** Shortest silence after which a replica asks to lead, in ms. */
   readonly electionTimeoutMs: number;
@@ -46,6 +47,8 @@
   readonly votedFor: string | undefined;
   readonly role: Role;
   readonly identity: messages.ReplicaIdentity;
+  /** Replicas that a leader feeds though they do not vote. */
+  readonly learners: readonly string[];
   readonly log: replicaLogs.ReplicaLog;
   readonly commitIndex: number;
   /** When to ask to lead unless a leader is heard, in ms. */
@@ -65,7 +68,11 @@
     readonly from: string;
     readonly message: messages.Message;
   }
-  | { readonly kind: "propose"; readonly commands: readonly unknown[] };
+  | { readonly kind: "propose"; readonly commands: readonly unknown[] }
+  /** Names the replicas to feed beside the voters. */
+  | { readonly kind: "setLearners"; readonly learners: readonly string[] }
+  /** Asks a leader to add or remove one voter; refused without effects. */
+  | { readonly kind: "changeVoters"; readonly voters: readonly string[] };
 
 /** What a replica asks its driver to do, in order; saves come before sends. */
 export type Effect =
@@ -97,36 +104,80 @@
   readonly effects: readonly Effect[];
 }
 
+/**
+ * Lists the voters, as the newest entry of the log that names them says.
+ *
+ * @param state The replica.
+ * @returns Their ids.
+ */
+export function listVoters(state: ReplicaState): readonly string[] {
+  return replicaSets.findReplicaSet(state.log)?.voters ?? state.config.voters;
+}
+
+/**
+ * Tells whether a replica votes and may lead.
+ *
+ * @param state The replica.
+ * @returns Whether it is admitted and among the voters.
+ */
+export function isVoter(state: ReplicaState): boolean {
+  return state.identity.isAdmitted &&
+    listVoters(state).includes(state.config.id);
+}
+
 /**
  * Says how many replicas make a majority.
  *
- * @param config The replica's configuration.
+ * @param state The replica.
  * @returns The size of a quorum.
  */
-export function getQuorum(config: ReplicaConfig): number {
-  return Math.floor(config.voters.length / 2) + 1;
+export function getQuorum(state: ReplicaState): number {
+  return Math.floor(listVoters(state).length / 2) + 1;
 }
 
 /**
  * Lists what a leader knows of the followers that count in a quorum.
  *
- * @param role The leader's role.
- * @returns Progress of the admitted followers.
+ * @param state The leader.
+ * @returns Progress of the admitted followers that vote.
  */
-export function listAdmitted(
-  role: Extract<Role, { readonly kind: "leader" }>,
-): readonly Progress[] {
-  return [...role.progress.values()].filter((progress) =>
-    progress.identity.isAdmitted
-  );
+export function listAdmitted(state: ReplicaState): readonly Progress[] {
+  if (state.role.kind !== "leader") return [];
+  const voters = listVoters(state);
+  return [...state.role.progress]
+    .filter(([id, progress]) =>
+      voters.includes(id) && progress.identity.isAdmitted
+    )
+    .map(([, progress]) => progress);
 }
 
 /**
  * Lists the other voters.
  *
- * @param config The replica's configuration.
+ * @param state The replica.
  * @returns Their ids.
  */
-export function listOthers(config: ReplicaConfig): readonly string[] {
-  return config.voters.filter((voter) => voter !== config.id);
+export function listOthers(state: ReplicaState): readonly string[] {
+  return listVoters(state).filter((voter) => voter !== state.config.id);
+}
+
+/**
+ * Lists the replicas that a leader feeds: the other voters and the learners.
+ *
+ * @param state The replica.
+ * @returns Their ids, each once.
+ */
+export function listFollowers(state: ReplicaState): readonly string[] {
+  const all = [...listVoters(state), ...state.learners];
+  return [...new Set(all)].filter((id) => id !== state.config.id);
+}
+
+/** What a leader takes for known of a replica that it has not heard. */
+export function createProgress(nextIndex: number): Progress {
+  return {
+    nextIndex,
+    matchIndex: 0,
+    answeredSentAtMs: Number.NEGATIVE_INFINITY,
+    identity: { incarnation: 0, isAdmitted: false },
+  };
 }
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -16,12 +16,18 @@
   readonly transferChance: number;
   /** Chance that a crashed replica comes back with an empty disk. */
   readonly wipeChance: number;
+  /** Replicas beside the founding ones, which begin with empty disks. */
+  readonly spares: number;
+  /** Chance that a leader tries to add or remove a voter. */
+  readonly memberChance: number;
 }
 
 /** What a schedule brought about. */
 export interface ScheduleResult {
   readonly committed: number;
   readonly leaders: number;
+  /** Replica sets that were committed, the founding one among them. */
+  readonly sets: number;
 }
 
 /** What a replica's disk holds. */
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -5,7 +5,8 @@
 import * as authorities from "./authority.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
-import type * as replicaStates from "./replica_state.ts";
+import * as replicaSets from "./replica_set.ts";
+import * as replicaStates from "./replica_state.ts";
 import type * as simulatedNodes from "./simulated_node_test.ts";
 import * as stepReplica from "./step_replica.ts";
 
@@ -16,9 +17,11 @@
 const TIMEOUT_MS = 150;
 const PER_MILLE = 1_000;
 
-const FIRST_RECORD: savedRecords.SavedRecord = {
+const MIN_VOTERS = 3;
+
+const SPARE_RECORD: savedRecords.SavedRecord = {
   kind: "identity",
-  identity: { incarnation: 0, isAdmitted: true },
+  identity: { incarnation: 0, isAdmitted: false },
 };
 
 /**
@@ -34,6 +37,7 @@
   readonly #network: fakeNetworks.FakeNetwork;
   #nowMs = 0;
   #proposed = 0;
+  #sets = 0;
 
   constructor(options: simulatedNodes.ScheduleOptions) {
     this.#options = options;
@@ -43,10 +47,11 @@
       (max) => this.#draw(max),
     );
     const ids = Array.from(
-      { length: options.replicas },
+      { length: options.replicas + options.spares },
       (_, index) => `r${index}`,
     );
-    this.#nodes = ids.map((id, index) => this.#createNode(id, index, ids));
+    const founders = ids.slice(0, options.replicas);
+    this.#nodes = ids.map((id, index) => this.#createNode(id, index, founders));
     for (const node of this.#nodes) this.#restart(node);
   }
 
@@ -66,25 +71,31 @@
     return {
       committed: this.#committed.size,
       leaders: this.#leaderOfTerm.size,
+      sets: this.#sets,
     };
   }
 
   #createNode(
     id: string,
     index: number,
-    ids: readonly string[],
+    founders: readonly string[],
   ): simulatedNodes.SimulatedNode {
     return {
       config: {
         id,
-        voters: ids,
+        voters: [],
         electionTimeoutMs: TIMEOUT_MS,
         heartbeatMs: TIMEOUT_MS / 5,
         maxBatchEntries: 4,
         seed: this.#options.seed * 31 + index,
       },
       rate: 1 + (this.#draw(2 * RATE_SPREAD) - RATE_SPREAD) / PER_MILLE,
-      disk: { snapshot: undefined, records: [FIRST_RECORD] },
+      disk: {
+        snapshot: undefined,
+        records: founders.includes(id)
+          ? savedRecords.createFounding(founders, 0)
+          : [SPARE_RECORD],
+      },
       wipedAt: 0,
       state: undefined,
       appliedIndex: 0,
@@ -164,11 +175,32 @@
     if (this.#happens(this.#options.transferChance)) {
       this.#step(node, { kind: "transfer" });
     }
-    if (node.state?.role.kind !== "leader" || !this.#happens(300)) return;
+    if (node.state?.role.kind !== "leader") return;
+    const { memberChance } = this.#options;
+    if (memberChance > 0 && this.#happens(memberChance)) {
+      this.#changeVoters(node);
+    }
+    if (!this.#happens(300)) return;
     this.#proposed += 1;
     this.#step(node, { kind: "propose", commands: [`c${this.#proposed}`] });
   }
 
+  /** Feeds every replica, and asks for one voter more or less. */
+  #changeVoters(node: simulatedNodes.SimulatedNode): void {
+    if (node.state === undefined) return;
+    const others = this.#nodes.map((other) => other.config.id)
+      .filter((id) => id !== node.config.id);
+    this.#step(node, { kind: "setLearners", learners: others });
+    if (node.state === undefined) return;
+    const voters = replicaStates.listVoters(node.state);
+    const id = this.#pickNode()?.config.id ?? "";
+    const changed = voters.includes(id)
+      ? voters.filter((voter) => voter !== id)
+      : [...voters, id];
+    if (changed.length < MIN_VOTERS) return;
+    this.#step(node, { kind: "changeVoters", voters: changed });
+  }
+
   #deliver(): void {
     for (const { from, to, message } of this.#network.takeDue(this.#nowMs)) {
       const node = this.#nodes.find((candidate) => candidate.config.id === to);
@@ -250,6 +282,9 @@
       index: node.appliedIndex,
       term: node.appliedTerm,
       state: node.applied,
+      voters: node.state === undefined
+        ? undefined
+        : replicaSets.findReplicaSet(node.state.log, node.appliedIndex)?.voters,
     };
   }
 
@@ -267,6 +302,9 @@
       known === undefined || known === value,
       `entry ${entry.index} was ${known} and is ${value}`,
     );
+    if (known === undefined && replicaSets.parseReplicaSet(entry)) {
+      this.#sets += 1;
+    }
     this.#committed.set(entry.index, value);
     node.applied = [...node.applied, value];
     node.appliedIndex = entry.index;
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -1,9 +1,10 @@
 import * as authorities from "./authority.ts";
 import * as elections from "./_election.ts";
+import * as memberships from "./_membership.ts";
 import * as replications from "./_replication.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
-import type * as replicaStates from "./replica_state.ts";
+import * as replicaStates from "./replica_state.ts";
 
 /** What a replica finds on its disk. */
 export interface SavedReplica {
@@ -40,6 +41,7 @@
     term: saved.term,
     votedFor: saved.votedFor,
     identity: saved.identity,
+    learners: [],
     role: { kind: "follower" },
     log: saved.log,
     commitIndex: saved.log.snapshotIndex,
@@ -71,6 +73,10 @@
       return elections.transferLeadership(state, nowMs);
     case "propose":
       return replications.proposeCommands(state, event.commands, nowMs);
+    case "setLearners":
+      return memberships.setLearners(state, event.learners, nowMs);
+    case "changeVoters":
+      return memberships.changeVoters(state, event.voters, nowMs);
     case "message":
       return stepMessage(state, event.from, event.message, nowMs);
   }
@@ -82,7 +88,7 @@
 ): replicaStates.Transition {
   if (state.role.kind !== "leader") {
     if (nowMs < state.electionAtMs) return { state, effects: [] };
-    if (!state.identity.isAdmitted) {
+    if (!replicaStates.isVoter(state)) {
       return { state: elections.resetElection(state, nowMs), effects: [] };
     }
     return elections.startPreVote(state, nowMs);
