--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,10 +23,10 @@
 };
 
 export default tseslint.config(
-  { ignores: ["dist/**", "out/**", "node_modules/**"] },
+  { ignores: ["dist/**", "out/**", "target/**", "node_modules/**"] },
   ...tseslint.configs.recommended,
   {
-    files: ["src/**/*.ts", "tools/**/*.ts"],
+    files: ["src/**/*.ts", "tools/**/*.ts", "platform/**/*.ts"],
     plugins: { hoistscale: { rules: { verb: verbRule } } },
     rules: {
       "hoistscale/verb": "error",
@@ -50,7 +50,7 @@
     },
   },
   {
-    files: ["src/**/*_test.ts", "tools/**/*_test.ts"],
+    files: ["src/**/*_test.ts", "tools/**/*_test.ts", "platform/**/*_test.ts"],
     rules: {
       "max-lines-per-function": "off",
       "@typescript-eslint/no-unused-expressions": "off",
--- /dev/null
+++ b/src/dispatch/dispatcher.ts
@@ -0,0 +1,278 @@
+import type * as clocks from "../clock/mod.ts";
+import * as clockTools from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import type * as forwarding from "../forwarding/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import type * as trafficConfig from "../traffic_config/mod.ts";
+import * as chooseEngine from "./choose_engine.ts";
+import type * as engineTables from "./engine_table.ts";
+import * as itemTasks from "./item_task.ts";
+import * as orderTasks from "./order_tasks.ts";
+import * as resultWriters from "./result_writer.ts";
+import * as scoreItem from "./score_item.ts";
+
+/** Longest time between two looks for work, in ms. */
+const LOOK_MS = 50;
+/** Silence of a run after which it goes on elsewhere, in ms. */
+const STALL_MS = 1_500;
+/** Silence allowed while the engine loads weights, in ms. */
+const LOADING_STALL_MS = 4_000;
+/** Pause before a scoring call is repeated, in ms. */
+const SCORE_RETRY_MS = 60;
+
+/** What the dispatcher needs. */
+export interface DispatcherOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly metrics: metrics.FleetMetrics;
+  readonly dialect: dialects.Dialect;
+  readonly servers: registry.ServerRegistry;
+  readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly machine: submissions.SubmissionMachine;
+  readonly engines: engineTables.EngineTable;
+  readonly forwarder: forwarding.Forwarder;
+  readonly draw: () => number;
+}
+
+/** Runs the items of all open submissions while this store leads. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions;
+  readonly #writer: resultWriters.ResultWriter;
+  /** Tasks by submission and item. */
+  readonly #tasks = new Map<string, Map<string, itemTasks.ItemTask>>();
+  #isLookDue = false;
+  #isStopped = false;
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+    this.#writer = new resultWriters.ResultWriter(options);
+  }
+
+  start(): void {
+    this.#look();
+    if (this.#isStopped) return;
+    this.#options.clock.startTimer(LOOK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#dropAll();
+  }
+
+  /** Looks for work soon; many calls lead to one look. */
+  wake(): void {
+    if (this.#isLookDue) return;
+    this.#isLookDue = true;
+    setImmediate(() => {
+      this.#isLookDue = false;
+      this.#look();
+    });
+  }
+
+  #look(): void {
+    if (this.#isStopped || !this.#options.group.hasAuthority()) {
+      return this.#dropAll();
+    }
+    this.#matchRecords();
+    this.#startWaiting();
+  }
+
+  #dropAll(): void {
+    for (const tasks of this.#tasks.values()) dropTasks(tasks);
+    this.#tasks.clear();
+    this.#writer.drop();
+  }
+
+  /** Makes tasks for what is to be done, and ends those of what is not. */
+  #matchRecords(): void {
+    const { machine } = this.#options;
+    for (const [id, tasks] of this.#tasks) {
+      const record = machine.get(id);
+      if (record !== undefined && !record.isEnded) continue;
+      dropTasks(tasks);
+      this.#tasks.delete(id);
+    }
+    for (const record of machine.listAll()) {
+      const { submission, isEnded, listed } = record;
+      if (isEnded || this.#tasks.has(submission.id)) continue;
+      const tasks = submission.items.filter((item) => !listed.has(item.id))
+        .map((item) =>
+          [item.id, new itemTasks.ItemTask(submission, item)] as const
+        );
+      this.#tasks.set(submission.id, new Map(tasks));
+    }
+  }
+
+  #startWaiting(): void {
+    const waiting = [...this.#tasks.values()].flatMap((tasks) =>
+      [...tasks.values()].filter((task) => task.phase === "waiting")
+    );
+    for (const task of orderTasks.orderTasks(waiting)) {
+      const engine = this.#chooseEngine(task);
+      if (engine !== undefined) void this.#run(task, engine);
+    }
+  }
+
+  #chooseEngine(
+    task: itemTasks.ItemTask,
+  ): registry.RegisteredServer | undefined {
+    const { servers, engines } = this.#options;
+    const { terms, minimumVersion, model } = task.submission;
+    return chooseEngine.chooseEngine(servers.listReady(terms.service), engines, {
+      model: task.item.model ?? model,
+      minimumVersion,
+      avoided: task.getAvoided(),
+    });
+  }
+
+  async #run(
+    task: itemTasks.ItemTask,
+    engine: registry.RegisteredServer,
+  ): Promise<void> {
+    const { engines, dialect, clock, metrics } = this.#options;
+    const { submission, item, progress, cancellation } = task;
+    task.phase = "running";
+    engines.begin(engine.id);
+    const model = item.model ?? submission.model ?? "";
+    let lastMs: number | undefined;
+    const end = await itemRuns.runItem({
+      clock,
+      dialect,
+      item,
+      host: submission.terms.host,
+      engine,
+      minimumVersion: submission.minimumVersion,
+      isSingleVersion: submission.terms.isSingleVersion,
+      progress,
+      stallMs: engines.getLoading(engine.id) === undefined
+        ? STALL_MS
+        : LOADING_STALL_MS,
+      cancellation,
+      onEvent: () => {
+        const nowMs = clock.getMonotonicMs();
+        if (lastMs !== undefined) engines.noteGap(engine.id, nowMs - lastMs);
+        lastMs = nowMs;
+      },
+    });
+    engines.end(engine.id);
+    const newest = progress.listVersions().at(-1);
+    if (newest !== undefined) engines.prove(engine.id, model, newest);
+    metrics.countItemRun(end.kind);
+    if (!this.#isWanted(task)) return;
+    this.#takeEnd(task, engine, end);
+    this.wake();
+  }
+
+  #isWanted(task: itemTasks.ItemTask): boolean {
+    return !this.#isStopped && !task.cancellation.isCancelled() &&
+      task.phase !== "done";
+  }
+
+  #takeEnd(
+    task: itemTasks.ItemTask,
+    engine: registry.RegisteredServer,
+    end: itemRuns.RunEnd,
+  ): void {
+    if (end.kind !== "finished") this.#noteEnd(task, engine, end);
+    switch (end.kind) {
+      case "finished":
+        task.phase = "scoring";
+        void this.#score(task);
+        return;
+      case "failed":
+        task.avoid(engine.id);
+        if (task.countFailure()) return this.#giveUp(task);
+        break;
+      case "impossible":
+        if (task.countImpossible()) return this.#giveUp(task);
+        break;
+      case "notRun":
+      case "broken":
+        this.#options.engines.avoid(engine.id);
+        break;
+    }
+    task.phase = "waiting";
+  }
+
+  #noteEnd(
+    task: itemTasks.ItemTask,
+    engine: registry.RegisteredServer,
+    end: itemRuns.RunEnd,
+  ): void {
+    this.#options.log.write("info", "item.runEnded", {
+      item: task.item.id,
+      submission: task.submission.id,
+      server: engine.id,
+      outcome: end.kind,
+      reason: "reason" in end ? end.reason : undefined,
+      events: task.progress.countEvents(),
+    });
+  }
+
+  async #score(task: itemTasks.ItemTask): Promise<void> {
+    if (task.item.scoring === undefined) return this.#complete(task, undefined);
+    while (this.#isWanted(task)) {
+      const outcome = await scoreItem.scoreItem(task, this.#options);
+      if (!this.#isWanted(task)) return;
+      switch (outcome.kind) {
+        case "scored":
+          return this.#complete(task, outcome.score);
+        case "failed":
+          if (task.countScoreFailure(outcome.attempts)) {
+            return this.#giveUp(task);
+          }
+          break;
+        case "unanswered":
+          this.#options.log.write("info", "item.unscored", {
+            item: task.item.id,
+            reason: outcome.reason,
+          });
+          break;
+      }
+      await clockTools.sleep(this.#options.clock, SCORE_RETRY_MS);
+    }
+  }
+
+  #complete(task: itemTasks.ItemTask, score: string | undefined): void {
+    const { progress, item } = task;
+    this.#write(task, {
+      id: item.id,
+      state: "completed",
+      text: progress.getText(),
+      versions: progress.listVersions(),
+      score,
+    });
+  }
+
+  #giveUp(task: itemTasks.ItemTask): void {
+    this.#options.log.write("info", "item.givenUp", {
+      item: task.item.id,
+      submission: task.submission.id,
+    });
+    this.#write(task, {
+      id: task.item.id,
+      state: "givenUp",
+      text: "",
+      versions: [],
+      score: undefined,
+    });
+  }
+
+  #write(task: itemTasks.ItemTask, result: submissions.ItemResult): void {
+    const { metrics, clock } = this.#options;
+    const { submission } = task;
+    task.phase = "done";
+    metrics.recordItem(clock.getWallMs() - submission.acceptedAtMs);
+    this.#writer.add({ submission: submission.id, result });
+  }
+}
+
+function dropTasks(tasks: ReadonlyMap<string, itemTasks.ItemTask>): void {
+  for (const task of tasks.values()) task.cancellation.cancel();
+}
--- /dev/null
+++ b/src/dispatch/engine_table.ts
@@ -0,0 +1,98 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as registry from "../registry/mod.ts";
+
+/** Weight of the newest gap in an engine's mean. */
+const NEWEST_SHARE = 0.05;
+/** Gap between events that an engine without history is taken for, in ms. */
+const FIRST_GAP_MS = 40;
+/** How long an engine that broke a run is passed over, in ms. */
+const AVOID_MS = 600;
+
+interface EngineState {
+  readonly running: number;
+  readonly gapMs: number;
+  readonly avoidUntilMs: number;
+  /** Versions that the engine proved since its last heartbeat, by model. */
+  readonly proved: ReadonlyMap<string, number>;
+  /** Model that is being loaded, if any. */
+  readonly loading: string | undefined;
+}
+
+const FIRST_STATE: EngineState = {
+  running: 0,
+  gapMs: FIRST_GAP_MS,
+  avoidUntilMs: Number.NEGATIVE_INFINITY,
+  proved: new Map(),
+  loading: undefined,
+};
+
+/** What the dispatching box knows of each engine beyond its heartbeats. */
+export class EngineTable {
+  readonly #clock: clocks.Clock;
+  readonly #states = new Map<string, EngineState>();
+
+  constructor(clock: clocks.Clock) {
+    this.#clock = clock;
+  }
+
+  begin(engine: string): void {
+    const state = this.#get(engine);
+    this.#states.set(engine, { ...state, running: state.running + 1 });
+  }
+
+  end(engine: string): void {
+    const state = this.#get(engine);
+    this.#states.set(engine, { ...state, running: state.running - 1 });
+  }
+
+  getRunning(engine: string): number {
+    return this.#get(engine).running;
+  }
+
+  /** Notes the time between two events of a run, in ms. */
+  noteGap(engine: string, gapMs: number): void {
+    const state = this.#get(engine);
+    const mean = state.gapMs + (gapMs - state.gapMs) * NEWEST_SHARE;
+    this.#states.set(engine, { ...state, gapMs: mean });
+  }
+
+  getGapMs(engine: string): number {
+    return this.#get(engine).gapMs;
+  }
+
+  avoid(engine: string): void {
+    const avoidUntilMs = this.#clock.getMonotonicMs() + AVOID_MS;
+    this.#states.set(engine, { ...this.#get(engine), avoidUntilMs });
+  }
+
+  isAvoided(engine: string): boolean {
+    return this.#get(engine).avoidUntilMs > this.#clock.getMonotonicMs();
+  }
+
+  /** Notes a version that an engine showed, before a heartbeat tells it. */
+  prove(engine: string, model: string, version: number): void {
+    const state = this.#get(engine);
+    if ((state.proved.get(model) ?? 0) >= version) return;
+    const proved = new Map([...state.proved, [model, version] as const]);
+    this.#states.set(engine, { ...state, proved });
+  }
+
+  /** Version of a model at an engine, as far as is known; 0 for none. */
+  getVersion(engine: registry.RegisteredServer, model: string): number {
+    const told = engine.models.find((held) => held.name === model)?.version;
+    const proved = this.#get(engine.id).proved.get(model);
+    return Math.max(told ?? 0, proved ?? 0);
+  }
+
+  setLoading(engine: string, model: string | undefined): void {
+    this.#states.set(engine, { ...this.#get(engine), loading: model });
+  }
+
+  getLoading(engine: string): string | undefined {
+    return this.#get(engine).loading;
+  }
+
+  #get(engine: string): EngineState {
+    return this.#states.get(engine) ?? FIRST_STATE;
+  }
+}
--- /dev/null
+++ b/src/dispatch/item_task.ts
@@ -0,0 +1,65 @@
+import * as csp from "../csp/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+
+/** Where an item stands. */
+export type TaskPhase = "waiting" | "running" | "scoring" | "done";
+
+/** Answers of 422 after which an item counts as impossible. */
+const MAX_IMPOSSIBLE = 1;
+
+/** The work on one item of an open submission while this store leads. */
+export class ItemTask {
+  readonly submission: submissions.Submission;
+  readonly item: submissions.SubmissionItem;
+  readonly progress = new itemRuns.TextProgress();
+  /** Cancelled when the item is no longer wanted. */
+  readonly cancellation = new csp.Cancellation();
+  phase: TaskPhase = "waiting";
+  #failures = 0;
+  #impossible = 0;
+  #scoreFailures = 0;
+  #avoided: ReadonlySet<string> = new Set();
+
+  constructor(
+    submission: submissions.Submission,
+    item: submissions.SubmissionItem,
+  ) {
+    this.submission = submission;
+    this.item = item;
+  }
+
+  /** Engines that broke or failed this item last. */
+  getAvoided(): ReadonlySet<string> {
+    return this.#avoided;
+  }
+
+  /** Goes elsewhere next time. */
+  avoid(engine: string): void {
+    this.#avoided = new Set([...this.#avoided, engine]);
+  }
+
+  /** Counts an answer of 500; true once the item may be given up. */
+  countFailure(): boolean {
+    this.#failures += 1;
+    return this.#failures >= this.submission.terms.attempts;
+  }
+
+  /** Counts an answer of 422; true once the item may be given up. */
+  countImpossible(): boolean {
+    this.#impossible += 1;
+    return this.#impossible >= MAX_IMPOSSIBLE;
+  }
+
+  /** Counts a failed scoring call; true once the item may be given up. */
+  countScoreFailure(attempts: number): boolean {
+    this.#scoreFailures += 1;
+    return this.#scoreFailures >= attempts;
+  }
+
+  /** When all results of the submission are due, in wall ms. */
+  getDueMs(): number {
+    const { acceptedAtMs, terms } = this.submission;
+    return acceptedAtMs + terms.targetCompletionMs;
+  }
+}
--- /dev/null
+++ b/src/dispatch/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * Which item runs when at which engine, from acceptance to listed result.
+ *
+ * @example
+ * ```ts
+ * import * as dispatch from "../dispatch/mod.ts";
+ * const dispatcher = new dispatch.Dispatcher(options);
+ * dispatcher.start();
+ * ```
+ * @module
+ */
+export * from "./choose_engine.ts";
+export * from "./dispatcher.ts";
+export * from "./engine_table.ts";
+export * from "./item_task.ts";
+export * from "./order_tasks.ts";
+export * from "./result_writer.ts";
+export * from "./score_item.ts";
--- /dev/null
+++ b/src/dispatch/score_item.ts
@@ -0,0 +1,74 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as forwarding from "../forwarding/mod.ts";
+import * as trafficConfig from "../traffic_config/mod.ts";
+import type * as itemTasks from "./item_task.ts";
+
+/** What scoring needs. */
+export interface ScoringOptions {
+  readonly clock: clocks.Clock;
+  readonly forwarder: forwarding.Forwarder;
+  readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly draw: () => number;
+}
+
+/** How a scoring call ended. */
+export type ScoreOutcome =
+  | { readonly kind: "scored"; readonly score: string }
+  /** The scorer answered that this attempt failed. */
+  | { readonly kind: "failed"; readonly attempts: number }
+  /** No answer; the call can be repeated. */
+  | { readonly kind: "unanswered"; readonly reason: string };
+
+const FIRST_OTHER_STATUS = 300;
+const FAILED_STATUS = 500;
+/** Silence after which another scorer is asked too, in target latencies. */
+const HEDGE_SHARE = 1;
+
+/**
+ * Has a finished text scored by the route of its scoring call.
+ *
+ * @param task The item.
+ * @param options Where to send the call.
+ * @returns The receipt of the scorer, or why there is none.
+ */
+export async function scoreItem(
+  task: itemTasks.ItemTask,
+  options: ScoringOptions,
+): Promise<ScoreOutcome> {
+  const { scoring } = task.item;
+  const configuration = options.configuration.get();
+  if (scoring === undefined || configuration === undefined) {
+    return { kind: "unanswered", reason: "no scoring call is known" };
+  }
+  const { host, path, id, body } = scoring;
+  const route = trafficConfig.matchRoute(configuration, host, path);
+  if (route === undefined) {
+    return { kind: "unanswered", reason: "no route fits the scoring call" };
+  }
+  const outcome = await options.forwarder.send({
+    requestId: id,
+    service: trafficConfig.pickService(route, options.draw()),
+    method: "POST",
+    target: path,
+    headers: { host },
+    body: Buffer.from(body, "base64"),
+    deadlineAtMs: options.clock.getMonotonicMs() + route.timeoutMs,
+    attempts: route.attempts,
+    isRepeatable: true,
+    retriesErrors: false,
+    hedgeMs: route.targetLatencyMs * HEDGE_SHARE,
+    cancellation: task.cancellation,
+  });
+  if (outcome.kind !== "answered") {
+    const reason = "reason" in outcome ? outcome.reason : outcome.kind;
+    return { kind: "unanswered", reason };
+  }
+  const { status, head } = outcome.answer;
+  if (status < FIRST_OTHER_STATUS && head.receipt !== undefined) {
+    return { kind: "scored", score: head.receipt };
+  }
+  if (status >= FAILED_STATUS) {
+    return { kind: "failed", attempts: route.attempts };
+  }
+  return { kind: "unanswered", reason: `the scorer answered ${status}` };
+}
--- /dev/null
+++ b/src/fleet/box_directory.ts
@@ -0,0 +1,80 @@
+import type * as clocks from "../clock/mod.ts";
+import * as boxRecords from "./box_record.ts";
+
+/** A box silent for this long is taken for gone; three lost refreshes. */
+export const BOX_SILENCE_MS = 1_800;
+/** A box silent for this long is forgotten; a late record brings it back. */
+const FORGET_MS = 60_000;
+
+/** A known box, and when news of it came. */
+interface KnownBox {
+  readonly record: boxRecords.BoxRecord;
+  readonly heardAtMs: number;
+}
+
+/** What a merged record changed. */
+export type MergeOutcome = "old" | "refreshed" | "changed";
+
+/** The boxes that this box knows, with the time of the last news of each. */
+export class BoxDirectory {
+  readonly #clock: clocks.Clock;
+  readonly #boxes = new Map<string, KnownBox>();
+
+  constructor(clock: clocks.Clock) {
+    this.#clock = clock;
+  }
+
+  /** Takes a record if it is newer than the known one. */
+  merge(record: boxRecords.BoxRecord): MergeOutcome {
+    const known = this.#boxes.get(record.id);
+    if (!boxRecords.isNewer(record, known?.record)) return "old";
+    const heardAtMs = this.#clock.getMonotonicMs();
+    const wasSilent = known === undefined || this.#isSilent(known);
+    this.#boxes.set(record.id, { record, heardAtMs });
+    if (wasSilent || !boxRecords.hasSameContent(known.record, record)) {
+      return "changed";
+    }
+    return "refreshed";
+  }
+
+  get(id: string): boxRecords.BoxRecord | undefined {
+    return this.#boxes.get(id)?.record;
+  }
+
+  findByName(name: string): boxRecords.BoxRecord | undefined {
+    const named = [...this.#boxes.values()].filter((box) =>
+      box.record.name === name
+    );
+    return named.sort((a, b) => b.heardAtMs - a.heardAtMs)[0]?.record;
+  }
+
+  /** All known boxes, silent ones among them. */
+  listAll(): readonly boxRecords.BoxRecord[] {
+    this.#forgetOld();
+    return [...this.#boxes.values()].map((box) => box.record);
+  }
+
+  /** Boxes that were heard lately. */
+  listAlive(): readonly boxRecords.BoxRecord[] {
+    return [...this.#boxes.values()].filter((box) => !this.#isSilent(box))
+      .map((box) => box.record);
+  }
+
+  /** Time since the last news of a box, in ms. */
+  getSilenceMs(id: string): number {
+    const known = this.#boxes.get(id);
+    if (known === undefined) return Number.POSITIVE_INFINITY;
+    return this.#clock.getMonotonicMs() - known.heardAtMs;
+  }
+
+  #isSilent(box: KnownBox): boolean {
+    return this.#clock.getMonotonicMs() - box.heardAtMs > BOX_SILENCE_MS;
+  }
+
+  #forgetOld(): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    for (const [id, box] of this.#boxes) {
+      if (nowMs - box.heardAtMs > FORGET_MS) this.#boxes.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/box_record.ts
@@ -0,0 +1,63 @@
+/** What one box tells the others of itself. */
+export interface BoxRecord {
+  /** IP address; it tells one box from another. */
+  readonly id: string;
+  /** Name that operators use. */
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  /** Port for other boxes. */
+  readonly peerPort: number;
+  /** Where callers connect, as IP:PORT; undefined on boxes that serve none. */
+  readonly callerAddress: string | undefined;
+  /** Whether it keeps a replica of the configuration, and passes news on. */
+  readonly isCore: boolean;
+  /** Whether it keeps a replica of the submissions. */
+  readonly isStore: boolean;
+  /** Whether callers may be sent here. */
+  readonly isReady: boolean;
+  /** Whether it is being stopped or emptied. */
+  readonly isLeaving: boolean;
+  /** Wall time in ms when its process started; a restart raises it. */
+  readonly startedAtMs: number;
+  /** Rises with each refresh of one process. */
+  readonly sequence: number;
+}
+
+/** How new a record is. */
+export interface RecordVersion {
+  readonly startedAtMs: number;
+  readonly sequence: number;
+}
+
+/**
+ * Tells whether a record is newer than a known version.
+ *
+ * @param record The record.
+ * @param known The known version, if any.
+ * @returns Whether it is newer.
+ */
+export function isNewer(
+  record: RecordVersion,
+  known: RecordVersion | undefined,
+): boolean {
+  if (known === undefined) return true;
+  if (record.startedAtMs !== known.startedAtMs) {
+    return record.startedAtMs > known.startedAtMs;
+  }
+  return record.sequence > known.sequence;
+}
+
+/**
+ * Tells whether two records say the same but for their sequence.
+ *
+ * @param left A record.
+ * @param right Another of the same box.
+ * @returns Whether others need not be told at once.
+ */
+export function hasSameContent(left: BoxRecord, right: BoxRecord): boolean {
+  return left.startedAtMs === right.startedAtMs &&
+    left.isReady === right.isReady && left.isLeaving === right.isLeaving &&
+    left.callerAddress === right.callerAddress &&
+    left.isCore === right.isCore && left.isStore === right.isStore;
+}
--- /dev/null
+++ b/src/fleet/news.ts
@@ -0,0 +1,70 @@
+import type * as registry from "../registry/mod.ts";
+import type * as trafficConfig from "../traffic_config/mod.ts";
+import type * as boxRecords from "./box_record.ts";
+
+/** Names of the calls between boxes. */
+export const METHODS = {
+  news: "fleet.news",
+  sync: "fleet.sync",
+  readConfiguration: "fleet.readConfiguration",
+} as const;
+
+/** Says that a box still runs, without repeating its record. */
+export interface BoxRefresh {
+  readonly id: string;
+  readonly startedAtMs: number;
+  readonly sequence: number;
+}
+
+/** Says that a server still runs, without repeating its report. */
+export interface ServerRefresh {
+  readonly id: string;
+  readonly sequence: number;
+}
+
+/** What one box tells another; every part may be lost and repeated. */
+export interface News {
+  readonly from: string;
+  /** Whether the sender wants to be told of refreshes from now on. */
+  readonly wantsRelay: boolean;
+  readonly boxes: readonly boxRecords.BoxRecord[];
+  readonly servers: readonly registry.RegisteredServer[];
+  readonly boxRefreshes: readonly BoxRefresh[];
+  readonly serverRefreshes: readonly ServerRefresh[];
+  /** Version of the configuration that the sender holds; 0 for none. */
+  readonly configurationVersion: number;
+  /** The configuration itself, where it is new. */
+  readonly configuration: trafficConfig.StoredConfiguration | undefined;
+}
+
+/** Asks for all that a box knows. */
+export interface SyncRequest {
+  readonly record: boxRecords.BoxRecord;
+}
+
+/** All that a box knows. */
+export interface SyncReply {
+  readonly boxes: readonly boxRecords.BoxRecord[];
+  readonly servers: readonly registry.RegisteredServer[];
+  readonly configuration: trafficConfig.StoredConfiguration | undefined;
+}
+
+/**
+ * Makes news that say nothing yet.
+ *
+ * @param from Id of the sender.
+ * @param configurationVersion Version that it holds.
+ * @returns Empty news.
+ */
+export function createNews(from: string, configurationVersion: number): News {
+  return {
+    from,
+    wantsRelay: false,
+    boxes: [],
+    servers: [],
+    boxRefreshes: [],
+    serverRefreshes: [],
+    configurationVersion,
+    configuration: undefined,
+  };
+}
--- /dev/null
+++ b/src/fleet_daemon/box_parts.ts
@@ -0,0 +1,127 @@
+import * as clocks from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import * as fleet from "../fleet/mod.ts";
+import type * as fleetSettings from "../fleet_settings/mod.ts";
+import * as forwarding from "../forwarding/mod.ts";
+import * as logs from "../log/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import * as registry from "../registry/mod.ts";
+import * as replicaGroups from "../replica_group/mod.ts";
+import * as rpc from "../rpc/mod.ts";
+import * as trafficConfig from "../traffic_config/mod.ts";
+
+/** What is fixed while a box runs. */
+export interface BoxContext {
+  readonly settings: fleetSettings.FleetSettings;
+  readonly dialect: dialects.Dialect;
+  readonly lines: logs.LineBuffer;
+  /** Told of a failure after which the process must end. */
+  readonly onFatal: (error: unknown) => void;
+}
+
+/** Whether callers may come, and whether the box is being stopped. */
+export interface BoxPhase {
+  isReady: boolean;
+  isLeaving: boolean;
+}
+
+/** The parts that every box has. */
+export interface BoxParts extends BoxContext {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly metrics: metrics.FleetMetrics;
+  readonly server: rpc.RpcServer;
+  readonly peers: fleet.PeerPool;
+  readonly directory: fleet.BoxDirectory;
+  readonly servers: registry.ServerRegistry;
+  readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly link: fleet.FleetLink;
+  readonly forwarder: forwarding.Forwarder;
+  readonly phase: BoxPhase;
+  readonly draw: () => number;
+}
+
+/** Builds the parts that every box has; nothing runs yet. */
+export function createBoxParts(context: BoxContext): BoxParts {
+  const { settings, dialect, lines } = context;
+  const clock = new clocks.SystemClock();
+  const log = new logs.Log(
+    settings.box.name,
+    settings.log.level,
+    (line) => lines.add(line),
+  );
+  const shared = {
+    ...context,
+    clock,
+    log,
+    metrics: new metrics.FleetMetrics(),
+    server: new rpc.RpcServer(),
+    peers: new fleet.PeerPool(settings.listen.peerPort),
+    directory: new fleet.BoxDirectory(clock),
+    servers: new registry.ServerRegistry(clock, settings.bounds.heartbeatMs),
+    configuration: new trafficConfig.ConfigurationHolder(
+      dialect.parseConfiguration,
+      log,
+    ),
+    phase: { isReady: false, isLeaving: false },
+    draw: Math.random,
+  };
+  const forwarder = new forwarding.Forwarder({
+    ...shared,
+    loads: new forwarding.ServerLoads(clock),
+    failureDomain: settings.box.failureDomain,
+  });
+  const link = createLink(shared);
+  return { ...shared, forwarder, link };
+}
+
+function createLink(
+  parts: Omit<BoxParts, "link" | "forwarder">,
+): fleet.FleetLink {
+  const { settings, phase, clock } = parts;
+  const { box, roles, listen, seeds, dataFolder } = settings;
+  const startedAtMs = clock.getWallMs();
+  return new fleet.FleetLink({
+    ...parts,
+    seeds: seeds.map((seed) => seed.address),
+    describeSelf: () => ({
+      id: box.address,
+      name: box.name,
+      failureDomain: box.failureDomain,
+      region: box.region,
+      peerPort: listen.peerPort,
+      callerAddress: listen.caller === undefined
+        ? undefined
+        : `${listen.caller.address}:${listen.caller.port}`,
+      isCore: roles.entry && dataFolder !== undefined,
+      isStore: roles.store,
+      isReady: phase.isReady,
+      isLeaving: phase.isLeaving,
+      startedAtMs,
+    }),
+  });
+}
+
+/** Makes a caller of the leader among the boxes of a kind. */
+export function createLeaderCaller(
+  parts: BoxParts,
+  isMember: (box: fleet.BoxRecord) => boolean,
+): replicaGroups.LeaderCaller {
+  const { clock, directory, peers } = parts;
+  return new replicaGroups.LeaderCaller({
+    clock,
+    listReplicas: () =>
+      directory.listAlive().filter(isMember).map((box) => box.id),
+    getClient: (id) => peers.get(id),
+  });
+}
+
+/** Tells whether a box keeps a replica of the configuration. */
+export function isCoreBox(box: fleet.BoxRecord): boolean {
+  return box.isCore;
+}
+
+/** Tells whether a box keeps a replica of the submissions. */
+export function isStoreBox(box: fleet.BoxRecord): boolean {
+  return box.isStore;
+}
--- /dev/null
+++ b/src/fleet_daemon/control_calls.ts
@@ -0,0 +1,232 @@
+import type * as dialects from "../dialect/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import * as results from "../results/mod.ts";
+import * as submissions from "../submission/mod.ts";
+import * as trafficConfig from "../traffic_config/mod.ts";
+
+/** Operators take a second without an answer for a failure. */
+const CALL_TIMES = { totalMs: 900, tryMs: 450 };
+
+/** What the control calls need. */
+export interface ControlCallsOptions {
+  readonly log: logs.Log;
+  readonly dialect: dialects.Dialect;
+  readonly directory: fleet.BoxDirectory;
+  readonly servers: registry.ServerRegistry;
+  readonly link: fleet.FleetLink;
+  readonly core: replicaGroups.LeaderCaller;
+  readonly stores: replicaGroups.LeaderCaller;
+}
+
+/** Answers the calls of servers, operators and trainers to the control address. */
+export class ControlCalls {
+  readonly #options: ControlCallsOptions;
+
+  constructor(options: ControlCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Answers one call. */
+  async answer(
+    request: dialects.RawRequest,
+    body: Buffer,
+  ): Promise<dialects.RawAnswer> {
+    const { dialect } = this.#options;
+    const call = dialect.parseControlCall(request, body);
+    switch (call.kind) {
+      case "heartbeat":
+        return this.#takeHeartbeat(call.report);
+      case "leave":
+        return this.#takeLeave(call.server);
+      case "putConfiguration":
+        return await this.#putConfiguration(call.stored);
+      case "readConfiguration":
+        return await this.#readConfiguration();
+      case "nameVersion":
+        return await this.#nameVersion(call.model, call.version);
+      case "retire":
+        return await this.#retire(call.box);
+      case "readRetire":
+        return await this.#readRetire(call.box);
+      case "malformed":
+        this.#options.log.write("warn", "control.malformed", {
+          method: request.method,
+          target: request.target,
+          message: call.failure.message,
+        });
+        return dialect.formatFailure(call.failure);
+      case "unknown":
+        return this.#refuse("unknownRoute", "Cannot answer: no such call");
+    }
+  }
+
+  #refuse(
+    code: results.CodeName,
+    message: string,
+    options: results.FailureOptions = {},
+  ): dialects.RawAnswer {
+    const { failure } = results.createFailure(code, message, options);
+    return this.#options.dialect.formatFailure(failure);
+  }
+
+  /** The others are told before the server is, so that they know by then. */
+  #takeHeartbeat(report: registry.RegisteredServer): dialects.RawAnswer {
+    const { servers, link, log, dialect } = this.#options;
+    const outcome = servers.merge(report);
+    const merged = servers.get(report.id) ?? report;
+    switch (outcome) {
+      case "changed":
+        log.write("info", "server.reported", {
+          server: report.id,
+          service: report.service,
+          phase: merged.phase,
+          sequence: report.sequence,
+        });
+        link.publishServer(merged);
+        break;
+      case "refreshed":
+        link.refreshServer(merged);
+        break;
+      case "old":
+        break;
+    }
+    return dialect.formatDone();
+  }
+
+  #takeLeave(id: string): dialects.RawAnswer {
+    const { servers, link, log, dialect } = this.#options;
+    const server = servers.markGone(id);
+    log.write("info", "server.left", { server: id, service: server.service });
+    link.publishServer(server);
+    return dialect.formatDone();
+  }
+
+  async #putConfiguration(
+    stored: trafficConfig.StoredConfiguration,
+  ): Promise<dialects.RawAnswer> {
+    const { core, dialect, log } = this.#options;
+    const request: trafficConfig.PutRequest = { stored };
+    const reply = await core.call<trafficConfig.PutReply>(
+      trafficConfig.METHODS.put,
+      request,
+      CALL_TIMES,
+    );
+    log.write("info", "configuration.put", {
+      version: stored.version,
+      outcome: reply.kind === "ok" ? reply.value.kind : reply.failure.code,
+    });
+    if (reply.kind === "failure") return dialect.formatFailure(reply.failure);
+    return dialect.formatDone();
+  }
+
+  async #readConfiguration(): Promise<dialects.RawAnswer> {
+    const { core, dialect } = this.#options;
+    const reply = await core.call<trafficConfig.ReadReply>(
+      trafficConfig.METHODS.read,
+      {},
+      CALL_TIMES,
+    );
+    if (reply.kind === "failure") return dialect.formatFailure(reply.failure);
+    const { stored } = reply.value;
+    if (stored !== undefined) return dialect.formatConfiguration(stored.text);
+    return this.#refuse("noLease", "Cannot read: no configuration yet");
+  }
+
+  async #nameVersion(
+    model: string,
+    version: number,
+  ): Promise<dialects.RawAnswer> {
+    const request: submissions.NameVersionRequest = { model, version };
+    const reply = await this.#callStores<null>(
+      submissions.METHODS.nameVersion,
+      request,
+    );
+    return reply.kind === "ok"
+      ? this.#options.dialect.formatDone()
+      : this.#options.dialect.formatFailure(reply.failure);
+  }
+
+  async #retire(name: string): Promise<dialects.RawAnswer> {
+    const box = this.#options.directory.findByName(name);
+    if (box === undefined || !box.isStore) return this.#refuseBox(name);
+    const request: submissions.RetireRequest = { box: box.id };
+    const reply = await this.#callStores<submissions.RetireState>(
+      submissions.METHODS.retire,
+      request,
+    );
+    if (reply.kind === "failure") {
+      return this.#options.dialect.formatFailure(reply.failure);
+    }
+    if (reply.value !== "tooFewLeft") return this.#options.dialect.formatDone();
+    return this.#refuse(
+      "wrongRevision",
+      `Cannot empty ${name}: too few stores would be left`,
+    );
+  }
+
+  async #readRetire(name: string): Promise<dialects.RawAnswer> {
+    const box = this.#options.directory.findByName(name);
+    if (box === undefined || !box.isStore) return this.#refuseBox(name);
+    const request: submissions.RetireRequest = { box: box.id };
+    const reply = await this.#callStores<submissions.RetireState>(
+      submissions.METHODS.readRetire,
+      request,
+    );
+    if (reply.kind === "failure") {
+      return this.#options.dialect.formatFailure(reply.failure);
+    }
+    return this.#options.dialect.formatRetire(reply.value === "completed");
+  }
+
+  #refuseBox(name: string): dialects.RawAnswer {
+    return this.#refuse("unknownRoute", `Cannot find the store box ${name}`);
+  }
+
+  async #callStores<T>(
+    method: string,
+    request: object,
+  ): Promise<results.Result<T>> {
+    return await callStores<T>(
+      this.#options.stores,
+      { method, request },
+      CALL_TIMES,
+    );
+  }
+}
+
+/** A call to the leader of the stores. */
+export interface StoreCall {
+  readonly method: string;
+  readonly request: object;
+}
+
+/**
+ * Calls the leader of the stores and gives its answer as a result.
+ *
+ * @returns The value; `unknownStep` for what does not exist, `changeUnknown`
+ * or `noLeader` where no answer came in time.
+ */
+export async function callStores<T>(
+  stores: replicaGroups.LeaderCaller,
+  call: StoreCall,
+  times: replicaGroups.CallTimes,
+): Promise<results.Result<T>> {
+  const reply = await stores.call<submissions.LeaderReply<T>>(
+    call.method,
+    call.request,
+    times,
+  );
+  if (reply.kind === "failure") return reply;
+  switch (reply.value.kind) {
+    case "done":
+      return results.createOk(reply.value.value);
+    case "unknown":
+      return results.createFailure(
+        "unknownStep",
+        `Cannot carry out ${call.method}: there is no such thing`,
+      );
+  }
+}
--- /dev/null
+++ b/src/fleet_daemon/entry_box.ts
@@ -0,0 +1,206 @@
+import type * as http from "node:http";
+import type * as dialects from "../dialect/mod.ts";
+import type * as fleetSettings from "../fleet_settings/mod.ts";
+import * as httpServer from "../http_server/mod.ts";
+import * as replicaGroups from "../replica_group/mod.ts";
+import * as results from "../results/mod.ts";
+import * as trafficConfig from "../traffic_config/mod.ts";
+import * as boxParts from "./box_parts.ts";
+import * as callerCalls from "./caller_calls.ts";
+import * as controlCalls from "./control_calls.ts";
+import * as rawListeners from "./raw_listener.ts";
+
+/** Largest body of a control call, in bytes; a configuration has some 100 KB. */
+const MAX_CONTROL_BYTES = 16 * 1024 * 1024;
+/** Time in which the body of a control call must arrive, in ms. */
+const CONTROL_RECEIVE_MS = 5_000;
+/** Core replicas at most; an odd number, so that a half has no quorum. */
+const MAX_CORE_VOTERS = 9;
+const CORE_SNAPSHOT_ENTRIES = 64;
+/** Share of the longest time that callers keep addresses. */
+const KEEP_SHARE = 0.4;
+/** Boxes of the caller's own failure domain that are enough to name alone. */
+const ENOUGH_NEAR = 2;
+/** Addresses in one answer at most; callers read no more. */
+const MAX_ADDRESSES = 64;
+
+/** The listeners and services of an entry box. */
+export class EntryBox {
+  readonly #parts: boxParts.BoxParts;
+  readonly #callers: rawListeners.RawListener;
+  readonly #others: readonly rawListeners.RawListener[];
+  readonly #control: rawListeners.RawListener;
+  readonly #ready: rawListeners.RawListener;
+  readonly #directory: rawListeners.RawListener;
+  readonly #controlCalls: controlCalls.ControlCalls;
+  readonly #core: replicaGroups.ReplicaGroup | undefined;
+
+  constructor(parts: boxParts.BoxParts) {
+    this.#parts = parts;
+    new replicaGroups.FoundingDesk({
+      ...parts,
+      isFirstStart: parts.settings.isFirstStart,
+    });
+    const core = boxParts.createLeaderCaller(parts, boxParts.isCoreBox);
+    const stores = boxParts.createLeaderCaller(parts, boxParts.isStoreBox);
+    this.#controlCalls = new controlCalls.ControlCalls({
+      ...parts,
+      core,
+      stores,
+    });
+    const calls = new callerCalls.CallerCalls({ ...parts, stores });
+    const { log } = parts;
+    this.#callers = new rawListeners.RawListener(
+      (request, response) => calls.serve(request, response),
+      log,
+    );
+    this.#control = new rawListeners.RawListener(
+      (request, response) => this.#serveControl(request, response),
+      log,
+    );
+    this.#ready = new rawListeners.RawListener(
+      (_request, response) => this.#serveReady(response),
+      log,
+    );
+    this.#directory = new rawListeners.RawListener(
+      (request, response) => this.#serveAddresses(request, response),
+      log,
+    );
+    this.#others = [this.#control, this.#ready, this.#directory];
+    this.#core = this.#createCore();
+  }
+
+  /** Starts to listen; callers come once a configuration is in force. */
+  async start(): Promise<void> {
+    const { listen } = this.#parts.settings;
+    await listenAt(this.#control, listen.control);
+    await listenAt(this.#ready, listen.ready);
+    await listenAt(this.#directory, listen.directory);
+    await listenAt(this.#callers, listen.caller);
+  }
+
+  /** Joins the core where this box has a disk; waits for the founding. */
+  async join(): Promise<void> {
+    await this.#core?.start();
+  }
+
+  getInFlight(): number {
+    return this.#callers.getInFlight();
+  }
+
+  /** Follows what the configuration says of connections. */
+  followLimits(): void {
+    const limits = this.#parts.configuration.get()?.limits;
+    if (limits === undefined) return;
+    this.#callers.setTimes({
+      headersMs: limits.headerTimeoutMs,
+      idleMs: limits.idleTimeoutMs,
+    });
+  }
+
+  /** Hands leadership over, and asks callers to go elsewhere. */
+  async setDraining(): Promise<void> {
+    this.#callers.setDraining();
+    for (const listener of this.#others) listener.setDraining();
+    await this.#core?.resign();
+  }
+
+  async stop(): Promise<void> {
+    for (const listener of [this.#callers, ...this.#others]) listener.close();
+    await this.#core?.stop();
+  }
+
+  #createCore(): replicaGroups.ReplicaGroup | undefined {
+    const { settings, configuration, link, server } = this.#parts;
+    if (settings.dataFolder === undefined) return undefined;
+    const machine = new trafficConfig.ConfigurationMachine((stored) => {
+      if (configuration.offer(stored)) link.publishConfiguration();
+    });
+    const group = new replicaGroups.ReplicaGroup({
+      ...this.#parts,
+      name: "core",
+      id: settings.box.address,
+      failureDomain: settings.box.failureDomain,
+      dataFolder: settings.dataFolder,
+      isFirstStart: settings.isFirstStart,
+      wanted: MAX_CORE_VOTERS,
+      least: 2 * settings.lossesToBear + 1,
+      snapshotEntries: CORE_SNAPSHOT_ENTRIES,
+      seeds: settings.seeds.map((seed) => seed.address),
+      machine,
+      canVote: boxParts.isCoreBox,
+      listRetiring: () => [],
+    });
+    new trafficConfig.ConfigurationService({ server, group, machine });
+    return group;
+  }
+
+  async #serveControl(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const body = await httpServer.readBody(request, {
+      maxBodyBytes: MAX_CONTROL_BYTES,
+      receiveTimeoutMs: CONTROL_RECEIVE_MS,
+    });
+    const raw = rawListeners.toRawRequest(request);
+    const answer = body.kind === "ok"
+      ? await this.#controlCalls.answer(raw, body.value)
+      : this.#parts.dialect.formatFailure(body.failure);
+    rawListeners.writeAnswer(response, answer);
+  }
+
+  #serveReady(response: http.ServerResponse): Promise<void> {
+    const { dialect, phase } = this.#parts;
+    rawListeners.writeAnswer(
+      response,
+      phase.isReady && !phase.isLeaving
+        ? dialect.formatDone()
+        : this.#refuse("noLease", "Not ready"),
+    );
+    return Promise.resolve();
+  }
+
+  #refuse(code: results.CodeName, message: string): dialects.RawAnswer {
+    const { failure } = results.createFailure(code, message);
+    return this.#parts.dialect.formatFailure(failure);
+  }
+
+  #serveAddresses(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { dialect, settings } = this.#parts;
+    const raw = rawListeners.toRawRequest(request);
+    const query = dialect.parseAddressQuery(raw);
+    const addresses = query === undefined
+      ? []
+      : this.#listAddresses(query.failureDomain);
+    const keepMs = settings.bounds.addressesKeepMs * KEEP_SHARE;
+    rawListeners.writeAnswer(
+      response,
+      addresses.length === 0
+        ? this.#refuse("noLease", "Cannot answer: no box is ready")
+        : dialect.formatAddresses(addresses, keepMs),
+    );
+    return Promise.resolve();
+  }
+
+  /** Ready boxes near the caller, or all where too few are near. */
+  #listAddresses(failureDomain: string): readonly string[] {
+    const ready = this.#parts.directory.listAlive().filter((box) =>
+      box.isReady && !box.isLeaving && box.callerAddress !== undefined
+    );
+    const near = ready.filter((box) => box.failureDomain === failureDomain);
+    const chosen = near.length >= ENOUGH_NEAR ? near : ready;
+    return chosen.slice(0, MAX_ADDRESSES)
+      .flatMap((box) => box.callerAddress ?? []);
+  }
+}
+
+async function listenAt(
+  listener: rawListeners.RawListener,
+  endpoint: fleetSettings.Endpoint | undefined,
+): Promise<void> {
+  if (endpoint !== undefined) await listener.listen(endpoint);
+}
--- /dev/null
+++ b/src/fleet_daemon/store_box.ts
@@ -0,0 +1,82 @@
+import * as csp from "../csp/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
+import * as replicaGroups from "../replica_group/mod.ts";
+import * as submissions from "../submission/mod.ts";
+import * as weightOrders from "../weight_orders/mod.ts";
+import * as boxParts from "./box_parts.ts";
+
+/** Entries after which the stores' log is cut; bodies make it large. */
+const STORE_SNAPSHOT_ENTRIES = 4_096;
+
+/** Keeps submissions, and runs them while it leads the stores. */
+export class StoreBox {
+  readonly #group: replicaGroups.ReplicaGroup;
+  readonly #dispatcher: dispatch.Dispatcher;
+  readonly #orders: weightOrders.WeightOrders;
+
+  /** @param dataFolder Folder on the box's disk. */
+  constructor(parts: boxParts.BoxParts, dataFolder: string) {
+    const { settings, clock, directory } = parts;
+    const changed = new csp.Signal();
+    const machine = new submissions.SubmissionMachine(() => {
+      changed.notify();
+      this.#dispatcher.wake();
+    });
+    const wanted = 2 * settings.lossesToBear + 1;
+    const group = new replicaGroups.ReplicaGroup({
+      ...parts,
+      name: "stores",
+      id: settings.box.address,
+      failureDomain: settings.box.failureDomain,
+      dataFolder,
+      isFirstStart: settings.isFirstStart,
+      wanted,
+      least: wanted,
+      snapshotEntries: STORE_SNAPSHOT_ENTRIES,
+      seeds: settings.seeds.map((seed) => seed.address),
+      machine,
+      canVote: boxParts.isStoreBox,
+      listRetiring: () => machine.listRetiring(),
+    });
+    this.#group = group;
+    const engines = new dispatch.EngineTable(clock);
+    const shared = { ...parts, group, machine, engines };
+    this.#dispatcher = new dispatch.Dispatcher(shared);
+    this.#orders = new weightOrders.WeightOrders({
+      ...shared,
+      box: settings.box.name,
+      leaseMs: settings.bounds.orderLeaseMs,
+      onLoaded: () => this.#dispatcher.wake(),
+    });
+    new submissions.SubmissionService({
+      ...shared,
+      changed,
+      wantedVoters: wanted,
+      listStores: () =>
+        directory.listAlive()
+          .filter((box) =>
+            box.isStore && !box.isLeaving &&
+            !machine.listRetiring().includes(box.id)
+          )
+          .map((box) => box.id),
+    });
+  }
+
+  /** Joins the stores; waits for the founding. */
+  async join(): Promise<void> {
+    await this.#group.start();
+    this.#dispatcher.start();
+    this.#orders.start();
+  }
+
+  /** Hands leadership over before a planned stop. */
+  async setDraining(): Promise<void> {
+    await this.#group.resign();
+  }
+
+  async stop(): Promise<void> {
+    this.#dispatcher.stop();
+    this.#orders.stop();
+    await this.#group.stop();
+  }
+}
--- /dev/null
+++ b/src/fleet_settings/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Settings of a box that finds the others by seeds.
+ *
+ * @example
+ * ```ts
+ * import * as fleetSettings from "../fleet_settings/mod.ts";
+ * const loaded = fleetSettings.loadFleetSettings("box.yaml");
+ * ```
+ * @module
+ */
+export * from "./fleet_settings.ts";
+export * from "./load_fleet_settings.ts";
--- /dev/null
+++ b/src/forwarding/_attempt.ts
@@ -0,0 +1,83 @@
+import type * as csp from "../csp/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import * as httpClient from "../http_client/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as jobs from "./forward_job.ts";
+
+/** Time for a connection to be made, in ms; links take some milliseconds. */
+const CONNECT_MS = 250;
+/** Largest answer that is taken whole, in bytes. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+const FIRST_ERROR_STATUS = 500;
+/** Status of a server that is not the one that the request was meant for. */
+const OTHER_SERVER_STATUS = 421;
+
+/** One try of a job at one server. */
+export interface AttemptOptions {
+  readonly job: jobs.ForwardJob;
+  readonly server: registry.RegisteredServer;
+  readonly dialect: dialects.Dialect;
+  readonly timeoutMs: number;
+  readonly cancellation: csp.Cancellation;
+}
+
+/** Sends a job to one server and judges its answer. */
+export async function sendAttempt(
+  options: AttemptOptions,
+): Promise<jobs.AttemptOutcome> {
+  const { job, server, dialect, timeoutMs, cancellation } = options;
+  const outcome = await httpClient.sendRequest({
+    address: server.address,
+    port: server.port,
+    method: job.method,
+    path: job.target,
+    headers: dialect.createForwardHeaders(job.headers, {
+      requestId: job.requestId,
+      server: server.id,
+      deadlineMs: Math.max(1, Math.floor(timeoutMs)),
+    }),
+    body: job.body,
+    timeoutMs,
+    connectTimeoutMs: CONNECT_MS,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+    isFreshConnection: !job.isRepeatable,
+    checkHead: (head) => findHeadFault(options, head),
+    cancellation,
+  });
+  switch (outcome.kind) {
+    case "notSent":
+      return { kind: "notRun", reason: outcome.message };
+    case "broken":
+      return { kind: "broken", reason: outcome.message };
+    case "answered":
+      return judgeAnswer(options, outcome.head, outcome.body);
+  }
+}
+
+function findHeadFault(
+  { dialect, job }: AttemptOptions,
+  { status, headers }: httpClient.HttpHead,
+): string | undefined {
+  const { requestId } = dialect.parseAnswerHead(headers);
+  if (requestId === job.requestId) return undefined;
+  if (requestId === undefined && status === OTHER_SERVER_STATUS) {
+    return undefined;
+  }
+  return "the answer belongs to another request";
+}
+
+function judgeAnswer(
+  options: AttemptOptions,
+  { status, headers }: httpClient.HttpHead,
+  body: Buffer,
+): jobs.AttemptOutcome {
+  const head = options.dialect.parseAnswerHead(headers);
+  if (head.isNotRun || status === OTHER_SERVER_STATUS) {
+    return { kind: "notRun", reason: `the server refused with ${status}` };
+  }
+  if (head.receipt === undefined && status < FIRST_ERROR_STATUS) {
+    return { kind: "broken", reason: "the answer has no receipt" };
+  }
+  const answer = { server: options.server.id, status, headers, head, body };
+  return { kind: "answered", answer };
+}
--- /dev/null
+++ b/src/forwarding/choose_server.ts
@@ -0,0 +1,44 @@
+import type * as registry from "../registry/mod.ts";
+import type * as serverLoads from "./server_loads.ts";
+
+/** What a choice goes by. */
+export interface ServerChoice {
+  readonly servers: readonly registry.RegisteredServer[];
+  readonly loads: serverLoads.ServerLoads;
+  /** Servers that had this request already. */
+  readonly tried: ReadonlySet<string>;
+  readonly failureDomain: string;
+  /** Gives a number from 0 up to, but not including, 1. */
+  readonly draw: () => number;
+}
+
+/** What crossing failure domains costs against an estimate, in ms. */
+const CROSSING_MS = 2;
+/** Spread of the tie break, in ms, so that boxes do not all pick the same. */
+const TIE_MS = 3;
+
+/**
+ * Picks the server that should answer first. Servers that broke a request
+ * lately, or had this one, are taken only when there is no other.
+ *
+ * @param choice The servers and what is known of them.
+ * @returns The server, or undefined when there is none.
+ */
+export function chooseServer(
+  choice: ServerChoice,
+): registry.RegisteredServer | undefined {
+  const { servers, loads, tried, failureDomain, draw } = choice;
+  const fresh = servers.filter((server) => !tried.has(server.id));
+  const sound = fresh.filter((server) => !loads.isAvoided(server.id));
+  const pool = [sound, fresh].find((list) => list.length > 0) ?? servers;
+  let best: registry.RegisteredServer | undefined;
+  let bestMs = Number.POSITIVE_INFINITY;
+  for (const server of pool) {
+    const crossingMs = server.failureDomain === failureDomain ? 0 : CROSSING_MS;
+    const ms = loads.estimateMs(server) + crossingMs + draw() * TIE_MS;
+    if (ms >= bestMs) continue;
+    best = server;
+    bestMs = ms;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/forwarding/forward_job.ts
@@ -0,0 +1,51 @@
+import type * as csp from "../csp/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+
+/** A request to be answered by some server of a service. */
+export interface ForwardJob {
+  readonly requestId: string;
+  readonly service: string;
+  readonly method: string;
+  readonly target: string;
+  /** Headers as the caller sent them. */
+  readonly headers: dialects.HeaderMap;
+  readonly body: Buffer;
+  /** When the answer is due, in monotonic ms. */
+  readonly deadlineAtMs: number;
+  /** Servers that may work on it at most. */
+  readonly attempts: number;
+  /** Whether it may run more than once. */
+  readonly isRepeatable: boolean;
+  /** Whether an answer of 500 is worth another server. */
+  readonly retriesErrors: boolean;
+  /** Silence after which a second server is asked as well, in ms. */
+  readonly hedgeMs: number;
+  /** Cancelled once the caller has left. */
+  readonly cancellation: csp.Cancellation;
+}
+
+/** A whole answer of a server. */
+export interface ServerAnswer {
+  readonly server: string;
+  readonly status: number;
+  readonly headers: dialects.HeaderMap;
+  readonly head: dialects.AnswerHead;
+  readonly body: Buffer;
+}
+
+/** What became of a job. */
+export type ForwardOutcome =
+  | { readonly kind: "answered"; readonly answer: ServerAnswer }
+  /** No server ran it, and none will. */
+  | { readonly kind: "notRun"; readonly reason: string }
+  /** It may have run, but no whole answer came. */
+  | { readonly kind: "failed"; readonly reason: string }
+  /** The deadline passed; it may have run where it was sent. */
+  | { readonly kind: "expired"; readonly wasSent: boolean }
+  | { readonly kind: "abandoned" };
+
+/** What became of one attempt at one server. */
+export type AttemptOutcome =
+  | { readonly kind: "answered"; readonly answer: ServerAnswer }
+  | { readonly kind: "notRun"; readonly reason: string }
+  | { readonly kind: "broken"; readonly reason: string };
--- a/src/http_client/http_request.ts
+++ b/src/http_client/http_request.ts
@@ -16,6 +16,8 @@
   readonly maxAnswerBytes?: number;
   /** Use a connection of its own, never one that served before. */
   readonly isFreshConnection?: boolean;
+  /** Says what is wrong with an answer's head, before its body is read. */
+  readonly checkHead?: (head: HttpHead) => string | undefined;
   /** Gives the request up when cancelled. */
   readonly cancellation?: csp.Cancellation;
 }
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -29,6 +29,7 @@
   #isSettled = false;
   #isSent = false;
   readonly #cancellation: csp.Cancellation | undefined;
+  readonly #checkHead: httpRequests.HttpRequest["checkHead"];
   readonly #onCancel: () => void;
   #timer: NodeJS.Timeout | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -39,6 +40,7 @@
   ) {
     this.#listener = listener;
     this.#cancellation = options.cancellation;
+    this.#checkHead = options.checkHead;
     this.#onCancel = () => this.#fail("it was cancelled");
     this.#request = http.request({
       host: options.address,
@@ -90,10 +92,10 @@
 
   #read(answer: http.IncomingMessage): void {
     if (this.#isSettled) return;
-    this.#listener.onHead({
-      status: answer.statusCode ?? 0,
-      headers: answer.headers,
-    });
+    const head = { status: answer.statusCode ?? 0, headers: answer.headers };
+    const fault = this.#checkHead?.(head);
+    if (fault !== undefined) return this.#fail(fault);
+    this.#listener.onHead(head);
     answer.on("data", (chunk: Buffer) => {
       if (!this.#isSettled) this.#listener.onData(chunk);
     });
--- /dev/null
+++ b/src/item_run/run_item.ts
@@ -0,0 +1,203 @@
+import * as eventSource from "eventsource-parser";
+import type * as clocks from "../clock/mod.ts";
+import type * as csp from "../csp/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import * as httpClient from "../http_client/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import type * as textProgresses from "./text_progress.ts";
+
+/** Longest run of an item, in ms; the longest seen takes some 7 s. */
+const MAX_RUN_MS = 60_000;
+/** Time for a connection to be made, in ms. */
+const CONNECT_MS = 250;
+const FAILED_STATUS = 500;
+const IMPOSSIBLE_STATUS = 422;
+const OTHER_SERVER_STATUS = 421;
+const DONE_STATUS = 200;
+
+/** One run of an item at an engine. */
+export interface RunItemOptions {
+  readonly clock: clocks.Clock;
+  readonly dialect: dialects.Dialect;
+  readonly item: submissions.SubmissionItem;
+  readonly host: string;
+  readonly engine: registry.RegisteredServer;
+  readonly minimumVersion: number;
+  /** Whether one version must make the whole text. */
+  readonly isSingleVersion: boolean;
+  /** What earlier runs brought; this run adds to it. */
+  readonly progress: textProgresses.TextProgress;
+  /** Silence after which the run is given up, in ms. */
+  readonly stallMs: number;
+  readonly cancellation: csp.Cancellation;
+  /** Told of each event that was added. */
+  readonly onEvent: () => void;
+}
+
+/** How a run ended. */
+export type RunEnd =
+  | { readonly kind: "finished" }
+  /** The engine answered that this attempt failed. */
+  | { readonly kind: "failed" }
+  /** The engine answered that no attempt can succeed. */
+  | { readonly kind: "impossible" }
+  /** The engine did not take it. */
+  | { readonly kind: "notRun"; readonly reason: string }
+  /** The stream broke off; a further run may go on from there. */
+  | { readonly kind: "broken"; readonly reason: string };
+
+/** Follows the stream of one run. */
+class ItemStream implements httpClient.ExchangeListener {
+  readonly #options: RunItemOptions;
+  readonly #resolve: (end: RunEnd) => void;
+  readonly #parser: eventSource.EventSourceParser;
+  readonly #decoder = new TextDecoder();
+  #exchange: httpClient.Exchange | undefined;
+  #cancelStall: clocks.CancelTimer = () => {};
+  #status = 0;
+  #isNotRun = false;
+  #version: number | undefined;
+  #isSettled = false;
+
+  constructor(options: RunItemOptions, resolve: (end: RunEnd) => void) {
+    this.#options = options;
+    this.#resolve = resolve;
+    this.#parser = eventSource.createParser({
+      onEvent: (event) => this.#takeEvent(event),
+      onError: (error) => this.#takeField(error),
+    });
+  }
+
+  start(): void {
+    const { item, engine, dialect, host, progress, cancellation } =
+      this.#options;
+    const lastEventId = progress.getLastId();
+    const marks = { requestId: item.id, server: engine.id };
+    this.#exchange = httpClient.openExchange({
+      address: engine.address,
+      port: engine.port,
+      method: "POST",
+      path: item.path,
+      headers: dialect.createForwardHeaders(
+        { ...item.headers, host },
+        lastEventId === undefined ? marks : { ...marks, lastEventId },
+      ),
+      body: Buffer.from(item.body, "base64"),
+      timeoutMs: MAX_RUN_MS,
+      connectTimeoutMs: CONNECT_MS,
+      cancellation,
+    }, this);
+    this.#armStall();
+  }
+
+  onHead(head: httpClient.HttpHead): void {
+    const parsed = this.#options.dialect.parseAnswerHead(head.headers);
+    this.#status = head.status;
+    this.#isNotRun = parsed.isNotRun || head.status === OTHER_SERVER_STATUS;
+    if (head.status !== DONE_STATUS) return;
+    if (parsed.requestId !== this.#options.item.id) {
+      return this.#stop("the answer belongs to another request");
+    }
+    this.#version = parsed.weightVersion;
+    if (this.#version === undefined) {
+      return this.#stop("the answer names no weight version");
+    }
+    this.#checkVersion(this.#version);
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#isSettled) return;
+    this.#armStall();
+    if (this.#status !== DONE_STATUS) return;
+    this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
+  }
+
+  onEnd(): void {
+    switch (this.#status) {
+      case DONE_STATUS:
+        return this.#settle({ kind: "finished" });
+      case FAILED_STATUS:
+        return this.#settle({ kind: "failed" });
+      case IMPOSSIBLE_STATUS:
+        return this.#settle({ kind: "impossible" });
+    }
+    const reason = `the engine answered ${this.#status}`;
+    this.#settle({ kind: this.#isNotRun ? "notRun" : "broken", reason });
+  }
+
+  onFail(message: string, isSent: boolean): void {
+    this.#settle({ kind: isSent ? "broken" : "notRun", reason: message });
+  }
+
+  /** A field that event streams do not define may tell a new version. */
+  #takeField(error: eventSource.ParseError): void {
+    const isVersion = error.type === "unknown-field" &&
+      error.field === this.#options.dialect.versionField;
+    if (!isVersion) return this.#stop("the stream can't be read");
+    this.#version = Number(error.value);
+    this.#checkVersion(this.#version);
+  }
+
+  /** A text of one version begins anew where another one would go on. */
+  #checkVersion(version: number): void {
+    const { minimumVersion, isSingleVersion, progress } = this.#options;
+    if (version < minimumVersion) {
+      return this.#stop(`version ${version} is older than ${minimumVersion}`);
+    }
+    const made = progress.listVersions();
+    if (!isSingleVersion || made.length === 0 || made.includes(version)) return;
+    progress.reset();
+    this.#stop("another version would go on with the text");
+  }
+
+  #takeEvent(event: eventSource.EventSourceMessage): void {
+    if (this.#isSettled || this.#version === undefined) return;
+    const { progress, onEvent } = this.#options;
+    const id = Number(event.id);
+    if (event.id === undefined || !Number.isInteger(id)) {
+      return this.#stop("an event has no number");
+    }
+    const isNext = progress.add({
+      id,
+      data: event.data,
+      version: this.#version,
+    });
+    if (!isNext) return this.#stop("an event is missing");
+    onEvent();
+  }
+
+  #armStall(): void {
+    const { clock, stallMs } = this.#options;
+    this.#cancelStall();
+    if (this.#isSettled) return;
+    this.#cancelStall = clock.startTimer(
+      stallMs,
+      () => this.#stop("no event came for long"),
+    );
+  }
+
+  #stop(reason: string): void {
+    this.#exchange?.cancel();
+    this.#settle({ kind: "broken", reason });
+  }
+
+  #settle(end: RunEnd): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    this.#cancelStall();
+    this.#resolve(end);
+  }
+}
+
+/**
+ * Runs an item at one engine, going on after what earlier runs brought.
+ *
+ * @param options The item, the engine and the progress to add to.
+ * @returns How the run ended; it never throws.
+ */
+export function runItem(options: RunItemOptions): Promise<RunEnd> {
+  return new Promise((resolve) => {
+    new ItemStream(options, resolve).start();
+  });
+}
--- a/src/log/mod.ts
+++ b/src/log/mod.ts
@@ -8,4 +8,5 @@
  * ```
  * @module
  */
+export * from "./line_buffer.ts";
 export * from "./log.ts";
--- /dev/null
+++ b/src/metrics/fleet_metrics.ts
@@ -0,0 +1,98 @@
+import * as http from "node:http";
+import * as prometheus from "prom-client";
+
+/** Upper bounds of the latency histograms, in ms. */
+const BUCKETS_MS = [
+  5,
+  10,
+  25,
+  50,
+  100,
+  200,
+  400,
+  800,
+  1_600,
+  3_200,
+  6_400,
+  12_800,
+];
+
+/** Counters and histograms of a box, served as text. */
+export class FleetMetrics {
+  readonly #registry = new prometheus.Registry();
+  readonly #requests: prometheus.Histogram<"route" | "outcome">;
+  readonly #items: prometheus.Counter<"outcome">;
+  readonly #itemMs: prometheus.Histogram<string>;
+  readonly #orders: prometheus.Counter<"outcome">;
+  readonly #logLost: prometheus.Gauge<string>;
+  #server: http.Server | undefined;
+
+  constructor() {
+    const registers = [this.#registry];
+    this.#requests = new prometheus.Histogram({
+      name: "hoistscale_request_ms",
+      help: "Time from a caller's request to its answer",
+      labelNames: ["route", "outcome"],
+      buckets: BUCKETS_MS,
+      registers,
+    });
+    this.#items = new prometheus.Counter({
+      name: "hoistscale_items_total",
+      help: "Item runs at engines, by how they ended",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#itemMs = new prometheus.Histogram({
+      name: "hoistscale_item_ms",
+      help: "Time from the acceptance of an item to its result",
+      buckets: BUCKETS_MS,
+      registers,
+    });
+    this.#orders = new prometheus.Counter({
+      name: "hoistscale_orders_total",
+      help: "Orders to engines, by their answer",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#logLost = new prometheus.Gauge({
+      name: "hoistscale_log_lines_lost",
+      help: "Log lines dropped because the output was not read",
+      registers,
+    });
+  }
+
+  recordRequest(route: string, outcome: string, tookMs: number): void {
+    this.#requests.observe({ route, outcome }, tookMs);
+  }
+
+  countItemRun(outcome: string): void {
+    this.#items.inc({ outcome });
+  }
+
+  recordItem(tookMs: number): void {
+    this.#itemMs.observe(tookMs);
+  }
+
+  countOrder(outcome: string): void {
+    this.#orders.inc({ outcome });
+  }
+
+  setLogLost(lines: number): void {
+    this.#logLost.set(lines);
+  }
+
+  /** Serves the figures at any path of a port. */
+  listen(address: string, port: number): void {
+    this.#server = http.createServer((_request, response) => {
+      this.#registry.metrics().then((text) => {
+        response.setHeader("content-type", this.#registry.contentType);
+        response.end(text);
+      }, () => response.destroy());
+    });
+    this.#server.listen(port, address);
+  }
+
+  close(): void {
+    this.#server?.close();
+  }
+}
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -9,3 +9,4 @@
  * @module
  */
 export * from "./metrics.ts";
+export * from "./fleet_metrics.ts";
--- /dev/null
+++ b/src/registry/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Backend servers that register by heartbeats.
+ *
+ * @example
+ * ```ts
+ * import * as registry from "../registry/mod.ts";
+ * const servers = new registry.ServerRegistry(clock, 1_200);
+ * servers.merge(report);
+ * ```
+ * @module
+ */
+export * from "./registered_server.ts";
+export * from "./server_registry.ts";
--- /dev/null
+++ b/src/registry/registered_server.ts
@@ -0,0 +1,95 @@
+/** A model that an engine holds. */
+export interface HeldModel {
+  readonly name: string;
+  readonly version: number;
+}
+
+/** What a backend server says of itself. */
+export type ServerPhase = "ready" | "draining" | "gone";
+
+/** One start of a backend server, as its heartbeats tell. */
+export interface RegisteredServer {
+  /** Names this start; another start has another id. */
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly port: number;
+  readonly failureDomain: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  readonly phase: ServerPhase;
+  /** How much longer it stays slow from its start, in ms. */
+  readonly coldMs: number;
+  /** Rises with each heartbeat. */
+  readonly sequence: number;
+  /** Empty for servers that are no engines. */
+  readonly models: readonly HeldModel[];
+}
+
+const PHASE_RANKS: Readonly<Record<ServerPhase, number>> = {
+  ready: 0,
+  draining: 1,
+  gone: 2,
+};
+
+/** Sequence of a report made without a heartbeat; any heartbeat is newer. */
+const NO_SEQUENCE = -1;
+
+/**
+ * Makes the report of a server that left and was never heard before.
+ *
+ * @param id The server's id.
+ * @returns A report that only says it has gone.
+ */
+export function createGone(id: string): RegisteredServer {
+  return {
+    id,
+    service: "",
+    address: "",
+    port: 0,
+    failureDomain: "",
+    slots: 0,
+    phase: "gone",
+    coldMs: 0,
+    sequence: NO_SEQUENCE,
+    models: [],
+  };
+}
+
+/**
+ * Joins two reports of one start of a server, whichever came first: the newer
+ * one holds, but a server never comes back from draining or from having gone.
+ *
+ * @param left One report.
+ * @param right Another one.
+ * @returns What both together say.
+ */
+export function mergeServers(
+  left: RegisteredServer,
+  right: RegisteredServer,
+): RegisteredServer {
+  const newer = right.sequence > left.sequence ? right : left;
+  const phase = PHASE_RANKS[left.phase] >= PHASE_RANKS[right.phase]
+    ? left.phase
+    : right.phase;
+  return { ...newer, phase };
+}
+
+/**
+ * Tells whether two reports say the same but for their sequence.
+ *
+ * @param left One report.
+ * @param right Another one.
+ * @returns Whether others need not be told at once.
+ */
+export function hasSameContent(
+  left: RegisteredServer,
+  right: RegisteredServer,
+): boolean {
+  return left.phase === right.phase && left.address === right.address &&
+    left.port === right.port && left.service === right.service &&
+    left.models.length === right.models.length &&
+    left.models.every((model, index) =>
+      model.version === right.models[index]?.version
+    );
+}
--- /dev/null
+++ b/src/replica_group/leader_caller.ts
@@ -0,0 +1,147 @@
+import * as clocks from "../clock/mod.ts";
+import * as results from "../results/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+
+/** Pause between two tries, in ms; an election takes some hundred. */
+const RETRY_MS = 40;
+
+/** The answer of a replica that does not lead. */
+export interface NotLeader {
+  readonly kind: "notLeader";
+  readonly leader: string | undefined;
+}
+
+/** The answer of a leader whose change no quorum confirmed in time. */
+export interface Unsure {
+  readonly kind: "unsure";
+  readonly mayHaveRun: boolean;
+}
+
+/** An answer after which the call is tried again. */
+type NotDone = NotLeader | Unsure;
+
+/** What a leader caller needs. */
+export interface LeaderCallerOptions {
+  readonly clock: clocks.Clock;
+  /** Ids of the replicas to try, best first. */
+  readonly listReplicas: () => readonly string[];
+  readonly getClient: (id: string) => rpc.RpcClient;
+}
+
+/** How long a call is tried. */
+export interface CallTimes {
+  /** For all tries together, in ms. */
+  readonly totalMs: number;
+  /** For one replica, which may be frozen, in ms. */
+  readonly tryMs: number;
+}
+
+interface CallState {
+  readonly endMs: number;
+  readonly mayHaveRun: boolean;
+}
+
+/** Calls the leader of a replica group, whichever replica that is. */
+export class LeaderCaller {
+  readonly #options: LeaderCallerOptions;
+  #leader: string | undefined;
+  #turn = 0;
+
+  constructor(options: LeaderCallerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Calls a method of the leader until it answers or the time is over. The
+   * call may be carried out more than once.
+   *
+   * @returns The answer; `noLeader` if it surely did not run, else
+   * `changeUnknown`.
+   */
+  async call<T extends { readonly kind: string }>(
+    method: string,
+    params: object,
+    times: CallTimes,
+  ): Promise<results.Result<Exclude<T, NotDone>>> {
+    const { clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + times.totalMs;
+    let mayHaveRun = false;
+    for (;;) {
+      const leftMs = endMs - clock.getMonotonicMs();
+      if (leftMs <= 0) return createCallFailure(method, { endMs, mayHaveRun });
+      const tried = await this.#callOnce<T>(
+        method,
+        params,
+        Math.min(times.tryMs, leftMs),
+      );
+      if (tried.kind === "ok" && isDone(tried.value)) {
+        return results.createOk(tried.value as Exclude<T, NotDone>);
+      }
+      mayHaveRun ||= hasMaybeRun(tried);
+      await clocks.sleep(clock, RETRY_MS);
+    }
+  }
+
+  async #callOnce<T extends { readonly kind: string }>(
+    method: string,
+    params: object,
+    timeoutMs: number,
+  ): Promise<results.Result<T | NotDone>> {
+    const id = this.#pickReplica();
+    if (id === undefined) {
+      return results.createFailure("noLeader", "Cannot find any replica");
+    }
+    try {
+      const client = this.#options.getClient(id);
+      const reply = await client.call<T | NotDone>(method, params, timeoutMs);
+      if (reply.kind === "notLeader") {
+        this.#noteLeader(id, (reply as NotLeader).leader);
+      } else this.#leader = id;
+      return results.createOk(reply);
+    } catch (error) {
+      this.#noteLeader(id, undefined);
+      return { kind: "failure", failure: results.toFailure(error) };
+    }
+  }
+
+  #pickReplica(): string | undefined {
+    const ids = this.#options.listReplicas();
+    if (this.#leader !== undefined) return this.#leader;
+    return ids[this.#turn % Math.max(1, ids.length)];
+  }
+
+  #noteLeader(asked: string, told: string | undefined): void {
+    this.#turn += 1;
+    this.#leader = told === asked ? undefined : told;
+  }
+}
+
+function isDone(reply: { readonly kind: string }): boolean {
+  return reply.kind !== "notLeader" && reply.kind !== "unsure";
+}
+
+/** Tells whether a try may have been carried out without a clear answer. */
+function hasMaybeRun(
+  tried: results.Result<{ readonly kind: string }>,
+): boolean {
+  if (tried.kind === "failure") return tried.failure.outcome !== "notRun";
+  return tried.value.kind === "unsure" && (tried.value as Unsure).mayHaveRun;
+}
+
+function createCallFailure(
+  method: string,
+  state: CallState,
+): { readonly kind: "failure"; readonly failure: results.Failure } {
+  if (state.mayHaveRun) {
+    return results.createFailure(
+      "changeUnknown",
+      `Cannot confirm ${method}: no leader answered in time`,
+      { outcome: "unknown", retryAfterMs: 300 },
+    );
+  }
+  return results.createFailure(
+    "noLeader",
+    `Cannot call ${method}: no leader was found in time`,
+    { retryAfterMs: 300 },
+  );
+}
--- /dev/null
+++ b/src/replica_group/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * A replicated group over boxes found from seeds: founded once, its voters
+ * replaced as boxes come and go.
+ *
+ * @example
+ * ```ts
+ * import * as replicaGroups from "../replica_group/mod.ts";
+ * const group = new replicaGroups.ReplicaGroup({ name: "core", ...options });
+ * await group.start();
+ * ```
+ * @module
+ */
+export * from "./founding_desk.ts";
+export * from "./leader_caller.ts";
+export * from "./plan_voters.ts";
+export * from "./replica_group.ts";
--- /dev/null
+++ b/src/replica_group/plan_voters.ts
@@ -0,0 +1,95 @@
+import type * as consensus from "../consensus/mod.ts";
+
+/** What a leader weighs when it plans its voters. */
+export interface VoterSituation {
+  /** Id of the leader. */
+  readonly self: string;
+  readonly voters: readonly string[];
+  /** How many voters there should be. */
+  readonly wanted: number;
+  readonly commitIndex: number;
+  readonly followers: readonly consensus.FollowerStatus[];
+  /** Boxes that could vote: heard lately, with a disk, not to be emptied. */
+  readonly candidates: readonly string[];
+  /** Boxes that are to be emptied. */
+  readonly retiring: readonly string[];
+  /** Silence after which a voter is replaced, in ms. */
+  readonly deadMs: number;
+}
+
+/**
+ * Says how many voters there should be: an odd number, so that one half of the
+ * boxes alone never has a quorum, and never fewer than losses need.
+ *
+ * @param least Voters that losses need.
+ * @param most Voters at most.
+ * @param boxes Boxes that could vote.
+ * @returns The number of voters.
+ */
+export function countWanted(
+  least: number,
+  most: number,
+  boxes: number,
+): number {
+  const few = Math.min(most, boxes);
+  const odd = few % 2 === 0 ? few - 1 : few;
+  return Math.max(least, odd);
+}
+
+/**
+ * Plans the next single change of the voters.
+ *
+ * @param situation What the leader knows.
+ * @returns The voters after the change, or undefined when none is due.
+ */
+export function planVoters(
+  situation: VoterSituation,
+): readonly string[] | undefined {
+  const { voters, wanted, retiring, self } = situation;
+  const others = voters.filter((id) => id !== self);
+  const dead = others.filter((id) => isDead(id, situation));
+  const emptied = others.filter((id) => retiring.includes(id));
+  const unwanted = [...dead, ...emptied];
+  const fresh = findFresh(situation);
+  if (voters.length > wanted) {
+    const isEven = voters.length % 2 === 0;
+    const extra = unwanted[0] ??
+      (isEven ? findQuietest(situation, others) : undefined);
+    return extra === undefined ? undefined : dropVoter(voters, extra);
+  }
+  const isShort = voters.length < wanted || unwanted.length > 0 ||
+    retiring.includes(self);
+  if (isShort && fresh !== undefined) return [...voters, fresh];
+  return undefined;
+}
+
+function isDead(id: string, situation: VoterSituation): boolean {
+  const follower = situation.followers.find((item) => item.id === id);
+  return follower === undefined || follower.silentMs > situation.deadMs;
+}
+
+/** A candidate that holds all that is committed. */
+function findFresh(situation: VoterSituation): string | undefined {
+  const { candidates, voters, followers, commitIndex } = situation;
+  return candidates.find((id) => {
+    if (voters.includes(id)) return false;
+    const follower = followers.find((item) => item.id === id);
+    return follower !== undefined && follower.isAdmitted &&
+      follower.matchIndex >= commitIndex && !isDead(id, situation);
+  });
+}
+
+function findQuietest(
+  situation: VoterSituation,
+  others: readonly string[],
+): string | undefined {
+  return situation.followers.filter((item) => others.includes(item.id))
+    .toSorted((a, b) => b.silentMs - a.silentMs)[0]?.id;
+}
+
+function dropVoter(
+  voters: readonly string[],
+  removed: string,
+): readonly string[] {
+  return voters.filter((id) => id !== removed);
+}
--- /dev/null
+++ b/src/replica_group/replica_group.ts
@@ -0,0 +1,293 @@
+import * as fs from "node:fs";
+import * as clocks from "../clock/mod.ts";
+import * as consensus from "../consensus/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import * as results from "../results/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+import * as desks from "./founding_desk.ts";
+import type * as leaderCallers from "./leader_caller.ts";
+import * as planVoters from "./plan_voters.ts";
+
+/**
+ * Shortest silence before an election, in ms: six heartbeats, and well above
+ * the slowest sync that was seen (60 ms on a slow disk).
+ */
+const ELECTION_MS = 600;
+const HEARTBEAT_MS = 100;
+/** Entries a message; a submission with its bodies takes some 300 KB. */
+const MAX_BATCH_ENTRIES = 24;
+/** Between two looks at the voters, in ms. */
+const PLAN_MS = 400;
+/** Silence after which a voter is replaced by a spare, in ms. */
+const DEAD_MS = 3_000;
+/** Between two applications to found the set, in ms. */
+const APPLY_MS = 250;
+/** Time after which an unreachable seed is passed over, in ms. */
+const SEED_PATIENCE_MS = 4_000;
+const CALL_MS = 1_000;
+const RESIGN_TRIES = 20;
+const RESIGN_PAUSE_MS = 20;
+
+/** What a replica group needs. */
+export interface ReplicaGroupOptions {
+  /** Name of the group; it begins the names of its calls. */
+  readonly name: string;
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly dataFolder: string;
+  readonly isFirstStart: boolean;
+  /** Voters that the group should have, if there are so many boxes. */
+  readonly wanted: number;
+  /** Boxes that must apply before the group is founded in a hurry. */
+  readonly least: number;
+  readonly snapshotEntries: number;
+  readonly seeds: readonly string[];
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly machine: consensus.Machine;
+  readonly directory: fleet.BoxDirectory;
+  readonly peers: fleet.PeerPool;
+  readonly server: rpc.RpcServer;
+  /** Whether a box may keep a replica of this group. */
+  readonly canVote: (box: fleet.BoxRecord) => boolean;
+  /** Ids of boxes that are to be emptied. */
+  readonly listRetiring: () => readonly string[];
+  /** Told of a failed write; the process must end. */
+  readonly onFatal: (error: unknown) => void;
+}
+
+interface ConsensusEnvelope {
+  readonly from: string;
+  readonly message: consensus.Message;
+}
+
+/**
+ * This box's replica of a group: founds or joins the set, and keeps its voters
+ * where they should be while it leads.
+ */
+export class ReplicaGroup {
+  readonly #options: ReplicaGroupOptions;
+  #driver: consensus.ReplicaDriver | undefined;
+  #isStopped = false;
+  /** Term that this replica led last, and since when, in monotonic ms. */
+  #reign = { term: 0, sinceMs: 0 };
+
+  constructor(options: ReplicaGroupOptions) {
+    this.#options = options;
+    options.server.add(
+      this.#getMethod(),
+      (envelope: ConsensusEnvelope) =>
+        this.#driver?.receive(envelope.from, envelope.message),
+    );
+  }
+
+  /** Founds or joins the group; resolves once the replica runs. */
+  async start(): Promise<void> {
+    const { isFirstStart, dataFolder } = this.#options;
+    fs.mkdirSync(dataFolder, { recursive: true });
+    const isEmpty = fs.readdirSync(dataFolder).length === 0;
+    if (isFirstStart && isEmpty) await this.#found();
+    if (this.#isStopped) return;
+    this.#driver = await this.#openDriver();
+    this.#runPlan();
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    await this.#driver?.stop();
+  }
+
+  /** Hands leadership over before a planned stop, within a bounded time. */
+  async resign(): Promise<void> {
+    for (let turn = 0; turn < RESIGN_TRIES; turn += 1) {
+      if (this.#driver?.getStatus().role !== "leader") return;
+      this.#driver.transfer();
+      await clocks.sleep(this.#options.clock, RESIGN_PAUSE_MS);
+    }
+  }
+
+  /** Whether this replica may act as leader now. */
+  hasAuthority(): boolean {
+    return this.#driver?.hasAuthority() ?? false;
+  }
+
+  /** How long this replica has led in its present term, in ms. */
+  getReignMs(): number {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const term = this.getTerm();
+    if (this.#reign.term !== term) this.#reign = { term, sinceMs: nowMs };
+    return nowMs - this.#reign.sinceMs;
+  }
+
+  getTerm(): number {
+    return this.#driver?.getTerm() ?? 0;
+  }
+
+  getStatus(): consensus.ReplicaStatus | undefined {
+    return this.#driver?.getStatus();
+  }
+
+  listVoters(): readonly string[] {
+    return this.#driver?.listVoters() ?? [];
+  }
+
+  /** The answer to calls that only the leader takes. */
+  createNotLeader(): leaderCallers.NotLeader {
+    return { kind: "notLeader", leader: this.#driver?.getLeader() };
+  }
+
+  /** Proposes a command; see `ReplicaDriver.propose`. */
+  async propose<T>(
+    command: unknown,
+    timeoutMs: number,
+  ): Promise<results.Result<T>> {
+    if (this.#driver === undefined) {
+      return results.createFailure(
+        "notLeader",
+        "Cannot accept the change: the replica has not started",
+      );
+    }
+    const result = await this.#driver.propose(command, timeoutMs);
+    return result as results.Result<T>;
+  }
+
+  #getMethod(): string {
+    return `${this.#options.name}.consensus`;
+  }
+
+  async #found(): Promise<void> {
+    const { dataFolder, id, clock, log, name } = this.#options;
+    const voters = await this.#awaitFounders();
+    if (voters === undefined || !voters.includes(id)) return;
+    const made = await consensus.makeDataFolder({
+      folder: dataFolder,
+      owner: id,
+      wallMs: clock.getWallMs(),
+      voters,
+    });
+    if (made.kind === "failure") {
+      log.write("error", "group.notFounded", {
+        group: name,
+        message: made.failure.message,
+      });
+    }
+  }
+
+  /** Applies at the first seed that answers until the founders are known. */
+  async #awaitFounders(): Promise<readonly string[] | undefined> {
+    const { clock, seeds } = this.#options;
+    const startMs = clock.getMonotonicMs();
+    while (!this.#isStopped) {
+      const elapsedMs = clock.getMonotonicMs() - startMs;
+      const reachable = 1 + Math.floor(elapsedMs / SEED_PATIENCE_MS);
+      for (const seed of seeds.slice(0, reachable)) {
+        const reply = await this.#applyAt(seed);
+        if (reply?.kind === "founded") return reply.voters;
+        if (reply?.kind === "wait") break;
+      }
+      await clocks.sleep(clock, APPLY_MS);
+    }
+    return undefined;
+  }
+
+  async #applyAt(seed: string): Promise<desks.FoundingReply | undefined> {
+    const { name, id, failureDomain, wanted, least, peers, log } =
+      this.#options;
+    const applicant: desks.Applicant = {
+      group: name,
+      id,
+      failureDomain,
+      wanted,
+      least,
+    };
+    try {
+      return await peers.get(seed).call<desks.FoundingReply>(
+        desks.FOUNDING_METHOD,
+        applicant,
+        CALL_MS,
+      );
+    } catch (error) {
+      log.write("debug", "group.seedUnreachable", {
+        seed,
+        message: (error as Error).message,
+      });
+      return undefined;
+    }
+  }
+
+  #openDriver(): Promise<consensus.ReplicaDriver> {
+    const { id, clock, dataFolder, machine, snapshotEntries, onFatal, peers } =
+      this.#options;
+    return consensus.ReplicaDriver.open({
+      config: {
+        id,
+        voters: [],
+        electionTimeoutMs: ELECTION_MS,
+        heartbeatMs: HEARTBEAT_MS,
+        maxBatchEntries: MAX_BATCH_ENTRIES,
+        seed: createSeed(id),
+      },
+      clock,
+      dataFolder,
+      machine,
+      snapshotEntries,
+      send: (to, message) => {
+        const envelope: ConsensusEnvelope = { from: id, message };
+        peers.get(to).tell(this.#getMethod(), envelope);
+      },
+      onFatal,
+    });
+  }
+
+  #runPlan(): void {
+    if (this.#isStopped) return;
+    this.#plan();
+    this.#options.clock.startTimer(PLAN_MS, () => this.#runPlan());
+  }
+
+  #plan(): void {
+    const driver = this.#driver;
+    if (driver === undefined || !driver.hasAuthority()) return;
+    if (this.getReignMs() < DEAD_MS) return;
+    const { id, wanted, least, directory, canVote, listRetiring, log, name } =
+      this.#options;
+    const retiring = listRetiring();
+    const candidates = directory.listAlive()
+      .filter((box) =>
+        canVote(box) && !box.isLeaving && !retiring.includes(box.id)
+      )
+      .map((box) => box.id);
+    driver.setLearners(candidates);
+    const { followers, commitIndex } = driver.getStatus();
+    const voters = driver.listVoters();
+    const planned = planVoters.planVoters({
+      self: id,
+      voters,
+      wanted: planVoters.countWanted(least, wanted, candidates.length),
+      commitIndex,
+      followers,
+      candidates,
+      retiring,
+      deadMs: DEAD_MS,
+    });
+    if (planned !== undefined) {
+      log.write("info", "group.changing", {
+        group: name,
+        voters: voters.join(","),
+        planned: planned.join(","),
+      });
+      driver.changeVoters(planned);
+    } else if (retiring.includes(id) && voters.length > 1) driver.transfer();
+  }
+}
+
+const SEED_FACTOR = 31;
+
+/** Spreads the election delays of replicas by their ids. */
+function createSeed(id: string): number {
+  return Buffer.from(id).reduce(
+    (sum, byte) => (sum * SEED_FACTOR + byte) % 1_000_003,
+    1,
+  );
+}
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -12,6 +12,8 @@
 /** Largest number of bytes that wait for one slow peer. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Reason given to calls whose connection was never made. */
+const NOT_CONNECTED = "the connection was not made";
 
 /** Calls another box by JSON-RPC over one TCP connection, made on demand. */
 export class RpcClient {
@@ -40,18 +42,20 @@
   /**
    * Calls a method and waits for its result.
    *
-   * @throws FailureError `connectFailed` or `deadlineExceeded`, unknown outcome.
+   * @throws FailureError `connectFailed`; its outcome is `notRun` where no
+   * connection was made, and unknown otherwise.
    */
   async call<T>(method: string, params: object, timeoutMs: number): Promise<T> {
+    const readBefore = this.#countRead();
     try {
       return await this.#client.timeout(timeoutMs).request(method, params) as T;
     } catch (error) {
+      const { message } = error as Error;
+      this.#dropSilent(readBefore);
       throw new results.FailureError({
         code: "connectFailed",
-        message: `Cannot call ${method} at ${this.#peer.address}: ${
-          (error as Error).message
-        }`,
-        outcome: "unknown",
+        message: `Cannot call ${method} at ${this.#peer.address}: ${message}`,
+        outcome: message === NOT_CONNECTED ? "notRun" : "unknown",
       });
     }
   }
@@ -61,6 +65,15 @@
     this.#socket?.destroy();
   }
 
+  #countRead(): number {
+    return this.#socket?.bytesRead ?? 0;
+  }
+
+  /** Gives up a connection that brought nothing during a whole failed call. */
+  #dropSilent(readBefore: number): void {
+    if (this.#countRead() === readBefore) this.#socket?.destroy();
+  }
+
   #sendMessage(message: unknown): void {
     const socket = this.#openSocket();
     if (socket.writableLength > MAX_BUFFERED_BYTES) {
@@ -79,9 +92,17 @@
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
       if (socket.connecting) socket.destroy();
     });
-    socket.on("connect", () => socket.setTimeout(0));
+    let isConnected = false;
+    socket.on("connect", () => {
+      isConnected = true;
+      socket.setTimeout(0);
+    });
     socket.on("error", () => socket.destroy());
-    socket.on("close", () => this.#dropSocket(socket));
+    socket.on("close", () =>
+      this.#dropSocket(
+        socket,
+        isConnected ? "the connection closed" : NOT_CONNECTED,
+      ));
     internals.readMessages(
       socket,
       (message) => this.#client.receive(message as jsonRpc.JSONRPCResponse),
@@ -90,9 +111,9 @@
     return socket;
   }
 
-  #dropSocket(socket: net.Socket): void {
+  #dropSocket(socket: net.Socket, reason: string): void {
     if (this.#socket !== socket) return;
     this.#socket = undefined;
-    this.#client.rejectAllPendingRequests("the connection closed");
+    this.#client.rejectAllPendingRequests(reason);
   }
 }
--- a/src/settings/parse_settings.ts
+++ b/src/settings/parse_settings.ts
@@ -38,13 +38,29 @@
   text: string,
   file: string,
 ): results.Result<settingsSchemas.Settings> {
+  return parseYaml(text, file, settingsSchemas.settingsSchema);
+}
+
+/**
+ * Reads YAML text and checks it against a schema.
+ *
+ * @param text The YAML text.
+ * @param file The file's name, for messages.
+ * @param schema The schema.
+ * @returns The value, or a failure naming every error with its line.
+ */
+export function parseYaml<T extends z.ZodType>(
+  text: string,
+  file: string,
+  schema: T,
+): results.Result<z.output<T>> {
   const lines = new yaml.LineCounter();
   const document = yaml.parseDocument(text, { lineCounter: lines });
   const syntax = document.errors.map((error) =>
     `line ${lines.linePos(error.pos[0]).line}: ${error.message.split("\n")[0]}`
   );
   if (syntax.length > 0) return refuseSettings(file, syntax);
-  const checked = settingsSchemas.settingsSchema.safeParse(document.toJS());
+  const checked = schema.safeParse(document.toJS());
   if (checked.success) return results.createOk(checked.data);
   return refuseSettings(
     file,
@@ -55,7 +71,7 @@
 function refuseSettings(
   file: string,
   errors: readonly string[],
-): results.Result<settingsSchemas.Settings> {
+): results.Result<never> {
   const list = errors.map((error) => `\n  ${error}`).join("");
   return results.createFailure(
     "badSettings",
--- /dev/null
+++ b/src/submission/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Submissions: many requests that are accepted together and run later.
+ *
+ * @example
+ * ```ts
+ * import * as submissions from "../submission/mod.ts";
+ * const machine = new submissions.SubmissionMachine(() => {});
+ * machine.apply({ kind: "acceptSubmission", submission });
+ * ```
+ * @module
+ */
+export * from "./page_results.ts";
+export * from "./protocol.ts";
+export * from "./submission.ts";
+export * from "./submission_machine.ts";
+export * from "./submission_service.ts";
--- /dev/null
+++ b/src/submission/submission_service.ts
@@ -0,0 +1,212 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as csp from "../csp/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as results from "../results/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+import * as pageResults from "./page_results.ts";
+import * as protocol from "./protocol.ts";
+import type * as submissions from "./submission.ts";
+import type * as machines from "./submission_machine.ts";
+
+/** Longest wait for a commit, in ms; callers try again after a second. */
+const COMMIT_MS = 900;
+/** Silence of a voter up to which it counts as present, in ms. */
+const PRESENT_MS = 1_000;
+
+/** What the submission service needs. */
+export interface SubmissionServiceOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly server: rpc.RpcServer;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly machine: machines.SubmissionMachine;
+  /** Woken when the machine changed. */
+  readonly changed: csp.Signal;
+  /** Voters that the stores should have. */
+  readonly wantedVoters: number;
+  /** Ids of the store boxes that run and are not to be emptied. */
+  readonly listStores: () => readonly string[];
+}
+
+/** Answers for the submissions while this store leads. */
+export class SubmissionService {
+  readonly #options: SubmissionServiceOptions;
+
+  constructor(options: SubmissionServiceOptions) {
+    this.#options = options;
+    const { server } = options;
+    server.add(
+      protocol.METHODS.accept,
+      (request: protocol.AcceptRequest) => this.#accept(request),
+    );
+    server.add(
+      protocol.METHODS.read,
+      (request: protocol.ReadRequest) => this.#read(request),
+    );
+    server.add(
+      protocol.METHODS.readBody,
+      (request: protocol.ReadBodyRequest) => this.#readBody(request),
+    );
+    server.add(
+      protocol.METHODS.end,
+      (request: protocol.EndRequest) => this.#end(request),
+    );
+    server.add(
+      protocol.METHODS.nameVersion,
+      (request: protocol.NameVersionRequest) => this.#nameVersion(request),
+    );
+    server.add(
+      protocol.METHODS.retire,
+      (request: protocol.RetireRequest) => this.#retire(request),
+    );
+    server.add(
+      protocol.METHODS.readRetire,
+      (request: protocol.RetireRequest) => this.#readRetire(request),
+    );
+  }
+
+  async #accept(
+    request: protocol.AcceptRequest,
+  ): Promise<protocol.LeaderReply<null>> {
+    const { submission } = request;
+    const reply = await this.#propose({
+      kind: "acceptSubmission",
+      submission,
+    });
+    this.#options.log.write("info", "submission.accepted", {
+      submission: submission.id,
+      items: submission.items.length,
+      step: submission.step,
+      minimumVersion: submission.minimumVersion,
+      outcome: reply.kind,
+    });
+    return toEmpty(reply);
+  }
+
+  async #read(
+    request: protocol.ReadRequest,
+  ): Promise<protocol.LeaderReply<submissions.ResultPage>> {
+    const { group, machine, changed, clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + request.waitMs;
+    for (;;) {
+      if (!group.hasAuthority()) return group.createNotLeader();
+      const record = machine.get(request.id);
+      if (record === undefined) return { kind: "unknown" };
+      const leftMs = endMs - clock.getMonotonicMs();
+      const hasNews = record.results.length > request.after;
+      if (hasNews || leftMs <= 0 || record.isEnded) {
+        const value = pageResults.pageResults(record, request.after);
+        return { kind: "done", value };
+      }
+      await changed.wait(clock, leftMs);
+    }
+  }
+
+  #readBody(
+    request: protocol.ReadBodyRequest,
+  ): protocol.LeaderReply<string> {
+    const { group, machine } = this.#options;
+    if (!group.hasAuthority()) return group.createNotLeader();
+    const record = machine.get(request.id);
+    const item = record?.submission.items.find((other) =>
+      other.id === request.item
+    );
+    if (item === undefined) return { kind: "unknown" };
+    return { kind: "done", value: item.body };
+  }
+
+  async #end(
+    request: protocol.EndRequest,
+  ): Promise<protocol.LeaderReply<null>> {
+    const reply = await this.#propose({
+      kind: "endSubmission",
+      id: request.id,
+    });
+    this.#options.log.write("info", "submission.ended", {
+      submission: request.id,
+      listed: this.#options.machine.get(request.id)?.results.length,
+      outcome: reply.kind,
+    });
+    return toEmpty(reply);
+  }
+
+  async #nameVersion(
+    request: protocol.NameVersionRequest,
+  ): Promise<protocol.LeaderReply<null>> {
+    const reply = await this.#propose({ kind: "nameVersion", ...request });
+    this.#options.log.write("info", "version.named", {
+      model: request.model,
+      version: request.version,
+      outcome: reply.kind,
+    });
+    return toEmpty(reply);
+  }
+
+  async #retire(
+    request: protocol.RetireRequest,
+  ): Promise<protocol.LeaderReply<protocol.RetireState>> {
+    const { group, listStores, wantedVoters, machine } = this.#options;
+    if (!group.hasAuthority()) return group.createNotLeader();
+    const { box } = request;
+    const left = listStores().filter((id) => id !== box);
+    const isAsked = machine.listRetiring().includes(box);
+    if (!isAsked && left.length < wantedVoters) {
+      return { kind: "done", value: "tooFewLeft" };
+    }
+    const reply = await this.#propose({ kind: "retireBox", box });
+    return reply.kind === "done" ? { kind: "done", value: "running" } : reply;
+  }
+
+  /** A box is empty once the voters without it are whole and caught up. */
+  #readRetire(
+    request: protocol.RetireRequest,
+  ): protocol.LeaderReply<protocol.RetireState> {
+    const { group, machine, wantedVoters } = this.#options;
+    const status = group.getStatus();
+    if (status === undefined || !group.hasAuthority()) {
+      return group.createNotLeader();
+    }
+    if (!machine.listRetiring().includes(request.box)) {
+      return { kind: "unknown" };
+    }
+    const voters = group.listVoters();
+    const whole = status.followers.filter((follower) =>
+      voters.includes(follower.id) && follower.isAdmitted &&
+      follower.matchIndex >= status.commitIndex &&
+      follower.silentMs < PRESENT_MS
+    );
+    const isCompleted = !voters.includes(request.box) &&
+      whole.length + 1 >= wantedVoters;
+    return { kind: "done", value: isCompleted ? "completed" : "running" };
+  }
+
+  async #propose(
+    command: machines.SubmissionCommand,
+  ): Promise<protocol.LeaderReply<machines.SubmissionAnswer>> {
+    const { group } = this.#options;
+    if (!group.hasAuthority()) return group.createNotLeader();
+    const result = await group.propose<machines.SubmissionAnswer>(
+      command,
+      COMMIT_MS,
+    );
+    return toReply(result);
+  }
+}
+
+function toReply(
+  result: results.Result<machines.SubmissionAnswer>,
+): protocol.LeaderReply<machines.SubmissionAnswer> {
+  if (result.kind === "ok") {
+    if (!result.value.isKnown) return { kind: "unknown" };
+    return { kind: "done", value: result.value };
+  }
+  if (result.failure.code === "notLeader") {
+    return { kind: "notLeader", leader: undefined };
+  }
+  return { kind: "unsure", mayHaveRun: result.failure.outcome !== "notRun" };
+}
+
+function toEmpty<T>(reply: protocol.LeaderReply<T>): protocol.LeaderReply<null> {
+  return reply.kind === "done" ? { kind: "done", value: null } : reply;
+}
--- /dev/null
+++ b/src/traffic_config/check_configuration.ts
@@ -0,0 +1,53 @@
+import * as results from "../results/mod.ts";
+import type * as configurations from "./configuration.ts";
+
+function findFault(
+  configuration: configurations.Configuration,
+): string | undefined {
+  const places = new Set<string>();
+  for (const route of configuration.routes) {
+    const fault = findRouteFault(route, configuration);
+    if (fault !== undefined) return `route ${route.name}: ${fault}`;
+    const place = `${route.host} ${route.pathPrefix}`;
+    if (places.has(place)) return `two routes serve ${place}`;
+    places.add(place);
+  }
+  return undefined;
+}
+
+function findRouteFault(
+  route: configurations.Route,
+  configuration: configurations.Configuration,
+): string | undefined {
+  const { targets, timeoutMs, pathPrefix } = route;
+  if (!(timeoutMs > 0)) return "its timeout is not above 0";
+  if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+    return `its prefix ${pathPrefix} does not begin and end with a slash`;
+  }
+  const unknown = targets.find((target) =>
+    !configuration.services.has(target.service)
+  );
+  if (unknown !== undefined) return `there is no service ${unknown.service}`;
+  if (targets.some((target) => target.weight < 0)) {
+    return "a weight is below 0";
+  }
+  const sum = targets.reduce((total, target) => total + target.weight, 0);
+  return sum > 0 ? undefined : "its weights add up to 0";
+}
+
+/**
+ * Checks that a configuration can be put in force.
+ *
+ * @param configuration The configuration.
+ * @returns The same, or `badParameters` naming the first fault.
+ */
+export function checkConfiguration(
+  configuration: configurations.Configuration,
+): results.Result<configurations.Configuration> {
+  const fault = findFault(configuration);
+  if (fault === undefined) return results.createOk(configuration);
+  return results.createFailure(
+    "badParameters",
+    `Cannot accept configuration ${configuration.version}: ${fault}`,
+  );
+}
--- /dev/null
+++ b/src/traffic_config/configuration.ts
@@ -0,0 +1,72 @@
+/** How often a route's requests may run, and what they carry. */
+export type RouteKind =
+  | "repeatable"
+  | "once"
+  | "stream"
+  /** Requests come as submissions of many items, run later. */
+  | "submission";
+
+/** A service among those that a route spreads its requests over. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Which requests go where, and under which bounds. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  /** Longest that a request may be held, in ms. */
+  readonly timeoutMs: number;
+  /** Time inside which an answer has its full worth, in ms. */
+  readonly targetLatencyMs: number;
+  /** Time inside which all results of a submission are due, in ms. */
+  readonly targetCompletionMs: number;
+  /** 0 is served first. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+  /** Servers that one request may go to at most. */
+  readonly attempts: number;
+  /** Whether another server may go on with a stream. */
+  readonly canResume: boolean;
+  /** Whether one weight version must make a whole text. */
+  readonly isSingleVersion: boolean;
+  /** Time after which an item may be given up, in ms. */
+  readonly keepMs: number;
+}
+
+/** A service that routes name. */
+export interface Service {
+  readonly name: string;
+  readonly healthPath: string;
+  /** Connections that each server accepts, from all callers together. */
+  readonly connectionLimit: number;
+  /** Models of the service's engines; empty for plain servers. */
+  readonly models: readonly string[];
+}
+
+/** Bounds on what callers send. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** A whole configuration; a higher version replaces a lower one. */
+export interface Configuration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, Service>;
+  readonly limits: CallerLimits;
+}
+
+/** A configuration as the operator sent it. */
+export interface StoredConfiguration {
+  readonly version: number;
+  /** The operator's text, unchanged. */
+  readonly text: string;
+}
--- /dev/null
+++ b/src/traffic_config/configuration_machine.ts
@@ -0,0 +1,54 @@
+import type * as consensus from "../consensus/mod.ts";
+import type * as configurations from "./configuration.ts";
+
+/** Replaces the configuration by one of a higher version. */
+export interface PutConfiguration {
+  readonly kind: "putConfiguration";
+  readonly stored: configurations.StoredConfiguration;
+}
+
+/** What became of a command. */
+export interface PutAnswer {
+  /** Version held after the command. */
+  readonly version: number;
+}
+
+/** The newest configuration under the log of the core boxes. */
+export class ConfigurationMachine implements consensus.Machine {
+  readonly #onChange: (stored: configurations.StoredConfiguration) => void;
+  #stored: configurations.StoredConfiguration | undefined;
+
+  /** @param onChange Told of each configuration that replaces another. */
+  constructor(
+    onChange: (stored: configurations.StoredConfiguration) => void,
+  ) {
+    this.#onChange = onChange;
+  }
+
+  getStored(): configurations.StoredConfiguration | undefined {
+    return this.#stored;
+  }
+
+  apply(command: unknown): PutAnswer {
+    const { kind, stored } = command as Partial<PutConfiguration>;
+    if (kind === "putConfiguration" && stored !== undefined) this.#put(stored);
+    return { version: this.#stored?.version ?? 0 };
+  }
+
+  save(): unknown {
+    return { stored: this.#stored };
+  }
+
+  restore(state: unknown): void {
+    const { stored } = state as {
+      readonly stored?: configurations.StoredConfiguration;
+    };
+    if (stored !== undefined) this.#put(stored);
+  }
+
+  #put(stored: configurations.StoredConfiguration): void {
+    if (stored.version <= (this.#stored?.version ?? 0)) return;
+    this.#stored = stored;
+    this.#onChange(stored);
+  }
+}
--- /dev/null
+++ b/src/traffic_config/match_route.ts
@@ -0,0 +1,45 @@
+import type * as configurations from "./configuration.ts";
+
+/**
+ * Finds the route of a request: the longest prefix of its host's routes.
+ *
+ * @param configuration The configuration in force.
+ * @param host The request's host, without a port.
+ * @param path The request's path, with or without a query.
+ * @returns The route, or undefined.
+ */
+export function matchRoute(
+  configuration: configurations.Configuration,
+  host: string,
+  path: string,
+): configurations.Route | undefined {
+  const [plainPath = ""] = path.split("?");
+  let best: configurations.Route | undefined;
+  for (const route of configuration.routes) {
+    if (route.host !== host || !plainPath.startsWith(route.pathPrefix)) continue;
+    const length = best?.pathPrefix.length ?? 0;
+    if (route.pathPrefix.length > length) best = route;
+  }
+  return best;
+}
+
+/**
+ * Picks the service of one request by the weights of its route.
+ *
+ * @param route The route.
+ * @param draw A number from 0 up to, but not including, 1.
+ * @returns The service's name.
+ */
+export function pickService(
+  route: configurations.Route,
+  draw: number,
+): string {
+  const sum = route.targets.reduce((total, item) => total + item.weight, 0);
+  let left = draw * sum;
+  for (const target of route.targets) {
+    if (target.weight <= 0) continue;
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return route.targets.findLast((target) => target.weight > 0)?.service ?? "";
+}
--- /dev/null
+++ b/src/traffic_config/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The operator's configuration: routes, services and limits under one version.
+ *
+ * @example
+ * ```ts
+ * import * as trafficConfig from "../traffic_config/mod.ts";
+ * const route = trafficConfig.matchRoute(configuration, host, path);
+ * ```
+ * @module
+ */
+export * from "./check_configuration.ts";
+export * from "./configuration.ts";
+export * from "./configuration_holder.ts";
+export * from "./configuration_machine.ts";
+export * from "./configuration_service.ts";
+export * from "./match_route.ts";
--- /dev/null
+++ b/src/weight_orders/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Orders that move engines to the newest weight versions.
+ *
+ * @example
+ * ```ts
+ * import * as weightOrders from "../weight_orders/mod.ts";
+ * new weightOrders.WeightOrders(options).start();
+ * ```
+ * @module
+ */
+export * from "./assign_engines.ts";
+export * from "./order_client.ts";
+export * from "./weight_orders.ts";
--- /dev/null
+++ b/src/weight_orders/weight_orders.ts
@@ -0,0 +1,216 @@
+import * as clocks from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import type * as dispatch from "../dispatch/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as assignEngines from "./assign_engines.ts";
+import * as orderClients from "./order_client.ts";
+
+const TICK_MS = 40;
+/** Margin on the lease of the former holder, for its last orders' way, in ms. */
+const LEASE_MARGIN_MS = 250;
+/**
+ * Share of the engines that load at once; more would slow each other down
+ * (measured: two of six and two of eight load at full speed).
+ */
+const LOADING_SHARE = 0.3;
+/** Shortest load that was seen, in ms; reports before it say nothing new. */
+const LOAD_MS = 850;
+const REPORT_MS = 120;
+/** Time after which an order without effect is given up, in ms. */
+const ORDER_PATIENCE_MS = 4_000;
+/** Pause before an engine that refused is asked again, in ms. */
+const REFUSED_MS = 500;
+
+/** What the weight orders need. */
+export interface WeightOrdersOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly metrics: metrics.FleetMetrics;
+  readonly dialect: dialects.Dialect;
+  readonly servers: registry.ServerRegistry;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly machine: submissions.SubmissionMachine;
+  readonly engines: dispatch.EngineTable;
+  /** Id of this box; it is the holder of the orders. */
+  readonly box: string;
+  /** Time between the orders of two boxes, in ms. */
+  readonly leaseMs: number;
+  /** Told when an engine is ready for another version. */
+  readonly onLoaded: () => void;
+}
+
+/** A load that is due at an engine. */
+interface DueLoad {
+  readonly engine: registry.RegisteredServer;
+  readonly model: string;
+  readonly version: number;
+}
+
+/** Moves engines to the newest named versions, one box at a time. */
+export class WeightOrders {
+  readonly #options: WeightOrdersOptions;
+  readonly #busy = new Set<string>();
+  /** Orders that each engine has taken, as last read from it. */
+  readonly #orders = new Map<string, number>();
+  #homes: assignEngines.EngineHomes = new Map();
+  #isStopped = false;
+
+  constructor(options: WeightOrdersOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    if (this.#isStopped) return;
+    this.#look();
+    this.#options.clock.startTimer(TICK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** The former holder's last order lies a whole lease back by then. */
+  #mayOrder(): boolean {
+    const { group, leaseMs } = this.#options;
+    return !this.#isStopped && group.hasAuthority() &&
+      group.getReignMs() >= leaseMs + LEASE_MARGIN_MS;
+  }
+
+  #look(): void {
+    if (!this.#mayOrder()) return;
+    const engines = this.#listEngines();
+    const versions = this.#options.machine.getVersions();
+    this.#homes = assignEngines.assignEngines({
+      engines: engines.map((engine) => engine.id),
+      models: [...versions.keys()].toSorted(),
+      before: this.#homes,
+    });
+    const most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
+    for (const load of this.#listDue(engines, versions)) {
+      if (this.#busy.size >= most) return;
+      this.#busy.add(load.engine.id);
+      void this.#load(load).finally(() => this.#finish(load));
+    }
+  }
+
+  /** Engines with models, those with the fewest runs first. */
+  #listEngines(): readonly registry.RegisteredServer[] {
+    const { servers, engines } = this.#options;
+    const all = servers.listAll().filter((server) =>
+      server.models.length > 0 && server.phase === "ready"
+    );
+    const services = new Set(all.map((server) => server.service));
+    return [...services].flatMap((service) => servers.listReady(service))
+      .toSorted((a, b) => engines.getRunning(a.id) - engines.getRunning(b.id));
+  }
+
+  #listDue(
+    engines: readonly registry.RegisteredServer[],
+    versions: ReadonlyMap<string, number>,
+  ): readonly DueLoad[] {
+    return engines.flatMap((engine) => {
+      const model = this.#homes.get(engine.id);
+      if (model === undefined || this.#busy.has(engine.id)) return [];
+      const version = versions.get(model) ?? 1;
+      const held = this.#options.engines.getVersion(engine, model);
+      return held < version ? [{ engine, model, version }] : [];
+    });
+  }
+
+  #finish(load: DueLoad): void {
+    this.#busy.delete(load.engine.id);
+    this.#options.engines.setLoading(load.engine.id, undefined);
+    this.#options.onLoaded();
+  }
+
+  async #load(load: DueLoad): Promise<void> {
+    const { clock, dialect, engines, group, box, log, metrics } = this.#options;
+    const { engine, model, version } = load;
+    if (!this.#orders.has(engine.id) && !await this.#refresh(load)) {
+      return await clocks.sleep(clock, REFUSED_MS);
+    }
+    if (engines.getVersion(engine, model) >= version) return;
+    if (!this.#mayOrder()) return;
+    engines.setLoading(engine.id, model);
+    const order: dialects.VersionOrder = {
+      model,
+      version,
+      holder: box,
+      fence: group.getTerm(),
+      letsRunsEnd: this.#needsSingleVersion(model),
+      expectedOrders: this.#orders.get(engine.id),
+    };
+    const outcome = await orderClients.sendOrder(engine, order, dialect);
+    metrics.countOrder(outcome.kind);
+    log.write("info", "order.given", {
+      server: engine.id,
+      model,
+      version,
+      fence: order.fence,
+      expectedOrders: order.expectedOrders,
+      outcome: outcome.kind,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+      status: "status" in outcome ? outcome.status : undefined,
+    });
+    switch (outcome.kind) {
+      case "taken":
+        await clocks.sleep(clock, LOAD_MS);
+        return await this.#awaitLoaded(load);
+      case "held":
+        engines.prove(engine.id, model, version);
+        return;
+      case "refused":
+        this.#orders.delete(engine.id);
+        return await clocks.sleep(clock, REFUSED_MS);
+      case "unanswered":
+        return await this.#awaitLoaded(load);
+    }
+  }
+
+  /** Whether an open submission wants texts of one version. */
+  #needsSingleVersion(model: string): boolean {
+    return this.#options.machine.listAll().some((record) =>
+      !record.isEnded && record.submission.terms.isSingleVersion &&
+      record.submission.model === model
+    );
+  }
+
+  /** Reads the engine's state until it holds the version or patience ends. */
+  async #awaitLoaded(load: DueLoad): Promise<void> {
+    const { clock, engines, servers } = this.#options;
+    const endMs = clock.getMonotonicMs() + ORDER_PATIENCE_MS;
+    while (clock.getMonotonicMs() < endMs && !this.#isStopped) {
+      if (servers.get(load.engine.id)?.phase !== "ready") return;
+      await this.#refresh(load);
+      const held = engines.getVersion(load.engine, load.model);
+      if (held >= load.version) return;
+      await clocks.sleep(clock, REPORT_MS);
+    }
+    this.#orders.delete(load.engine.id);
+  }
+
+  /** Reads what an engine holds; false when it could not be read. */
+  async #refresh(load: DueLoad): Promise<boolean> {
+    const { dialect, engines, log } = this.#options;
+    const { engine } = load;
+    const report = await orderClients.readReport(engine, dialect);
+    if (report.kind === "failure") {
+      log.write("info", "engine.unread", {
+        server: engine.id,
+        message: report.failure.message,
+      });
+      this.#orders.delete(engine.id);
+      return false;
+    }
+    this.#orders.set(engine.id, report.value.orders);
+    if (report.value.isBusy) return true;
+    for (const { name, version } of report.value.models) {
+      engines.prove(engine.id, name, version);
+    }
+    return true;
+  }
+}
--- a/tools/build/build_binary.ts
+++ b/tools/build/build_binary.ts
@@ -6,39 +6,13 @@
  */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
-import * as esbuild from "esbuild";
+import * as bundles from "./bundle.ts";
 
 const BUNDLE = "dist/hoistscale.cjs";
 const BLOB = "dist/hoistscale.blob";
 const BINARY = "dist/hoistscale";
 const UNINSTALLED = "dist/hoistscale.new";
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
-const OPTIONAL_NATIVE_MODULES = [
-  "dtrace-provider",
-  "unix-dgram",
-  "mv",
-  "safe-json-stringify",
-];
-const BANNER =
-  `var importMetaUrl = require("node:url").pathToFileURL(__filename).href;
-process.removeAllListeners("warning");`;
-
-async function buildBundle(): Promise<void> {
-  await esbuild.build({
-    entryPoints: ["src/main.ts"],
-    outfile: BUNDLE,
-    bundle: true,
-    minify: true,
-    platform: "node",
-    target: "node20",
-    format: "cjs",
-    external: OPTIONAL_NATIVE_MODULES,
-    define: { "import.meta.url": "importMetaUrl" },
-    banner: { js: BANNER },
-    logLevel: "error",
-  });
-}
-
 function buildBlob(): void {
   const config = "dist/sea.json";
   fs.writeFileSync(
@@ -75,7 +49,7 @@
 
 async function buildBinary(): Promise<void> {
   fs.mkdirSync("dist", { recursive: true });
-  await buildBundle();
+  await bundles.buildBundle("src/main.ts", BUNDLE);
   buildBlob();
   installBlob();
   console.log(`built ${BINARY}`);
--- a/tools/check/format.ts
+++ b/tools/check/format.ts
@@ -9,7 +9,7 @@
 import * as dprint from "@dprint/formatter";
 import * as typescript from "@dprint/typescript";
 
-const ROOTS = ["src", "tools"];
+const ROOTS = ["src", "tools", "platform"];
 const NO_FILES: readonly string[] = [];
 
 function listFiles(folder: string): readonly string[] {
--- a/tools/check/run_checks.ts
+++ b/tools/check/run_checks.ts
@@ -52,6 +52,7 @@
     "--exit",
     "src/**/*_test.ts",
     "tools/**/*_test.ts",
+    "platform/**/*_test.ts",
   ]);
   if (!fs.existsSync(REPORT_FILE)) {
     console.log("Cannot read the test report: the runner wrote none");
@@ -86,6 +87,7 @@
     "node_modules/eslint/bin/eslint.js",
     "src",
     "tools",
+    "platform",
   ]);
   const types = runStep("types", [
     "node_modules/typescript/bin/tsc",
