--- a/src/consensus/_membership.ts
+++ b/src/consensus/_membership.ts
@@ -57,7 +57,10 @@
     command,
   };
   const log = replicaLogs.appendEntries(state.log, [entry]);
-  const sent = replications.sendAppends(renewProgress({ ...state, log }), nowMs);
+  const sent = replications.sendAppends(
+    renewProgress({ ...state, log }),
+    nowMs,
+  );
   return {
     state: sent.state,
     effects: [{ kind: "saveEntries", entries: [entry] }, ...sent.effects],
--- a/src/consensus/_proposals.ts
+++ b/src/consensus/_proposals.ts
@@ -48,3 +48,12 @@
     "Cannot accept the change: another leader replaced it",
   ));
 }
+
+/** Gives what is told of a proposal whose commit was not seen in time. */
+export function createUnconfirmed(): results.Result<never> {
+  return results.createFailure(
+    "changeUnknown",
+    "Cannot confirm the change: no quorum answered in time",
+    { outcome: "unknown" },
+  );
+}
--- a/src/consensus/_saved_record.ts
+++ b/src/consensus/_saved_record.ts
@@ -57,6 +57,19 @@
   return [{ kind: "identity", identity }, { kind: "vote", term, votedFor }];
 }
 
+/** Gives the records that a log begins with after a snapshot of an index. */
+export function createRest(
+  state: replicaStates.ReplicaState,
+  index: number,
+): readonly SavedRecord[] {
+  const { log } = state;
+  const rest = replicaLogs.getEntries(log, index + 1, log.entries.length);
+  return [
+    ...createHead(state),
+    ...rest.map((entry): SavedRecord => ({ kind: "entry", entry })),
+  ];
+}
+
 /** Rebuilds a replica from its snapshot and the records after it. */
 export function rebuildReplica(
   snapshot: messages.Snapshot | undefined,
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -140,15 +140,7 @@
   ): Promise<results.Result<unknown>> {
     return new Promise((resolve) => {
       const cancel = this.#options.clock.startTimer(timeoutMs, () => {
-        resolve(
-          results.createFailure(
-            "changeUnknown",
-            "Cannot confirm the change: no quorum answered in time",
-            {
-              outcome: "unknown",
-            },
-          ),
-        );
+        resolve(proposals.createUnconfirmed());
       });
       function settle(result: results.Result<unknown>): void {
         cancel();
@@ -314,9 +306,8 @@
   #createSnapshot(): messages.Snapshot {
     const state = this.#options.machine.save();
     const index = this.#appliedIndex;
-    const { voters } =
-      replicaSets.findReplicaSet(this.#state.log, index) ?? { voters: undefined };
-    return { index, term: this.#appliedTerm, state, voters };
+    const set = replicaSets.findReplicaSet(this.#state.log, index);
+    return { index, term: this.#appliedTerm, state, voters: set?.voters };
   }
 
   #sendSnapshot(to: string): void {
@@ -333,18 +324,7 @@
     const { snapshotEntries } = this.#options;
     if (this.#appliedIndex - this.#snapshotIndex < snapshotEntries) return;
     const { log } = this.#state;
-    const rest = replicaLogs.getEntries(
-      log,
-      this.#appliedIndex + 1,
-      log.entries.length,
-    );
-    const records: readonly savedRecords.SavedRecord[] = [
-      ...savedRecords.createHead(this.#state),
-      ...rest.map((entry): savedRecords.SavedRecord => ({
-        kind: "entry",
-        entry,
-      })),
-    ];
+    const records = savedRecords.createRest(this.#state, this.#appliedIndex);
     yield* csp.waitFor(this.#log.compact(this.#createSnapshot(), records));
     this.#snapshotIndex = this.#appliedIndex;
     const keptFrom = this.#appliedIndex - Math.floor(snapshotEntries / 2);
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -1,6 +1,7 @@
 import type * as fakeNetworks from "./fake_network_test.ts";
-import type * as savedRecords from "./_saved_record.ts";
+import * as savedRecords from "./_saved_record.ts";
 import type * as messages from "./message.ts";
+import * as replicaSets from "./replica_set.ts";
 import type * as replicaStates from "./replica_state.ts";
 
 /** What a schedule may do to the replicas. */
@@ -49,3 +50,48 @@
   appliedTerm: number;
   applied: readonly string[];
 }
+
+const SPARE_RECORD: savedRecords.SavedRecord = {
+  kind: "identity",
+  identity: { incarnation: 0, isAdmitted: false },
+};
+
+/** How a replica begins. */
+export interface NodeOptions {
+  readonly config: replicaStates.ReplicaConfig;
+  readonly rate: number;
+  readonly founders: readonly string[];
+}
+
+/**
+ * Makes a replica with the disk of a founder, or with an empty one.
+ *
+ * @param options The replica.
+ * @returns A replica that has not started.
+ */
+export function createNode(options: NodeOptions): SimulatedNode {
+  const { config, rate, founders } = options;
+  return {
+    config,
+    rate,
+    disk: {
+      snapshot: undefined,
+      records: founders.includes(config.id)
+        ? savedRecords.createFounding(founders, 0)
+        : [SPARE_RECORD],
+    },
+    wipedAt: 0,
+    state: undefined,
+    appliedIndex: 0,
+    appliedTerm: 0,
+    applied: [],
+  };
+}
+
+/** Voters after the last entry that a running replica applied. */
+export function findVoters(
+  node: SimulatedNode,
+): readonly string[] | undefined {
+  if (node.state === undefined) return undefined;
+  return replicaSets.findReplicaSet(node.state.log, node.appliedIndex)?.voters;
+}
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -7,7 +7,7 @@
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
-import type * as simulatedNodes from "./simulated_node_test.ts";
+import * as simulatedNodes from "./simulated_node_test.ts";
 import * as stepReplica from "./step_replica.ts";
 
 const ROUND_MS = 10;
@@ -19,11 +19,6 @@
 
 const MIN_VOTERS = 3;
 
-const SPARE_RECORD: savedRecords.SavedRecord = {
-  kind: "identity",
-  identity: { incarnation: 0, isAdmitted: false },
-};
-
 /**
  * Replicas on a fake network, fake disks and clocks of different rates; every
  * round the invariants of the log, the leaders and their authority are checked.
@@ -80,7 +75,8 @@
     index: number,
     founders: readonly string[],
   ): simulatedNodes.SimulatedNode {
-    return {
+    const rate = 1 + (this.#draw(2 * RATE_SPREAD) - RATE_SPREAD) / PER_MILLE;
+    return simulatedNodes.createNode({
       config: {
         id,
         voters: [],
@@ -89,19 +85,9 @@
         maxBatchEntries: 4,
         seed: this.#options.seed * 31 + index,
       },
-      rate: 1 + (this.#draw(2 * RATE_SPREAD) - RATE_SPREAD) / PER_MILLE,
-      disk: {
-        snapshot: undefined,
-        records: founders.includes(id)
-          ? savedRecords.createFounding(founders, 0)
-          : [SPARE_RECORD],
-      },
-      wipedAt: 0,
-      state: undefined,
-      appliedIndex: 0,
-      appliedTerm: 0,
-      applied: [],
-    };
+      rate,
+      founders,
+    });
   }
 
   #draw(max: number): number {
@@ -282,9 +268,7 @@
       index: node.appliedIndex,
       term: node.appliedTerm,
       state: node.applied,
-      voters: node.state === undefined
-        ? undefined
-        : replicaSets.findReplicaSet(node.state.log, node.appliedIndex)?.voters,
+      voters: simulatedNodes.findVoters(node),
     };
   }
 
@@ -316,35 +300,22 @@
       node.state === undefined ||
       node.appliedIndex <= node.state.log.snapshotIndex
     ) return;
-    const { log } = node.state;
-    const rest = replicaLogs.getEntries(
-      log,
-      node.appliedIndex + 1,
-      log.entries.length,
-    );
-    const entries = rest.map((entry): savedRecords.SavedRecord => ({
-      kind: "entry",
-      entry,
-    }));
     node.disk = {
       snapshot: this.#createSnapshot(node),
-      records: [...savedRecords.createHead(node.state), ...entries],
+      records: savedRecords.createRest(node.state, node.appliedIndex),
     };
     node.state = {
       ...node.state,
-      log: replicaLogs.compactLog(log, node.appliedIndex),
+      log: replicaLogs.compactLog(node.state.log, node.appliedIndex),
     };
   }
 
-  #checkLeader(node: simulatedNodes.SimulatedNode): void {
-    if (node.state?.role.kind !== "leader") return;
-    const { id } = node.config;
-    const other = this.#leaderOfTerm.get(node.state.term) ?? id;
-    this.#check(
-      other === id,
-      `term ${node.state.term} has the leaders ${other} and ${id}`,
-    );
-    this.#leaderOfTerm.set(node.state.term, id);
+  #checkLeader({ state, config: { id } }: simulatedNodes.SimulatedNode): void {
+    if (state?.role.kind !== "leader") return;
+    const other = this.#leaderOfTerm.get(state.term) ?? id;
+    const violation = `term ${state.term} has the leaders ${other} and ${id}`;
+    this.#check(other === id, violation);
+    this.#leaderOfTerm.set(state.term, id);
   }
 
   #checkAuthority(): void {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -17,7 +17,7 @@
 import * as scoreItem from "./score_item.ts";
 
 /** Longest time between two looks for work, in ms. */
-const LOOK_MS = 50;
+const UPDATE_MS = 50;
 /** Silence of a run after which it goes on elsewhere, in ms. */
 const STALL_MS = 1_500;
 /** Silence allowed while the engine loads weights, in ms. */
@@ -46,7 +46,7 @@
   readonly #writer: resultWriters.ResultWriter;
   /** Tasks by submission and item. */
   readonly #tasks = new Map<string, Map<string, itemTasks.ItemTask>>();
-  #isLookDue = false;
+  #isUpdateDue = false;
   #isStopped = false;
 
   constructor(options: DispatcherOptions) {
@@ -55,9 +55,9 @@
   }
 
   start(): void {
-    this.#look();
+    this.#updateTasks();
     if (this.#isStopped) return;
-    this.#options.clock.startTimer(LOOK_MS, () => this.start());
+    this.#options.clock.startTimer(UPDATE_MS, () => this.start());
   }
 
   stop(): void {
@@ -67,15 +67,15 @@
 
   /** Looks for work soon; many calls lead to one look. */
   wake(): void {
-    if (this.#isLookDue) return;
-    this.#isLookDue = true;
+    if (this.#isUpdateDue) return;
+    this.#isUpdateDue = true;
     setImmediate(() => {
-      this.#isLookDue = false;
-      this.#look();
+      this.#isUpdateDue = false;
+      this.#updateTasks();
     });
   }
 
-  #look(): void {
+  #updateTasks(): void {
     if (this.#isStopped || !this.#options.group.hasAuthority()) {
       return this.#dropAll();
     }
@@ -124,11 +124,15 @@
   ): registry.RegisteredServer | undefined {
     const { servers, engines } = this.#options;
     const { terms, minimumVersion, model } = task.submission;
-    return chooseEngine.chooseEngine(servers.listReady(terms.service), engines, {
-      model: task.item.model ?? model,
-      minimumVersion,
-      avoided: task.getAvoided(),
-    });
+    return chooseEngine.chooseEngine(
+      servers.listReady(terms.service),
+      engines,
+      {
+        model: task.item.model ?? model,
+        minimumVersion,
+        avoided: task.getAvoided(),
+      },
+    );
   }
 
   async #run(
--- a/src/dispatch/order_tasks.ts
+++ b/src/dispatch/order_tasks.ts
@@ -11,11 +11,11 @@
   tasks: readonly itemTasks.ItemTask[],
 ): readonly itemTasks.ItemTask[] {
   return tasks.toSorted((a, b) =>
-    a.getDueMs() - b.getDueMs() || expectLength(b) - expectLength(a)
+    a.getDueMs() - b.getDueMs() || estimateLength(b) - estimateLength(a)
   );
 }
 
 /** Tokens still expected of an item, by its hint and what has come. */
-function expectLength(task: itemTasks.ItemTask): number {
+function estimateLength(task: itemTasks.ItemTask): number {
   return task.item.lengthHint ?? task.item.tokens;
 }
--- a/src/dispatch/result_writer.ts
+++ b/src/dispatch/result_writer.ts
@@ -28,7 +28,7 @@
   /** Adds a result to be listed. */
   add(result: submissions.RecordedResult): void {
     this.#waiting = [...this.#waiting, result];
-    this.#arm();
+    this.#scheduleFlush();
   }
 
   /** Forgets what waits; the next leader runs those items anew. */
@@ -36,7 +36,7 @@
     this.#waiting = [];
   }
 
-  #arm(): void {
+  #scheduleFlush(): void {
     if (this.#isDue) return;
     this.#isDue = true;
     this.#options.clock.startTimer(GATHER_MS, () => {
@@ -65,6 +65,6 @@
     });
     if (!group.hasAuthority()) return;
     this.#waiting = [...results, ...this.#waiting];
-    this.#arm();
+    this.#scheduleFlush();
   }
 }
--- a/src/fleet/fleet_link.ts
+++ b/src/fleet/fleet_link.ts
@@ -1,4 +1,4 @@
-import * as clocks from "../clock/mod.ts";
+import type * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
@@ -6,6 +6,7 @@
 import type * as boxDirectories from "./box_directory.ts";
 import type * as boxRecords from "./box_record.ts";
 import * as news from "./news.ts";
+import * as syncLoops from "./_sync_loop.ts";
 import type * as peerPools from "./peer_pool.ts";
 
 /** Between two refreshes of a box's own record, in ms; see BOX_SILENCE_MS. */
@@ -14,11 +15,7 @@
 const RELAY_MS = 250;
 /** How long a subscription to relays lasts, in ms; renewed by each refresh. */
 const RELAY_LEASE_MS = 2_000;
-/** Between two full exchanges, which repair whatever was lost, in ms. */
-const SYNC_MS = 4_000;
-/** Between two tries to reach a seed, in ms. */
-const SEED_RETRY_MS = 200;
-/** Longest wait for the answer to one exchange, in ms. */
+/** Longest wait for a configuration that another box holds, in ms. */
 const CALL_MS = 1_000;
 /** Silence after which another core box is chosen to relay, in ms. */
 const RELAY_SILENCE_MS = 1_200;
@@ -50,7 +47,7 @@
   readonly #boxRefreshes = new Map<string, news.BoxRefresh>();
   readonly #serverRefreshes = new Map<string, news.ServerRefresh>();
   #own: boxRecords.BoxRecord;
-  #isSynced = false;
+  readonly #sync: syncLoops.SyncLoop;
   #isStopped = false;
   #isFetching = false;
 
@@ -59,6 +56,12 @@
     this.#own = { ...options.describeSelf(), sequence: 0 };
     this.#id = this.#own.id;
     options.directory.merge(this.#own);
+    this.#sync = new syncLoops.SyncLoop({
+      ...options,
+      chooseRelay: () => this.#chooseRelay(),
+      getOwn: () => this.#own,
+      onReply: (reply, from) => this.#takeReply(reply, from),
+    });
     options.server.add(
       news.METHODS.news,
       (message: news.News) => this.#receive(message),
@@ -76,17 +79,13 @@
   /** Begins to exchange news. */
   start(): void {
     this.#runRefresh();
-    void this.#runSync();
+    void this.#sync.run();
     if (this.#own.isCore) this.#runRelay();
   }
 
   stop(): void {
     this.#isStopped = true;
-  }
-
-  /** Whether a core box, or any box where none is known, has answered. */
-  isSynced(): boolean {
-    return this.#isSynced;
+    this.#sync.stop();
   }
 
   /** Tells the others at once what this box now says of itself. */
@@ -192,7 +191,7 @@
     };
     this.#boxRefreshes.clear();
     for (const id of this.#subscribers.keys()) {
-      if (this.#isSubscriber(id)) this.#tell(id, toRefreshes(message));
+      if (this.#isSubscriber(id)) this.#tell(id, news.toRefreshes(message));
       else this.#subscribers.delete(id);
     }
     this.#options.clock.startTimer(RELAY_MS, () => this.#runRelay());
@@ -209,41 +208,10 @@
     return untilMs > this.#options.clock.getMonotonicMs();
   }
 
-  async #runSync(): Promise<void> {
-    const { clock, seeds } = this.#options;
-    let turn = 0;
-    while (!this.#isStopped) {
-      const relay = this.#chooseRelay();
-      const others = seeds.filter((id) => id !== this.#id);
-      const target = relay ?? others[turn % Math.max(1, others.length)];
-      turn += 1;
-      const isDone = target !== undefined && await this.#syncWith(target);
-      const isSettled = isDone && relay !== undefined;
-      await clocks.sleep(clock, isSettled ? SYNC_MS : SEED_RETRY_MS);
-    }
-  }
-
-  async #syncWith(id: string): Promise<boolean> {
-    const { peers, log } = this.#options;
-    try {
-      const request: news.SyncRequest = { record: this.#own };
-      const reply = await peers.get(id).call<news.SyncReply>(
-        news.METHODS.sync,
-        request,
-        CALL_MS,
-      );
-      for (const box of reply.boxes) this.#mergeBox(box, id);
-      for (const server of reply.servers) this.#mergeServer(server, id);
-      this.#offerConfiguration(reply.configuration);
-      this.#isSynced = true;
-      return true;
-    } catch (error) {
-      log.write("debug", "fleet.unreachable", {
-        peer: id,
-        message: (error as Error).message,
-      });
-      return false;
-    }
+  #takeReply(reply: news.SyncReply, from: string): void {
+    for (const box of reply.boxes) this.#mergeBox(box, from);
+    for (const server of reply.servers) this.#mergeServer(server, from);
+    this.#offerConfiguration(reply.configuration);
   }
 
   #answerSync(request: news.SyncRequest): news.SyncReply {
@@ -306,7 +274,9 @@
   #refreshBox(refresh: news.BoxRefresh): void {
     const { directory } = this.#options;
     const known = directory.get(refresh.id);
-    if (known === undefined || known.startedAtMs !== refresh.startedAtMs) return;
+    if (known === undefined || known.startedAtMs !== refresh.startedAtMs) {
+      return;
+    }
     const outcome = directory.merge({ ...known, sequence: refresh.sequence });
     if (outcome === "old" || !this.#own.isCore) return;
     this.#boxRefreshes.set(refresh.id, refresh);
@@ -347,11 +317,3 @@
       });
   }
 }
-
-/** Strips the own record in a relay down to its refresh. */
-function toRefreshes(message: news.News): news.News {
-  const boxRefreshes = message.boxRefreshes.map((
-    { id, startedAtMs, sequence },
-  ) => ({ id, startedAtMs, sequence }));
-  return { ...message, boxRefreshes };
-}
--- a/src/fleet/news.ts
+++ b/src/fleet/news.ts
@@ -68,3 +68,16 @@
     configuration: undefined,
   };
 }
+
+/**
+ * Strips the refreshes of news down to what they need to say.
+ *
+ * @param message The news; its refreshes may be whole records.
+ * @returns News with brief refreshes.
+ */
+export function toRefreshes(message: News): News {
+  const boxRefreshes = message.boxRefreshes.map((
+    { id, startedAtMs, sequence },
+  ) => ({ id, startedAtMs, sequence }));
+  return { ...message, boxRefreshes };
+}
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -2,7 +2,7 @@
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
-import * as forwarding from "../forwarding/mod.ts";
+import type * as forwarding from "../forwarding/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
@@ -11,6 +11,7 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as controlCalls from "./control_calls.ts";
 import type * as metricTypes from "../metrics/mod.ts";
+import * as plainHeaders from "./_plain_headers.ts";
 import * as rawListeners from "./raw_listener.ts";
 
 /** Kept back from a deadline so that the answer arrives before it, in ms. */
@@ -107,7 +108,10 @@
     if (head.requestId === undefined) {
       return this.#refuse("missingKey", "Cannot serve: the id is missing");
     }
-    const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const waitMs = Math.min(
+      head.deadlineMs ?? route.timeoutMs,
+      route.timeoutMs,
+    );
     const body = await httpServer.readBody(request, {
       maxBodyBytes: configuration.limits.bodyBytes,
       receiveTimeoutMs: waitMs,
@@ -175,7 +179,7 @@
     switch (outcome.kind) {
       case "answered": {
         const { status, headers, body } = outcome.answer;
-        return { status, headers: toPlainHeaders(headers), body };
+        return { status, headers: plainHeaders.toPlainHeaders(headers), body };
       }
       case "notRun":
         return this.#refuse(
@@ -317,23 +321,3 @@
     retryAfterMs: BUSY_RETRY_MS,
   };
 }
-
-const CONNECTION_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "transfer-encoding",
-  "content-length",
-]);
-
-/** Gives a server's headers less those of its connection. */
-function toPlainHeaders(
-  headers: dialects.HeaderMap,
-): Readonly<Record<string, string>> {
-  return Object.fromEntries(
-    Object.entries(headers)
-      .filter(([name, value]) =>
-        value !== undefined && !CONNECTION_HEADERS.has(name)
-      )
-      .map(([name, value]) => [name, String(value)]),
-  );
-}
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -134,7 +134,9 @@
     const { log } = this.#parts;
     if (end.kind === "failed") {
       const error = end.error as Error;
-      log.write("error", "box.failed", { message: error.stack ?? String(error) });
+      log.write("error", "box.failed", {
+        message: error.stack ?? String(error),
+      });
     } else log.write("info", "box.stopped");
     this.#onEnd(end);
   }
--- a/src/fleet_daemon/raw_listener.ts
+++ b/src/fleet_daemon/raw_listener.ts
@@ -86,8 +86,11 @@
     response.once("close", () => {
       this.#inFlight -= 1;
     });
-    response.on("error", (error) =>
-      this.#log.write("debug", "answer.unsent", { message: error.message }));
+    response.on(
+      "error",
+      (error) =>
+        this.#log.write("debug", "answer.unsent", { message: error.message }),
+    );
     if (this.#isDraining) response.setHeader("connection", "close");
     handler(request, response).catch((error: Error) => {
       this.#log.write("error", "request.failed", {
--- a/src/fleet_daemon/run_box.ts
+++ b/src/fleet_daemon/run_box.ts
@@ -54,5 +54,7 @@
   const loaded = fleetSettings.loadFleetSettings(file);
   if (loaded.kind === "failure") {
     log.write("warn", "settings.refused", { message: loaded.failure.message });
-  } else log.write("info", "settings.reloaded", { seeds: loaded.value.seeds.length });
+  } else {log.write("info", "settings.reloaded", {
+      seeds: loaded.value.seeds.length,
+    });}
 }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -104,12 +104,12 @@
     if (server === undefined) return this.#giveUp();
     this.#sent += 1;
     this.#tried.add(server.id);
-    this.#armHedge();
+    this.#scheduleHedge();
     void this.#runAttempt(server);
   }
 
   /** Asks a second server when the first is silent for long. */
-  #armHedge(): void {
+  #scheduleHedge(): void {
     this.#cancelHedge();
     if (!this.#job.isRepeatable) return;
     this.#cancelHedge = this.#options.clock.startTimer(
@@ -161,11 +161,11 @@
       case "notRun":
         this.#sent -= 1;
         this.#refusals += 1;
-        return this.#continue(server, outcome.reason);
+        return this.#retryAfter(server, outcome.reason);
       case "broken":
         this.#mayHaveRun = true;
         this.#options.loads.avoid(server.id);
-        return this.#continue(server, outcome.reason);
+        return this.#retryAfter(server, outcome.reason);
     }
   }
 
@@ -177,10 +177,10 @@
     if (!isWorthAnother) return this.#settle({ kind: "answered", answer });
     this.#errorAnswer = answer;
     this.#reason = `the server answered ${answer.status}`;
-    this.#goOn();
+    this.#tryAnother();
   }
 
-  #continue(server: registry.RegisteredServer, reason: string): void {
+  #retryAfter(server: registry.RegisteredServer, reason: string): void {
     this.#reason = reason;
     this.#options.log.write("info", "forward.retry", {
       request: this.#job.requestId,
@@ -192,10 +192,10 @@
     });
     const mustStop = this.#mayHaveRun && !this.#job.isRepeatable;
     if (mustStop) return this.#giveUp();
-    this.#goOn();
+    this.#tryAnother();
   }
 
-  #goOn(): void {
+  #tryAnother(): void {
     if (this.#running.size === 0) return this.#tryNext();
     if (this.#canTry()) this.#tryNext();
   }
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -88,7 +88,7 @@
       connectTimeoutMs: CONNECT_MS,
       cancellation,
     }, this);
-    this.#armStall();
+    this.#scheduleStall();
   }
 
   onHead(head: httpClient.HttpHead): void {
@@ -108,7 +108,7 @@
 
   onData(chunk: Buffer): void {
     if (this.#isSettled) return;
-    this.#armStall();
+    this.#scheduleStall();
     if (this.#status !== DONE_STATUS) return;
     this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
   }
@@ -167,7 +167,7 @@
     onEvent();
   }
 
-  #armStall(): void {
+  #scheduleStall(): void {
     const { clock, stallMs } = this.#options;
     this.#cancelStall();
     if (this.#isSettled) return;
--- a/src/submission/page_results.ts
+++ b/src/submission/cut_page.ts
@@ -11,7 +11,7 @@
  * @param after Position of the first result wanted.
  * @returns At least one result where there is one, and the next position.
  */
-export function pageResults(
+export function cutPage(
   record: machines.SubmissionRecord,
   after: number,
 ): submissions.ResultPage {
--- a/src/submission/mod.ts
+++ b/src/submission/mod.ts
@@ -9,7 +9,7 @@
  * ```
  * @module
  */
-export * from "./page_results.ts";
+export * from "./cut_page.ts";
 export * from "./protocol.ts";
 export * from "./submission.ts";
 export * from "./submission_machine.ts";
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -4,7 +4,7 @@
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
-import * as pageResults from "./page_results.ts";
+import * as cutPage from "./cut_page.ts";
 import * as protocol from "./protocol.ts";
 import type * as submissions from "./submission.ts";
 import type * as machines from "./submission_machine.ts";
@@ -96,7 +96,7 @@
       const leftMs = endMs - clock.getMonotonicMs();
       const hasNews = record.results.length > request.after;
       if (hasNews || leftMs <= 0 || record.isEnded) {
-        const value = pageResults.pageResults(record, request.after);
+        const value = cutPage.cutPage(record, request.after);
         return { kind: "done", value };
       }
       await changed.wait(clock, leftMs);
@@ -207,6 +207,8 @@
   return { kind: "unsure", mayHaveRun: result.failure.outcome !== "notRun" };
 }
 
-function toEmpty<T>(reply: protocol.LeaderReply<T>): protocol.LeaderReply<null> {
+function toEmpty<T>(
+  reply: protocol.LeaderReply<T>,
+): protocol.LeaderReply<null> {
   return reply.kind === "done" ? { kind: "done", value: null } : reply;
 }
--- a/src/traffic_config/match_route.ts
+++ b/src/traffic_config/match_route.ts
@@ -16,7 +16,9 @@
   const [plainPath = ""] = path.split("?");
   let best: configurations.Route | undefined;
   for (const route of configuration.routes) {
-    if (route.host !== host || !plainPath.startsWith(route.pathPrefix)) continue;
+    if (route.host !== host || !plainPath.startsWith(route.pathPrefix)) {
+      continue;
+    }
     const length = best?.pathPrefix.length ?? 0;
     if (route.pathPrefix.length > length) best = route;
   }
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -65,7 +65,7 @@
 
   start(): void {
     if (this.#isStopped) return;
-    this.#look();
+    this.#checkEngines();
     this.#options.clock.startTimer(TICK_MS, () => this.start());
   }
 
@@ -74,14 +74,14 @@
   }
 
   /** The former holder's last order lies a whole lease back by then. */
-  #mayOrder(): boolean {
+  #canOrder(): boolean {
     const { group, leaseMs } = this.#options;
     return !this.#isStopped && group.hasAuthority() &&
       group.getReignMs() >= leaseMs + LEASE_MARGIN_MS;
   }
 
-  #look(): void {
-    if (!this.#mayOrder()) return;
+  #checkEngines(): void {
+    if (!this.#canOrder()) return;
     const engines = this.#listEngines();
     const versions = this.#options.machine.getVersions();
     this.#homes = assignEngines.assignEngines({
@@ -134,14 +134,14 @@
       return await clocks.sleep(clock, REFUSED_MS);
     }
     if (engines.getVersion(engine, model) >= version) return;
-    if (!this.#mayOrder()) return;
+    if (!this.#canOrder()) return;
     engines.setLoading(engine.id, model);
     const order: dialects.VersionOrder = {
       model,
       version,
       holder: box,
       fence: group.getTerm(),
-      letsRunsEnd: this.#needsSingleVersion(model),
+      letsRunsEnd: this.#hasSingleVersion(model),
       expectedOrders: this.#orders.get(engine.id),
     };
     const outcome = await orderClients.sendOrder(engine, order, dialect);
@@ -172,7 +172,7 @@
   }
 
   /** Whether an open submission wants texts of one version. */
-  #needsSingleVersion(model: string): boolean {
+  #hasSingleVersion(model: string): boolean {
     return this.#options.machine.listAll().some((record) =>
       !record.isEnded && record.submission.terms.isSingleVersion &&
       record.submission.model === model
