Fetch what a refresh names and this box does not know

A refresh could also hide a lost 'draining' behind a newer sequence. A leader that was to be emptied added and removed voters in turn. Change: a refresh carries a description of its content; any other one is fetched from the sender. A leader to be emptied hands over and plans nothing. Ruled out: lost heartbeats (they arrived at entry boxes throughout).

--- a/src/fleet/_sync_loop.ts
+++ b/src/fleet/_sync_loop.ts
@@ -26,6 +26,7 @@
 /** Exchanges everything with a core box, or a seed, again and again. */
 export class SyncLoop {
   readonly #options: SyncLoopOptions;
+  readonly #fetching = new Set<string>();
   #turn = 0;
   #isStopped = false;
 
@@ -48,6 +49,13 @@
     this.#isStopped = true;
   }
 
+  /** Asks a box for everything, soon; one question at a time. */
+  fetch(id: string): void {
+    if (this.#fetching.has(id) || this.#isStopped) return;
+    this.#fetching.add(id);
+    void this.#syncWith(id).finally(() => this.#fetching.delete(id));
+  }
+
   #pickSeed(): string | undefined {
     const { seeds, getOwn } = this.#options;
     const others = seeds.filter((id) => id !== getOwn().id);
--- a/src/fleet/box_directory.ts
+++ b/src/fleet/box_directory.ts
@@ -31,10 +31,11 @@
     const heardAtMs = this.#clock.getMonotonicMs();
     const wasSilent = known === undefined || this.#isSilent(known);
     this.#boxes.set(record.id, { record, heardAtMs });
-    if (wasSilent || !boxRecords.hasSameContent(known.record, record)) {
-      return "changed";
-    }
-    return "refreshed";
+    if (wasSilent) return "changed";
+    const before = boxRecords.describeContent(known.record);
+    return boxRecords.describeContent(record) === before
+      ? "refreshed"
+      : "changed";
   }
 
   get(id: string): boxRecords.BoxRecord | undefined {
--- a/src/fleet/box_record.ts
+++ b/src/fleet/box_record.ts
@@ -49,15 +49,15 @@
 }
 
 /**
- * Tells whether two records say the same but for their sequence.
+ * Describes what a record says but for its sequence. Records with the same
+ * description need not be told to others at once.
  *
- * @param left A record.
- * @param right Another of the same box.
- * @returns Whether others need not be told at once.
+ * @param record The record.
+ * @returns A short text.
  */
-export function hasSameContent(left: BoxRecord, right: BoxRecord): boolean {
-  return left.startedAtMs === right.startedAtMs &&
-    left.isReady === right.isReady && left.isLeaving === right.isLeaving &&
-    left.callerAddress === right.callerAddress &&
-    left.isCore === right.isCore && left.isStore === right.isStore;
+export function describeContent(record: BoxRecord): string {
+  const { startedAtMs, isReady, isLeaving, callerAddress, isCore, isStore } =
+    record;
+  return [startedAtMs, isReady, isLeaving, callerAddress, isCore, isStore]
+    .join(" ");
 }
--- a/src/fleet/fleet_link.ts
+++ b/src/fleet/fleet_link.ts
@@ -1,10 +1,10 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
-import type * as registry from "../registry/mod.ts";
+import * as registry from "../registry/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxDirectories from "./box_directory.ts";
-import type * as boxRecords from "./box_record.ts";
+import * as boxRecords from "./box_record.ts";
 import * as news from "./news.ts";
 import * as syncLoops from "./_sync_loop.ts";
 import type * as peerPools from "./peer_pool.ts";
@@ -20,6 +20,9 @@
 /** Silence after which another core box is chosen to relay, in ms. */
 const RELAY_SILENCE_MS = 1_200;
 
+/** What became of a refresh. */
+type RefreshOutcome = "taken" | "unknown";
+
 /** What a fleet link needs. */
 export interface FleetLinkOptions {
   readonly clock: clocks.Clock;
@@ -101,8 +104,7 @@
 
   /** Passes on that a server still runs as it did. */
   refreshServer(server: registry.RegisteredServer): void {
-    const { id, sequence } = server;
-    this.#serverRefreshes.set(id, { id, sequence });
+    this.#serverRefreshes.set(server.id, news.createServerRefresh(server));
   }
 
   /** Tells the others at once of a newer configuration. */
@@ -169,10 +171,9 @@
   #runRefresh(): void {
     if (this.#isStopped) return;
     this.#refreshOwn();
-    const { id, startedAtMs, sequence } = this.#own;
     const message: news.News = {
       ...this.#createNews(),
-      boxRefreshes: [{ id, startedAtMs, sequence }],
+      boxRefreshes: [news.createBoxRefresh(this.#own)],
       serverRefreshes: this.#own.isCore ? [] : this.#takeServerRefreshes(),
     };
     const relay = this.#chooseRelay();
@@ -186,12 +187,15 @@
     if (this.#isStopped) return;
     const message: news.News = {
       ...this.#createNews(),
-      boxRefreshes: [...this.#boxRefreshes.values(), this.#own],
+      boxRefreshes: [
+        ...this.#boxRefreshes.values(),
+        news.createBoxRefresh(this.#own),
+      ],
       serverRefreshes: this.#takeServerRefreshes(),
     };
     this.#boxRefreshes.clear();
     for (const id of this.#subscribers.keys()) {
-      if (this.#isSubscriber(id)) this.#tell(id, news.toRefreshes(message));
+      if (this.#isSubscriber(id)) this.#tell(id, message);
       else this.#subscribers.delete(id);
     }
     this.#options.clock.startTimer(RELAY_MS, () => this.#runRelay());
@@ -234,9 +238,12 @@
     for (const server of message.servers) {
       this.#mergeServer(server, message.from);
     }
-    for (const refresh of message.boxRefreshes) this.#refreshBox(refresh);
-    for (const refresh of message.serverRefreshes) {
-      this.#refreshKnownServer(refresh);
+    const boxes = message.boxRefreshes.map((item) => this.#refreshBox(item));
+    const servers = message.serverRefreshes.map((item) =>
+      this.#refreshKnownServer(item)
+    );
+    if ([...boxes, ...servers].includes("unknown")) {
+      this.#sync.fetch(message.from);
     }
     this.#offerConfiguration(message.configuration);
     this.#fetchIfBehind(message);
@@ -271,24 +278,32 @@
     this.#spread({ ...this.#createNews(), servers: [server] }, source);
   }
 
-  #refreshBox(refresh: news.BoxRefresh): void {
+  /** Takes a refresh of a box; `unknown` when its record must be fetched. */
+  #refreshBox(refresh: news.BoxRefresh): RefreshOutcome {
+    if (refresh.id === this.#id) return "taken";
     const { directory } = this.#options;
     const known = directory.get(refresh.id);
-    if (known === undefined || known.startedAtMs !== refresh.startedAtMs) {
-      return;
-    }
+    if (known === undefined) return "unknown";
+    if (boxRecords.describeContent(known) !== refresh.content) return "unknown";
     const outcome = directory.merge({ ...known, sequence: refresh.sequence });
-    if (outcome === "old" || !this.#own.isCore) return;
-    this.#boxRefreshes.set(refresh.id, refresh);
+    if (outcome !== "old" && this.#own.isCore) {
+      this.#boxRefreshes.set(refresh.id, refresh);
+    }
+    return "taken";
   }
 
-  #refreshKnownServer(refresh: news.ServerRefresh): void {
+  /** Takes a refresh of a server; `unknown` when its report must be fetched. */
+  #refreshKnownServer(refresh: news.ServerRefresh): RefreshOutcome {
     const { servers } = this.#options;
     const known = servers.get(refresh.id);
-    if (known === undefined) return;
+    if (known === undefined) return "unknown";
+    if (refresh.sequence <= known.sequence) return "taken";
+    if (registry.describeContent(known) !== refresh.content) return "unknown";
     const outcome = servers.merge({ ...known, sequence: refresh.sequence });
-    if (outcome === "old" || !this.#own.isCore) return;
-    this.#serverRefreshes.set(refresh.id, refresh);
+    if (outcome !== "old" && this.#own.isCore) {
+      this.#serverRefreshes.set(refresh.id, refresh);
+    }
+    return "taken";
   }
 
   #offerConfiguration(
--- a/src/fleet/news.ts
+++ b/src/fleet/news.ts
@@ -1,6 +1,6 @@
-import type * as registry from "../registry/mod.ts";
+import * as registry from "../registry/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
-import type * as boxRecords from "./box_record.ts";
+import * as boxRecords from "./box_record.ts";
 
 /** Names of the calls between boxes. */
 export const METHODS = {
@@ -12,14 +12,17 @@
 /** Says that a box still runs, without repeating its record. */
 export interface BoxRefresh {
   readonly id: string;
-  readonly startedAtMs: number;
   readonly sequence: number;
+  /** Description of the record; another one must be fetched. */
+  readonly content: string;
 }
 
 /** Says that a server still runs, without repeating its report. */
 export interface ServerRefresh {
   readonly id: string;
   readonly sequence: number;
+  /** Description of the report; another one must be fetched. */
+  readonly content: string;
 }
 
 /** What one box tells another; every part may be lost and repeated. */
@@ -70,14 +73,25 @@
 }
 
 /**
- * Strips the refreshes of news down to what they need to say.
+ * Shortens a record that says nothing new.
  *
- * @param message The news; its refreshes may be whole records.
- * @returns News with brief refreshes.
+ * @param record The record.
+ * @returns Its refresh.
  */
-export function toRefreshes(message: News): News {
-  const boxRefreshes = message.boxRefreshes.map((
-    { id, startedAtMs, sequence },
-  ) => ({ id, startedAtMs, sequence }));
-  return { ...message, boxRefreshes };
+export function createBoxRefresh(record: boxRecords.BoxRecord): BoxRefresh {
+  const { id, sequence } = record;
+  return { id, sequence, content: boxRecords.describeContent(record) };
+}
+
+/**
+ * Shortens a report that says nothing new.
+ *
+ * @param server The report.
+ * @returns Its refresh.
+ */
+export function createServerRefresh(
+  server: registry.RegisteredServer,
+): ServerRefresh {
+  const { id, sequence } = server;
+  return { id, sequence, content: registry.describeContent(server) };
 }
--- a/src/registry/registered_server.ts
+++ b/src/registry/registered_server.ts
@@ -76,20 +76,14 @@
 }
 
 /**
- * Tells whether two reports say the same but for their sequence.
+ * Describes what a report says but for its sequence. Reports with the same
+ * description need not be told to others at once.
  *
- * @param left One report.
- * @param right Another one.
- * @returns Whether others need not be told at once.
+ * @param server The report.
+ * @returns A short text.
  */
-export function hasSameContent(
-  left: RegisteredServer,
-  right: RegisteredServer,
-): boolean {
-  return left.phase === right.phase && left.address === right.address &&
-    left.port === right.port && left.service === right.service &&
-    left.models.length === right.models.length &&
-    left.models.every((model, index) =>
-      model.version === right.models[index]?.version
-    );
+export function describeContent(server: RegisteredServer): string {
+  const { phase, service, address, port, models } = server;
+  const held = models.map((model) => `${model.name}:${model.version}`);
+  return [phase, service, address, port, ...held].join(" ");
 }
--- a/src/registry/server_registry.ts
+++ b/src/registry/server_registry.ts
@@ -39,7 +39,8 @@
       server.phase !== known.server.phase;
     if (!isNews) return "old";
     this.#servers.set(report.id, { server, heardAtMs });
-    return registeredServers.hasSameContent(known.server, server)
+    const before = registeredServers.describeContent(known.server);
+    return registeredServers.describeContent(server) === before
       ? "refreshed"
       : "changed";
   }
--- a/src/replica_group/plan_voters.ts
+++ b/src/replica_group/plan_voters.ts
@@ -40,12 +40,14 @@
  * Plans the next single change of the voters.
  *
  * @param situation What the leader knows.
- * @returns The voters after the change, or undefined when none is due.
+ * @returns The voters after the change, or undefined when none is due; a
+ * leader that is to be emptied plans nothing and hands over instead.
  */
 export function planVoters(
   situation: VoterSituation,
 ): readonly string[] | undefined {
   const { voters, wanted, retiring, self } = situation;
+  if (retiring.includes(self)) return undefined;
   const others = voters.filter((id) => id !== self);
   const dead = others.filter((id) => isDead(id, situation));
   const emptied = others.filter((id) => retiring.includes(id));
@@ -57,8 +59,7 @@
       (isEven ? findQuietest(situation, others) : undefined);
     return extra === undefined ? undefined : dropVoter(voters, extra);
   }
-  const isShort = voters.length < wanted || unwanted.length > 0 ||
-    retiring.includes(self);
+  const isShort = voters.length < wanted || unwanted.length > 0;
   if (isShort && fresh !== undefined) return [...voters, fresh];
   return undefined;
 }
