Relay refreshes between core boxes; never ask a server again that refused

A request refused by every server was sent to them again at once, 8 times in 5 ms. Change: core boxes relay to all core boxes; a refusal excludes the server for that request; servers unheard of are used where no other is left; engines are shared among all models they hold, not only those already named. Ruled out: lost heartbeats, which arrived.

--- a/src/fleet/fleet_link.ts
+++ b/src/fleet/fleet_link.ts
@@ -194,13 +194,18 @@
       serverRefreshes: this.#takeServerRefreshes(),
     };
     this.#boxRefreshes.clear();
-    for (const id of this.#subscribers.keys()) {
-      if (this.#isSubscriber(id)) this.#tell(id, message);
-      else this.#subscribers.delete(id);
-    }
+    for (const id of this.#listRelayTargets()) this.#tell(id, message);
     this.#options.clock.startTimer(RELAY_MS, () => this.#runRelay());
   }
 
+  /** Boxes that chose this one, and all core boxes, which pass news on. */
+  #listRelayTargets(): readonly string[] {
+    const subscribers = [...this.#subscribers.keys()].filter((id) =>
+      this.#isSubscriber(id)
+    );
+    return [...new Set([...subscribers, ...this.#listCore()])];
+  }
+
   #takeServerRefreshes(): readonly news.ServerRefresh[] {
     const taken = [...this.#serverRefreshes.values()];
     this.#serverRefreshes.clear();
--- a/src/forwarding/choose_server.ts
+++ b/src/forwarding/choose_server.ts
@@ -5,8 +5,10 @@
 export interface ServerChoice {
   readonly servers: readonly registry.RegisteredServer[];
   readonly loads: serverLoads.ServerLoads;
-  /** Servers that had this request already. */
+  /** Servers that had this request already; taken only when there is no other. */
   readonly tried: ReadonlySet<string>;
+  /** Servers that refused this request unrun; not asked again. */
+  readonly refused: ReadonlySet<string>;
   readonly failureDomain: string;
   /** Gives a number from 0 up to, but not including, 1. */
   readonly draw: () => number;
@@ -27,7 +29,8 @@
 export function chooseServer(
   choice: ServerChoice,
 ): registry.RegisteredServer | undefined {
-  const { servers, loads, tried, failureDomain, draw } = choice;
+  const { loads, tried, refused, failureDomain, draw } = choice;
+  const servers = choice.servers.filter((server) => !refused.has(server.id));
   const fresh = servers.filter((server) => !tried.has(server.id));
   const sound = fresh.filter((server) => !loads.isAvoided(server.id));
   const pool = [sound, fresh].find((list) => list.length > 0) ?? servers;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -45,10 +45,10 @@
   readonly #job: jobs.ForwardJob;
   readonly #resolve: (outcome: jobs.ForwardOutcome) => void;
   readonly #tried = new Set<string>();
+  readonly #refused = new Set<string>();
   readonly #running = new Set<csp.Cancellation>();
   readonly #onAbandon = () => this.#settle({ kind: "abandoned" });
   #sent = 0;
-  #refusals = 0;
   #mayHaveRun = false;
   #isSettled = false;
   #reason = "no server is ready";
@@ -84,7 +84,7 @@
   }
 
   #canTry(): boolean {
-    return this.#sent < this.#job.attempts && this.#refusals < MAX_REFUSALS;
+    return this.#sent < this.#job.attempts && this.#refused.size < MAX_REFUSALS;
   }
 
   #choose(): registry.RegisteredServer | undefined {
@@ -93,6 +93,7 @@
       servers: servers.listReady(this.#job.service),
       loads,
       tried: this.#tried,
+      refused: this.#refused,
       failureDomain,
       draw,
     });
@@ -160,7 +161,7 @@
         return this.#takeAnswer(outcome.answer);
       case "notRun":
         this.#sent -= 1;
-        this.#refusals += 1;
+        this.#refused.add(server.id);
         return this.#retryAfter(server, outcome.reason);
       case "broken":
         this.#mayHaveRun = true;
@@ -187,7 +188,7 @@
       server: server.id,
       service: this.#job.service,
       sent: this.#sent,
-      refusals: this.#refusals,
+      refusals: this.#refused.size,
       reason,
     });
     const mustStop = this.#mayHaveRun && !this.#job.isRepeatable;
--- a/src/registry/server_registry.ts
+++ b/src/registry/server_registry.ts
@@ -6,6 +6,9 @@
 /** Heartbeats that may be missed before a server is taken for dead. */
 const MISSED_HEARTBEATS = 2.6;
 
+/** A server silent for longer is not even tried where no other is left, in ms. */
+const HOPELESS_MS = 20_000;
+
 /** What a merged report changed. */
 export type MergeOutcome = "old" | "refreshed" | "changed";
 
@@ -60,13 +63,25 @@
     return this.#servers.get(id)?.server;
   }
 
-  /** Servers of a service that take new work and were heard lately. */
+  /**
+   * Servers of a service that take new work and were heard lately; where none
+   * was, those that may still run though their heartbeats do not arrive.
+   */
   listReady(service: string): readonly registeredServers.RegisteredServer[] {
-    const nowMs = this.#clock.getMonotonicMs();
+    const heard = this.#listHeard(service, this.#silenceMs);
+    if (heard.length > 0) return heard;
+    return this.#listHeard(service, HOPELESS_MS);
+  }
+
+  #listHeard(
+    service: string,
+    withinMs: number,
+  ): readonly registeredServers.RegisteredServer[] {
+    const sinceMs = this.#clock.getMonotonicMs() - withinMs;
     return [...this.#servers.values()]
       .filter(({ server, heardAtMs }) =>
         server.service === service && server.phase === "ready" &&
-        nowMs - heardAtMs <= this.#silenceMs
+        heardAtMs >= sinceMs
       )
       .map(({ server }) => server);
   }
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -86,7 +86,7 @@
     const versions = this.#options.machine.getVersions();
     this.#homes = assignEngines.assignEngines({
       engines: engines.map((engine) => engine.id),
-      models: [...versions.keys()].toSorted(),
+      models: listModels(engines),
       before: this.#homes,
     });
     const most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
@@ -214,3 +214,12 @@
     return true;
   }
 }
+
+function listModels(
+  engines: readonly registry.RegisteredServer[],
+): readonly string[] {
+  const names = engines.flatMap((engine) =>
+    engine.models.map((model) => model.name)
+  );
+  return [...new Set(names)].toSorted();
+}
