--- a/src/fleet/_sync_loop.ts
+++ b/src/fleet/_sync_loop.ts
@@ -15,7 +15,7 @@
 export interface SyncLoopOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
-  readonly peers: peerPools.PeerPool;
+  readonly peers: peerPools.Peers;
   /** Ids of the boxes to ask while no core box is known. */
   readonly seeds: readonly string[];
   readonly chooseRelay: () => string | undefined;
--- a/src/fleet/fleet_link.ts
+++ b/src/fleet/fleet_link.ts
@@ -30,8 +30,8 @@
   readonly directory: boxDirectories.BoxDirectory;
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
-  readonly peers: peerPools.PeerPool;
-  readonly server: rpc.RpcServer;
+  readonly peers: peerPools.Peers;
+  readonly server: rpc.MethodTable;
   /** Ids of the boxes to ask first. */
   readonly seeds: readonly string[];
   /** Record of this box; the link numbers it. */
--- a/src/fleet/peer_pool.ts
+++ b/src/fleet/peer_pool.ts
@@ -1,7 +1,12 @@
 import * as rpc from "../rpc/mod.ts";
 
+/** Other boxes by their ids. */
+export interface Peers {
+  get(id: string): rpc.Peer;
+}
+
 /** Connections to other boxes, one a box, made on demand. */
-export class PeerPool {
+export class PeerPool implements Peers {
   readonly #port: number;
   readonly #clients = new Map<string, rpc.RpcClient>();
 
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -25,7 +25,7 @@
   readonly clock: clocks.Clock;
   /** Ids of the replicas to try, best first. */
   readonly listReplicas: () => readonly string[];
-  readonly getClient: (id: string) => rpc.RpcClient;
+  readonly getClient: (id: string) => rpc.Peer;
 }
 
 /** How long a call is tried. */
--- /dev/null
+++ b/src/replica_group/plan_voters_test.ts
@@ -0,0 +1,90 @@
+import * as chai from "chai";
+import * as foundingDesks from "./founding_desk.ts";
+import * as planVoters from "./plan_voters.ts";
+
+function createFollower(id: string, silentMs = 10, matchIndex = 100) {
+  return { id, matchIndex, silentMs, isAdmitted: true };
+}
+
+const SITUATION: planVoters.VoterSituation = {
+  self: "a",
+  voters: ["a", "b", "c"],
+  wanted: 3,
+  commitIndex: 100,
+  followers: [createFollower("b"), createFollower("c"), createFollower("d")],
+  candidates: ["a", "b", "c", "d"],
+  retiring: [],
+  deadMs: 3_000,
+};
+
+function plan(
+  changes: Partial<planVoters.VoterSituation>,
+): readonly string[] | undefined {
+  return planVoters.planVoters({ ...SITUATION, ...changes });
+}
+
+describe("plan of voters", () => {
+  it("changes nothing while all is well, and feeds no spare", () => {
+    chai.expect(plan({})).to.equal(undefined);
+    chai.expect(planVoters.chooseLearners(SITUATION)).to.deep.equal([]);
+  });
+
+  it("adds a spare for a silent voter first, and removes that one then", () => {
+    const followers = [
+      createFollower("b", 4_000),
+      createFollower("c"),
+      createFollower("d"),
+    ];
+    const added = plan({ followers });
+    chai.expect(added).to.deep.equal(["a", "b", "c", "d"]);
+    chai.expect(plan({ followers, voters: added ?? [] })).to.deep.equal([
+      "a",
+      "c",
+      "d",
+    ]);
+    chai.expect(planVoters.chooseLearners({ ...SITUATION, followers })).to.deep
+      .equal(["d"]);
+  });
+
+  it("does not add a spare that lacks something, or is new and not admitted", () => {
+    const silent = createFollower("b", 4_000);
+    const behind = createFollower("d", 10, 99);
+    const unadmitted = { ...createFollower("d"), isAdmitted: false };
+    for (const spare of [behind, unadmitted]) {
+      const followers = [silent, createFollower("c"), spare];
+      chai.expect(plan({ followers })).to.equal(undefined);
+    }
+  });
+
+  it("replaces a box that is to be emptied, and never changes sets in turn", () => {
+    const retiring = ["b"];
+    chai.expect(plan({ retiring })).to.deep.equal(["a", "b", "c", "d"]);
+    const voters = ["a", "b", "c", "d"];
+    chai.expect(plan({ retiring, voters })).to.deep.equal(["a", "c", "d"]);
+    // The leader itself is to be emptied: it hands over and plans nothing.
+    chai.expect(plan({ retiring: ["a"] })).to.equal(undefined);
+    chai.expect(plan({ retiring: ["a"], voters })).to.equal(undefined);
+  });
+
+  it("wants an odd number, and never fewer than losses need", () => {
+    chai.expect(planVoters.countWanted(3, 9, 2)).to.equal(3);
+    chai.expect(planVoters.countWanted(3, 9, 4)).to.equal(3);
+    chai.expect(planVoters.countWanted(3, 9, 8)).to.equal(7);
+    chai.expect(planVoters.countWanted(3, 9, 20)).to.equal(9);
+  });
+
+  it("founds over as many failure domains as there are, with an odd number", () => {
+    const applicants = ["n1", "n2", "n3", "s1", "e1"].map((id) => ({
+      group: "g",
+      id,
+      failureDomain: id[0] ?? "",
+      wanted: 4,
+      least: 3,
+    }));
+    chai.expect(foundingDesks.chooseFounders(applicants)).to.deep.equal([
+      "e1",
+      "n1",
+      "s1",
+    ]);
+  });
+});
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -47,8 +47,8 @@
   readonly log: logs.Log;
   readonly machine: consensus.Machine;
   readonly directory: fleet.BoxDirectory;
-  readonly peers: fleet.PeerPool;
-  readonly server: rpc.RpcServer;
+  readonly peers: fleet.Peers;
+  readonly server: rpc.MethodTable;
   /** Whether a box may keep a replica of this group. */
   readonly canVote: (box: fleet.BoxRecord) => boolean;
   /** Ids of boxes that are to be emptied. */
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -15,8 +15,16 @@
 /** Reason given to calls whose connection was never made. */
 const NOT_CONNECTED = "the connection was not made";
 
+/** Another box that can be called. */
+export interface Peer {
+  /** Sends a message that has no answer; it may be lost. */
+  tell(method: string, params: object): void;
+  /** Calls a method and waits for its result. */
+  call<T>(method: string, params: object, timeoutMs: number): Promise<T>;
+}
+
 /** Calls another box by JSON-RPC over one TCP connection, made on demand. */
-export class RpcClient {
+export class RpcClient implements Peer {
   readonly #peer: PeerAddress;
   readonly #client: jsonRpc.JSONRPCClient;
   #socket: net.Socket | undefined;
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -5,8 +5,13 @@
 /** Answers a method; a returned promise is waited for. */
 export type RpcHandler = (params: never) => unknown;
 
+/** Where methods are registered. */
+export interface MethodTable {
+  add(method: string, handler: RpcHandler): void;
+}
+
 /** Answers other boxes by JSON-RPC over TCP. */
-export class RpcServer {
+export class RpcServer implements MethodTable {
   readonly #server: net.Server;
   readonly #rpc = new jsonRpc.JSONRPCServer({ errorListener: () => {} });
   #sockets: ReadonlySet<net.Socket> = new Set();
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -18,7 +18,7 @@
 export interface SubmissionServiceOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
-  readonly server: rpc.RpcServer;
+  readonly server: rpc.MethodTable;
   readonly group: replicaGroups.ReplicaGroup;
   readonly machine: machines.SubmissionMachine;
   /** Woken when the machine changed. */
--- a/src/traffic_config/configuration_service.ts
+++ b/src/traffic_config/configuration_service.ts
@@ -33,7 +33,7 @@
 
 /** What the configuration service needs. */
 export interface ConfigurationServiceOptions {
-  readonly server: rpc.RpcServer;
+  readonly server: rpc.MethodTable;
   readonly group: replicaGroups.ReplicaGroup;
   readonly machine: machines.ConfigurationMachine;
 }
--- /dev/null
+++ b/src/traffic_config/traffic_config_test.ts
@@ -0,0 +1,142 @@
+import * as chai from "chai";
+import * as logs from "../log/mod.ts";
+import * as results from "../results/mod.ts";
+import * as checkConfiguration from "./check_configuration.ts";
+import type * as configurations from "./configuration.ts";
+import * as configurationHolders from "./configuration_holder.ts";
+import * as configurationMachines from "./configuration_machine.ts";
+import * as matchRoute from "./match_route.ts";
+
+const ROUTE: configurations.Route = {
+  name: "r",
+  host: "a.example",
+  pathPrefix: "/a/",
+  kind: "repeatable",
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  targetCompletionMs: 1_000,
+  priority: 0,
+  targets: [{ service: "s", weight: 1 }],
+  attempts: 2,
+  canResume: false,
+  isSingleVersion: false,
+  keepMs: 1_000,
+};
+
+const SERVICE: configurations.Service = {
+  name: "s",
+  healthPath: "/",
+  connectionLimit: 10,
+  models: [],
+};
+
+function configure(
+  ...routes: readonly Partial<configurations.Route>[]
+): configurations.Configuration {
+  return {
+    version: 1,
+    routes: routes.map((route) => ({ ...ROUTE, ...route })),
+    services: new Map([["s", SERVICE], ["t", { ...SERVICE, name: "t" }]]),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+describe("traffic configuration", () => {
+  it("accepts a sound one", () => {
+    const checked = checkConfiguration.checkConfiguration(
+      configure({}, { name: "q", pathPrefix: "/a/b/" }),
+    );
+    chai.expect(checked.kind).to.equal("ok");
+  });
+
+  const faults: Readonly<Record<string, configurations.Configuration>> = {
+    "no service u": configure({ targets: [{ service: "u", weight: 1 }] }),
+    "two routes serve": configure({}, { name: "q" }),
+    "weights add up to 0": configure({
+      targets: [{ service: "s", weight: 0 }],
+    }),
+    "weight is below 0": configure({
+      targets: [{ service: "s", weight: 2 }, { service: "t", weight: -1 }],
+    }),
+    "timeout is not above 0": configure({ timeoutMs: 0 }),
+    "begin and end with a slash": configure({ pathPrefix: "/a" }),
+  };
+  for (const [fault, configuration] of Object.entries(faults)) {
+    it(`refuses it and says so: ${fault}`, () => {
+      const checked = checkConfiguration.checkConfiguration(configuration);
+      if (checked.kind === "ok") throw new Error("it was accepted");
+      chai.expect(checked.failure.message).to.contain(fault);
+    });
+  }
+
+  it("takes the longest prefix of the host, whatever the query", () => {
+    const configuration = configure(
+      {},
+      { name: "long", pathPrefix: "/a/b/" },
+      { name: "other", host: "b.example", pathPrefix: "/a/b/c/" },
+    );
+    const find = (host: string, path: string) =>
+      matchRoute.matchRoute(configuration, host, path)?.name;
+    chai.expect(find("a.example", "/a/b/c/d?x=/a/")).to.equal("long");
+    chai.expect(find("a.example", "/a/c")).to.equal("r");
+    chai.expect(find("a.example", "/a")).to.equal(undefined);
+    chai.expect(find("c.example", "/a/b/")).to.equal(undefined);
+  });
+
+  it("spreads requests by weight and never takes a service of weight 0", () => {
+    const route = {
+      ...ROUTE,
+      targets: [
+        { service: "s", weight: 0 },
+        { service: "t", weight: 1 },
+        { service: "u", weight: 3 },
+        { service: "v", weight: 0 },
+      ],
+    };
+    const pick = (draw: number) => matchRoute.pickService(route, draw);
+    chai.expect([0, 0.24, 0.25, 0.999].map(pick)).to.deep.equal([
+      "t",
+      "t",
+      "u",
+      "u",
+    ]);
+  });
+
+  it("only ever moves forward on a box", () => {
+    const holder = new configurationHolders.ConfigurationHolder(
+      () => results.createOk(configure({})),
+      new logs.Log("box", "error", () => {}),
+    );
+    chai.expect(holder.offer({ version: 5, text: "five" })).to.equal(true);
+    chai.expect(holder.offer({ version: 5, text: "other" })).to.equal(false);
+    chai.expect(holder.offer({ version: 4, text: "four" })).to.equal(false);
+    chai.expect(holder.getStored()).to.deep.equal({ version: 5, text: "five" });
+  });
+
+  it("lets the highest version win in the log, over a restart too", () => {
+    const told: number[] = [];
+    const machine = new configurationMachines.ConfigurationMachine((stored) =>
+      told.push(stored.version)
+    );
+    const put = (version: number, text: string) =>
+      machine.apply({ kind: "putConfiguration", stored: { version, text } });
+    chai.expect(put(3, "three")).to.deep.equal({ version: 3 });
+    chai.expect(put(3, "other")).to.deep.equal({ version: 3 });
+    chai.expect(put(2, "two")).to.deep.equal({ version: 3 });
+    chai.expect(machine.apply({ kind: "noOperation" })).to.deep.equal({
+      version: 3,
+    });
+    const restored = new configurationMachines.ConfigurationMachine(() => {});
+    restored.restore(JSON.parse(JSON.stringify(machine.save())));
+    chai.expect(restored.getStored()).to.deep.equal({
+      version: 3,
+      text: "three",
+    });
+    chai.expect(told).to.deep.equal([3]);
+  });
+});
