Keep texts as they grow, agree on who orders engines, elect sooner

Cause: after each change of the stores' leader all texts under way began anew (items take up to 6.6 s), carried groups too, and the new leader gave no order for 3.25 s even when it had been the holder before. Change: texts of long runs go into the log half a second at a time and a result carries only what follows; items that come again go on with what is kept where its versions fit; the holder of orders is an agreed fact; elections after 450 ms.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 import * as orderTasks from "./order_tasks.ts";
 import * as resultWriters from "./result_writer.ts";
 import * as scoreItem from "./score_item.ts";
+import * as textKeepers from "./text_keeper.ts";
 
 /** Longest time between two looks for work, in ms. */
 const UPDATE_MS = 50;
@@ -44,6 +45,7 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions;
   readonly #writer: resultWriters.ResultWriter;
+  readonly #keeper: textKeepers.TextKeeper;
   /** Tasks by submission and item. */
   readonly #tasks = new Map<string, Map<string, itemTasks.ItemTask>>();
   #isUpdateDue = false;
@@ -52,6 +54,7 @@
   constructor(options: DispatcherOptions) {
     this.#options = options;
     this.#writer = new resultWriters.ResultWriter(options);
+    this.#keeper = new textKeepers.TextKeeper(options.group);
   }
 
   start(): void {
@@ -81,6 +84,11 @@
     }
     this.#matchRecords();
     this.#startWaiting();
+    void this.#keeper.keep(this.#listTasks());
+  }
+
+  #listTasks(): readonly itemTasks.ItemTask[] {
+    return [...this.#tasks.values()].flatMap((tasks) => [...tasks.values()]);
   }
 
   #dropAll(): void {
@@ -102,16 +110,27 @@
       const { submission, isEnded, listed } = record;
       if (isEnded || this.#tasks.has(submission.id)) continue;
       const tasks = submission.items.filter((item) => !listed.has(item.id))
-        .map((item) =>
-          [item.id, new itemTasks.ItemTask(submission, item)] as const
-        );
+        .map((item) => [item.id, this.#createTask(record, item)] as const);
       this.#tasks.set(submission.id, new Map(tasks));
     }
   }
 
+  /** Goes on with what is kept of the item, from this or an earlier step. */
+  #createTask(
+    record: submissions.SubmissionRecord,
+    item: submissions.SubmissionItem,
+  ): itemTasks.ItemTask {
+    const task = new itemTasks.ItemTask(record.submission, item);
+    const own = record.kept.get(item.id);
+    if (own !== undefined) task.restore([own], true);
+    else task.restore(this.#options.machine.findTexts(item.id), false);
+    if (task.phase === "scoring") void this.#score(task);
+    return task;
+  }
+
   #startWaiting(): void {
-    const waiting = [...this.#tasks.values()].flatMap((tasks) =>
-      [...tasks.values()].filter((task) => task.phase === "waiting")
+    const waiting = this.#listTasks().filter((task) =>
+      task.phase === "waiting"
     );
     for (const task of orderTasks.orderTasks(waiting)) {
       const engine = this.#chooseEngine(task);
@@ -245,13 +264,15 @@
 
   #complete(task: itemTasks.ItemTask, score: string | undefined): void {
     const { progress, item } = task;
-    this.#write(task, {
+    const whole: submissions.ItemResult = {
       id: item.id,
       state: "completed",
       text: progress.getText(),
       versions: progress.listVersions(),
       score,
-    });
+    };
+    const brief = { ...whole, text: progress.getUnkeptText() };
+    this.#write(task, brief, whole);
   }
 
   #giveUp(task: itemTasks.ItemTask): void {
@@ -259,21 +280,32 @@
       item: task.item.id,
       submission: task.submission.id,
     });
-    this.#write(task, {
+    const result: submissions.ItemResult = {
       id: task.item.id,
       state: "givenUp",
       text: "",
       versions: [],
       score: undefined,
-    });
+    };
+    this.#write(task, result, result);
   }
 
-  #write(task: itemTasks.ItemTask, result: submissions.ItemResult): void {
+  #write(
+    task: itemTasks.ItemTask,
+    brief: submissions.ItemResult,
+    whole: submissions.ItemResult,
+  ): void {
     const { metrics, clock } = this.#options;
     const { submission } = task;
+    const keptLastId = brief === whole
+      ? undefined
+      : task.progress.getKeptLastId();
     task.phase = "done";
     metrics.recordItem(clock.getWallMs() - submission.acceptedAtMs);
-    this.#writer.add({ submission: submission.id, result });
+    this.#writer.add(
+      { submission: submission.id, result: brief, keptLastId },
+      { submission: submission.id, result: whole },
+    );
   }
 }
 
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -57,6 +57,24 @@
     return this.#scoreFailures >= attempts;
   }
 
+  /**
+   * Begins with a text that was kept, if its versions may make this item.
+   *
+   * @param texts Kept texts, whole ones first.
+   * @param isOwn Whether they were kept for this very submission.
+   */
+  restore(texts: readonly submissions.KeptText[], isOwn: boolean): void {
+    const { minimumVersion, terms } = this.submission;
+    const fitting = texts.find(({ versions }) =>
+      versions.every((version) => version >= minimumVersion) &&
+      (!terms.isSingleVersion || versions.length === 1)
+    );
+    if (fitting === undefined) return;
+    this.progress.restore(fitting);
+    if (fitting.lastId === undefined) this.phase = "scoring";
+    else if (isOwn) this.progress.setKept(fitting.lastId);
+  }
+
   /** When all results of the submission are due, in wall ms. */
   getDueMs(): number {
     const { acceptedAtMs, terms } = this.submission;
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -16,3 +16,4 @@
 export * from "./order_tasks.ts";
 export * from "./result_writer.ts";
 export * from "./score_item.ts";
+export * from "./text_keeper.ts";
--- a/src/dispatch/result_writer.ts
+++ b/src/dispatch/result_writer.ts
@@ -15,19 +15,37 @@
   readonly group: replicaGroups.ReplicaGroup;
 }
 
+/** A result that waits to be listed. */
+interface WaitingResult {
+  readonly brief: submissions.RecordedResult;
+  readonly whole: submissions.RecordedResult;
+}
+
+function toWhole({ whole }: WaitingResult): WaitingResult {
+  return { brief: whole, whole };
+}
+
 /** Has results listed, several in one entry, again until they surely are. */
 export class ResultWriter {
   readonly #options: ResultWriterOptions;
-  #waiting: readonly submissions.RecordedResult[] = [];
+  #waiting: readonly WaitingResult[] = [];
   #isDue = false;
 
   constructor(options: ResultWriterOptions) {
     this.#options = options;
   }
 
-  /** Adds a result to be listed. */
-  add(result: submissions.RecordedResult): void {
-    this.#waiting = [...this.#waiting, result];
+  /**
+   * Adds a result to be listed.
+   *
+   * @param brief The result, with the text that follows the kept part.
+   * @param whole The same with its whole text, should the kept part be missing.
+   */
+  add(
+    brief: submissions.RecordedResult,
+    whole: submissions.RecordedResult,
+  ): void {
+    this.#waiting = [...this.#waiting, { brief, whole }];
     this.#scheduleFlush();
   }
 
@@ -47,24 +65,27 @@
 
   async #flush(): Promise<void> {
     const { group, log } = this.#options;
-    const results = this.#waiting;
+    const taken = this.#waiting;
     this.#waiting = [];
-    if (results.length === 0) return;
+    if (taken.length === 0) return;
     const command: submissions.SubmissionCommand = {
       kind: "recordResults",
-      results,
+      results: taken.map((result) => result.brief),
     };
     const listed = await group.propose<submissions.SubmissionAnswer>(
       command,
       COMMIT_MS,
     );
-    if (listed.kind === "ok") return;
+    if (listed.kind === "ok" && listed.value.isKnown) return;
     log.write("warn", "results.notListed", {
-      count: results.length,
-      message: listed.failure.message,
+      count: taken.length,
+      message: listed.kind === "ok"
+        ? "a kept part is missing"
+        : listed.failure.message,
     });
     if (!group.hasAuthority()) return;
-    this.#waiting = [...results, ...this.#waiting];
+    const again = listed.kind === "ok" ? taken.map(toWhole) : taken;
+    this.#waiting = [...again, ...this.#waiting];
     this.#scheduleFlush();
   }
 }
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -8,14 +8,21 @@
 /** Entries after which the stores' log is cut; bodies make it large. */
 const STORE_SNAPSHOT_ENTRIES = 4_096;
 
+/** Between two looks for submissions that nobody asks for any more, in ms. */
+const FORGET_MS = 5_000;
+
 /** Keeps submissions, and runs them while it leads the stores. */
 export class StoreBox {
   readonly #group: replicaGroups.ReplicaGroup;
   readonly #dispatcher: dispatch.Dispatcher;
   readonly #orders: weightOrders.WeightOrders;
+  readonly #parts: boxParts.BoxParts;
+  readonly #machine: submissions.SubmissionMachine;
+  #isStopped = false;
 
   /** @param dataFolder Folder on the box's disk. */
   constructor(parts: boxParts.BoxParts, dataFolder: string) {
+    this.#parts = parts;
     const { settings, clock, directory } = parts;
     const changed = new csp.Signal();
     const machine = new submissions.SubmissionMachine(() => {
@@ -39,6 +46,7 @@
       listRetiring: () => machine.listRetiring(),
     });
     this.#group = group;
+    this.#machine = machine;
     const engines = new dispatch.EngineTable(clock);
     const shared = { ...parts, group, machine, engines };
     this.#dispatcher = new dispatch.Dispatcher(shared);
@@ -67,6 +75,7 @@
     await this.#group.start();
     this.#dispatcher.start();
     this.#orders.start();
+    this.#runForget();
   }
 
   /** Hands leadership over before a planned stop. */
@@ -74,7 +83,25 @@
     await this.#group.resign();
   }
 
+  #runForget(): void {
+    if (this.#isStopped) return;
+    const { clock, settings } = this.#parts;
+    const ids = submissions.findForgettable(this.#machine.listAll(), {
+      nowMs: clock.getWallMs(),
+      resultsKeepMs: settings.bounds.resultsKeepMs,
+    });
+    if (ids.length > 0 && this.#group.hasAuthority()) {
+      const command: submissions.SubmissionCommand = {
+        kind: "forgetSubmissions",
+        ids,
+      };
+      void this.#group.propose(command, FORGET_MS);
+    }
+    clock.startTimer(FORGET_MS, () => this.#runForget());
+  }
+
   async stop(): Promise<void> {
+    this.#isStopped = true;
     this.#dispatcher.stop();
     this.#orders.stop();
     await this.#group.stop();
--- a/src/item_run/text_progress.ts
+++ b/src/item_run/text_progress.ts
@@ -1,3 +1,5 @@
+import type * as submissions from "../submission/mod.ts";
+
 /** One event of a text, as an engine made it. */
 export interface TextEvent {
   readonly id: number;
@@ -10,6 +12,17 @@
   #data: string[] = [];
   #lastId: number | undefined;
   #versions: ReadonlySet<number> = new Set();
+  /** Events at the front that the stores keep already. */
+  #keptEvents = 0;
+  #keptLastId: number | undefined;
+  #beginnings = 0;
+
+  /** Begins with a text that was kept. */
+  restore(kept: submissions.KeptText): void {
+    this.#data = [kept.text];
+    this.#lastId = kept.lastId;
+    this.#versions = new Set(kept.versions);
+  }
 
   /** Adds the next event; false when it does not follow the last one. */
   add(event: TextEvent): boolean {
@@ -42,10 +55,40 @@
     return this.#data.join("\n");
   }
 
+  /** Id of the last event that the stores keep; undefined for none. */
+  getKeptLastId(): number | undefined {
+    return this.#keptLastId;
+  }
+
+  /** Events that the stores do not keep yet. */
+  countUnkept(): number {
+    return this.#data.length - this.#keptEvents;
+  }
+
+  /** The text after what the stores keep. */
+  getUnkeptText(): string {
+    return this.#data.slice(this.#keptEvents).join("\n");
+  }
+
+  /** Notes that the stores keep the text up to an event. */
+  setKept(lastId: number): void {
+    if (this.#lastId === undefined || lastId > this.#lastId) return;
+    this.#keptEvents = this.#data.length - (this.#lastId - lastId);
+    this.#keptLastId = lastId;
+  }
+
   /** Drops everything, for a text that must begin anew. */
   reset(): void {
     this.#data = [];
     this.#lastId = undefined;
     this.#versions = new Set();
+    this.#keptEvents = 0;
+    this.#keptLastId = undefined;
+    this.#beginnings += 1;
+  }
+
+  /** How often the text began anew; what was kept before then is another. */
+  countBeginnings(): number {
+    return this.#beginnings;
   }
 }
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -10,11 +10,12 @@
 import * as planVoters from "./plan_voters.ts";
 
 /**
- * Shortest silence before an election, in ms: six heartbeats, and well above
- * the slowest sync that was seen (60 ms on a slow disk).
+ * Shortest silence before an election, in ms: five heartbeats, and well above
+ * the slowest sync (60 ms on a slow disk) and pause (100 ms without processor)
+ * that were seen.
  */
-const ELECTION_MS = 600;
-const HEARTBEAT_MS = 100;
+const ELECTION_MS = 450;
+const HEARTBEAT_MS = 90;
 /** Entries a message; a submission with its bodies takes some 300 KB. */
 const MAX_BATCH_ENTRIES = 24;
 /** Between two looks at the voters, in ms. */
--- a/src/submission/mod.ts
+++ b/src/submission/mod.ts
@@ -10,6 +10,7 @@
  * @module
  */
 export * from "./cut_page.ts";
+export * from "./find_forgettable.ts";
 export * from "./protocol.ts";
 export * from "./submission.ts";
 export * from "./submission_machine.ts";
--- a/src/submission/submission.ts
+++ b/src/submission/submission.ts
@@ -67,6 +67,15 @@
   readonly score: string | undefined;
 }
 
+/** The front part of an item's text, kept so that any store can go on. */
+export interface KeptText {
+  /** Data of its events, joined by line feeds. */
+  readonly text: string;
+  /** Id of its last event; undefined where the text is whole. */
+  readonly lastId: number | undefined;
+  readonly versions: readonly number[];
+}
+
 /** Results of a submission from a position on. */
 export interface ResultPage {
   readonly total: number;
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -4,7 +4,21 @@
 /** Results to list, in order. */
 export interface RecordedResult {
   readonly submission: string;
+  /** Its text is what follows the kept part. */
   readonly result: submissions.ItemResult;
+  /** Id of the last event of the kept part; undefined where none is meant. */
+  readonly keptLastId?: number | undefined;
+}
+
+/** More of an item's text to keep. */
+export interface TextToKeep {
+  readonly submission: string;
+  readonly item: string;
+  /** Last event of the part kept before; undefined for none. */
+  readonly afterId: number | undefined;
+  readonly text: string;
+  readonly lastId: number;
+  readonly versions: readonly number[];
 }
 
 /** A command of the submissions' log. */
@@ -17,6 +31,9 @@
     readonly kind: "recordResults";
     readonly results: readonly RecordedResult[];
   }
+  | { readonly kind: "keepTexts"; readonly texts: readonly TextToKeep[] }
+  /** Names the box that orders engines from now on. */
+  | { readonly kind: "noteHolder"; readonly box: string }
   | { readonly kind: "endSubmission"; readonly id: string }
   | {
     readonly kind: "nameVersion";
@@ -37,6 +54,8 @@
   readonly submission: submissions.Submission;
   readonly results: readonly submissions.ItemResult[];
   readonly listed: ReadonlySet<string>;
+  /** Texts of items that are not listed, by item. */
+  readonly kept: ReadonlyMap<string, submissions.KeptText>;
   readonly isEnded: boolean;
 }
 
@@ -45,12 +64,14 @@
   readonly submission: submissions.Submission;
   readonly results: submissions.ItemResult[];
   readonly listed: Set<string>;
+  readonly kept: Map<string, submissions.KeptText>;
   isEnded: boolean;
 }
 
 interface SavedRecord {
   readonly submission: submissions.Submission;
   readonly results: readonly submissions.ItemResult[];
+  readonly kept: readonly (readonly [string, submissions.KeptText])[];
   readonly isEnded: boolean;
 }
 
@@ -58,6 +79,7 @@
   readonly records: readonly SavedRecord[];
   readonly versions: readonly (readonly [string, number])[];
   readonly retiring: readonly string[];
+  readonly holder: string | undefined;
 }
 
 const KNOWN: SubmissionAnswer = { isKnown: true };
@@ -69,6 +91,7 @@
   #records = new Map<string, MutableRecord>();
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
+  #holder: string | undefined;
 
   /** @param onChange Told after each command that may have changed something. */
   constructor(onChange: () => void) {
@@ -87,6 +110,36 @@
     return [...this.#retiring];
   }
 
+  /** Box that gave the last orders to engines, or may have. */
+  getHolder(): string | undefined {
+    return this.#holder;
+  }
+
+  /**
+   * Finds what is kept of an item's text, in any submission that named it.
+   *
+   * @returns Texts, whole ones first.
+   */
+  findTexts(item: string): readonly submissions.KeptText[] {
+    const records = this.listAll();
+    const whole = records.flatMap((record) =>
+      record.listed.has(item)
+        ? record.results.filter((result) =>
+          result.id === item && result.state === "completed"
+        )
+        : []
+    );
+    const parts = records.flatMap((record) => record.kept.get(item) ?? []);
+    return [
+      ...whole.map(({ text, versions }) => ({
+        text,
+        versions,
+        lastId: undefined,
+      })),
+      ...parts,
+    ];
+  }
+
   /** Newest named version of each model; a model without one is at 1. */
   getVersions(): ReadonlyMap<string, number> {
     return this.#versions;
@@ -100,13 +153,15 @@
 
   save(): SavedState {
     return {
-      records: this.listAll().map(({ submission, results, isEnded }) => ({
+      records: this.listAll().map(({ submission, results, kept, isEnded }) => ({
         submission,
         results,
+        kept: [...kept],
         isEnded,
       })),
       versions: [...this.#versions],
       retiring: [...this.#retiring],
+      holder: this.#holder,
     };
   }
 
@@ -119,6 +174,7 @@
     );
     this.#versions = new Map(saved.versions);
     this.#retiring = new Set(saved.retiring);
+    this.#holder = saved.holder;
     this.#onChange();
   }
 
@@ -127,7 +183,12 @@
       case "acceptSubmission":
         return this.#accept(command.submission);
       case "recordResults":
-        for (const item of command.results) this.#record(item);
+        return this.#recordAll(command.results);
+      case "keepTexts":
+        for (const text of command.texts) this.#keep(text);
+        return KNOWN;
+      case "noteHolder":
+        this.#holder = command.box;
         return KNOWN;
       case "endSubmission":
         return this.#end(command.id);
@@ -151,17 +212,48 @@
       submission,
       results: [],
       listed: new Set(),
+      kept: new Map(),
       isEnded: false,
     });
     return KNOWN;
   }
 
-  #record({ submission, result }: RecordedResult): void {
+  /** Answers that something is unknown if any text lacks its kept part. */
+  #recordAll(results: readonly RecordedResult[]): SubmissionAnswer {
+    const outcomes = results.map((result) => this.#record(result));
+    return outcomes.includes(UNKNOWN) ? UNKNOWN : KNOWN;
+  }
+
+  #record(
+    { submission, result, keptLastId }: RecordedResult,
+  ): SubmissionAnswer {
     const record = this.#records.get(submission);
-    if (record === undefined || record.isEnded) return;
-    if (record.listed.has(result.id)) return;
+    if (record === undefined || record.isEnded) return KNOWN;
+    if (record.listed.has(result.id)) return KNOWN;
+    const kept = record.kept.get(result.id);
+    if (keptLastId !== undefined && kept?.lastId !== keptLastId) return UNKNOWN;
+    const text = keptLastId === undefined || kept === undefined
+      ? result.text
+      : joinTexts(kept.text, result.text);
+    record.kept.delete(result.id);
     record.listed.add(result.id);
-    record.results.push(result);
+    record.results.push({ ...result, text });
+    return KNOWN;
+  }
+
+  /** Keeps more of a text that follows what is kept, or one begun anew. */
+  #keep(more: TextToKeep): void {
+    const record = this.#records.get(more.submission);
+    if (record === undefined || record.isEnded) return;
+    if (record.listed.has(more.item)) return;
+    const kept = record.kept.get(more.item);
+    const isNew = more.afterId === undefined;
+    if (!isNew && kept?.lastId !== more.afterId) return;
+    const { lastId, versions } = more;
+    const text = isNew || kept === undefined
+      ? more.text
+      : joinTexts(kept.text, more.text);
+    record.kept.set(more.item, { text, lastId, versions });
   }
 
   #end(id: string): SubmissionAnswer {
@@ -178,11 +270,16 @@
   }
 }
 
+function joinTexts(front: string, rest: string): string {
+  return rest === "" ? front : `${front}\n${rest}`;
+}
+
 function restoreRecord(record: SavedRecord): MutableRecord {
   return {
     submission: record.submission,
     results: [...record.results],
     listed: new Set(record.results.map((result) => result.id)),
+    kept: new Map(record.kept),
     isEnded: record.isEnded,
   };
 }
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -24,6 +24,8 @@
 const ORDER_PATIENCE_MS = 4_000;
 /** Pause before an engine that refused is asked again, in ms. */
 const REFUSED_MS = 500;
+/** Longest wait until the other stores know the holder, in ms. */
+const CLAIM_MS = 1_000;
 
 /** What the weight orders need. */
 export interface WeightOrdersOptions {
@@ -58,6 +60,7 @@
   readonly #orders = new Map<string, number>();
   #homes: assignEngines.EngineHomes = new Map();
   #isStopped = false;
+  #isClaiming = false;
 
   constructor(options: WeightOrdersOptions) {
     this.#options = options;
@@ -73,15 +76,34 @@
     this.#isStopped = true;
   }
 
-  /** The former holder's last order lies a whole lease back by then. */
+  /** Whether this box is the agreed holder, so that no other one orders. */
   #canOrder(): boolean {
-    const { group, leaseMs } = this.#options;
+    const { group, machine, box } = this.#options;
     return !this.#isStopped && group.hasAuthority() &&
-      group.getReignMs() >= leaseMs + LEASE_MARGIN_MS;
+      machine.getHolder() === box;
+  }
+
+  /**
+   * Becomes the holder once the former one's last order lies a whole lease
+   * back; the box that was the holder before goes on at once.
+   */
+  async #claimOrders(): Promise<void> {
+    const { group, leaseMs, box, log } = this.#options;
+    if (this.#isClaiming || !group.hasAuthority()) return;
+    if (group.getReignMs() < leaseMs + LEASE_MARGIN_MS) return;
+    this.#isClaiming = true;
+    const command: submissions.SubmissionCommand = { kind: "noteHolder", box };
+    const claimed = await group.propose(command, CLAIM_MS);
+    this.#isClaiming = false;
+    log.write("info", "orders.claimed", {
+      fence: group.getTerm(),
+      outcome: claimed.kind,
+    });
   }
 
   #checkEngines(): void {
-    if (!this.#canOrder()) return;
+    if (this.#isStopped) return;
+    if (!this.#canOrder()) return void this.#claimOrders();
     const engines = this.#listEngines();
     const versions = this.#options.machine.getVersions();
     this.#homes = assignEngines.assignEngines({
