--- a/src/dispatch/choose_engine.ts
+++ b/src/dispatch/choose_engine.ts
@@ -36,7 +36,8 @@
   return best;
 }
 
-function canTake(
+/** Tells whether an engine has a place for an item and may take it. */
+export function canTake(
   engine: registry.RegisteredServer,
   table: engineTables.EngineTable,
   need: EngineNeed,
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,5 +1,5 @@
-import type * as clocks from "../clock/mod.ts";
-import * as clockTools from "../clock/mod.ts";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
@@ -14,13 +14,15 @@
 import * as itemTasks from "./item_task.ts";
 import * as orderTasks from "./order_tasks.ts";
 import * as resultWriters from "./result_writer.ts";
+import * as runMovers from "./run_mover.ts";
 import * as scoreItem from "./score_item.ts";
 import * as textKeepers from "./text_keeper.ts";
 
 /** Longest time between two looks for work, in ms. */
 const UPDATE_MS = 50;
-/** Silence of a run after which it goes on elsewhere, in ms. */
-const STALL_MS = 1_500;
+/** Silence of a run after which it goes on elsewhere, in ms; events of an
+ * engine four times slower than usual come every 160 ms. */
+const STALL_MS = 800;
 /** Silence allowed while the engine loads weights, in ms. */
 const LOADING_STALL_MS = 4_000;
 /** Pause before a scoring call is repeated, in ms. */
@@ -46,6 +48,7 @@
   readonly #options: DispatcherOptions;
   readonly #writer: resultWriters.ResultWriter;
   readonly #keeper: textKeepers.TextKeeper;
+  readonly #mover: runMovers.RunMover;
   /** Tasks by submission and item. */
   readonly #tasks = new Map<string, Map<string, itemTasks.ItemTask>>();
   #isUpdateDue = false;
@@ -55,6 +58,7 @@
     this.#options = options;
     this.#writer = new resultWriters.ResultWriter(options);
     this.#keeper = new textKeepers.TextKeeper(options.group);
+    this.#mover = new runMovers.RunMover(options);
   }
 
   start(): void {
@@ -84,7 +88,9 @@
     }
     this.#matchRecords();
     this.#startWaiting();
-    void this.#keeper.keep(this.#listTasks());
+    const tasks = this.#listTasks();
+    this.#mover.moveFromSlow(tasks);
+    void this.#keeper.keep(tasks);
   }
 
   #listTasks(): readonly itemTasks.ItemTask[] {
@@ -142,15 +148,10 @@
     task: itemTasks.ItemTask,
   ): registry.RegisteredServer | undefined {
     const { servers, engines } = this.#options;
-    const { terms, minimumVersion, model } = task.submission;
     return chooseEngine.chooseEngine(
-      servers.listReady(terms.service),
+      servers.listReady(task.submission.terms.service),
       engines,
-      {
-        model: task.item.model ?? model,
-        minimumVersion,
-        avoided: task.getAvoided(),
-      },
+      task.getNeed(),
     );
   }
 
@@ -160,9 +161,12 @@
   ): Promise<void> {
     const { engines, dialect, clock, metrics } = this.#options;
     const { submission, item, progress, cancellation } = task;
+    const runCancellation = new csp.Cancellation();
     task.phase = "running";
+    task.run = { engine: engine.id, cancellation: runCancellation };
+    cancellation.add(() => runCancellation.cancel());
     engines.begin(engine.id);
-    const model = item.model ?? submission.model ?? "";
+    const model = task.getModel() ?? "";
     let lastMs: number | undefined;
     const end = await itemRuns.runItem({
       clock,
@@ -176,7 +180,7 @@
       stallMs: engines.getLoading(engine.id) === undefined
         ? STALL_MS
         : LOADING_STALL_MS,
-      cancellation,
+      cancellation: runCancellation,
       onEvent: () => {
         const nowMs = clock.getMonotonicMs();
         if (lastMs !== undefined) engines.noteGap(engine.id, nowMs - lastMs);
@@ -184,14 +188,22 @@
       },
     });
     engines.end(engine.id);
+    task.run = undefined;
     const newest = progress.listVersions().at(-1);
     if (newest !== undefined) engines.prove(engine.id, model, newest);
     metrics.countItemRun(end.kind);
     if (!this.#isWanted(task)) return;
-    this.#takeEnd(task, engine, end);
+    if (end.kind === "broken" && runCancellation.isCancelled()) {
+      task.phase = "waiting";
+    } else this.#takeEnd(task, engine, end);
     this.wake();
   }
 
+  /** Moves the runs of a model away from an engine that is to load it. */
+  moveRuns(engine: string, model: string): void {
+    this.#mover.moveFromLoad(this.#listTasks(), engine, model);
+  }
+
   #isWanted(task: itemTasks.ItemTask): boolean {
     return !this.#isStopped && !task.cancellation.isCancelled() &&
       task.phase !== "done";
@@ -258,7 +270,7 @@
           });
           break;
       }
-      await clockTools.sleep(this.#options.clock, SCORE_RETRY_MS);
+      await clocks.sleep(this.#options.clock, SCORE_RETRY_MS);
     }
   }
 
--- a/src/dispatch/engine_table.ts
+++ b/src/dispatch/engine_table.ts
@@ -5,12 +5,16 @@
 const NEWEST_SHARE = 0.05;
 /** Gap between events that an engine without history is taken for, in ms. */
 const FIRST_GAP_MS = 40;
+/** Age after which a mean says nothing any more, in ms. */
+const GAP_MS = 5_000;
 /** How long an engine that broke a run is passed over, in ms. */
 const AVOID_MS = 600;
 
 interface EngineState {
   readonly running: number;
   readonly gapMs: number;
+  /** When the last gap was noted, in monotonic ms. */
+  readonly gapAtMs: number;
   readonly avoidUntilMs: number;
   /** Versions that the engine proved since its last heartbeat, by model. */
   readonly proved: ReadonlyMap<string, number>;
@@ -21,6 +25,7 @@
 const FIRST_STATE: EngineState = {
   running: 0,
   gapMs: FIRST_GAP_MS,
+  gapAtMs: Number.NEGATIVE_INFINITY,
   avoidUntilMs: Number.NEGATIVE_INFINITY,
   proved: new Map(),
   loading: undefined,
@@ -53,11 +58,25 @@
   noteGap(engine: string, gapMs: number): void {
     const state = this.#get(engine);
     const mean = state.gapMs + (gapMs - state.gapMs) * NEWEST_SHARE;
-    this.#states.set(engine, { ...state, gapMs: mean });
+    const gapAtMs = this.#clock.getMonotonicMs();
+    this.#states.set(engine, { ...state, gapMs: mean, gapAtMs });
   }
 
+  /** Mean time between events at an engine, in ms; a guess without news. */
   getGapMs(engine: string): number {
-    return this.#get(engine).gapMs;
+    const { gapMs, gapAtMs } = this.#get(engine);
+    const isNews = this.#clock.getMonotonicMs() - gapAtMs < GAP_MS;
+    return isNews ? gapMs : Math.min(gapMs, this.getMedianGapMs());
+  }
+
+  /** Median of the engines' mean times between events, in ms. */
+  getMedianGapMs(): number {
+    const nowMs = this.#clock.getMonotonicMs();
+    const gaps = [...this.#states.values()]
+      .filter(({ gapAtMs }) => nowMs - gapAtMs < GAP_MS)
+      .map(({ gapMs }) => gapMs)
+      .toSorted((a, b) => a - b);
+    return gaps[Math.floor(gaps.length / 2)] ?? FIRST_GAP_MS;
   }
 
   avoid(engine: string): void {
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -1,10 +1,18 @@
 import * as csp from "../csp/mod.ts";
 import * as itemRuns from "../item_run/mod.ts";
+import type * as chooseEngine from "./choose_engine.ts";
 import type * as submissions from "../submission/mod.ts";
 
 /** Where an item stands. */
 export type TaskPhase = "waiting" | "running" | "scoring" | "done";
 
+/** A run of an item at an engine. */
+export interface TaskRun {
+  readonly engine: string;
+  /** Ends the run, so that the item goes on elsewhere. */
+  readonly cancellation: csp.Cancellation;
+}
+
 /** Answers of 422 after which an item counts as impossible. */
 const MAX_IMPOSSIBLE = 1;
 
@@ -16,6 +24,8 @@
   /** Cancelled when the item is no longer wanted. */
   readonly cancellation = new csp.Cancellation();
   phase: TaskPhase = "waiting";
+  /** The run under way, if any. */
+  run: TaskRun | undefined;
   #failures = 0;
   #impossible = 0;
   #scoreFailures = 0;
@@ -34,6 +44,20 @@
     return this.#avoided;
   }
 
+  /** Model that makes its tokens, where one is named. */
+  getModel(): string | undefined {
+    return this.item.model ?? this.submission.model;
+  }
+
+  /** What it asks of an engine. */
+  getNeed(): chooseEngine.EngineNeed {
+    return {
+      model: this.getModel(),
+      minimumVersion: this.submission.minimumVersion,
+      avoided: this.#avoided,
+    };
+  }
+
   /** Goes elsewhere next time. */
   avoid(engine: string): void {
     this.#avoided = new Set([...this.#avoided, engine]);
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -15,5 +15,6 @@
 export * from "./item_task.ts";
 export * from "./order_tasks.ts";
 export * from "./result_writer.ts";
+export * from "./run_mover.ts";
 export * from "./score_item.ts";
 export * from "./text_keeper.ts";
--- a/src/fleet/fleet_link_test.ts
+++ b/src/fleet/fleet_link_test.ts
@@ -38,25 +38,25 @@
   }
 
   getPeer(to: string): rpc.Peer {
-    const deliver = (method: string, params: object) => {
-      const handler = this.#methods.get(to)?.get(method);
-      if (this.#down.has(to) || handler === undefined) {
-        throw new Error(`${to} is down`);
-      }
-      return JSON.parse(
-        JSON.stringify(handler(JSON.parse(JSON.stringify(params))) ?? null),
-      );
-    };
     return {
       tell: (method, params) => {
-        if (!this.#down.has(to)) deliver(method, params);
+        if (!this.#down.has(to)) this.#deliver(to, method, params);
       },
-      call: async (method, params) => await deliver(method, params),
+      call: async (method, params) => await this.#deliver(to, method, params),
     };
   }
 
+  #deliver(to: string, method: string, params: object) {
+    const handler = this.#methods.get(to)?.get(method);
+    if (this.#down.has(to) || handler === undefined) {
+      throw new Error(`${to} is down`);
+    }
+    const copy = JSON.parse(JSON.stringify(params));
+    return JSON.parse(JSON.stringify(handler(copy) ?? null));
+  }
+
   /** Lets time pass, with all that is waited for in between. */
-  async pass(ms: number): Promise<void> {
+  async extendBy(ms: number): Promise<void> {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
       this.clock.extendBy(STEP_MS);
       await new Promise((resolve) => setImmediate(resolve));
@@ -150,7 +150,7 @@
   beforeEach(async () => {
     fleet = new FakeFleet();
     for (const id of ALL) fleet.start(id, CORE.includes(id));
-    await fleet.pass(2_000);
+    await fleet.extendBy(2_000);
   });
 
   it("finds every box from the seeds", () => {
@@ -165,7 +165,7 @@
       for (const id of ALL) {
         fleet.boxes.get(id)?.takeHeartbeat(createReport(`s-${id}`, round));
       }
-      await fleet.pass(HEARTBEAT_MS);
+      await fleet.extendBy(HEARTBEAT_MS);
     }
     for (const box of fleet.boxes.values()) {
       chai.expect(box.listIds()).to.deep.equal(ALL.map((id) => `s-${id}`));
@@ -192,7 +192,7 @@
         for (const id of CORE) fleet.start(id, true);
       }
       fleet.boxes.get("p1")?.takeHeartbeat(createReport("s-1", round));
-      await fleet.pass(HEARTBEAT_MS);
+      await fleet.extendBy(HEARTBEAT_MS);
     }
     for (const box of fleet.boxes.values()) {
       chai.expect(box.listIds()).to.deep.equal(["s-1"]);
@@ -202,15 +202,15 @@
   it("does not let a refresh hide that a server leaves", async () => {
     const report = createReport("s-1", 1);
     fleet.boxes.get("p1")?.takeHeartbeat(report);
-    await fleet.pass(HEARTBEAT_MS);
+    await fleet.extendBy(HEARTBEAT_MS);
     for (const id of CORE) fleet.kill(id);
     const draining = { ...report, phase: "draining" } as const;
     fleet.boxes.get("p1")?.takeHeartbeat({ ...draining, sequence: 2 });
     for (const id of CORE) fleet.start(id, true);
     // A box that still takes the server for ready syncs with the core first.
-    await fleet.pass(100);
+    await fleet.extendBy(100);
     fleet.boxes.get("p1")?.takeHeartbeat({ ...draining, sequence: 3 });
-    await fleet.pass(HEARTBEAT_MS);
+    await fleet.extendBy(HEARTBEAT_MS);
     for (const box of fleet.boxes.values()) {
       chai.expect(box.listIds()).to.deep.equal([]);
     }
@@ -220,9 +220,9 @@
     const first = fleet.boxes.get("c1");
     first?.configuration.offer({ version: 7, text: "seven" });
     first?.link.publishConfiguration();
-    await fleet.pass(200);
+    await fleet.extendBy(200);
     fleet.start("p3", false);
-    await fleet.pass(1_000);
+    await fleet.extendBy(1_000);
     for (const box of fleet.boxes.values()) {
       chai.expect(box.configuration.getVersion()).to.equal(7);
     }
@@ -234,7 +234,7 @@
     leaving.isLeaving = true;
     leaving.link.publishSelf();
     fleet.kill("c2");
-    await fleet.pass(2_000);
+    await fleet.extendBy(2_000);
     const [box] = [...fleet.boxes.values()].filter((other) =>
       other !== leaving
     );
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -54,6 +54,7 @@
       ...shared,
       box: settings.box.name,
       leaseMs: settings.bounds.orderLeaseMs,
+      onLoading: (engine, model) => this.#dispatcher.moveRuns(engine, model),
       onLoaded: () => this.#dispatcher.wake(),
     });
     new submissions.SubmissionService({
--- a/src/registry/registry_test.ts
+++ b/src/registry/registry_test.ts
@@ -1,7 +1,7 @@
 import * as chai from "chai";
 import * as fastCheck from "fast-check";
 import * as clocks from "../clock/mod.ts";
-import * as registeredServers from "./registered_server.ts";
+import type * as registeredServers from "./registered_server.ts";
 import * as serverRegistries from "./server_registry.ts";
 
 const HEARTBEAT_MS = 1_000;
--- a/src/replica_group/founding_desk_test.ts
+++ b/src/replica_group/founding_desk_test.ts
@@ -19,7 +19,9 @@
       server,
       isFirstStart: true,
     });
-    const apply = (id: string) => desk.apply(createApplicant(id));
+    function apply(id: string): foundingDesks.FoundingReply {
+      return desk.apply(createApplicant(id));
+    }
     chai.expect(apply("a").kind).to.equal("wait");
     clock.extendBy(5_000);
     chai.expect(apply("b").kind).to.equal("wait");
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -56,6 +56,8 @@
   readonly listed: ReadonlySet<string>;
   /** Texts of items that are not listed, by item. */
   readonly kept: ReadonlyMap<string, submissions.KeptText>;
+  /** Newest version of its model when it was accepted. */
+  readonly namedVersion: number;
   readonly isEnded: boolean;
 }
 
@@ -65,6 +67,7 @@
   readonly results: submissions.ItemResult[];
   readonly listed: Set<string>;
   readonly kept: Map<string, submissions.KeptText>;
+  readonly namedVersion: number;
   isEnded: boolean;
 }
 
@@ -72,6 +75,7 @@
   readonly submission: submissions.Submission;
   readonly results: readonly submissions.ItemResult[];
   readonly kept: readonly (readonly [string, submissions.KeptText])[];
+  readonly namedVersion: number;
   readonly isEnded: boolean;
 }
 
@@ -153,10 +157,13 @@
 
   save(): SavedState {
     return {
-      records: this.listAll().map(({ submission, results, kept, isEnded }) => ({
+      records: this.listAll().map((
+        { submission, results, kept, namedVersion, isEnded },
+      ) => ({
         submission,
         results,
         kept: [...kept],
+        namedVersion,
         isEnded,
       })),
       versions: [...this.#versions],
@@ -213,6 +220,7 @@
       results: [],
       listed: new Set(),
       kept: new Map(),
+      namedVersion: this.#versions.get(submission.model ?? "") ?? 1,
       isEnded: false,
     });
     return KNOWN;
@@ -280,6 +288,7 @@
     results: [...record.results],
     listed: new Set(record.results.map((result) => result.id)),
     kept: new Map(record.kept),
+    namedVersion: record.namedVersion,
     isEnded: record.isEnded,
   };
 }
--- a/src/weight_orders/mod.ts
+++ b/src/weight_orders/mod.ts
@@ -10,4 +10,5 @@
  */
 export * from "./assign_engines.ts";
 export * from "./order_client.ts";
+export * from "./plan_version.ts";
 export * from "./weight_orders.ts";
--- /dev/null
+++ b/src/weight_orders/plan_version.ts
@@ -0,0 +1,25 @@
+/** What decides which version an engine should hold. */
+export interface VersionNeed {
+  /** Newest named version. */
+  readonly newest: number;
+  /** Versions that a new step may lag behind the newest. */
+  readonly lag: number;
+  /** Place of the engine among those that load the model, from 0. */
+  readonly place: number;
+}
+
+/**
+ * Plans the version of one engine. Where steps may lag by a version, engines
+ * take turns: half load the odd versions, half the even ones. Each version is
+ * then ready at half the engines at once, each engine stops half as often, and
+ * all engines may serve every step.
+ *
+ * @param need What decides.
+ * @returns The oldest version that the engine should hold.
+ */
+export function planVersion(need: VersionNeed): number {
+  const { newest, lag, place } = need;
+  if (lag < 1) return newest;
+  const isTurn = (newest + place) % 2 === 0;
+  return isTurn ? newest : newest - 1;
+}
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -8,6 +8,7 @@
 import type * as submissions from "../submission/mod.ts";
 import * as assignEngines from "./assign_engines.ts";
 import * as orderClients from "./order_client.ts";
+import * as planVersion from "./plan_version.ts";
 
 const TICK_MS = 40;
 /** Margin on the lease of the former holder, for its last orders' way, in ms. */
@@ -41,7 +42,9 @@
   readonly box: string;
   /** Time between the orders of two boxes, in ms. */
   readonly leaseMs: number;
-  /** Told when an engine is ready for another version. */
+  /** Told when an engine begins to load a model. */
+  readonly onLoading: (engine: string, model: string) => void;
+  /** Told when an engine has ended a load. */
   readonly onLoaded: () => void;
 }
 
@@ -137,12 +140,31 @@
     return engines.flatMap((engine) => {
       const model = this.#homes.get(engine.id);
       if (model === undefined || this.#busy.has(engine.id)) return [];
-      const version = versions.get(model) ?? 1;
+      const newest = versions.get(model) ?? 1;
+      const wanted = planVersion.planVersion({
+        newest,
+        lag: this.#getLag(model),
+        place: this.#getPlace(engine.id, model),
+      });
       const held = this.#options.engines.getVersion(engine, model);
-      return held < version ? [{ engine, model, version }] : [];
+      return held < wanted ? [{ engine, model, version: newest }] : [];
     });
   }
 
+  /** Versions that the newest submission of a model allowed to lag. */
+  #getLag(model: string): number {
+    const record = this.#options.machine.listAll().findLast((other) =>
+      other.submission.model === model
+    );
+    if (record === undefined) return 0;
+    return record.namedVersion - record.submission.minimumVersion;
+  }
+
+  #getPlace(engine: string, model: string): number {
+    const sharing = [...this.#homes].filter(([, home]) => home === model);
+    return sharing.map(([id]) => id).toSorted().indexOf(engine);
+  }
+
   #finish(load: DueLoad): void {
     this.#busy.delete(load.engine.id);
     this.#options.engines.setLoading(load.engine.id, undefined);
@@ -158,6 +180,7 @@
     if (engines.getVersion(engine, model) >= version) return;
     if (!this.#canOrder()) return;
     engines.setLoading(engine.id, model);
+    this.#options.onLoading(engine.id, model);
     const order: dialects.VersionOrder = {
       model,
       version,
