--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -30,7 +30,7 @@
   models: [],
 };
 
-function configure(
+function createConfiguration(
   ...routes: readonly Partial<configurations.Route>[]
 ): configurations.Configuration {
   return {
@@ -49,22 +49,24 @@
 describe("traffic configuration", () => {
   it("accepts a sound one", () => {
     const checked = checkConfiguration.checkConfiguration(
-      configure({}, { name: "q", pathPrefix: "/a/b/" }),
+      createConfiguration({}, { name: "q", pathPrefix: "/a/b/" }),
     );
     chai.expect(checked.kind).to.equal("ok");
   });
 
   const faults: Readonly<Record<string, configurations.Configuration>> = {
-    "no service u": configure({ targets: [{ service: "u", weight: 1 }] }),
-    "two routes serve": configure({}, { name: "q" }),
-    "weights add up to 0": configure({
+    "no service u": createConfiguration({
+      targets: [{ service: "u", weight: 1 }],
+    }),
+    "two routes serve": createConfiguration({}, { name: "q" }),
+    "weights add up to 0": createConfiguration({
       targets: [{ service: "s", weight: 0 }],
     }),
-    "weight is below 0": configure({
+    "weight is below 0": createConfiguration({
       targets: [{ service: "s", weight: 2 }, { service: "t", weight: -1 }],
     }),
-    "timeout is not above 0": configure({ timeoutMs: 0 }),
-    "begin and end with a slash": configure({ pathPrefix: "/a" }),
+    "timeout is not above 0": createConfiguration({ timeoutMs: 0 }),
+    "begin and end with a slash": createConfiguration({ pathPrefix: "/a" }),
   };
   for (const [fault, configuration] of Object.entries(faults)) {
     it(`refuses it and says so: ${fault}`, () => {
@@ -75,13 +77,14 @@
   }
 
   it("takes the longest prefix of the host, whatever the query", () => {
-    const configuration = configure(
+    const configuration = createConfiguration(
       {},
       { name: "long", pathPrefix: "/a/b/" },
       { name: "other", host: "b.example", pathPrefix: "/a/b/c/" },
     );
-    const find = (host: string, path: string) =>
-      matchRoute.matchRoute(configuration, host, path)?.name;
+    function find(host: string, path: string): string | undefined {
+      return matchRoute.matchRoute(configuration, host, path)?.name;
+    }
     chai.expect(find("a.example", "/a/b/c/d?x=/a/")).to.equal("long");
     chai.expect(find("a.example", "/a/c")).to.equal("r");
     chai.expect(find("a.example", "/a")).to.equal(undefined);
@@ -98,13 +101,14 @@
         { service: "v", weight: 0 },
       ],
     };
-    const pick = (draw: number) => matchRoute.pickService(route, draw);
-    chai.expect([0, 0.24, 0.25, 0.999].map(pick)).to.deep.equal([
-      "t",
-      "t",
-      "u",
-      "u",
-    ]);
+    const draws = [0, 0.24, 0.25, 0.999];
+    chai.expect(draws.map((draw) => matchRoute.pickService(route, draw))).to
+      .deep.equal([
+        "t",
+        "t",
+        "u",
+        "u",
+      ]);
   });
 
   it("only ever moves forward on a box", () => {
@@ -123,8 +127,10 @@
     const machine = new configurationMachines.ConfigurationMachine((stored) =>
       told.push(stored.version)
     );
-    const put = (version: number, text: string) =>
-      machine.apply({ kind: "putConfiguration", stored: { version, text } });
+    function put(version: number, text: string) {
+      const stored = { version, text };
+      return machine.apply({ kind: "putConfiguration", stored });
+    }
     chai.expect(put(3, "three")).to.deep.equal({ version: 3 });
     chai.expect(put(3, "other")).to.deep.equal({ version: 3 });
     chai.expect(put(2, "two")).to.deep.equal({ version: 3 });
