--- /dev/null
+++ b/src/dispatch/dispatch_test.ts
@@ -0,0 +1,211 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as chooseEngine from "./choose_engine.ts";
+import * as engineTables from "./engine_table.ts";
+import * as itemTasks from "./item_task.ts";
+import * as orderTasks from "./order_tasks.ts";
+import * as runMovers from "./run_mover.ts";
+import * as csp from "../csp/mod.ts";
+
+function createEngine(id: string, version = 1): registry.RegisteredServer {
+  return {
+    id,
+    service: "lm",
+    address: "127.0.0.1",
+    port: 1,
+    failureDomain: "d",
+    slots: 4,
+    phase: "ready",
+    coldMs: 0,
+    sequence: 1,
+    models: [{ name: "m", version }],
+  };
+}
+
+function createTask(
+  id: string,
+  changes: Partial<submissions.Submission> = {},
+  lengthHint?: number,
+): itemTasks.ItemTask {
+  const item: submissions.SubmissionItem = {
+    id,
+    path: "/",
+    headers: {},
+    body: "",
+    tokens: 10,
+    group: undefined,
+    lengthHint,
+    model: "m",
+    scoring: undefined,
+  };
+  return new itemTasks.ItemTask({
+    id: "s",
+    model: "m",
+    step: 0,
+    minimumVersion: 1,
+    desired: undefined,
+    items: [item],
+    acceptedAtMs: 0,
+    terms: {
+      host: "h",
+      service: "lm",
+      attempts: 2,
+      keepMs: 1,
+      targetCompletionMs: 100,
+      isSingleVersion: false,
+    },
+    ...changes,
+  }, item);
+}
+
+describe("dispatch", () => {
+  const clock = new clocks.FakeClock();
+  let table = new engineTables.EngineTable(clock);
+  const need = { model: "m", minimumVersion: 2, avoided: new Set<string>() };
+
+  beforeEach(() => {
+    table = new engineTables.EngineTable(clock);
+  });
+
+  function choose(
+    engines: readonly registry.RegisteredServer[],
+    avoided: readonly string[] = [],
+  ): string | undefined {
+    return chooseEngine.chooseEngine(engines, table, {
+      ...need,
+      avoided: new Set(avoided),
+    })?.id;
+  }
+
+  it("takes only engines whose weights are new enough", () => {
+    chai.expect(choose([createEngine("old", 1)])).to.equal(undefined);
+    chai.expect(choose([createEngine("old", 1), createEngine("new", 2)])).to
+      .equal("new");
+    table.prove("old", "m", 2);
+    chai.expect(choose([createEngine("old", 1)])).to.equal("old");
+  });
+
+  it("takes no engine that is full, loads the model, or just broke a run", () => {
+    const engines = [createEngine("a", 2), createEngine("b", 2)];
+    table.setLoading("a", "m");
+    chai.expect(choose(engines)).to.equal("b");
+    for (let run = 0; run < 4; run += 1) table.begin("b");
+    chai.expect(choose(engines)).to.equal(undefined);
+    table.setLoading("a", "another");
+    chai.expect(choose(engines)).to.equal("a");
+    table.avoid("a");
+    chai.expect(choose(engines)).to.equal(undefined);
+  });
+
+  it("prefers fast engines until they are much fuller", () => {
+    const engines = [createEngine("slow", 2), createEngine("fast", 2)];
+    for (let event = 0; event < 200; event += 1) {
+      table.noteGap("slow", 60);
+      table.noteGap("fast", 40);
+    }
+    const taken = [0, 1, 2, 3, 4].map(() => {
+      const id = choose(engines) ?? "";
+      table.begin(id);
+      return id;
+    });
+    chai.expect(taken.slice(0, 2)).to.deep.equal(["fast", "fast"]);
+    chai.expect(taken).to.contain("slow");
+  });
+
+  it("goes back to an engine that failed the item only when there is no other", () => {
+    const engines = [createEngine("a", 2), createEngine("b", 2)];
+    chai.expect(choose(engines, ["a"])).to.equal("b");
+    chai.expect(choose(engines, ["a", "b"])).to.equal("a");
+  });
+
+  it("starts earlier due submissions first, and the longest items of each", () => {
+    const tasks = [
+      createTask("late", { acceptedAtMs: 50 }, 900),
+      createTask("short", {}, 10),
+      createTask("long", {}, 100),
+    ];
+    chai.expect(orderTasks.orderTasks(tasks).map((task) => task.item.id)).to
+      .deep.equal(["long", "short", "late"]);
+  });
+
+  it("gives an item up after as many failures as its route allows", () => {
+    const task = createTask("a");
+    chai.expect([task.countFailure(), task.countFailure()]).to.deep.equal([
+      false,
+      true,
+    ]);
+  });
+
+  it("goes on with a kept text only if its versions may make the item", () => {
+    const texts = [
+      { text: "old", versions: [1], lastId: undefined },
+      { text: "part", versions: [2, 3], lastId: 4 },
+    ];
+    const task = createTask("a", { minimumVersion: 2 });
+    task.restore(texts, false);
+    chai.expect(task.progress.getLastId()).to.equal(4);
+    chai.expect(task.progress.getKeptLastId()).to.equal(undefined);
+    const whole = createTask("a", { minimumVersion: 1 });
+    whole.restore(texts, false);
+    chai.expect(whole.phase).to.equal("scoring");
+    const none = createTask("a", { minimumVersion: 3 });
+    none.restore(texts, false);
+    chai.expect(none.progress.countEvents()).to.equal(0);
+  });
+
+  describe("moves of runs", () => {
+    const engines = ["a", "b", "c"].map((id) => createEngine(id, 2));
+
+    function createRunning(engine: string, count: number) {
+      return Array.from({ length: count }, (_, index) => {
+        const task = createTask(`${engine}${index}`);
+        task.run = { engine, cancellation: new csp.Cancellation() };
+        table.begin(engine);
+        return task;
+      });
+    }
+
+    function countMoved(tasks: readonly itemTasks.ItemTask[]): number {
+      return tasks.filter((task) => task.run?.cancellation.isCancelled())
+        .length;
+    }
+
+    function createMover(): runMovers.RunMover {
+      return new runMovers.RunMover({
+        log: { write: () => {} } as unknown as logs.Log,
+        servers: {
+          listReady: () => engines,
+        } as unknown as registry.ServerRegistry,
+        engines: table,
+      });
+    }
+
+    it("moves runs from a load as far as there are places, less a reserve", () => {
+      const tasks = [
+        ...createRunning("a", 4),
+        ...createRunning("b", 3),
+        ...createRunning("c", 2),
+      ];
+      table.setLoading("a", "m");
+      createMover().moveFromLoad(tasks, "a", "m");
+      chai.expect(countMoved(tasks)).to.equal(1);
+      chai.expect(countMoved(tasks.slice(4))).to.equal(0);
+    });
+
+    it("moves runs from a slow engine only, and nothing while all are alike", () => {
+      const tasks = [...createRunning("a", 1), ...createRunning("b", 1)];
+      for (let event = 0; event < 200; event += 1) {
+        for (const id of ["a", "b", "c"]) table.noteGap(id, 40);
+      }
+      createMover().moveFromSlow(tasks);
+      chai.expect(countMoved(tasks)).to.equal(0);
+      for (let event = 0; event < 200; event += 1) table.noteGap("a", 120);
+      createMover().moveFromSlow(tasks);
+      chai.expect(countMoved(tasks.slice(0, 1))).to.equal(1);
+      chai.expect(countMoved(tasks.slice(1))).to.equal(0);
+    });
+  });
+});
--- /dev/null
+++ b/src/forwarding/forwarding_test.ts
@@ -0,0 +1,239 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import * as logs from "../log/mod.ts";
+import * as registry from "../registry/mod.ts";
+import type * as jobs from "./forward_job.ts";
+import * as forwarders from "./forwarder.ts";
+import * as serverLoads from "./server_loads.ts";
+
+/** The parts of a dialect that forwarding uses. */
+const DIALECT = {
+  createForwardHeaders: (
+    headers: dialects.HeaderMap,
+    marks: dialects.ForwardMarks,
+  ) => ({ ...headers, id: marks.requestId, server: marks.server }),
+  parseAnswerHead: (headers: dialects.HeaderMap) => ({
+    requestId: headers["id"],
+    receipt: headers["receipt"],
+    isNotRun: headers["not-run"] !== undefined,
+    load: undefined,
+    weightVersion: undefined,
+  }),
+} as unknown as dialects.Dialect;
+
+type Script = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+function answer(
+  status: number,
+  headers: Readonly<Record<string, string>> = {},
+): Script {
+  return (request, response) => {
+    const id = String(request.headers["id"]);
+    response.writeHead(status, { id, receipt: "r", ...headers });
+    response.end("body");
+  };
+}
+
+function answerCutShort(
+  _request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  response.writeHead(200, { id: "job", receipt: "r", "content-length": "99" });
+  response.write("half");
+  setImmediate(() => response.destroy());
+}
+
+const REFUSE = answer(503, { "not-run": "1" });
+
+describe("forwarding", () => {
+  const clock = new clocks.SystemClock();
+  let scripts: Script[] = [];
+  let seen: string[] = [];
+  let servers: http.Server[] = [];
+  let known = new registry.ServerRegistry(clock, 60_000);
+
+  beforeEach(async () => {
+    seen = [];
+    scripts = [];
+    known = new registry.ServerRegistry(clock, 60_000);
+    servers = [0, 1, 2].map((index) =>
+      http.createServer((request, response) => {
+        seen.push(`s${index}`);
+        request.resume();
+        request.on("end", () => scripts[index]?.(request, response));
+      })
+    );
+    for (const [index, server] of servers.entries()) {
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      known.merge({
+        id: `s${index}`,
+        service: "app",
+        address: "127.0.0.1",
+        port: (server.address() as net.AddressInfo).port,
+        failureDomain: "d",
+        slots: 4,
+        phase: "ready",
+        // The first server is always the first choice, then the second.
+        coldMs: index * 100,
+        sequence: 1,
+        models: [],
+      });
+    }
+  });
+
+  afterEach(() => {
+    for (const server of servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+
+  function send(
+    changes: Partial<jobs.ForwardJob> = {},
+  ): Promise<jobs.ForwardOutcome> {
+    const forwarder = new forwarders.Forwarder({
+      clock,
+      log: new logs.Log("box", "error", () => {}),
+      servers: known,
+      loads: new serverLoads.ServerLoads(clock),
+      dialect: DIALECT,
+      failureDomain: "d",
+      draw: () => 0,
+    });
+    return forwarder.send({
+      requestId: "job",
+      service: "app",
+      method: "POST",
+      target: "/x",
+      headers: {},
+      body: Buffer.from("question"),
+      deadlineAtMs: clock.getMonotonicMs() + 30_000,
+      attempts: 3,
+      isRepeatable: true,
+      retriesErrors: true,
+      hedgeMs: 30_000,
+      cancellation: new csp.Cancellation(),
+      ...changes,
+    });
+  }
+
+  it("gives a whole answer unchanged", async () => {
+    scripts = [answer(200, { extra: "kept" })];
+    const outcome = await send();
+    if (outcome.kind !== "answered") throw new Error(outcome.kind);
+    chai.expect(outcome.answer.body.toString()).to.equal("body");
+    chai.expect(outcome.answer.headers["extra"]).to.equal("kept");
+    chai.expect(seen).to.deep.equal(["s0"]);
+  });
+
+  const broken: Readonly<Record<string, Script>> = {
+    "an answer to another request": answer(200, { id: "other" }),
+    "an answer without receipt": (_request, response) => {
+      response.writeHead(200, { id: "job" });
+      response.end("body");
+    },
+    "half an answer": answerCutShort,
+    "bytes that are no answer": (request) => {
+      request.socket.end("garbage\r\n\r\n");
+    },
+    "a closed connection": (request) => request.socket.destroy(),
+  };
+  for (const [name, script] of Object.entries(broken)) {
+    it(`asks another server after ${name}, if it may run twice`, async () => {
+      scripts = [script, answer(200)];
+      const outcome = await send();
+      chai.expect(outcome.kind).to.equal("answered");
+      chai.expect(seen).to.deep.equal(["s0", "s1"]);
+    });
+
+    it(`never runs a request twice that may not, after ${name}`, async () => {
+      scripts = [script, answer(200)];
+      const outcome = await send({ isRepeatable: false });
+      chai.expect(outcome.kind).to.equal("failed");
+      chai.expect(seen).to.deep.equal(["s0"]);
+    });
+  }
+
+  it("takes a refusal elsewhere, also of a request that may run only once", async () => {
+    scripts = [REFUSE, REFUSE, answer(200)];
+    const outcome = await send({ isRepeatable: false, attempts: 1 });
+    chai.expect(outcome.kind).to.equal("answered");
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+  });
+
+  it("says that nothing ran once every server refused, asking each once", async () => {
+    scripts = [REFUSE, REFUSE, REFUSE];
+    chai.expect((await send()).kind).to.equal("notRun");
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+  });
+
+  it("does not say that nothing ran where one server may have run it", async () => {
+    scripts = [answerCutShort, REFUSE, REFUSE];
+    chai.expect((await send()).kind).to.equal("failed");
+  });
+
+  it("goes to no more servers than it may", async () => {
+    scripts = [answerCutShort, answerCutShort, answer(200)];
+    chai.expect((await send({ attempts: 2 })).kind).to.equal("failed");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+
+  it("gives a server's own error when no other one does better", async () => {
+    scripts = [answer(500), answer(500), answer(500)];
+    const outcome = await send({ attempts: 2 });
+    if (outcome.kind !== "answered") throw new Error(outcome.kind);
+    chai.expect(outcome.answer.status).to.equal(500);
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+
+  it("asks a second server beside a silent one and cancels the first", async () => {
+    const closed = new Promise((resolve) => {
+      scripts = [
+        (request) => request.socket.once("close", resolve),
+        answer(200),
+      ];
+    });
+    chai.expect((await send({ hedgeMs: 1 })).kind).to.equal("answered");
+    await closed;
+  });
+
+  it("asks no second server beside one, when it may run only once", async () => {
+    scripts = [(request, response) => {
+      setTimeout(() => answer(200)(request, response), 50);
+    }, answer(200)];
+    await send({ hedgeMs: 1, isRepeatable: false });
+    chai.expect(seen).to.deep.equal(["s0"]);
+  });
+
+  it("cancels the work once the caller has left", async () => {
+    const cancellation = new csp.Cancellation();
+    const closed = new Promise((resolve) => {
+      scripts = [(request) => {
+        request.socket.once("close", resolve);
+        cancellation.cancel();
+      }];
+    });
+    chai.expect((await send({ cancellation })).kind).to.equal("abandoned");
+    await closed;
+  });
+
+  it("ends at its deadline and says whether it was sent", async () => {
+    scripts = [() => {}];
+    const nowMs = clock.getMonotonicMs();
+    chai.expect(await send({ deadlineAtMs: nowMs + 50 })).to.deep.equal({
+      kind: "expired",
+      wasSent: true,
+    });
+    const unknown = await send({ service: "none" });
+    chai.expect(unknown.kind).to.equal("notRun");
+  });
+});
--- /dev/null
+++ b/src/item_run/item_run_test.ts
@@ -0,0 +1,224 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as runItem from "./run_item.ts";
+import * as textProgresses from "./text_progress.ts";
+
+const ITEM: submissions.SubmissionItem = {
+  id: "item-1",
+  path: "/run",
+  headers: { "x-kept": "yes" },
+  body: Buffer.from("prompt").toString("base64"),
+  tokens: 1,
+  group: undefined,
+  lengthHint: undefined,
+  model: "m",
+  scoring: undefined,
+};
+
+/** The parts of a dialect that a run uses. */
+const DIALECT = {
+  versionField: "version",
+  createForwardHeaders: (
+    headers: dialects.HeaderMap,
+    marks: dialects.ForwardMarks,
+  ) => ({ ...headers, id: marks.requestId, after: String(marks.lastEventId) }),
+  parseAnswerHead: (headers: dialects.HeaderMap) => ({
+    requestId: headers["id"],
+    receipt: undefined,
+    isNotRun: headers["not-run"] !== undefined,
+    load: undefined,
+    weightVersion: headers["version"] === undefined
+      ? undefined
+      : Number(headers["version"]),
+  }),
+} as unknown as dialects.Dialect;
+
+type Script = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+function writeEvents(
+  response: http.ServerResponse,
+  events: readonly string[],
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(200, { id: "item-1", version: "3", ...headers });
+  response.write(events.map((event) => `${event}\n\n`).join(""));
+}
+
+describe("run of an item", () => {
+  let script: Script = () => {};
+  let asked: http.IncomingHttpHeaders = {};
+  const engine = http.createServer((request, response) => {
+    asked = request.headers;
+    script(request, response);
+  });
+
+  before((done) => {
+    engine.listen(0, "127.0.0.1", done);
+  });
+
+  after(() => {
+    engine.closeAllConnections();
+    engine.close();
+  });
+
+  function run(
+    progress: textProgresses.TextProgress,
+    changes: Partial<runItem.RunItemOptions> = {},
+  ): Promise<runItem.RunEnd> {
+    return runItem.runItem({
+      clock: new clocks.SystemClock(),
+      dialect: DIALECT,
+      item: ITEM,
+      host: "a.example",
+      engine: {
+        id: "e-1",
+        service: "lm",
+        address: "127.0.0.1",
+        port: (engine.address() as net.AddressInfo).port,
+        failureDomain: "d",
+        slots: 1,
+        phase: "ready",
+        coldMs: 0,
+        sequence: 1,
+        models: [],
+      },
+      minimumVersion: 2,
+      isSingleVersion: false,
+      progress,
+      stallMs: 10_000,
+      cancellation: new csp.Cancellation(),
+      onEvent: () => {},
+      ...changes,
+    });
+  }
+
+  it("takes a whole text with every version that made an event of it", async () => {
+    script = (_request, response) => {
+      writeEvents(response, ["id: 1\ndata: a", "version: 4\nid: 2\ndata: b"]);
+      response.end();
+    };
+    const progress = new textProgresses.TextProgress();
+    chai.expect(await run(progress)).to.deep.equal({ kind: "finished" });
+    chai.expect(progress.getText()).to.equal("a\nb");
+    chai.expect(progress.listVersions()).to.deep.equal([3, 4]);
+    chai.expect(asked["x-kept"]).to.equal("yes");
+    chai.expect(asked["after"]).to.equal("undefined");
+  });
+
+  it("goes on after the last event, at whatever point the stream broke", async () => {
+    script = (_request, response) => {
+      writeEvents(response, ["id: 1\ndata: a", "id: 2\ndata: b", "id: 3\nda"]);
+      setImmediate(() => response.destroy());
+    };
+    const progress = new textProgresses.TextProgress();
+    chai.expect((await run(progress)).kind).to.equal("broken");
+    script = (_request, response) => {
+      writeEvents(response, ["id: 3\ndata: c"]);
+      response.end();
+    };
+    chai.expect((await run(progress)).kind).to.equal("finished");
+    chai.expect(asked["after"]).to.equal("2");
+    chai.expect(progress.getText()).to.equal("a\nb\nc");
+  });
+
+  const lies: Readonly<Record<string, Script>> = {
+    "an event is missing": (_request, response) => {
+      writeEvents(response, ["id: 1\ndata: a", "id: 3\ndata: c"]);
+      response.end();
+    },
+    "belongs to another request": (_request, response) => {
+      writeEvents(response, ["id: 1\ndata: a"], { id: "item-2" });
+      response.end();
+    },
+    "older than": (_request, response) => {
+      writeEvents(response, ["id: 1\ndata: a"], { version: "1" });
+      response.end();
+    },
+    "has no number": (_request, response) => {
+      writeEvents(response, ["data: a"]);
+      response.end();
+    },
+  };
+  for (const [reason, lie] of Object.entries(lies)) {
+    it(`is no whole text when ${reason}`, async () => {
+      script = lie;
+      const end = await run(new textProgresses.TextProgress());
+      chai.expect(end.kind).to.equal("broken");
+      chai.expect("reason" in end ? end.reason : "").to.contain(reason);
+    });
+  }
+
+  it("begins a text of one version anew when another would go on with it", async () => {
+    const progress = new textProgresses.TextProgress();
+    progress.add({ id: 1, data: "a", version: 2 });
+    script = (_request, response) => {
+      writeEvents(response, ["id: 2\ndata: b"]);
+      response.end();
+    };
+    const end = await run(progress, { isSingleVersion: true });
+    chai.expect(end.kind).to.equal("broken");
+    chai.expect(progress.getLastId()).to.equal(undefined);
+  });
+
+  const statuses = [
+    [500, {}, "failed"],
+    [422, {}, "impossible"],
+    [503, { "not-run": "1" }, "notRun"],
+    [421, {}, "notRun"],
+    [503, {}, "broken"],
+  ] as const;
+  for (const [status, headers, kind] of statuses) {
+    it(`takes ${status} ${JSON.stringify(headers)} as ${kind}`, async () => {
+      script = (_request, response) => {
+        response.writeHead(status, { id: "item-1", ...headers });
+        response.end();
+      };
+      const end = await run(new textProgresses.TextProgress());
+      chai.expect(end.kind).to.equal(kind);
+    });
+  }
+
+  it("gives a silent engine up, and closes its connection", async () => {
+    const clock = new clocks.FakeClock();
+    const closed = new Promise((resolve) => {
+      script = (request) => {
+        request.socket.once("close", resolve);
+        clock.extendBy(60);
+      };
+    });
+    const end = await run(new textProgresses.TextProgress(), {
+      clock,
+      stallMs: 50,
+    });
+    chai.expect(end.kind).to.equal("broken");
+    await closed;
+  });
+
+  it("knows what the stores keep of a text, also after a new beginning", () => {
+    const progress = new textProgresses.TextProgress();
+    for (let id = 1; id <= 4; id += 1) {
+      progress.add({ id, data: `e${id}`, version: 2 });
+    }
+    progress.setKept(3);
+    chai.expect(progress.getUnkeptText()).to.equal("e4");
+    chai.expect(progress.countUnkept()).to.equal(1);
+    const later = new textProgresses.TextProgress();
+    later.restore({ text: "e1\ne2\ne3", lastId: 3, versions: [2] });
+    later.setKept(3);
+    later.add({ id: 4, data: "e4", version: 3 });
+    chai.expect(later.getUnkeptText()).to.equal("e4");
+    chai.expect(later.getText()).to.equal("e1\ne2\ne3\ne4");
+    chai.expect(later.listVersions()).to.deep.equal([2, 3]);
+    progress.reset();
+    chai.expect(progress.getKeptLastId()).to.equal(undefined);
+    chai.expect(progress.countBeginnings()).to.equal(1);
+  });
+});
--- /dev/null
+++ b/src/submission/submission_test.ts
@@ -0,0 +1,266 @@
+import * as chai from "chai";
+import * as fastCheck from "fast-check";
+import * as cutPage from "./cut_page.ts";
+import * as findForgettable from "./find_forgettable.ts";
+import type * as submissions from "./submission.ts";
+import * as machines from "./submission_machine.ts";
+
+const TERMS: submissions.SubmissionTerms = {
+  host: "a.example",
+  service: "lm",
+  attempts: 3,
+  keepMs: 1_000,
+  targetCompletionMs: 500,
+  isSingleVersion: false,
+};
+
+function createItem(id: string): submissions.SubmissionItem {
+  return {
+    id,
+    path: "/x",
+    headers: {},
+    body: "",
+    tokens: 1,
+    group: undefined,
+    lengthHint: undefined,
+    model: "m",
+    scoring: undefined,
+  };
+}
+
+function createSubmission(
+  id: string,
+  items: readonly string[],
+): submissions.Submission {
+  return {
+    id,
+    model: "m",
+    step: 0,
+    minimumVersion: 1,
+    desired: undefined,
+    items: items.map(createItem),
+    terms: TERMS,
+    acceptedAtMs: 0,
+  };
+}
+
+function createResult(id: string, text: string): submissions.ItemResult {
+  return { id, state: "completed", text, versions: [1], score: "s" };
+}
+
+function createMachine(): machines.SubmissionMachine {
+  const machine = new machines.SubmissionMachine(() => {});
+  machine.apply({
+    kind: "acceptSubmission",
+    submission: createSubmission("a", ["1", "2"]),
+  });
+  return machine;
+}
+
+function record(
+  machine: machines.SubmissionMachine,
+  result: submissions.ItemResult,
+  keptLastId?: number,
+): machines.SubmissionAnswer {
+  return machine.apply({
+    kind: "recordResults",
+    results: [{ submission: "a", result, keptLastId }],
+  });
+}
+
+function keep(
+  machine: machines.SubmissionMachine,
+  afterId: number | undefined,
+  text: string,
+  lastId: number,
+): void {
+  machine.apply({
+    kind: "keepTexts",
+    texts: [{
+      submission: "a",
+      item: "1",
+      afterId,
+      text,
+      lastId,
+      versions: [1],
+    }],
+  });
+}
+
+function listTexts(machine: machines.SubmissionMachine): readonly string[] {
+  return machine.get("a")?.results.map((result) => result.text) ?? [];
+}
+
+describe("submissions", () => {
+  it("takes a submission once, however often it comes", () => {
+    const machine = createMachine();
+    record(machine, createResult("1", "first"));
+    machine.apply({
+      kind: "acceptSubmission",
+      submission: createSubmission("a", ["9"]),
+    });
+    chai.expect(machine.get("a")?.submission.items).to.have.length(2);
+    chai.expect(listTexts(machine)).to.deep.equal(["first"]);
+  });
+
+  it("never moves or changes a result, and lists none after the end", () => {
+    const machine = createMachine();
+    record(machine, createResult("2", "two"));
+    record(machine, createResult("2", "another"));
+    record(machine, createResult("1", "one"));
+    chai.expect(listTexts(machine)).to.deep.equal(["two", "one"]);
+    machine.apply({ kind: "endSubmission", id: "a" });
+    record(machine, createResult("3", "late"));
+    chai.expect(listTexts(machine)).to.deep.equal(["two", "one"]);
+  });
+
+  it("says that it does not know what was never accepted", () => {
+    const answer = createMachine().apply({ kind: "endSubmission", id: "b" });
+    chai.expect(answer.isKnown).to.equal(false);
+  });
+
+  it("joins a result with the part of its text that was kept", () => {
+    const machine = createMachine();
+    keep(machine, undefined, "e1\ne2", 2);
+    keep(machine, 2, "e3", 3);
+    keep(machine, 2, "doubled", 3);
+    record(machine, createResult("1", "e4"), 3);
+    chai.expect(listTexts(machine)).to.deep.equal(["e1\ne2\ne3\ne4"]);
+  });
+
+  it("refuses a result whose kept part is another, and lists nothing of it", () => {
+    const machine = createMachine();
+    keep(machine, undefined, "e1\ne2", 2);
+    const answer = record(machine, createResult("1", "e4"), 3);
+    chai.expect(answer.isKnown).to.equal(false);
+    chai.expect(listTexts(machine)).to.deep.equal([]);
+  });
+
+  it("lets a text that begins anew replace what was kept of the old one", () => {
+    const machine = createMachine();
+    keep(machine, undefined, "old1\nold2", 2);
+    keep(machine, undefined, "new1", 1);
+    record(machine, createResult("1", "new2"), 1);
+    chai.expect(listTexts(machine)).to.deep.equal(["new1\nnew2"]);
+  });
+
+  it("finds the text of an item that comes again in a later submission", () => {
+    const machine = createMachine();
+    record(machine, createResult("2", "whole"));
+    keep(machine, undefined, "e1", 1);
+    machine.apply({ kind: "endSubmission", id: "a" });
+    chai.expect(machine.findTexts("2")).to.deep.equal([
+      { text: "whole", versions: [1], lastId: undefined },
+    ]);
+    chai.expect(machine.findTexts("1")).to.deep.equal([
+      { text: "e1", versions: [1], lastId: 1 },
+    ]);
+    chai.expect(machine.findTexts("3")).to.deep.equal([]);
+  });
+
+  it("is the same after a snapshot at any point of any log", () => {
+    const command = fastCheck.oneof(
+      fastCheck.constantFrom("a", "b").map((id) => ({
+        kind: "acceptSubmission" as const,
+        submission: createSubmission(id, ["1", "2", "3"]),
+      })),
+      fastCheck.record({
+        kind: fastCheck.constant("recordResults" as const),
+        results: fastCheck.array(
+          fastCheck.record({
+            submission: fastCheck.constantFrom("a", "b"),
+            result: fastCheck.tuple(
+              fastCheck.constantFrom("1", "2", "3"),
+              fastCheck.string(),
+            ).map(([id, text]) => createResult(id, text)),
+            keptLastId: fastCheck.constantFrom(undefined, 1, 2),
+          }),
+        ),
+      }),
+      fastCheck.tuple(
+        fastCheck.constantFrom(undefined, 1),
+        fastCheck.constantFrom(1, 2),
+      ).map(([afterId, lastId]) => ({
+        kind: "keepTexts" as const,
+        texts: [{
+          submission: "a",
+          item: "1",
+          afterId,
+          text: "t",
+          lastId,
+          versions: [1],
+        }],
+      })),
+      fastCheck.constantFrom("a", "b").map((id) => ({
+        kind: "endSubmission" as const,
+        id,
+      })),
+      fastCheck.integer({ min: 1, max: 9 }).map((version) => ({
+        kind: "nameVersion" as const,
+        model: "m",
+        version,
+      })),
+    );
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(command, { maxLength: 30 }),
+        fastCheck.nat(30),
+        (commands, at) => {
+          const straight = new machines.SubmissionMachine(() => {});
+          let restored = new machines.SubmissionMachine(() => {});
+          commands.forEach((item, index) => {
+            straight.apply(item);
+            restored.apply(item);
+            if (index !== at) return;
+            const saved = JSON.parse(JSON.stringify(restored.save()));
+            restored = new machines.SubmissionMachine(() => {});
+            restored.restore(saved);
+          });
+          chai.expect(JSON.stringify(restored.save())).to.equal(
+            JSON.stringify(straight.save()),
+          );
+          for (const item of straight.listAll()) {
+            const ids = item.results.map((result) => result.id);
+            chai.expect(new Set(ids).size).to.equal(ids.length);
+          }
+        },
+      ),
+      { seed: 7, numRuns: 300 },
+    );
+  });
+
+  it("cuts pages that begin where the last one ended", () => {
+    const machine = createMachine();
+    const long = "x".repeat(600_000);
+    record(machine, createResult("1", long));
+    record(machine, createResult("2", long));
+    const known = machine.get("a");
+    if (known === undefined) throw new Error("it is not there");
+    const first = cutPage.cutPage(known, 0);
+    chai.expect([first.results.length, first.next, first.total]).to.deep.equal([
+      1,
+      1,
+      2,
+    ]);
+    const second = cutPage.cutPage(known, first.next);
+    chai.expect(second.results[0]?.id).to.equal("2");
+    chai.expect(cutPage.cutPage(known, 2).results).to.deep.equal([]);
+  });
+
+  it("forgets only what was promised for long enough", () => {
+    const machine = createMachine();
+    const times = { nowMs: 70_000, resultsKeepMs: 50_000 };
+    function find(): readonly string[] {
+      return findForgettable.findForgettable(machine.listAll(), times);
+    }
+    chai.expect(find()).to.deep.equal(["a"]);
+    chai.expect(
+      findForgettable.findForgettable(machine.listAll(), {
+        ...times,
+        nowMs: 65_500,
+      }),
+    ).to.deep.equal([]);
+    machine.apply({ kind: "forgetSubmissions", ids: find() });
+    chai.expect(machine.get("a")).to.equal(undefined);
+  });
+});
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -113,7 +113,7 @@
 
   it("only ever moves forward on a box", () => {
     const holder = new configurationHolders.ConfigurationHolder(
-      () => results.createOk(configure({})),
+      () => results.createOk(createConfiguration({})),
       new logs.Log("box", "error", () => {}),
     );
     chai.expect(holder.offer({ version: 5, text: "five" })).to.equal(true);
