--- /dev/null
+++ b/src/consensus/_durable_writer.ts
@@ -0,0 +1,67 @@
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
+import * as storage from "../storage/mod.ts";
+import type * as messages from "./message.ts";
+import type * as savedRecords from "./_saved_record.ts";
+
+/** Between two tries to write to a full disk, in ms. */
+const DISK_FULL_MS = 200;
+
+/** Writes a replica's log; a full disk is waited for, any other error thrown. */
+export class DurableWriter {
+  readonly #log: storage.DurableLog;
+  readonly #clock: clocks.Clock;
+  #isStopped = false;
+
+  constructor(log: storage.DurableLog, clock: clocks.Clock) {
+    this.#log = log;
+    this.#clock = clock;
+  }
+
+  /** Appends records, again and again while the disk is full. */
+  *append(records: readonly savedRecords.SavedRecord[]): csp.Step<void> {
+    yield* this.#retry(() => this.#log.append(records));
+  }
+
+  /** Replaces the log by a snapshot, again and again while the disk is full. */
+  *restore(
+    snapshot: messages.Snapshot,
+    records: readonly savedRecords.SavedRecord[],
+  ): csp.Step<void> {
+    yield* this.#retry(() => this.#log.compact(snapshot, records));
+  }
+
+  /** Shortens the log; false when the disk is full and all stays as it is. */
+  *trim(
+    snapshot: messages.Snapshot,
+    records: readonly savedRecords.SavedRecord[],
+  ): csp.Step<boolean> {
+    try {
+      yield* csp.waitFor(this.#log.compact(snapshot, records));
+      return true;
+    } catch (error) {
+      if (storage.isDiskFull(error)) return false;
+      throw error;
+    }
+  }
+
+  /** Waits for a disk no longer; what is under way is not finished. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  close(): Promise<void> {
+    return this.#log.close();
+  }
+
+  *#retry(write: () => Promise<void>): csp.Step<void> {
+    while (!this.#isStopped) {
+      try {
+        return yield* csp.waitFor(write());
+      } catch (error) {
+        if (!storage.isDiskFull(error)) throw error;
+      }
+      yield* csp.waitFor(clocks.sleep(this.#clock, DISK_FULL_MS));
+    }
+  }
+}
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -2,6 +2,7 @@
 import * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
 import * as driverEvents from "./_driver_event.ts";
+import * as durableWriters from "./_durable_writer.ts";
 import * as savedRecords from "./_saved_record.ts";
 import * as proposals from "./_proposals.ts";
 import * as tickTimers from "./_tick_timer.ts";
@@ -19,7 +20,7 @@
 /** Runs one replica: its disk, its messages and its timer. */
 export class ReplicaDriver {
   readonly #options: replicaOptions.ReplicaDriverOptions;
-  readonly #log: storage.DurableLog;
+  readonly #writer: durableWriters.DurableWriter;
   readonly #inbox = new csp.Channel<driverEvents.DriverEvent>(INBOX_CAPACITY);
   readonly #proposals = new proposals.ProposalTable();
   readonly #timer: tickTimers.TickTimer;
@@ -36,7 +37,7 @@
     state: replicaStates.ReplicaState,
   ) {
     this.#options = options;
-    this.#log = log;
+    this.#writer = new durableWriters.DurableWriter(log, options.clock);
     this.#state = state;
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
       this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
@@ -169,8 +170,9 @@
     this.#isStopped = true;
     this.#timer.stop();
     this.#inbox.close();
+    this.#writer.stop();
     await this.#ended;
-    await this.#log.close();
+    await this.#writer.close();
   }
 
   #start(): void {
@@ -259,14 +261,14 @@
       );
     }
     const records = effects.slice(restore + 1).flatMap(savedRecords.toRecords);
-    if (records.length > 0) yield* csp.waitFor(this.#log.append(records));
+    if (records.length > 0) yield* this.#writer.append(records);
   }
 
   *#saveRestored(
     effect: Extract<replicaStates.Effect, { kind: "restore" }>,
   ): csp.Step<void> {
     const head = savedRecords.createHead(this.#state);
-    yield* csp.waitFor(this.#log.compact(effect.snapshot, head));
+    yield* this.#writer.restore(effect.snapshot, head);
     this.#snapshotIndex = effect.snapshot.index;
   }
 
@@ -325,7 +327,9 @@
     if (this.#appliedIndex - this.#snapshotIndex < snapshotEntries) return;
     const { log } = this.#state;
     const records = savedRecords.createRest(this.#state, this.#appliedIndex);
-    yield* csp.waitFor(this.#log.compact(this.#createSnapshot(), records));
+    const snapshot = this.#createSnapshot();
+    const isShort = yield* this.#writer.trim(snapshot, records);
+    if (!isShort) return;
     this.#snapshotIndex = this.#appliedIndex;
     const keptFrom = this.#appliedIndex - Math.floor(snapshotEntries / 2);
     this.#state = {
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -5,6 +5,7 @@
 import type * as logs from "../log/mod.ts";
 import * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import * as storage from "../storage/mod.ts";
 import * as desks from "./founding_desk.ts";
 import type * as leaderCallers from "./leader_caller.ts";
 import * as planVoters from "./plan_voters.ts";
@@ -27,6 +28,8 @@
 /** Time after which an unreachable seed is passed over, in ms. */
 const SEED_PATIENCE_MS = 4_000;
 const CALL_MS = 1_000;
+/** Between two tries to open a data folder on a full disk, in ms. */
+const DISK_FULL_MS = 500;
 const RESIGN_TRIES = 20;
 const RESIGN_PAUSE_MS = 20;
 
@@ -90,7 +93,7 @@
     const isEmpty = fs.readdirSync(dataFolder).length === 0;
     if (isFirstStart && isEmpty) await this.#found();
     if (this.#isStopped) return;
-    this.#driver = await this.#openDriver();
+    this.#driver = await this.#openWhenPossible();
     this.#runPlan();
   }
 
@@ -217,6 +220,20 @@
     }
   }
 
+  /** Opens the data folder, again and again while its disk is full. */
+  async #openWhenPossible(): Promise<consensus.ReplicaDriver> {
+    const { clock, log, name } = this.#options;
+    for (;;) {
+      try {
+        return await this.#openDriver();
+      } catch (error) {
+        if (!storage.isDiskFull(error)) throw error;
+      }
+      log.write("warn", "group.diskFull", { group: name });
+      await clocks.sleep(clock, DISK_FULL_MS);
+    }
+  }
+
   #openDriver(): Promise<consensus.ReplicaDriver> {
     const { id, clock, dataFolder, machine, snapshotEntries, onFatal, peers } =
       this.#options;
--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -53,6 +53,8 @@
   readonly #owner: string;
   #generation: number;
   #file: fsPromises.FileHandle;
+  /** Bytes of the log file that are whole records. */
+  #wholeBytes: number;
 
   private constructor(
     folder: string,
@@ -60,6 +62,7 @@
     generation: number,
     file: fsPromises.FileHandle,
   ) {
+    this.#wholeBytes = fs.fstatSync(file.fd).size;
     this.#folder = folder;
     this.#owner = owner;
     this.#generation = generation;
@@ -90,12 +93,23 @@
     };
   }
 
-  /** Appends records; they last once the promise resolves. */
+  /**
+   * Appends records; they last once the promise resolves. A failed append
+   * leaves the log as it was, so that it can be tried again.
+   *
+   * @throws The error of the file system.
+   */
   async append(records: readonly unknown[]): Promise<void> {
     if (records.length === 0) return;
     const bytes = Buffer.concat(records.map(toBytes));
-    await this.#file.appendFile(bytes);
-    await this.#file.datasync();
+    try {
+      await this.#file.appendFile(bytes);
+      await this.#file.datasync();
+    } catch (error) {
+      await this.#file.truncate(this.#wholeBytes);
+      throw error;
+    }
+    this.#wholeBytes += bytes.length;
   }
 
   /**
@@ -114,6 +128,7 @@
     syncFolder(this.#folder);
     await this.#file.close();
     this.#file = await fsPromises.open(logName, "a");
+    this.#wholeBytes = fs.fstatSync(this.#file.fd).size;
     this.#removeGeneration(this.#generation);
     this.#generation = next;
   }
--- a/src/storage/mod.ts
+++ b/src/storage/mod.ts
@@ -10,4 +10,5 @@
  * @module
  */
 export * from "./durable_log.ts";
+export * from "./is_disk_full.ts";
 export * from "./record.ts";
