--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -118,6 +118,12 @@
     clock.startTimer(READY_CHECK_MS, () => this.#followConfiguration());
   }
 
+  /** Stops at once, cutting what is under way. */
+  async stop(): Promise<void> {
+    await this.#stopParts();
+    this.#end({ kind: "stopped" });
+  }
+
   async #stopParts(): Promise<void> {
     const { link, server, peers, metrics } = this.#parts;
     link.stop();
