Tell of no configuration from the disk before a leader was heard

Change: the machine tells of what it restored only once an entry was applied, which each new leader's first entry is. Ruled out: an older answer to a read (reads come from a leader with authority).

--- a/src/traffic_config/configuration_machine.ts
+++ b/src/traffic_config/configuration_machine.ts
@@ -17,8 +17,13 @@
 export class ConfigurationMachine implements consensus.Machine {
   readonly #onChange: (stored: configurations.StoredConfiguration) => void;
   #stored: configurations.StoredConfiguration | undefined;
+  #toldVersion = 0;
 
-  /** @param onChange Told of each configuration that replaces another. */
+  /**
+   * @param onChange Told of each configuration that replaces another. What a
+   * restarted replica finds on its disk may long be replaced, so it is told
+   * only once a leader's entry has followed it.
+   */
   constructor(
     onChange: (stored: configurations.StoredConfiguration) => void,
   ) {
@@ -32,6 +37,7 @@
   apply(command: unknown): PutAnswer {
     const { kind, stored } = command as Partial<PutConfiguration>;
     if (kind === "putConfiguration" && stored !== undefined) this.#put(stored);
+    this.#tell();
     return { version: this.#stored?.version ?? 0 };
   }
 
@@ -49,6 +55,12 @@
   #put(stored: configurations.StoredConfiguration): void {
     if (stored.version <= (this.#stored?.version ?? 0)) return;
     this.#stored = stored;
-    this.#onChange(stored);
+  }
+
+  #tell(): void {
+    if (this.#stored === undefined) return;
+    if (this.#stored.version <= this.#toldVersion) return;
+    this.#toldVersion = this.#stored.version;
+    this.#onChange(this.#stored);
   }
 }
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -145,4 +145,17 @@
     });
     chai.expect(told).to.deep.equal([3]);
   });
+
+  it("tells of no configuration from the disk before a leader was heard", () => {
+    const told: number[] = [];
+    const machine = new configurationMachines.ConfigurationMachine((stored) =>
+      told.push(stored.version)
+    );
+    machine.restore({ stored: { version: 4, text: "four" } });
+    chai.expect(told).to.deep.equal([]);
+    machine.apply({ kind: "noOperation" });
+    chai.expect(told).to.deep.equal([4]);
+    machine.apply({ kind: "noOperation" });
+    chai.expect(told).to.deep.equal([4]);
+  });
 });
