Log what the last item of a step spent its time on

Cause: from the logs nobody could tell why a step took long: there was a line at its acceptance and one at its end, and nothing on waits, runs and scoring. Change: a step's groups are followed (StepProgress), an item's time in each phase is added up (PhaseTimes), and step.whole tells, for the item that made the step whole, how long it waited, ran and was scored, its events, hint and runs. One line a step.

--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -11,6 +11,7 @@
 import * as orderTasks from "./order_tasks.ts";
 import * as placementRounds from "./placement_round.ts";
 import * as runMovers from "./run_mover.ts";
+import * as stepProgresses from "./step_progress.ts";
 import * as csp from "../csp/mod.ts";
 
 function createEngine(id: string, version = 1): registry.RegisteredServer {
@@ -26,7 +27,7 @@
   lengthHint?: number,
 ): itemTasks.ItemTask {
   const item = itemFixtures.createItem(id, { tokens: 10, lengthHint });
-  return new itemTasks.ItemTask({
+  const submission: submissions.Submission = {
     id: "s",
     model: "m",
     step: 0,
@@ -43,7 +44,9 @@
       isSingleVersion: false,
     },
     ...changes,
-  }, item);
+  };
+  const step = new stepProgresses.StepProgress(submission, new Set());
+  return new itemTasks.ItemTask(submission, item, step, 0);
 }
 
 describe("dispatch", () => {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -12,6 +12,7 @@
 import type * as engineTables from "./engine_table.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as orderTasks from "./order_tasks.ts";
+import type * as phaseTimes from "./phase_times.ts";
 import * as placementRounds from "./placement_round.ts";
 import * as resultWriters from "./result_writer.ts";
 import * as runMovers from "./run_mover.ts";
@@ -66,7 +67,10 @@
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
-    this.#tasks = new taskTables.TaskTable(options.machine);
+    this.#tasks = new taskTables.TaskTable(
+      options.machine,
+      options.clock,
+    );
     this.#writer = new resultWriters.ResultWriter(options);
     this.#keeper = new textKeepers.TextKeeper(options.group);
     this.#mover = new runMovers.RunMover(options);
@@ -148,8 +152,8 @@
     const { engines, dialect, clock, metrics } = this.#options;
     const { submission, item, progress, cancellation } = task;
     const runCancellation = new csp.Cancellation();
-    task.phase = "running";
-    task.run = { engine: engine.id, cancellation: runCancellation };
+    const nowMs = clock.getMonotonicMs();
+    task.beginRun({ engine: engine.id, cancellation: runCancellation }, nowMs);
     cancellation.add(() => runCancellation.cancel());
     engines.begin(engine.id);
     const model = task.getModel() ?? "";
@@ -180,7 +184,7 @@
     if (!this.#isWanted(task)) return;
     if (isCutShort(end) && runCancellation.isCancelled()) {
       // This box moved the run, maybe before it was connected.
-      task.phase = "waiting";
+      this.#enter(task, "waiting");
     } else {
       engines.noteRun(engine.id, isSound(end));
       this.#takeEnd(task, engine, end);
@@ -206,7 +210,7 @@
     if (end.kind !== "finished") this.#noteEnd(task, engine, end);
     switch (end.kind) {
       case "finished":
-        task.phase = "scoring";
+        this.#enter(task, "scoring");
         void this.#score(task);
         return;
       case "failed":
@@ -221,7 +225,11 @@
         this.#options.engines.avoid(engine.id);
         break;
     }
-    task.phase = "waiting";
+    this.#enter(task, "waiting");
+  }
+
+  #enter(task: itemTasks.ItemTask, phase: phaseTimes.TaskPhase): void {
+    task.times.enter(phase, this.#options.clock.getMonotonicMs());
   }
 
   #noteEnd(
@@ -301,13 +309,32 @@
     const keptLastId = brief === whole
       ? undefined
       : task.progress.getKeptLastId();
-    task.phase = "done";
-    metrics.recordItem(clock.getWallMs() - submission.acceptedAtMs);
+    this.#enter(task, "done");
+    const ageMs = clock.getWallMs() - submission.acceptedAtMs;
+    metrics.recordItem(ageMs);
+    if (task.step.finish(task.item.id)) this.#noteWholeStep(task, ageMs);
     this.#writer.add(
       { submission: submission.id, result: brief, keptLastId },
       { submission: submission.id, result: whole },
     );
   }
+
+  /** Logs what the last item that a step waited for spent its time on. */
+  #noteWholeStep(task: itemTasks.ItemTask, ageMs: number): void {
+    const { submission, item, progress, times } = task;
+    this.#options.log.write("info", "step.whole", {
+      submission: submission.id,
+      model: submission.model,
+      step: submission.step,
+      ageMs,
+      groups: task.step.countWhole(),
+      lastItem: item.id,
+      hint: item.lengthHint,
+      events: progress.countEvents(),
+      runs: task.countRuns(),
+      ...times.describe(),
+    });
+  }
 }
 
 /** Tells whether a run ended without a word of its engine. */
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -2,9 +2,8 @@
 import * as itemRuns from "../item_run/mod.ts";
 import type * as chooseEngine from "./choose_engine.ts";
 import type * as submissions from "../submission/mod.ts";
-
-/** Where an item stands. */
-export type TaskPhase = "waiting" | "running" | "scoring" | "done";
+import * as phaseTimes from "./phase_times.ts";
+import type * as stepProgresses from "./step_progress.ts";
 
 /** A run of an item at an engine. */
 export interface TaskRun {
@@ -23,20 +22,43 @@
   readonly progress = new itemRuns.TextProgress();
   /** Cancelled when the item is no longer wanted. */
   readonly cancellation = new csp.Cancellation();
-  phase: TaskPhase = "waiting";
+  readonly step: stepProgresses.StepProgress;
+  readonly times: phaseTimes.PhaseTimes;
   /** The run under way, if any. */
   run: TaskRun | undefined;
+  #runs = 0;
   #failures = 0;
   #impossible = 0;
   #scoreFailures = 0;
   #avoided: ReadonlySet<string> = new Set();
 
+  /** @param nowMs When the work begins, in monotonic ms. */
   constructor(
     submission: submissions.Submission,
     item: submissions.SubmissionItem,
+    step: stepProgresses.StepProgress,
+    nowMs: number,
   ) {
     this.submission = submission;
     this.item = item;
+    this.step = step;
+    this.times = new phaseTimes.PhaseTimes(nowMs);
+  }
+
+  get phase(): phaseTimes.TaskPhase {
+    return this.times.getPhase();
+  }
+
+  /** Notes the run that begins. */
+  beginRun(run: TaskRun, nowMs: number): void {
+    this.run = run;
+    this.#runs += 1;
+    this.times.enter("running", nowMs);
+  }
+
+  /** Runs so far. */
+  countRuns(): number {
+    return this.#runs;
   }
 
   /** Engines that broke or failed this item last. */
@@ -95,7 +117,7 @@
     );
     if (fitting === undefined) return;
     this.progress.restore(fitting);
-    if (fitting.lastId === undefined) this.phase = "scoring";
+    if (fitting.lastId === undefined) this.times.begin("scoring");
     else if (isOwn) this.progress.setKept(fitting.lastId);
   }
 
--- a/src/dispatch/task_table.ts
+++ b/src/dispatch/task_table.ts
@@ -1,13 +1,17 @@
+import type * as clocks from "../clock/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import * as itemTasks from "./item_task.ts";
+import * as stepProgresses from "./step_progress.ts";
 
 /** The items that are to be worked on, by submission. */
 export class TaskTable {
   readonly #machine: submissions.SubmissionMachine;
+  readonly #clock: clocks.Clock;
   readonly #tasks = new Map<string, Map<string, itemTasks.ItemTask>>();
 
-  constructor(machine: submissions.SubmissionMachine) {
+  constructor(machine: submissions.SubmissionMachine, clock: clocks.Clock) {
     this.#machine = machine;
+    this.#clock = clock;
   }
 
   /** All tasks, finished ones among them. */
@@ -44,8 +48,9 @@
     record: submissions.SubmissionRecord,
   ): readonly itemTasks.ItemTask[] {
     const { submission, listed } = record;
+    const step = new stepProgresses.StepProgress(submission, listed);
     const tasks = submission.items.filter((item) => !listed.has(item.id))
-      .map((item) => this.#createTask(record, item));
+      .map((item) => this.#createTask(record, item, step));
     const byId = tasks.map((task) => [task.item.id, task] as const);
     this.#tasks.set(submission.id, new Map(byId));
     return tasks;
@@ -55,8 +60,10 @@
   #createTask(
     record: submissions.SubmissionRecord,
     item: submissions.SubmissionItem,
+    step: stepProgresses.StepProgress,
   ): itemTasks.ItemTask {
-    const task = new itemTasks.ItemTask(record.submission, item);
+    const nowMs = this.#clock.getMonotonicMs();
+    const task = new itemTasks.ItemTask(record.submission, item, step, nowMs);
     const own = record.kept.get(item.id);
     if (own !== undefined) task.restore([own], true);
     else task.restore(this.#machine.findTexts(item.id), false);
