Have an engine serve two models where versions take turns; move runs to faster engines

Cause: each engine loaded versions of one model only, so a trainer had a third of the engines. And the load of an engine was taken to slow it far more than it does (37 ms between events alone, 42.5 ms full), so long items went to engines 1.3 times slower and stayed there (50 ms an event), as moves began at 1.7. Ruled out: loads holding up other models (no gap of their runs beyond 150 ms). Change: where steps may lag by a version, an engine loads every other version, so it serves two models with as many loads as before a version period; models whose next step finds the fewest engines load first. The score of an engine is its expected time between events at its load. A run goes on at a faster engine when its expected remaining events gain over 150 ms; lengths are learned from the hints of items that ended.

--- a/src/dispatch/choose_engine.ts
+++ b/src/dispatch/choose_engine.ts
@@ -33,9 +33,9 @@
   let best: registry.RegisteredServer | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const engine of fresh.length > 0 ? fresh : able) {
-    const load = (table.getRunning(engine.id) + 1) / engine.slots;
     const failures = FAILURE_WEIGHT * table.getFailureShare(engine.id);
-    const score = table.getGapMs(engine.id) * (1 + load) * (1 + failures);
+    const running = table.getRunning(engine.id) + 1;
+    const score = table.estimateGapMs(engine, running) * (1 + failures);
     if (score >= bestScore) continue;
     best = engine;
     bestScore = score;
--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -8,6 +8,7 @@
 import * as chooseEngine from "./choose_engine.ts";
 import * as engineTables from "./engine_table.ts";
 import * as itemTasks from "./item_task.ts";
+import * as lengthEstimates from "./length_estimates.ts";
 import * as orderTasks from "./order_tasks.ts";
 import * as placementRounds from "./placement_round.ts";
 import * as runMovers from "./run_mover.ts";
@@ -51,6 +52,7 @@
 
 describe("dispatch", () => {
   const clock = new clocks.FakeClock();
+  const lengths = new lengthEstimates.LengthEstimates();
   let table = new engineTables.EngineTable(clock);
   const need = { model: "m", minimumVersion: 2, avoided: new Set<string>() };
 
@@ -98,8 +100,8 @@
   it("prefers fast engines until they are much fuller", () => {
     const engines = [createEngine("slow", 2), createEngine("fast", 2)];
     for (let event = 0; event < 200; event += 1) {
-      table.noteGap("slow", 60);
-      table.noteGap("fast", 40);
+      table.noteGap(createEngine("slow"), 60);
+      table.noteGap(createEngine("fast"), 40);
     }
     const taken = [0, 1, 2, 3, 4].map(() => {
       const id = choose(engines) ?? "";
@@ -131,7 +133,9 @@
       createTask("short", {}, 10),
       createTask("long", {}, 100),
     ];
-    chai.expect(orderTasks.orderTasks(tasks).map((task) => task.item.id)).to
+    chai.expect(
+      orderTasks.orderTasks(tasks, lengths).map((task) => task.item.id),
+    ).to
       .deep.equal(["long", "short", "late"]);
   });
 
@@ -216,7 +220,11 @@
     function createRunning(engine: string, count: number) {
       return Array.from({ length: count }, (_, index) => {
         const task = createTask(`${engine}${index}`);
-        task.run = { engine, cancellation: new csp.Cancellation() };
+        task.run = {
+          engine,
+          cancellation: new csp.Cancellation(),
+          startedAtMs: Number.NEGATIVE_INFINITY,
+        };
         table.begin(engine);
         return task;
       });
@@ -229,11 +237,11 @@
 
     function createMover(): runMovers.RunMover {
       return new runMovers.RunMover({
+        clock,
         log: { write: () => {} } as unknown as logs.Log,
-        servers: {
-          listReady: () => engines,
-        } as unknown as registry.ServerRegistry,
+        servers: { listReady: () => engines },
         engines: table,
+        lengths,
       });
     }
 
@@ -252,12 +260,15 @@
     it("moves runs from a slow engine only, and nothing while all are alike", () => {
       const tasks = [...createRunning("a", 1), ...createRunning("b", 1)];
       for (let event = 0; event < 200; event += 1) {
-        for (const id of ["a", "b", "c"]) table.noteGap(id, 40);
+        for (const engine of engines) table.noteGap(engine, 40);
       }
-      createMover().moveFromSlow(tasks);
+      createMover().moveToFaster(tasks);
       chai.expect(countMoved(tasks)).to.equal(0);
-      for (let event = 0; event < 200; event += 1) table.noteGap("a", 120);
-      createMover().moveFromSlow(tasks);
+      for (let event = 0; event < 200; event += 1) {
+        table.noteGap(createEngine("a"), 120);
+      }
+      clock.extendBy(100);
+      createMover().moveToFaster(tasks);
       chai.expect(countMoved(tasks.slice(0, 1))).to.equal(1);
       chai.expect(countMoved(tasks.slice(1))).to.equal(0);
     });
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -11,6 +11,7 @@
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as engineTables from "./engine_table.ts";
 import type * as itemTasks from "./item_task.ts";
+import * as lengthEstimates from "./length_estimates.ts";
 import * as orderTasks from "./order_tasks.ts";
 import type * as phaseTimes from "./phase_times.ts";
 import * as placementRounds from "./placement_round.ts";
@@ -57,6 +58,7 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions;
   readonly #writer: resultWriters.ResultWriter;
+  readonly #lengths = new lengthEstimates.LengthEstimates();
   readonly #keeper: textKeepers.TextKeeper;
   readonly #mover: runMovers.RunMover;
   readonly #tasks: taskTables.TaskTable;
@@ -73,7 +75,10 @@
     );
     this.#writer = new resultWriters.ResultWriter(options);
     this.#keeper = new textKeepers.TextKeeper(options.group);
-    this.#mover = new runMovers.RunMover(options);
+    this.#mover = new runMovers.RunMover({
+      ...options,
+      lengths: this.#lengths,
+    });
   }
 
   start(): void {
@@ -104,7 +109,7 @@
     this.#matchRecords();
     const tasks = this.#tasks.list();
     this.#startWaiting(tasks);
-    this.#mover.moveFromSlow(tasks);
+    this.#mover.moveToFaster(tasks);
     void this.#keeper.keep(tasks);
   }
 
@@ -138,9 +143,12 @@
       task.phase === "waiting" &&
       round.hasPlace(task.submission.terms.service)
     );
-    for (const task of orderTasks.orderTasks(waiting)) {
+    const moved = waiting.filter((task) => task.target !== undefined);
+    const others = waiting.filter((task) => task.target === undefined);
+    const ordered = orderTasks.orderTasks(others, this.#lengths);
+    for (const task of [...moved, ...ordered]) {
       const { service } = task.submission.terms;
-      const engine = round.choose(service, task.getNeed());
+      const engine = round.choose(service, task.getNeed(), task.target);
       if (engine !== undefined) void this.#run(task, engine);
     }
   }
@@ -152,8 +160,11 @@
     const { engines, dialect, clock, metrics } = this.#options;
     const { submission, item, progress, cancellation } = task;
     const runCancellation = new csp.Cancellation();
-    const nowMs = clock.getMonotonicMs();
-    task.beginRun({ engine: engine.id, cancellation: runCancellation }, nowMs);
+    task.beginRun({
+      engine: engine.id,
+      cancellation: runCancellation,
+      startedAtMs: clock.getMonotonicMs(),
+    });
     cancellation.add(() => runCancellation.cancel());
     engines.begin(engine.id);
     const model = task.getModel() ?? "";
@@ -173,7 +184,7 @@
       cancellation: runCancellation,
       onEvent: () => {
         const nowMs = clock.getMonotonicMs();
-        if (lastMs !== undefined) engines.noteGap(engine.id, nowMs - lastMs);
+        if (lastMs !== undefined) engines.noteGap(engine, nowMs - lastMs);
         lastMs = nowMs;
       },
       onVersion: (version) => engines.observe(engine.id, model, version),
@@ -210,6 +221,7 @@
     if (end.kind !== "finished") this.#noteEnd(task, engine, end);
     switch (end.kind) {
       case "finished":
+        this.#lengths.note(task);
         this.#enter(task, "scoring");
         void this.#score(task);
         return;
@@ -330,7 +342,7 @@
       groups: task.step.countWhole(),
       lastItem: item.id,
       hint: item.lengthHint,
-      events: progress.countEvents(),
+      events: progress.countMade(),
       runs: task.countRuns(),
       ...times.describe(),
     });
--- a/src/dispatch/engine_table.ts
+++ b/src/dispatch/engine_table.ts
@@ -8,11 +8,17 @@
 const FIRST_GAP_MS = 40;
 /** Age after which a mean says nothing any more, in ms. */
 const GAP_MS = 5_000;
+/**
+ * How much longer a full engine takes for an event than an idle one, as a share
+ * (measured: 37 ms alone, 42.5 ms with all of twelve places taken).
+ */
+const FULL_SLOWDOWN = 0.15;
 /** How long an engine that broke a run is passed over, in ms. */
 const AVOID_MS = 600;
 
 interface EngineState {
   readonly running: number;
+  /** Mean time between events, taken back to an idle engine, in ms. */
   readonly gapMs: number;
   /** When the last gap was noted, in monotonic ms. */
   readonly gapAtMs: number;
@@ -57,15 +63,25 @@
     return this.#get(engine).running;
   }
 
-  /** Notes the time between two events of a run, in ms. */
-  noteGap(engine: string, gapMs: number): void {
-    const state = this.#get(engine);
-    const mean = state.gapMs + (gapMs - state.gapMs) * NEWEST_SHARE;
+  /**
+   * Notes the time between two events of a run, in ms. What the load of the
+   * engine adds is taken out, so that a fast engine does not look slow only
+   * because it is full.
+   */
+  noteGap(engine: registry.RegisteredServer, gapMs: number): void {
+    const state = this.#get(engine.id);
+    const idleMs = gapMs / getSlowdown(state.running, engine.slots);
+    const mean = state.gapMs + (idleMs - state.gapMs) * NEWEST_SHARE;
     const gapAtMs = this.#clock.getMonotonicMs();
-    this.#states.set(engine, { ...state, gapMs: mean, gapAtMs });
+    this.#states.set(engine.id, { ...state, gapMs: mean, gapAtMs });
+  }
+
+  /** Expected time between events with so many runs at an engine, in ms. */
+  estimateGapMs(engine: registry.RegisteredServer, running: number): number {
+    return this.getGapMs(engine.id) * getSlowdown(running, engine.slots);
   }
 
-  /** Mean time between events at an engine, in ms; a guess without news. */
+  /** Mean time between events at an idle engine, in ms; a guess without news. */
   getGapMs(engine: string): number {
     const { gapMs, gapAtMs } = this.#get(engine);
     const isNews = this.#clock.getMonotonicMs() - gapAtMs < GAP_MS;
@@ -136,3 +152,7 @@
     return this.#states.get(engine) ?? FIRST_STATE;
   }
 }
+
+function getSlowdown(running: number, slots: number): number {
+  return 1 + FULL_SLOWDOWN * running / slots;
+}
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -10,6 +10,8 @@
   readonly engine: string;
   /** Ends the run, so that the item goes on elsewhere. */
   readonly cancellation: csp.Cancellation;
+  /** When it began, in monotonic ms. */
+  readonly startedAtMs: number;
 }
 
 /** Answers of 422 after which an item counts as impossible. */
@@ -26,6 +28,8 @@
   readonly times: phaseTimes.PhaseTimes;
   /** The run under way, if any. */
   run: TaskRun | undefined;
+  /** Engine that the next run should go to, where a move planned it. */
+  target: string | undefined;
   #runs = 0;
   #failures = 0;
   #impossible = 0;
@@ -50,10 +54,11 @@
   }
 
   /** Notes the run that begins. */
-  beginRun(run: TaskRun, nowMs: number): void {
+  beginRun(run: TaskRun): void {
     this.run = run;
+    this.target = undefined;
     this.#runs += 1;
-    this.times.enter("running", nowMs);
+    this.times.enter("running", run.startedAtMs);
   }
 
   /** Runs so far. */
--- a/src/dispatch/placement_round.ts
+++ b/src/dispatch/placement_round.ts
@@ -33,15 +33,22 @@
    * Picks an engine for an item; the caller begins the run at once, so that
    * the engine's place counts as taken.
    *
+   * @param target Engine to take if it still can.
    * @returns The engine, or undefined when none has a place for it.
    */
   choose(
     service: string,
     need: chooseEngine.EngineNeed,
+    target?: string,
   ): registry.RegisteredServer | undefined {
     const key = `${service} ${need.model ?? ""} ${need.minimumVersion}`;
     if (this.#hopeless.has(key)) return undefined;
     const open = this.#setOpen(service, this.#getOpen(service));
+    const wanted = open.find((other) => other.id === target);
+    if (
+      wanted !== undefined &&
+      chooseEngine.canTake(wanted, this.#options.engines, need)
+    ) return wanted;
     const engine = chooseEngine.chooseEngine(open, this.#options.engines, need);
     if (engine === undefined) this.#hopeless.add(key);
     return engine;
--- a/src/dispatch/run_mover.ts
+++ b/src/dispatch/run_mover.ts
@@ -1,23 +1,25 @@
+import type * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as chooseEngine from "./choose_engine.ts";
 import type * as engineTables from "./engine_table.ts";
 import type * as itemTasks from "./item_task.ts";
+import type * as lengthEstimates from "./length_estimates.ts";
 import * as orderTasks from "./order_tasks.ts";
+import * as planMoves from "./plan_moves.ts";
 
-/**
- * Time between events, against the median engine's, from which an engine is
- * slow; sound engines differ by up to 1.3.
- */
-const SLOW_FACTOR = 1.7;
-/** Places that a move leaves free at other engines, for new work. */
+/** Places that a move from a load leaves free elsewhere, for new work. */
 const SPARE_PLACES = 2;
+/** Between two looks for faster engines, in ms; moves take some 20 ms. */
+const LOOK_MS = 100;
 
 /** What a run mover needs. */
 export interface RunMoverOptions {
+  readonly clock: clocks.Clock;
   readonly log: logs.Log;
-  readonly servers: registry.ServerRegistry;
+  readonly servers: Pick<registry.ServerRegistry, "listReady">;
   readonly engines: engineTables.EngineTable;
+  readonly lengths: lengthEstimates.LengthEstimates;
 }
 
 /**
@@ -26,6 +28,7 @@
  */
 export class RunMover {
   readonly #options: RunMoverOptions;
+  #lookedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RunMoverOptions) {
     this.#options = options;
@@ -40,28 +43,10 @@
     const running = tasks.filter((task) =>
       task.run?.engine === engine && task.getModel() === model
     );
-    this.#move(running, engine, "load");
-  }
-
-  /** Moves runs away from engines that make events slowly. */
-  moveFromSlow(tasks: readonly itemTasks.ItemTask[]): void {
-    const { engines } = this.#options;
-    const running = tasks.filter((task) => task.run !== undefined);
-    const ids = [...new Set(running.map((task) => task.run?.engine ?? ""))];
-    const limitMs = SLOW_FACTOR * engines.getMedianGapMs();
-    for (const id of ids) {
-      if (engines.getGapMs(id) <= limitMs) continue;
-      this.#move(running.filter((task) => task.run?.engine === id), id, "slow");
-    }
-  }
-
-  #move(
-    running: readonly itemTasks.ItemTask[],
-    engine: string,
-    reason: string,
-  ): void {
     let moved = 0;
-    for (const task of orderTasks.orderTasks(running)) {
+    for (
+      const task of orderTasks.orderTasks(running, this.#options.lengths)
+    ) {
       if (moved >= this.#countFree(task, engine)) break;
       task.run?.cancellation.cancel();
       moved += 1;
@@ -69,19 +54,38 @@
     if (moved === 0) return;
     this.#options.log.write("info", "runs.moved", {
       server: engine,
-      reason,
+      reason: "load",
       running: running.length,
       moved,
     });
   }
 
-  /** Free places at sound engines that may take an item. */
+  /** Moves runs to free places where they are expected to end sooner. */
+  moveToFaster(tasks: readonly itemTasks.ItemTask[]): void {
+    const { clock, log } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs - this.#lookedAtMs < LOOK_MS) return;
+    this.#lookedAtMs = nowMs;
+    for (const move of planMoves.planMoves(tasks, nowMs, this.#options)) {
+      const { task, to, gainMs } = move;
+      log.write("info", "run.moved", {
+        item: task.item.id,
+        server: task.run?.engine,
+        to: to.id,
+        gainMs: Math.round(gainMs),
+        events: task.progress.countMade(),
+      });
+      task.target = to.id;
+      task.run?.cancellation.cancel();
+    }
+  }
+
+  /** Free places at other engines that may take an item, less a reserve. */
   #countFree(task: itemTasks.ItemTask, from: string): number {
     const { servers, engines } = this.#options;
-    const limitMs = SLOW_FACTOR * engines.getMedianGapMs();
     const free = servers.listReady(task.submission.terms.service)
       .filter((engine) =>
-        engine.id !== from && engines.getGapMs(engine.id) <= limitMs &&
+        engine.id !== from &&
         chooseEngine.canTake(engine, engines, task.getNeed())
       )
       .reduce(
--- a/src/item_run/text_progress.ts
+++ b/src/item_run/text_progress.ts
@@ -42,10 +42,16 @@
     return this.#lastId;
   }
 
+  /** Events, or kept parts, that this process holds. */
   countEvents(): number {
     return this.#data.length;
   }
 
+  /** Events that all runs made so far, those of a kept text among them. */
+  countMade(): number {
+    return Math.max(this.#lastId ?? 0, this.#data.length);
+  }
+
   /** Weight versions that made the text so far, rising. */
   listVersions(): readonly number[] {
     return [...this.#versions].toSorted((a, b) => a - b);
--- a/src/weight_orders/assign_engines.ts
+++ b/src/weight_orders/assign_engines.ts
@@ -1,55 +1,86 @@
-/** Which model each engine loads new versions of, by engine id. */
-export type EngineHomes = ReadonlyMap<string, string>;
+/** Which models each engine loads new versions of, by engine id. */
+export type EngineHomes = ReadonlyMap<string, ReadonlySet<string>>;
 
 /** What an assignment goes by. */
 export interface AssignmentInput {
   /** Ids of the engines that run. */
   readonly engines: readonly string[];
-  /** Models that are trained. */
-  readonly models: readonly string[];
+  /** Engines that each trained model should have, by model. */
+  readonly wanted: ReadonlyMap<string, number>;
   readonly before: EngineHomes;
 }
 
-function countHomes(homes: EngineHomes, model: string): number {
-  return [...homes.values()].filter((home) => home === model).length;
-}
+type MutableHomes = Map<string, Set<string>>;
 
-function pickModel(
-  homes: EngineHomes,
-  models: readonly string[],
-  isMost: boolean,
-): string {
-  const sign = isMost ? -1 : 1;
-  return models.toSorted((a, b) =>
-    sign * (countHomes(homes, a) - countHomes(homes, b))
-  )[0] ?? "";
+/**
+ * Tells how many engines should load a model. Each engine has time for one
+ * load a version period. Where steps may lag by a version, an engine loads
+ * every other version only, so it can serve two models in the same time, and
+ * each step finds twice the places.
+ *
+ * @param engines How many engines run.
+ * @param models How many models share them.
+ * @param lag Versions that a step of the model may lag behind the newest.
+ * @returns Engines for the model, one at least.
+ */
+export function countWantedEngines(
+  engines: number,
+  models: number,
+  lag: number,
+): number {
+  const turns = lag < 1 ? 1 : 2;
+  const share = Math.round((engines * turns) / Math.max(1, models));
+  return Math.min(engines, Math.max(1, share));
 }
 
 /**
- * Shares engines evenly among the trained models, so that each new version is
- * loaded by one share only. Engines keep their model while the shares differ
- * by at most one.
+ * Assigns engines to the trained models, so that each model has as many as it
+ * wants and no engine has two models more than another. Engines keep their
+ * models as far as that allows.
  *
  * @param input Engines, models and the assignment so far.
  * @returns The new assignment.
  */
 export function assignEngines(input: AssignmentInput): EngineHomes {
-  const { engines, models, before } = input;
-  if (models.length === 0) return new Map();
-  const homes = new Map<string, string>();
-  for (const engine of engines) {
-    const model = before.get(engine);
-    if (model !== undefined && models.includes(model)) homes.set(engine, model);
-  }
-  for (const engine of engines.toSorted()) {
-    if (!homes.has(engine)) homes.set(engine, pickModel(homes, models, false));
-  }
-  for (;;) {
-    const most = pickModel(homes, models, true);
-    const least = pickModel(homes, models, false);
-    if (countHomes(homes, most) - countHomes(homes, least) < 2) return homes;
-    const moved = [...homes].find(([, model]) => model === most)?.[0];
-    if (moved === undefined) return homes;
-    homes.set(moved, least);
+  const { engines, wanted, before } = input;
+  const homes: MutableHomes = new Map(
+    engines.toSorted().map((engine) => [
+      engine,
+      new Set(
+        [...before.get(engine) ?? []].filter((model) => wanted.has(model)),
+      ),
+    ]),
+  );
+  for (const [model, count] of wanted) setCount(homes, model, count);
+  while (moveOne(homes));
+  return homes;
+}
+
+function setCount(homes: MutableHomes, model: string, count: number): void {
+  const having = sortByHomes(homes).filter(([, held]) => held.has(model));
+  for (const [, held] of having.slice(count)) held.delete(model);
+  const lacking = sortByHomes(homes).filter(([, held]) => !held.has(model));
+  for (const [, held] of lacking.slice(0, Math.max(0, count - having.length))) {
+    held.add(model);
   }
 }
+
+/** Moves a model from the engine with most to the one with fewest models. */
+function moveOne(homes: MutableHomes): boolean {
+  const sorted = sortByHomes(homes);
+  const least = sorted.at(0)?.[1];
+  const most = sorted.at(-1)?.[1];
+  if (least === undefined || most === undefined) return false;
+  if (most.size - least.size < 2) return false;
+  const model = [...most].find((other) => !least.has(other));
+  if (model === undefined) return false;
+  most.delete(model);
+  least.add(model);
+  return true;
+}
+
+function sortByHomes(
+  homes: MutableHomes,
+): readonly (readonly [string, Set<string>])[] {
+  return [...homes].toSorted(([, a], [, b]) => a.size - b.size);
+}
--- /dev/null
+++ b/src/weight_orders/list_due_loads.ts
@@ -0,0 +1,62 @@
+import type * as registry from "../registry/mod.ts";
+import type * as assignEngines from "./assign_engines.ts";
+import * as planVersion from "./plan_version.ts";
+
+/** A load that is due at an engine. */
+export interface DueLoad {
+  readonly engine: registry.RegisteredServer;
+  readonly model: string;
+  readonly version: number;
+}
+
+/** What decides which loads are due. */
+export interface DueLoadsInput {
+  /** Engines that take work, those that should load first at the front. */
+  readonly engines: readonly registry.RegisteredServer[];
+  readonly homes: assignEngines.EngineHomes;
+  /** Newest named version of each model; 1 for a model without one. */
+  readonly versions: ReadonlyMap<string, number>;
+  /** Versions that the newest step of a model may lag behind, by model. */
+  readonly lags: ReadonlyMap<string, number>;
+  readonly getVersion: (
+    engine: registry.RegisteredServer,
+    model: string,
+  ) => number;
+}
+
+/**
+ * Lists the loads that engines lack, in the order to give them: models whose
+ * next step finds the fewest engines come first, so that loads that wait for
+ * one another hold up no trainer longer than the others.
+ *
+ * @param input Engines, their models and versions.
+ * @returns Due loads, most urgent first.
+ */
+export function listDueLoads(input: DueLoadsInput): readonly DueLoad[] {
+  const { engines, homes, versions, lags, getVersion } = input;
+  const models = [...lags.keys()];
+  const usable = new Map(
+    models.map((model) => {
+      const oldest = (versions.get(model) ?? 1) - (lags.get(model) ?? 0);
+      const able = engines.filter((engine) =>
+        getVersion(engine, model) >= oldest
+      );
+      return [model, able.length] as const;
+    }),
+  );
+  const due = models.flatMap((model) => {
+    const sharing = [...homes].filter(([, held]) => held.has(model))
+      .map(([id]) => id).toSorted();
+    const newest = versions.get(model) ?? 1;
+    const lag = lags.get(model) ?? 0;
+    return engines.filter((engine) => {
+      const place = sharing.indexOf(engine.id);
+      if (place < 0) return false;
+      const wanted = planVersion.planVersion({ newest, lag, place });
+      return getVersion(engine, model) < wanted;
+    }).map((engine): DueLoad => ({ engine, model, version: newest }));
+  });
+  return due.toSorted((a, b) =>
+    (usable.get(a.model) ?? 0) - (usable.get(b.model) ?? 0)
+  );
+}
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -8,9 +8,9 @@
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import * as assignEngines from "./assign_engines.ts";
+import * as listDueLoads from "./list_due_loads.ts";
 import * as orderClients from "./order_client.ts";
 import * as planHandover from "./plan_handover.ts";
-import * as planVersion from "./plan_version.ts";
 
 const TICK_MS = 40;
 /** Margin on the lease of the former holder, for its last orders' way, in ms. */
@@ -58,13 +58,6 @@
   readonly onLoaded: () => void;
 }
 
-/** A load that is due at an engine. */
-interface DueLoad {
-  readonly engine: registry.RegisteredServer;
-  readonly model: string;
-  readonly version: number;
-}
-
 /** Moves engines to the newest named versions, one box at a time. */
 export class WeightOrders {
   readonly #options: WeightOrdersOptions;
@@ -156,14 +149,36 @@
     if (!this.#canOrder()) return void this.#claimOrders();
     const engines = this.#listEngines();
     const versions = this.#options.machine.getVersions();
+    const models = listModels(engines);
+    const lags = new Map(
+      models.map((model) => [model, this.#getLag(model)] as const),
+    );
     this.#homes = assignEngines.assignEngines({
       engines: engines.map((engine) => engine.id),
-      models: listModels(engines),
+      wanted: new Map(
+        models.map((model) => [
+          model,
+          assignEngines.countWantedEngines(
+            engines.length,
+            models.length,
+            lags.get(model) ?? 0,
+          ),
+        ]),
+      ),
       before: this.#homes,
     });
     const most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
-    for (const load of this.#listDue(engines, versions)) {
+    const due = listDueLoads.listDueLoads({
+      engines,
+      homes: this.#homes,
+      versions,
+      lags,
+      getVersion: (engine, model) =>
+        this.#options.engines.getVersion(engine, model),
+    });
+    for (const load of due) {
       if (this.#busy.size >= most) return;
+      if (this.#busy.has(load.engine.id)) continue;
       this.#busy.add(load.engine.id);
       void this.#load(load).finally(() => this.#finish(load));
     }
@@ -180,24 +195,6 @@
       .toSorted((a, b) => engines.getRunning(a.id) - engines.getRunning(b.id));
   }
 
-  #listDue(
-    engines: readonly registry.RegisteredServer[],
-    versions: ReadonlyMap<string, number>,
-  ): readonly DueLoad[] {
-    return engines.flatMap((engine) => {
-      const model = this.#homes.get(engine.id);
-      if (model === undefined || this.#busy.has(engine.id)) return [];
-      const newest = versions.get(model) ?? 1;
-      const wanted = planVersion.planVersion({
-        newest,
-        lag: this.#getLag(model),
-        place: this.#getPlace(engine.id, model),
-      });
-      const held = this.#options.engines.getVersion(engine, model);
-      return held < wanted ? [{ engine, model, version: newest }] : [];
-    });
-  }
-
   /** Versions that the newest submission of a model allowed to lag. */
   #getLag(model: string): number {
     const record = this.#options.machine.listAll().findLast((other) =>
@@ -207,18 +204,13 @@
     return record.namedVersion - record.submission.minimumVersion;
   }
 
-  #getPlace(engine: string, model: string): number {
-    const sharing = [...this.#homes].filter(([, home]) => home === model);
-    return sharing.map(([id]) => id).toSorted().indexOf(engine);
-  }
-
-  #finish(load: DueLoad): void {
+  #finish(load: listDueLoads.DueLoad): void {
     this.#busy.delete(load.engine.id);
     this.#options.engines.setLoading(load.engine.id, undefined);
     this.#options.onLoaded();
   }
 
-  async #load(load: DueLoad): Promise<void> {
+  async #load(load: listDueLoads.DueLoad): Promise<void> {
     const { clock, dialect, engines, group, box, log, metrics } = this.#options;
     const { engine, model, version } = load;
     if (!this.#orders.has(engine.id) && !await this.#refresh(load)) {
@@ -272,7 +264,7 @@
   }
 
   /** Reads the engine's state until it holds the version or patience ends. */
-  async #awaitLoaded(load: DueLoad): Promise<void> {
+  async #awaitLoaded(load: listDueLoads.DueLoad): Promise<void> {
     const { clock, engines, servers } = this.#options;
     const endMs = clock.getMonotonicMs() + ORDER_PATIENCE_MS;
     while (clock.getMonotonicMs() < endMs && !this.#isStopped) {
@@ -286,7 +278,7 @@
   }
 
   /** Reads what an engine holds; false when it could not be read. */
-  async #refresh(load: DueLoad): Promise<boolean> {
+  async #refresh(load: listDueLoads.DueLoad): Promise<boolean> {
     const { dialect, engines, log } = this.#options;
     const { engine } = load;
     const report = await orderClients.readReport(engine, dialect);
--- a/src/weight_orders/weight_orders_test.ts
+++ b/src/weight_orders/weight_orders_test.ts
@@ -1,52 +1,131 @@
 import * as chai from "chai";
 import * as fastCheck from "fast-check";
 import * as assignEngines from "./assign_engines.ts";
+import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as listDueLoads from "./list_due_loads.ts";
 import * as planHandover from "./plan_handover.ts";
 import * as planVersion from "./plan_version.ts";
 
+const MODELS = ["a", "b", "c"];
+
+function assignTo(
+  engines: readonly string[],
+  lag: number,
+  before: assignEngines.EngineHomes,
+): assignEngines.EngineHomes {
+  const count = assignEngines.countWantedEngines(
+    engines.length,
+    MODELS.length,
+    lag,
+  );
+  return assignEngines.assignEngines({
+    engines,
+    wanted: new Map(MODELS.map((model) => [model, count])),
+    before,
+  });
+}
+
 describe("weight orders", () => {
-  it("shares engines evenly and moves as few as that needs", () => {
+  it("gives each model its engines, evenly, and keeps what it can", () => {
     const engine = fastCheck.uniqueArray(fastCheck.nat(20).map(String), {
       maxLength: 12,
     });
     fastCheck.assert(
-      fastCheck.property(engine, engine, (before, after) => {
-        const models = ["a", "b", "c"];
-        const first = assignEngines.assignEngines({
-          engines: before,
-          models,
-          before: new Map(),
-        });
-        const second = assignEngines.assignEngines({
-          engines: after,
-          models,
-          before: first,
-        });
-        const counts = models.map((model) =>
-          [...second.values()].filter((home) => home === model).length
-        );
-        chai.expect(Math.max(...counts) - Math.min(...counts)).to.be.at.most(1);
-        chai.expect([...second.keys()].toSorted()).to.deep.equal(
-          after.toSorted(),
-        );
-        const again = assignEngines.assignEngines({
-          engines: after,
-          models,
-          before: second,
-        });
-        chai.expect(again).to.deep.equal(second);
-      }),
+      fastCheck.property(
+        engine,
+        engine,
+        fastCheck.nat(1),
+        (before, after, lag) => {
+          const first = assignTo(before, lag, new Map());
+          const second = assignTo(after, lag, first);
+          const count = assignEngines.countWantedEngines(after.length, 3, lag);
+          for (const model of MODELS) {
+            const having = [...second.values()].filter((held) =>
+              held.has(model)
+            );
+            chai.expect(having).to.have.length(after.length === 0 ? 0 : count);
+          }
+          const sizes = [...second.values()].map((held) => held.size);
+          chai.expect(Math.max(0, ...sizes) - Math.min(3, ...sizes)).to.be
+            .at.most(1);
+          chai.expect([...second.keys()].toSorted()).to.deep.equal(
+            after.toSorted(),
+          );
+          chai.expect(assignTo(after, lag, second)).to.deep.equal(second);
+        },
+      ),
       { seed: 3, numRuns: 300 },
     );
   });
 
+  it("moves as few models as a lost engine needs", () => {
+    const engines = ["a", "b", "c", "d", "e", "f"];
+    const first = assignTo(engines, 1, new Map());
+    const second = assignTo(engines.slice(1), 1, first);
+    const kept = [...second].flatMap(([id, held]) =>
+      [...held].filter((model) => first.get(id)?.has(model))
+    );
+    chai.expect(kept.length).to.be.at.least(8);
+  });
+
+  it("has an engine serve two models where it loads every other version", () => {
+    const count = assignEngines.countWantedEngines;
+    chai.expect([count(8, 3, 0), count(8, 3, 1)]).to.deep.equal([3, 5]);
+    chai.expect([count(6, 1, 1), count(6, 2, 1)]).to.deep.equal([6, 6]);
+    chai.expect(count(1, 4, 0)).to.equal(1);
+  });
+
   it("assigns nothing while no model is known", () => {
     const homes = assignEngines.assignEngines({
       engines: ["e"],
-      models: [],
+      wanted: new Map(),
       before: new Map(),
     });
-    chai.expect(homes.size).to.equal(0);
+    chai.expect(homes.get("e")?.size).to.equal(0);
+  });
+
+  describe("due loads", () => {
+    const engines = ["a", "b", "c", "d"].map((id) =>
+      serverFixtures.createServer(id)
+    );
+    const homes = new Map(
+      engines.map((engine) => [engine.id, new Set(["m", "n"])] as const),
+    );
+    const lags = new Map([["m", 1], ["n", 1]]);
+
+    function list(
+      versions: Readonly<Record<string, number>>,
+      getVersion: (id: string, model: string) => number,
+    ): readonly string[] {
+      return listDueLoads.listDueLoads({
+        engines,
+        homes,
+        lags,
+        versions: new Map(Object.entries(versions)),
+        getVersion: (engine, model) => getVersion(engine.id, model),
+      }).map((load) => `${load.engine.id} ${load.model} ${load.version}`);
+    }
+
+    it("are those of half the engines where steps may lag", () => {
+      const loads = list({ m: 2, n: 1 }, () => 1);
+      chai.expect(loads).to.deep.equal(["a m 2", "c m 2"]);
+    });
+
+    it("are none once each engine holds the newest or the one before", () => {
+      chai.expect(list({ m: 2, n: 1 }, (id) => id < "c" ? 2 : 1)).to.have
+        .length(1);
+      const isTurn = (id: string): boolean => id === "a" || id === "c";
+      chai.expect(list({ m: 2, n: 1 }, (id) => isTurn(id) ? 2 : 1)).to.deep
+        .equal([]);
+    });
+
+    it("come first for the model that finds the fewest engines", () => {
+      const loads = list(
+        { m: 3, n: 3 },
+        (id, model) => model === "n" && id === "a" ? 1 : 2,
+      );
+      chai.expect(loads[0]).to.equal("a n 3");
+    });
   });
 
   it("has each engine load every version where steps may not lag", () => {
