--- a/src/consensus/_driver_event.ts
+++ b/src/consensus/_driver_event.ts
@@ -7,14 +7,17 @@
 /** Told what became of a proposal. */
 export type Settle = (result: results.Result<unknown>) => void;
 
+/** A command that waits to be proposed. */
+export interface Proposal {
+  readonly kind: "proposal";
+  readonly command: unknown;
+  readonly settle: Settle;
+}
+
 /** What waits in a driver's inbox. */
 export type DriverEvent =
   | { readonly kind: "replica"; readonly event: replicaStates.ReplicaEvent }
-  | {
-    readonly kind: "proposal";
-    readonly command: unknown;
-    readonly settle: Settle;
-  };
+  | Proposal;
 
 /** Takes what waits in the inbox, so that one sync serves many events. */
 export function collectRound(
--- a/src/consensus/_durable_writer.ts
+++ b/src/consensus/_durable_writer.ts
@@ -28,16 +28,30 @@
     snapshot: messages.Snapshot,
     records: readonly savedRecords.SavedRecord[],
   ): csp.Step<void> {
-    yield* this.#retry(() => this.#log.compact(snapshot, records));
+    yield* this.#retry(() => this.#log.compact(toStored(snapshot), records));
   }
 
-  /** Shortens the log; false when the disk is full and all stays as it is. */
-  *trim(
-    snapshot: messages.Snapshot,
+  /**
+   * Writes a snapshot beside the log, which takes records meanwhile.
+   *
+   * @returns Whether it is written; not so when the disk is full.
+   */
+  async writeDraft(snapshot: messages.Snapshot): Promise<boolean> {
+    try {
+      await this.#log.writeDraft(toStored(snapshot));
+      return true;
+    } catch (error) {
+      if (storage.isDiskFull(error)) return false;
+      throw error;
+    }
+  }
+
+  /** Shortens the log by the written snapshot; all stays when the disk is full. */
+  *takeDraft(
     records: readonly savedRecords.SavedRecord[],
   ): csp.Step<boolean> {
     try {
-      yield* csp.waitFor(this.#log.compact(snapshot, records));
+      yield* csp.waitFor(this.#log.takeDraft(records));
       return true;
     } catch (error) {
       if (storage.isDiskFull(error)) return false;
@@ -65,3 +79,8 @@
     }
   }
 }
+
+function toStored(snapshot: messages.Snapshot): storage.StoredSnapshot {
+  const { state, ...head } = snapshot;
+  return { head, parts: state };
+}
--- a/src/consensus/_proposals.ts
+++ b/src/consensus/_proposals.ts
@@ -1,6 +1,10 @@
 import * as results from "../results/mod.ts";
+import type * as driverEvents from "./_driver_event.ts";
 import type * as replicaLogs from "./replica_log.ts";
 
+/** When a proposal may come again that the inbox had no room for, in ms. */
+const OVERLOADED_RETRY_MS = 100;
+
 /** A proposal that waits to be committed. */
 export interface WaitingProposal {
   readonly index: number;
@@ -19,6 +23,17 @@
     this.#waiting.set(proposal.index, proposal);
   }
 
+  /** Adds proposals whose commands a leader appends from an index on. */
+  addAll(
+    firstIndex: number,
+    term: number,
+    proposals: readonly driverEvents.Proposal[],
+  ): void {
+    proposals.forEach(({ settle }, offset) => {
+      this.add({ index: firstIndex + offset, term, settle });
+    });
+  }
+
   /** Settles the proposal at a committed entry. */
   settle(entry: replicaLogs.Entry, answer: unknown): void {
     const proposal = this.#waiting.get(entry.index);
@@ -49,6 +64,23 @@
   ));
 }
 
+/** Tells proposals that this replica does not lead. */
+export function refuseProposals(
+  proposals: readonly driverEvents.Proposal[],
+  leader: string | undefined,
+): void {
+  for (const { settle } of proposals) settle(createNotLeader(leader));
+}
+
+/** Gives what is told of a proposal that the inbox has no room for. */
+export function createOverloaded(): results.Result<never> {
+  return results.createFailure(
+    "overloaded",
+    "Cannot accept the change: the inbox is full",
+    { retryAfterMs: OVERLOADED_RETRY_MS },
+  );
+}
+
 /** Gives what is told of a proposal whose commit was not seen in time. */
 export function createUnconfirmed(): results.Result<never> {
   return results.createFailure(
@@ -59,7 +91,7 @@
 }
 
 /** Gives what is told of a proposal to a replica that does not lead. */
-export function createNotLeader(
+function createNotLeader(
   leader: string | undefined,
 ): results.Result<never> {
   return results.createFailure(
--- a/src/consensus/_saved_record.ts
+++ b/src/consensus/_saved_record.ts
@@ -1,3 +1,4 @@
+import type * as storage from "../storage/mod.ts";
 import type * as replicaStates from "./replica_state.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
@@ -20,6 +21,15 @@
 /** A replica that must catch up before it counts. */
 const NEW_IDENTITY = { incarnation: 0, isAdmitted: false };
 
+/** Reads a snapshot from what the disk holds. */
+export function toSnapshot(
+  stored: storage.StoredSnapshot | undefined,
+): messages.Snapshot | undefined {
+  if (stored === undefined) return undefined;
+  const head = stored.head as Omit<messages.Snapshot, "state">;
+  return { ...head, state: stored.parts };
+}
+
 /** Gives the identity that an empty data folder is given, if it has none. */
 export function createFirst(
   records: readonly SavedRecord[],
--- /dev/null
+++ b/src/consensus/_snapshot_transfer.ts
@@ -0,0 +1,209 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as messages from "./message.ts";
+
+/** Parts on their way to a replica at once. */
+const WINDOW = 4;
+/** Silence after which the parts under way are sent again, in ms. */
+const RESEND_MS = 600;
+
+/** A snapshot on its way to one replica. */
+interface Transfer {
+  readonly id: string;
+  readonly snapshot: messages.Snapshot;
+  /** Parts that the replica has confirmed. */
+  confirmed: number;
+  sent: number;
+  movedAtMs: number;
+}
+
+/** What a sender needs. */
+export interface SnapshotSenderOptions {
+  readonly clock: clocks.Clock;
+  readonly send: (to: string, message: messages.DriverMessage) => void;
+  /** Makes a snapshot of the present state. */
+  readonly createSnapshot: () => messages.Snapshot;
+}
+
+/**
+ * Sends snapshots in parts, so that no message grows with the state, and only
+ * so many parts at a time that a slow replica is not flooded.
+ */
+export class SnapshotSender {
+  readonly #options: SnapshotSenderOptions;
+  readonly #transfers = new Map<string, Transfer>();
+  #count = 0;
+
+  constructor(options: SnapshotSenderOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to send a snapshot, or goes on with one that is under way. */
+  send(to: string, term: number): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const known = this.#transfers.get(to);
+    if (known !== undefined) {
+      if (nowMs - known.movedAtMs < RESEND_MS) return;
+      known.sent = known.confirmed;
+      known.movedAtMs = nowMs;
+      return this.#sendParts(to, term, known);
+    }
+    this.#count += 1;
+    const snapshot = this.#options.createSnapshot();
+    const transfer: Transfer = {
+      id: `${term}.${snapshot.index}.${this.#count}`,
+      snapshot,
+      confirmed: 0,
+      sent: 0,
+      movedAtMs: nowMs,
+    };
+    this.#transfers.set(to, transfer);
+    this.#sendParts(to, term, transfer);
+  }
+
+  /** Sends what follows the parts that a replica has. */
+  takeReply(
+    from: string,
+    reply: messages.SnapshotPartReply,
+    term: number,
+  ): void {
+    const transfer = this.#transfers.get(from);
+    if (transfer?.id !== reply.transfer) return;
+    if (reply.received >= countMessages(transfer.snapshot)) {
+      this.#transfers.delete(from);
+      return;
+    }
+    if (reply.received <= transfer.confirmed) return;
+    transfer.confirmed = reply.received;
+    transfer.sent = Math.max(transfer.sent, reply.received);
+    transfer.movedAtMs = this.#options.clock.getMonotonicMs();
+    this.#sendParts(from, term, transfer);
+  }
+
+  /** Forgets all transfers, as when another replica leads. */
+  drop(): void {
+    this.#transfers.clear();
+  }
+
+  #sendParts(to: string, term: number, transfer: Transfer): void {
+    const { snapshot, id } = transfer;
+    const { index, term: snapshotTerm, voters, state } = snapshot;
+    const end = Math.min(
+      countMessages(snapshot),
+      transfer.confirmed + WINDOW,
+    );
+    while (transfer.sent < end) {
+      const part = transfer.sent;
+      transfer.sent += 1;
+      this.#options.send(to, {
+        kind: "snapshotPart",
+        term,
+        transfer: id,
+        part,
+        parts: state.length,
+        values: state.slice(part, part + 1),
+        head: { index, term: snapshotTerm, voters },
+        sentAtMs: this.#options.clock.getMonotonicMs(),
+      });
+    }
+  }
+}
+
+/** A snapshot without parts still takes a message. */
+function countMessages(snapshot: messages.Snapshot): number {
+  return Math.max(1, snapshot.state.length);
+}
+
+/** Collects the parts of a snapshot that a leader sends. */
+export class SnapshotReceiver {
+  #transfer: string | undefined;
+  #received = 0;
+  #values: unknown[] = [];
+
+  /**
+   * Takes a part.
+   *
+   * @param message The part.
+   * @returns The reply, and the snapshot once it is whole.
+   */
+  take(message: messages.SnapshotPart): {
+    readonly reply: messages.SnapshotPartReply;
+    readonly whole: messages.SnapshotRequest | undefined;
+  } {
+    const { transfer, part, parts, head, term, sentAtMs } = message;
+    if (this.#transfer !== transfer) {
+      this.#transfer = transfer;
+      this.#received = 0;
+      this.#values = [];
+    }
+    const isNext = part === this.#received;
+    if (isNext) {
+      this.#received += 1;
+      this.#values.push(...message.values);
+    }
+    const reply: messages.SnapshotPartReply = {
+      kind: "snapshotPartReply",
+      transfer,
+      received: this.#received,
+    };
+    const isWhole = isNext && this.#received >= parts;
+    if (!isWhole) return { reply, whole: undefined };
+    const snapshot: messages.Snapshot = { ...head, state: this.#values };
+    this.#values = [];
+    const whole: messages.SnapshotRequest = {
+      kind: "snapshotRequest",
+      term,
+      snapshot,
+      sentAtMs,
+    };
+    return { reply, whole };
+  }
+}
+
+/** Sends and collects the snapshots of one replica. */
+export class SnapshotExchange {
+  readonly #options: SnapshotSenderOptions;
+  readonly #sender: SnapshotSender;
+  readonly #receiver = new SnapshotReceiver();
+
+  constructor(options: SnapshotSenderOptions) {
+    this.#options = options;
+    this.#sender = new SnapshotSender(options);
+  }
+
+  /** Begins to send a snapshot, or goes on with one that is under way. */
+  send(to: string, term: number): void {
+    this.#sender.send(to, term);
+  }
+
+  /** Forgets what is being sent, as when another replica leads. */
+  drop(): void {
+    this.#sender.drop();
+  }
+
+  /**
+   * Takes what concerns snapshots in parts.
+   *
+   * @param from Who sent the message.
+   * @param message Any message.
+   * @param term The term of this replica.
+   * @returns The message for the replica itself, if it is one or completes one.
+   */
+  take(
+    from: string,
+    message: messages.DriverMessage,
+    term: number,
+  ): messages.Message | undefined {
+    switch (message.kind) {
+      case "snapshotPart": {
+        const { reply, whole } = this.#receiver.take(message);
+        this.#options.send(from, reply);
+        return whole;
+      }
+      case "snapshotPartReply":
+        this.#sender.takeReply(from, message, term);
+        return undefined;
+      default:
+        return message;
+    }
+  }
+}
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -52,7 +52,7 @@
   readonly identity: ReplicaIdentity;
 }
 
-/** Carries the whole state to a replica that is too far behind. */
+/** Gives the whole state to a replica that is too far behind. */
 export interface SnapshotRequest {
   readonly kind: "snapshotRequest";
   readonly term: number;
@@ -64,7 +64,8 @@
 export interface Snapshot {
   readonly index: number;
   readonly term: number;
-  readonly state: unknown;
+  /** The machine's state in parts, none of them large. */
+  readonly state: readonly unknown[];
   /** Voters after the entry; undefined where the configuration names them. */
   readonly voters?: readonly string[] | undefined;
 }
@@ -75,6 +76,32 @@
   readonly term: number;
 }
 
+/** Carries a part of a snapshot; drivers join them to a snapshot request. */
+export interface SnapshotPart {
+  readonly kind: "snapshotPart";
+  readonly term: number;
+  /** Names the snapshot that it is part of. */
+  readonly transfer: string;
+  /** Place of the part, from 0. */
+  readonly part: number;
+  readonly parts: number;
+  /** The part; none in the only message of a snapshot without parts. */
+  readonly values: readonly unknown[];
+  readonly head: Omit<Snapshot, "state">;
+  /** Monotonic ms of the leader's clock at sending. */
+  readonly sentAtMs: number;
+}
+
+/** Tells how many parts of a snapshot have come, in order. */
+export interface SnapshotPartReply {
+  readonly kind: "snapshotPartReply";
+  readonly transfer: string;
+  readonly received: number;
+}
+
+/** What drivers send each other: messages of replicas, and snapshots in parts. */
+export type DriverMessage = Message | SnapshotPart | SnapshotPartReply;
+
 /** A message between replicas. */
 export type Message =
   | VoteRequest
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -1,5 +1,5 @@
 import * as csp from "../csp/mod.ts";
-import * as results from "../results/mod.ts";
+import type * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
@@ -13,6 +13,8 @@
 import * as replicaStates from "./replica_state.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStatuses from "./replica_status.ts";
+import * as snapshotDrafts from "./_snapshot_drafts.ts";
+import * as snapshotTransfers from "./_snapshot_transfer.ts";
 import * as stepReplica from "./step_replica.ts";
 
 const INBOX_CAPACITY = 8_192;
@@ -30,6 +32,8 @@
   #snapshotIndex: number;
   #isStopped = false;
   #ended: Promise<void> = Promise.resolve();
+  readonly #exchange: snapshotTransfers.SnapshotExchange;
+  readonly #drafts: snapshotDrafts.SnapshotDrafts;
 
   private constructor(
     options: replicaOptions.ReplicaDriverOptions,
@@ -39,6 +43,15 @@
     this.#options = options;
     this.#writer = new durableWriters.DurableWriter(log, options.clock);
     this.#state = state;
+    this.#drafts = new snapshotDrafts.SnapshotDrafts(
+      this.#writer,
+      options.onFatal,
+    );
+    this.#exchange = new snapshotTransfers.SnapshotExchange({
+      clock: options.clock,
+      send: options.send,
+      createSnapshot: () => this.#createSnapshot(),
+    });
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
       this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
     });
@@ -57,7 +70,7 @@
   ): Promise<ReplicaDriver> {
     const { config, clock, dataFolder, machine } = options;
     const opened = await storage.DurableLog.open(dataFolder, config.id);
-    const snapshot = opened.loaded.snapshot as messages.Snapshot | undefined;
+    const snapshot = savedRecords.toSnapshot(opened.loaded.snapshot);
     const records = opened.loaded
       .records as readonly savedRecords.SavedRecord[];
     const made = savedRecords.createFirst(records, clock.getWallMs());
@@ -83,7 +96,7 @@
     return authorities.getAuthorityUntilMs(this.#state, nowMs);
   }
 
-  /** Tells the term; it fences orders of the leader. */
+  /** The term fences orders of the leader. */
   getTerm(): number {
     return this.#state.term;
   }
@@ -120,10 +133,12 @@
   }
 
   /** Gives a message from another replica; dropped when the inbox is full. */
-  receive(from: string, message: messages.Message): void {
+  receive(from: string, message: messages.DriverMessage): void {
+    const whole = this.#exchange.take(from, message, this.#state.term);
+    if (whole === undefined) return;
     this.#inbox.offer({
       kind: "replica",
-      event: { kind: "message", from, message },
+      event: { kind: "message", from, message: whole },
     });
   }
 
@@ -148,15 +163,7 @@
         resolve(result);
       }
       if (this.#inbox.offer({ kind: "proposal", command, settle })) return;
-      settle(
-        results.createFailure(
-          "overloaded",
-          "Cannot accept the change: the inbox is full",
-          {
-            retryAfterMs: 100,
-          },
-        ),
-      );
+      settle(proposalTables.createOverloaded());
     });
   }
 
@@ -176,6 +183,7 @@
     this.#inbox.close();
     this.#writer.stop();
     await this.#ended;
+    await this.#drafts.settle();
     await this.#writer.close();
   }
 
@@ -194,13 +202,13 @@
     for (;;) {
       const first = yield* this.#inbox.take();
       if (first === csp.CLOSED) return;
-      const effects = this.#stepRound(
-        driverEvents.collectRound(this.#inbox, first),
-      );
+      const round = driverEvents.collectRound(this.#inbox, first);
+      const effects = this.#stepRound(round);
       yield* this.#saveEffects(effects);
       if (this.#isStopped) return;
       for (const effect of effects) this.#runEffect(effect);
-      yield* this.#takeSnapshot();
+      yield* this.#takeDraft();
+      this.#startDraft();
       this.#setTick();
     }
   }
@@ -209,6 +217,7 @@
     round: readonly driverEvents.DriverEvent[],
   ): readonly replicaStates.Effect[] {
     const proposals = round.filter((event) => event.kind === "proposal");
+    if (this.#state.role.kind !== "leader") this.#exchange.drop();
     const effects = round.flatMap((event) =>
       event.kind === "replica" ? this.#step(event.event) : []
     );
@@ -216,26 +225,15 @@
   }
 
   #stepProposals(
-    proposals: readonly Extract<
-      driverEvents.DriverEvent,
-      { readonly kind: "proposal" }
-    >[],
+    proposals: readonly driverEvents.Proposal[],
   ): readonly replicaStates.Effect[] {
     if (proposals.length === 0) return [];
     if (this.#state.role.kind !== "leader") {
-      for (const proposal of proposals) {
-        proposal.settle(proposalTables.createNotLeader(this.getLeader()));
-      }
+      proposalTables.refuseProposals(proposals, this.getLeader());
       return [];
     }
     const firstIndex = replicaLogs.getLastIndex(this.#state.log) + 1;
-    proposals.forEach((proposal, offset) => {
-      this.#proposals.add({
-        index: firstIndex + offset,
-        term: this.#state.term,
-        settle: proposal.settle,
-      });
-    });
+    this.#proposals.addAll(firstIndex, this.#state.term, proposals);
     return this.#step({
       kind: "propose",
       commands: proposals.map((proposal) => proposal.command),
@@ -265,6 +263,8 @@
   *#saveRestored(
     effect: Extract<replicaStates.Effect, { kind: "restore" }>,
   ): csp.Step<void> {
+    // Both write the same file.
+    yield* csp.waitFor(this.#drafts.settle());
     const head = savedRecords.createHead(this.#state);
     yield* this.#writer.restore(effect.snapshot, head);
     this.#snapshotIndex = effect.snapshot.index;
@@ -281,7 +281,7 @@
       case "send":
         return this.#options.send(effect.to, effect.message);
       case "sendSnapshot":
-        return this.#sendSnapshot(effect.to);
+        return this.#exchange.send(effect.to, this.#state.term);
       case "commit":
         for (const entry of effect.entries) this.#applyEntry(entry);
     }
@@ -310,26 +310,28 @@
     return { index, term: this.#appliedTerm, state, voters: set?.voters };
   }
 
-  #sendSnapshot(to: string): void {
-    const message: messages.SnapshotRequest = {
-      kind: "snapshotRequest",
-      term: this.#state.term,
-      snapshot: this.#createSnapshot(),
-      sentAtMs: this.#options.clock.getMonotonicMs(),
-    };
-    this.#options.send(to, message);
+  /** Writes a snapshot beside the log once enough was applied. */
+  #startDraft(): void {
+    const applied = this.#appliedIndex - this.#snapshotIndex;
+    if (applied < this.#options.snapshotEntries) return;
+    if (!this.#drafts.isBusy()) this.#drafts.start(this.#createSnapshot());
+  }
+
+  /** Shortens the log by a snapshot that is written. */
+  *#takeDraft(): csp.Step<void> {
+    const index = this.#drafts.take();
+    if (index !== undefined && index > this.#snapshotIndex) {
+      yield* this.#trim(index);
+    }
   }
 
-  *#takeSnapshot(): csp.Step<void> {
+  *#trim(index: number): csp.Step<void> {
     const { snapshotEntries } = this.#options;
-    if (this.#appliedIndex - this.#snapshotIndex < snapshotEntries) return;
+    const records = savedRecords.createRest(this.#state, index);
+    if (!(yield* this.#writer.takeDraft(records))) return;
+    this.#snapshotIndex = index;
     const { log } = this.#state;
-    const records = savedRecords.createRest(this.#state, this.#appliedIndex);
-    const snapshot = this.#createSnapshot();
-    const isShort = yield* this.#writer.trim(snapshot, records);
-    if (!isShort) return;
-    this.#snapshotIndex = this.#appliedIndex;
-    const keptFrom = this.#appliedIndex - Math.floor(snapshotEntries / 2);
+    const keptFrom = index - Math.floor(snapshotEntries / 2);
     this.#state = {
       ...this.#state,
       log: replicaLogs.compactLog(log, Math.max(keptFrom, log.snapshotIndex)),
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -15,12 +15,12 @@
     return this.values.length;
   }
 
-  save(): unknown {
+  save(): readonly unknown[] {
     return this.values;
   }
 
-  restore(state: unknown): void {
-    this.values = state as readonly unknown[];
+  restore(parts: readonly unknown[]): void {
+    this.values = parts;
   }
 }
 
--- a/src/consensus/replica_options.ts
+++ b/src/consensus/replica_options.ts
@@ -12,7 +12,7 @@
   /** Log entries after which a snapshot is taken. */
   readonly snapshotEntries: number;
   /** Sends a message; it may be lost. */
-  readonly send: (to: string, message: messages.Message) => void;
+  readonly send: (to: string, message: messages.DriverMessage) => void;
   /** Told of a failed write; the process must end. */
   readonly onFatal: (error: unknown) => void;
 }
--- a/src/control/control_service.ts
+++ b/src/control/control_service.ts
@@ -170,7 +170,7 @@
     server.add(protocols.METHODS.readStatus, () => this.#answerStatus());
   }
 
-  #sendMessage(to: string, message: consensus.Message): void {
+  #sendMessage(to: string, message: consensus.DriverMessage): void {
     const envelope: protocols.ConsensusEnvelope = {
       from: this.#options.settings.box.id,
       message,
--- a/src/control/protocol.ts
+++ b/src/control/protocol.ts
@@ -21,7 +21,7 @@
 /** A message between replicas, with its sender. */
 export interface ConsensusEnvelope {
   readonly from: string;
-  readonly message: consensus.Message;
+  readonly message: consensus.DriverMessage;
 }
 
 /** A box as others see it. */
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -27,12 +27,12 @@
     return applied.answer;
   }
 
-  save(): replicated.SavedState {
-    return replicated.saveState(this.#state);
+  save(): readonly [replicated.SavedState] {
+    return [replicated.saveState(this.#state)];
   }
 
-  restore(state: unknown): void {
-    this.#state = replicated.loadState(state as replicated.SavedState);
+  restore(parts: readonly unknown[]): void {
+    this.#state = replicated.loadState(parts[0] as replicated.SavedState);
     this.#onChange();
   }
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,4 +1,4 @@
-import * as clocks from "../clock/mod.ts";
+import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
@@ -10,14 +10,13 @@
 import type * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as engineTables from "./engine_table.ts";
+import * as itemFinishers from "./item_finisher.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as lengthEstimates from "./length_estimates.ts";
 import * as orderTasks from "./order_tasks.ts";
 import type * as phaseTimes from "./phase_times.ts";
 import * as placementRounds from "./placement_round.ts";
-import * as resultWriters from "./result_writer.ts";
 import * as runMovers from "./run_mover.ts";
-import * as scoreItem from "./score_item.ts";
 import * as taskTables from "./task_table.ts";
 import * as textKeepers from "./text_keeper.ts";
 
@@ -28,9 +27,6 @@
 const STALL_MS = 800;
 /** Silence allowed while the engine loads weights, in ms. */
 const LOADING_STALL_MS = 4_000;
-/** Pause before a scoring call is repeated, in ms. */
-const SCORE_RETRY_MS = 60;
-
 /**
  * Time without authority after which the runs of this box are ended, in ms. A
  * slow quorum often answers again within some hundred ms, while ending and
@@ -57,7 +53,7 @@
 /** Runs the items of all open submissions while this store leads. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  readonly #writer: resultWriters.ResultWriter;
+  readonly #finisher: itemFinishers.ItemFinisher;
   readonly #lengths = new lengthEstimates.LengthEstimates();
   readonly #keeper: textKeepers.TextKeeper;
   readonly #mover: runMovers.RunMover;
@@ -73,7 +69,7 @@
       options.machine,
       options.clock,
     );
-    this.#writer = new resultWriters.ResultWriter(options);
+    this.#finisher = new itemFinishers.ItemFinisher(options);
     this.#keeper = new textKeepers.TextKeeper(options.group);
     this.#mover = new runMovers.RunMover({
       ...options,
@@ -127,13 +123,13 @@
 
   #dropAll(): void {
     this.#tasks.dropAll();
-    this.#writer.drop();
+    this.#finisher.drop();
   }
 
   /** Follows the log: items come with submissions and go with their end. */
   #matchRecords(): void {
     for (const task of this.#tasks.matchRecords()) {
-      if (task.phase === "scoring") void this.#score(task);
+      if (task.phase === "scoring") void this.#finisher.score(task);
     }
   }
 
@@ -192,7 +188,7 @@
     engines.end(engine.id);
     task.run = undefined;
     metrics.countItemRun(end.kind);
-    if (!this.#isWanted(task)) return;
+    if (!task.isWanted()) return;
     if (isCutShort(end) && runCancellation.isCancelled()) {
       // This box moved the run, maybe before it was connected.
       this.#enter(task, "waiting");
@@ -208,11 +204,6 @@
     this.#mover.moveFromLoad(this.#tasks.list(), engine, model);
   }
 
-  #isWanted(task: itemTasks.ItemTask): boolean {
-    return !this.#isStopped && !task.cancellation.isCancelled() &&
-      task.phase !== "done";
-  }
-
   #takeEnd(
     task: itemTasks.ItemTask,
     engine: registry.RegisteredServer,
@@ -223,14 +214,14 @@
       case "finished":
         this.#lengths.note(task);
         this.#enter(task, "scoring");
-        void this.#score(task);
+        void this.#finisher.score(task);
         return;
       case "failed":
         task.avoid(engine.id);
-        if (task.countFailure()) return this.#giveUp(task);
+        if (task.countFailure()) return this.#finisher.giveUp(task);
         break;
       case "impossible":
-        if (task.countImpossible()) return this.#giveUp(task);
+        if (task.countImpossible()) return this.#finisher.giveUp(task);
         break;
       case "notRun":
       case "broken":
@@ -258,95 +249,6 @@
       events: task.progress.countEvents(),
     });
   }
-
-  async #score(task: itemTasks.ItemTask): Promise<void> {
-    if (task.item.scoring === undefined) return this.#complete(task, undefined);
-    while (this.#isWanted(task)) {
-      const outcome = await scoreItem.scoreItem(task, this.#options);
-      if (!this.#isWanted(task)) return;
-      switch (outcome.kind) {
-        case "scored":
-          return this.#complete(task, outcome.score);
-        case "failed":
-          if (task.countScoreFailure(outcome.attempts)) {
-            return this.#giveUp(task);
-          }
-          break;
-        case "unanswered":
-          this.#options.log.write("info", "item.unscored", {
-            item: task.item.id,
-            reason: outcome.reason,
-          });
-          break;
-      }
-      await clocks.sleep(this.#options.clock, SCORE_RETRY_MS);
-    }
-  }
-
-  #complete(task: itemTasks.ItemTask, score: string | undefined): void {
-    const { progress, item } = task;
-    const whole: submissions.ItemResult = {
-      id: item.id,
-      state: "completed",
-      text: progress.getText(),
-      versions: progress.listVersions(),
-      score,
-    };
-    const brief = { ...whole, text: progress.getUnkeptText() };
-    this.#write(task, brief, whole);
-  }
-
-  #giveUp(task: itemTasks.ItemTask): void {
-    this.#options.log.write("info", "item.givenUp", {
-      item: task.item.id,
-      submission: task.submission.id,
-    });
-    const result: submissions.ItemResult = {
-      id: task.item.id,
-      state: "givenUp",
-      text: "",
-      versions: [],
-      score: undefined,
-    };
-    this.#write(task, result, result);
-  }
-
-  #write(
-    task: itemTasks.ItemTask,
-    brief: submissions.ItemResult,
-    whole: submissions.ItemResult,
-  ): void {
-    const { metrics, clock } = this.#options;
-    const { submission } = task;
-    const keptLastId = brief === whole
-      ? undefined
-      : task.progress.getKeptLastId();
-    this.#enter(task, "done");
-    const ageMs = clock.getWallMs() - submission.acceptedAtMs;
-    metrics.recordItem(ageMs);
-    if (task.step.finish(task.item.id)) this.#noteWholeStep(task, ageMs);
-    this.#writer.add(
-      { submission: submission.id, result: brief, keptLastId },
-      { submission: submission.id, result: whole },
-    );
-  }
-
-  /** Logs what the last item that a step waited for spent its time on. */
-  #noteWholeStep(task: itemTasks.ItemTask, ageMs: number): void {
-    const { submission, item, progress, times } = task;
-    this.#options.log.write("info", "step.whole", {
-      submission: submission.id,
-      model: submission.model,
-      step: submission.step,
-      ageMs,
-      groups: task.step.countWhole(),
-      lastItem: item.id,
-      hint: item.lengthHint,
-      events: progress.countMade(),
-      runs: task.countRuns(),
-      ...times.describe(),
-    });
-  }
 }
 
 /** Tells whether a run ended without a word of its engine. */
--- /dev/null
+++ b/src/dispatch/item_finisher.ts
@@ -0,0 +1,124 @@
+import * as clocks from "../clock/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import type * as itemTasks from "./item_task.ts";
+import * as resultWriters from "./result_writer.ts";
+import * as scoreItem from "./score_item.ts";
+
+/** Pause before a scoring call is repeated, in ms. */
+const SCORE_RETRY_MS = 60;
+
+/** What an item finisher needs. */
+export interface ItemFinisherOptions
+  extends scoreItem.ScoringOptions, resultWriters.ResultWriterOptions {
+  readonly log: logs.Log;
+  readonly metrics: metrics.FleetMetrics;
+}
+
+/** Takes items from their whole text, or their last failure, to a listed result. */
+export class ItemFinisher {
+  readonly #options: ItemFinisherOptions;
+  readonly #writer: resultWriters.ResultWriter;
+
+  constructor(options: ItemFinisherOptions) {
+    this.#options = options;
+    this.#writer = new resultWriters.ResultWriter(options);
+  }
+
+  /** Forgets what waits to be listed, as when another store leads. */
+  drop(): void {
+    this.#writer.drop();
+  }
+
+  /** Has a whole text scored, again until it is, and lists its result. */
+  async score(task: itemTasks.ItemTask): Promise<void> {
+    if (task.item.scoring === undefined) return this.#complete(task, undefined);
+    while (task.isWanted()) {
+      const outcome = await scoreItem.scoreItem(task, this.#options);
+      if (!task.isWanted()) return;
+      switch (outcome.kind) {
+        case "scored":
+          return this.#complete(task, outcome.score);
+        case "failed":
+          if (task.countScoreFailure(outcome.attempts)) {
+            return this.giveUp(task);
+          }
+          break;
+        case "unanswered":
+          this.#options.log.write("info", "item.unscored", {
+            item: task.item.id,
+            reason: outcome.reason,
+          });
+          break;
+      }
+      await clocks.sleep(this.#options.clock, SCORE_RETRY_MS);
+    }
+  }
+
+  #complete(task: itemTasks.ItemTask, score: string | undefined): void {
+    const { progress, item } = task;
+    const whole: submissions.ItemResult = {
+      id: item.id,
+      state: "completed",
+      text: progress.getText(),
+      versions: progress.listVersions(),
+      score,
+    };
+    const brief = { ...whole, text: progress.getUnkeptText() };
+    this.#write(task, brief, whole);
+  }
+
+  /** Lists an item that can't be done as given up. */
+  giveUp(task: itemTasks.ItemTask): void {
+    this.#options.log.write("info", "item.givenUp", {
+      item: task.item.id,
+      submission: task.submission.id,
+    });
+    const result: submissions.ItemResult = {
+      id: task.item.id,
+      state: "givenUp",
+      text: "",
+      versions: [],
+      score: undefined,
+    };
+    this.#write(task, result, result);
+  }
+
+  #write(
+    task: itemTasks.ItemTask,
+    brief: submissions.ItemResult,
+    whole: submissions.ItemResult,
+  ): void {
+    const { metrics, clock } = this.#options;
+    const { submission } = task;
+    const keptLastId = brief === whole
+      ? undefined
+      : task.progress.getKeptLastId();
+    task.times.enter("done", clock.getMonotonicMs());
+    const ageMs = clock.getWallMs() - submission.acceptedAtMs;
+    metrics.recordItem(ageMs);
+    if (task.step.finish(task.item.id)) this.#noteWholeStep(task, ageMs);
+    this.#writer.add(
+      { submission: submission.id, result: brief, keptLastId },
+      { submission: submission.id, result: whole },
+    );
+  }
+
+  /** Logs what the last item that a step waited for spent its time on. */
+  #noteWholeStep(task: itemTasks.ItemTask, ageMs: number): void {
+    const { submission, item, progress, times } = task;
+    this.#options.log.write("info", "step.whole", {
+      submission: submission.id,
+      model: submission.model,
+      step: submission.step,
+      ageMs,
+      groups: task.step.countWhole(),
+      lastItem: item.id,
+      hint: item.lengthHint,
+      events: progress.countMade(),
+      runs: task.countRuns(),
+      ...times.describe(),
+    });
+  }
+}
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -53,6 +53,11 @@
     return this.times.getPhase();
   }
 
+  /** Whether anyone still waits for it. */
+  isWanted(): boolean {
+    return !this.cancellation.isCancelled() && this.phase !== "done";
+  }
+
   /** Notes the run that begins. */
   beginRun(run: TaskRun): void {
     this.run = run;
--- a/src/dispatch/length_estimates.ts
+++ b/src/dispatch/length_estimates.ts
@@ -40,10 +40,10 @@
     const hint = task.item.lengthHint;
     const logRatio = hint === undefined || hint <= 0
       ? known.logRatio
-      : mix(known.logRatio, Math.log(events / hint));
+      : merge(known.logRatio, Math.log(events / hint));
     this.#histories.set(model, {
       logRatio,
-      events: mix(known.events, events),
+      events: merge(known.events, events),
     });
   }
 
@@ -63,6 +63,7 @@
   }
 }
 
-function mix(known: number, newest: number): number {
+/** Moves a mean towards the newest value. */
+function merge(known: number, newest: number): number {
   return known + (newest - known) * NEWEST_SHARE;
 }
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -12,6 +12,7 @@
 export * from "./choose_engine.ts";
 export * from "./dispatcher.ts";
 export * from "./engine_table.ts";
+export * from "./item_finisher.ts";
 export * from "./item_task.ts";
 export * from "./length_estimates.ts";
 export * from "./order_tasks.ts";
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -63,7 +63,7 @@
 
 interface ConsensusEnvelope {
   readonly from: string;
-  readonly message: consensus.Message;
+  readonly message: consensus.DriverMessage;
 }
 
 /**
@@ -74,7 +74,10 @@
   readonly #options: ReplicaGroupOptions;
   #driver: consensus.ReplicaDriver | undefined;
   /** One envelope a message, so that it is encoded once for all receivers. */
-  readonly #envelopes = new WeakMap<consensus.Message, ConsensusEnvelope>();
+  readonly #envelopes = new WeakMap<
+    consensus.DriverMessage,
+    ConsensusEnvelope
+  >();
   #isStopped = false;
   /** Term that this replica led last, and since when, in monotonic ms. */
   #reign = { term: 0, sinceMs: 0 };
@@ -263,7 +266,7 @@
     });
   }
 
-  #wrap(message: consensus.Message): ConsensusEnvelope {
+  #wrap(message: consensus.DriverMessage): ConsensusEnvelope {
     const known = this.#envelopes.get(message);
     if (known !== undefined) return known;
     const envelope: ConsensusEnvelope = { from: this.#options.id, message };
--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -2,9 +2,14 @@
 import * as fsPromises from "node:fs/promises";
 import * as path from "node:path";
 import * as results from "../results/mod.ts";
+import * as readRecords from "./_read_records.ts";
 import * as records from "./record.ts";
 
-const FORMAT_VERSION = 1;
+const FORMAT_VERSION = 2;
+/** Bytes of a snapshot that are written at a time. */
+const WRITE_BYTES = 512 * 1024;
+/** A snapshot that is being written; nothing reads it before its rename. */
+const DRAFT_NAME = "snapshot.draft";
 
 /** First record of each log file. */
 interface FileHeader {
@@ -12,9 +17,16 @@
   readonly owner: string;
 }
 
+/** A state in parts, so that none is held as one text. */
+export interface StoredSnapshot {
+  /** What the snapshot is of. */
+  readonly head: unknown;
+  readonly parts: readonly unknown[];
+}
+
 /** What a data folder held when it was opened. */
 export interface LoadedLog {
-  readonly snapshot: unknown;
+  readonly snapshot: StoredSnapshot | undefined;
   readonly records: readonly unknown[];
   /** Bytes of a torn tail that were cut off. */
   readonly tornBytes: number;
@@ -79,10 +91,10 @@
   static async open(folder: string, owner: string): Promise<OpenedLog> {
     fs.mkdirSync(folder, { recursive: true });
     const generation = findGeneration(folder);
-    const snapshot = readSnapshot(folder, generation);
     const name = path.join(folder, `log.${generation}`);
     if (!fs.existsSync(name)) createFile(name, owner, []);
-    const read = readRecords(name, owner);
+    const read = readLog(name, owner);
+    const snapshot = readSnapshot(folder, generation);
     if (read.tornBytes > 0) cutTail(name, read.wholeBytes);
     syncFolder(folder);
     const file = await fsPromises.open(name, "a");
@@ -118,13 +130,49 @@
    * @param snapshot The state.
    * @param records What the new log begins with.
    */
-  async compact(snapshot: unknown, records: readonly unknown[]): Promise<void> {
+  async compact(
+    snapshot: StoredSnapshot,
+    records: readonly unknown[],
+  ): Promise<void> {
+    await this.writeDraft(snapshot);
+    await this.takeDraft(records);
+  }
+
+  /**
+   * Writes a snapshot part by part, beside the log, which takes records
+   * meanwhile. It holds nothing until `takeDraft`.
+   *
+   * @param snapshot The state; it must not change meanwhile.
+   */
+  async writeDraft(snapshot: StoredSnapshot): Promise<void> {
+    const { head, parts } = snapshot;
+    const name = path.join(this.#folder, DRAFT_NAME);
+    const file = await fsPromises.open(name, "w");
+    try {
+      const first: SnapshotHeader = { head, parts: parts.length };
+      for (const bytes of collectBytes([first, ...parts])) {
+        await file.appendFile(bytes);
+      }
+      await file.datasync();
+    } finally {
+      await file.close();
+    }
+  }
+
+  /**
+   * Puts the written snapshot in the place of the log.
+   *
+   * @param records What the new log begins with: all that follows the snapshot.
+   */
+  async takeDraft(records: readonly unknown[]): Promise<void> {
     const next = this.#generation + 1;
     const logName = path.join(this.#folder, `log.${next}`);
-    const snapshotName = path.join(this.#folder, `snapshot.${next}`);
     createFile(logName, this.#owner, records);
     syncFolder(this.#folder);
-    writeSynced(snapshotName, toBytes(snapshot));
+    fs.renameSync(
+      path.join(this.#folder, DRAFT_NAME),
+      path.join(this.#folder, `snapshot.${next}`),
+    );
     syncFolder(this.#folder);
     await this.#file.close();
     this.#file = await fsPromises.open(logName, "a");
@@ -146,30 +194,61 @@
   }
 }
 
-/** Writes a file whole or not at all. */
-function writeSynced(name: string, bytes: Buffer): void {
-  const descriptor = fs.openSync(`${name}.tmp`, "w");
-  fs.writeFileSync(descriptor, bytes);
-  fs.fsyncSync(descriptor);
-  fs.closeSync(descriptor);
-  fs.renameSync(`${name}.tmp`, name);
+/** First record of a snapshot file; its parts follow. */
+interface SnapshotHeader {
+  readonly head: unknown;
+  readonly parts: number;
 }
 
+/** Encodes values and gathers them, so that few writes are needed. */
+function* collectBytes(values: readonly unknown[]): Generator<Buffer> {
+  let gathered: Buffer[] = [];
+  let size = 0;
+  for (const value of values) {
+    const bytes = toBytes(value);
+    gathered.push(bytes);
+    size += bytes.length;
+    if (size < WRITE_BYTES) continue;
+    yield Buffer.concat(gathered);
+    gathered = [];
+    size = 0;
+  }
+  if (size > 0) yield Buffer.concat(gathered);
+}
+
+/** Writes a log file whole or not at all. */
 function createFile(
   name: string,
   owner: string,
   records: readonly unknown[],
 ): void {
   const header: FileHeader = { format: FORMAT_VERSION, owner };
-  writeSynced(name, Buffer.concat([header, ...records].map(toBytes)));
+  const descriptor = fs.openSync(`${name}.tmp`, "w");
+  for (const bytes of collectBytes([header, ...records])) {
+    fs.writeFileSync(descriptor, bytes);
+  }
+  fs.fsyncSync(descriptor);
+  fs.closeSync(descriptor);
+  fs.renameSync(`${name}.tmp`, name);
 }
 
-function readSnapshot(folder: string, generation: number): unknown {
+function readSnapshot(
+  folder: string,
+  generation: number,
+): StoredSnapshot | undefined {
   if (generation === 0) return undefined;
   const name = path.join(folder, `snapshot.${generation}`);
-  const record = records.decodeRecord(fs.readFileSync(name), 0);
-  if (record === undefined) throw createCorruptError(name, 0);
-  return JSON.parse(record.payload.toString("utf8"));
+  const values: unknown[] = [];
+  const end = readRecords.readRecords(
+    name,
+    (payload) => values.push(parsePayload(payload)),
+  );
+  const header = values[0] as SnapshotHeader | undefined;
+  const parts = values.slice(1);
+  if (header === undefined || parts.length !== header.parts) {
+    throw createCorruptError(name, end.wholeBytes);
+  }
+  return { head: header.head, parts };
 }
 
 interface ReadFile {
@@ -178,25 +257,19 @@
   readonly tornBytes: number;
 }
 
-function readRecords(name: string, owner: string): ReadFile {
-  const bytes = fs.readFileSync(name);
+function readLog(name: string, owner: string): ReadFile {
   const values: unknown[] = [];
-  let offset = 0;
-  for (;;) {
-    const record = records.decodeRecord(bytes, offset);
-    if (record === undefined) break;
-    values.push(JSON.parse(record.payload.toString("utf8")));
-    offset = record.end;
-  }
-  if (records.hasRecordAfter(bytes, offset)) {
-    throw createCorruptError(name, offset);
-  }
+  const { wholeBytes, restBytes, isDamaged } = readRecords.readRecords(
+    name,
+    (payload) => values.push(parsePayload(payload)),
+  );
+  if (isDamaged) throw createCorruptError(name, wholeBytes);
   checkHeader(values[0] as FileHeader | undefined, name, owner);
-  return {
-    records: values.slice(1),
-    wholeBytes: offset,
-    tornBytes: bytes.length - offset,
-  };
+  return { records: values.slice(1), wholeBytes, tornBytes: restBytes };
+}
+
+function parsePayload(payload: Buffer): unknown {
+  return JSON.parse(payload.toString("utf8"));
 }
 
 function checkHeader(
--- a/src/storage/storage_test.ts
+++ b/src/storage/storage_test.ts
@@ -74,24 +74,67 @@
   it("reads the snapshot and what follows it, whatever a crash left of the next one", async () => {
     const { log } = await durableLogs.DurableLog.open(folder, "box-1");
     await log.append([{ index: 0 }]);
-    await log.compact({ state: 7 }, [{ index: 1 }]);
+    await log.compact({ head: { state: 7 }, parts: [1, 2] }, [{ index: 1 }]);
     await log.append([{ index: 2 }]);
     await log.close();
     fs.writeFileSync(path.join(folder, "log.2"), "half a file");
-    fs.writeFileSync(path.join(folder, "snapshot.2.tmp"), "half a file");
+    fs.writeFileSync(path.join(folder, "snapshot.draft"), "half a file");
     const { log: again, loaded } = await durableLogs.DurableLog.open(
       folder,
       "box-1",
     );
-    await again.compact({ state: 8 }, []);
+    await again.compact({ head: { state: 8 }, parts: [] }, []);
     await again.close();
-    chai.expect(loaded.snapshot).to.deep.equal({ state: 7 });
+    chai.expect(loaded.snapshot).to.deep.equal({
+      head: { state: 7 },
+      parts: [1, 2],
+    });
     chai.expect(loaded.records).to.deep.equal([{ index: 1 }, { index: 2 }]);
     const { log: last, loaded: compacted } = await durableLogs.DurableLog.open(
       folder,
       "box-1",
     );
     await last.close();
-    chai.expect(compacted.snapshot).to.deep.equal({ state: 8 });
+    chai.expect(compacted.snapshot).to.deep.equal({
+      head: { state: 8 },
+      parts: [],
+    });
+  });
+
+  it("takes records while a snapshot is written, and reads files larger than a chunk", async () => {
+    const { log } = await durableLogs.DurableLog.open(folder, "box-1");
+    const long = "x".repeat(700_000);
+    await log.append([{ index: 0, long }, { index: 1, long }]);
+    const writing = log.writeDraft({ head: 1, parts: [long, long, long] });
+    await log.append([{ index: 2, long }]);
+    await writing;
+    await log.takeDraft([{ index: 2, long }]);
+    await log.append([{ index: 3, long }]);
+    await log.close();
+    const { log: again, loaded } = await durableLogs.DurableLog.open(
+      folder,
+      "box-1",
+    );
+    await again.close();
+    chai.expect(loaded.snapshot).to.deep.equal({
+      head: 1,
+      parts: [long, long, long],
+    });
+    chai.expect(loaded.records).to.deep.equal([
+      { index: 2, long },
+      { index: 3, long },
+    ]);
+  });
+
+  it("refuses a snapshot that lacks parts", async () => {
+    const { log } = await durableLogs.DurableLog.open(folder, "box-1");
+    await log.compact({ head: 1, parts: ["a", "b"] }, []);
+    await log.close();
+    const file = path.join(folder, "snapshot.1");
+    const bytes = fs.readFileSync(file);
+    fs.writeFileSync(file, bytes.subarray(0, bytes.lastIndexOf("HSL1")));
+    chai.expect(
+      await getFailedCode(() => durableLogs.DurableLog.open(folder, "box-1")),
+    ).to.equal("corruptLog");
   });
 });
--- a/src/submission/mod.ts
+++ b/src/submission/mod.ts
@@ -12,6 +12,7 @@
 export * from "./cut_page.ts";
 export * from "./find_forgettable.ts";
 export * from "./protocol.ts";
+export * from "./saved_parts.ts";
 export * from "./submission.ts";
 export * from "./submission_machine.ts";
 export * from "./submission_service.ts";
--- /dev/null
+++ b/src/submission/saved_parts.ts
@@ -0,0 +1,88 @@
+import type * as submissions from "./submission.ts";
+
+/** Characters of text that one part holds, unless one value is longer. */
+const PART_CHARACTERS = 128 * 1024;
+/** Characters that a value takes beside its texts, about. */
+const VALUE_CHARACTERS = 200;
+
+/** A submission without its items, and what became of it. */
+export interface SavedRecord {
+  readonly submission: submissions.Submission;
+  readonly namedVersion: number;
+  readonly isEnded: boolean;
+}
+
+/** A kept text with the item it belongs to. */
+export type SavedText = readonly [item: string, text: submissions.KeptText];
+
+/** A part of the saved state; the parts of a submission follow its record. */
+export type SavedPart =
+  | {
+    readonly kind: "state";
+    readonly versions: readonly (readonly [string, number])[];
+    readonly retiring: readonly string[];
+    readonly holder: string | undefined;
+  }
+  | { readonly kind: "record"; readonly record: SavedRecord }
+  | {
+    readonly kind: "items";
+    readonly items: readonly submissions.SubmissionItem[];
+  }
+  | {
+    readonly kind: "results";
+    readonly results: readonly submissions.ItemResult[];
+  }
+  | { readonly kind: "texts"; readonly texts: readonly SavedText[] };
+
+/** What is saved of one submission. */
+export interface RecordToSave extends SavedRecord {
+  readonly results: readonly submissions.ItemResult[];
+  readonly kept: ReadonlyMap<string, submissions.KeptText>;
+}
+
+/**
+ * Cuts a submission into parts of bounded size. They do not change when the
+ * record does.
+ *
+ * @param toSave The submission and what became of it.
+ * @returns Its parts, its record first.
+ */
+export function cutRecord(toSave: RecordToSave): readonly SavedPart[] {
+  const { submission, namedVersion, isEnded, results, kept } = toSave;
+  const record = {
+    submission: { ...submission, items: [] },
+    namedVersion,
+    isEnded,
+  };
+  return [
+    { kind: "record", record },
+    ...cutList(submission.items, measureItem)
+      .map((items): SavedPart => ({ kind: "items", items })),
+    ...cutList(results, (result) => result.text.length)
+      .map((part): SavedPart => ({ kind: "results", results: part })),
+    ...cutList([...kept], ([, { text }]) => text.length)
+      .map((texts): SavedPart => ({ kind: "texts", texts })),
+  ];
+}
+
+function measureItem(item: submissions.SubmissionItem): number {
+  return item.body.length + (item.scoring?.body.length ?? 0);
+}
+
+function cutList<T>(
+  values: readonly T[],
+  measure: (value: T) => number,
+): readonly (readonly T[])[] {
+  const parts: T[][] = [];
+  let size = PART_CHARACTERS;
+  for (const value of values) {
+    const added = measure(value) + VALUE_CHARACTERS;
+    if (size + added > PART_CHARACTERS) {
+      parts.push([]);
+      size = 0;
+    }
+    parts.at(-1)?.push(value);
+    size += added;
+  }
+  return parts;
+}
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,4 +1,5 @@
 import type * as consensus from "../consensus/mod.ts";
+import * as savedParts from "./saved_parts.ts";
 import type * as submissions from "./submission.ts";
 
 /** Results to list, in order. */
@@ -61,9 +62,14 @@
   readonly isEnded: boolean;
 }
 
+/** A submission whose items are still being restored. */
+interface MutableSubmission extends submissions.Submission {
+  readonly items: submissions.SubmissionItem[];
+}
+
 /** A record as this machine alone may change it. */
 interface MutableRecord {
-  readonly submission: submissions.Submission;
+  readonly submission: MutableSubmission;
   readonly results: submissions.ItemResult[];
   readonly listed: Set<string>;
   readonly kept: Map<string, submissions.KeptText>;
@@ -71,21 +77,6 @@
   isEnded: boolean;
 }
 
-interface SavedRecord {
-  readonly submission: submissions.Submission;
-  readonly results: readonly submissions.ItemResult[];
-  readonly kept: readonly (readonly [string, submissions.KeptText])[];
-  readonly namedVersion: number;
-  readonly isEnded: boolean;
-}
-
-interface SavedState {
-  readonly records: readonly SavedRecord[];
-  readonly versions: readonly (readonly [string, number])[];
-  readonly retiring: readonly string[];
-  readonly holder: string | undefined;
-}
-
 const KNOWN: SubmissionAnswer = { isKnown: true };
 const UNKNOWN: SubmissionAnswer = { isKnown: false };
 
@@ -155,33 +146,42 @@
     return answer;
   }
 
-  save(): SavedState {
-    return {
-      records: this.listAll().map((
-        { submission, results, kept, namedVersion, isEnded },
-      ) => ({
-        submission,
-        results,
-        kept: [...kept],
-        namedVersion,
-        isEnded,
-      })),
+  save(): readonly savedParts.SavedPart[] {
+    const state: savedParts.SavedPart = {
+      kind: "state",
       versions: [...this.#versions],
       retiring: [...this.#retiring],
       holder: this.#holder,
     };
+    return [state, ...this.listAll().flatMap(savedParts.cutRecord)];
   }
 
-  restore(state: unknown): void {
-    const saved = state as SavedState;
-    this.#records = new Map(
-      saved.records.map((record) =>
-        [record.submission.id, restoreRecord(record)] as const
-      ),
-    );
-    this.#versions = new Map(saved.versions);
-    this.#retiring = new Set(saved.retiring);
-    this.#holder = saved.holder;
+  restore(parts: readonly unknown[]): void {
+    this.#records = new Map();
+    let record: MutableRecord | undefined;
+    for (const part of parts as readonly savedParts.SavedPart[]) {
+      switch (part.kind) {
+        case "state":
+          this.#versions = new Map(part.versions);
+          this.#retiring = new Set(part.retiring);
+          this.#holder = part.holder;
+          break;
+        case "record":
+          record = createRecord(part.record);
+          this.#records.set(record.submission.id, record);
+          break;
+        case "items":
+          record?.submission.items.push(...part.items);
+          break;
+        case "results":
+          record?.results.push(...part.results);
+          for (const { id } of part.results) record?.listed.add(id);
+          break;
+        case "texts":
+          for (const [item, text] of part.texts) record?.kept.set(item, text);
+          break;
+      }
+    }
     this.#onChange();
   }
 
@@ -216,7 +216,7 @@
   #accept(submission: submissions.Submission): SubmissionAnswer {
     if (this.#records.has(submission.id)) return KNOWN;
     this.#records.set(submission.id, {
-      submission,
+      submission: { ...submission, items: [...submission.items] },
       results: [],
       listed: new Set(),
       kept: new Map(),
@@ -282,13 +282,13 @@
   return rest === "" ? front : `${front}\n${rest}`;
 }
 
-function restoreRecord(record: SavedRecord): MutableRecord {
+function createRecord(saved: savedParts.SavedRecord): MutableRecord {
   return {
-    submission: record.submission,
-    results: [...record.results],
-    listed: new Set(record.results.map((result) => result.id)),
-    kept: new Map(record.kept),
-    namedVersion: record.namedVersion,
-    isEnded: record.isEnded,
+    submission: { ...saved.submission, items: [] },
+    results: [],
+    listed: new Set(),
+    kept: new Map(),
+    namedVersion: saved.namedVersion,
+    isEnded: saved.isEnded,
   };
 }
--- a/src/traffic_config/configuration_machine.ts
+++ b/src/traffic_config/configuration_machine.ts
@@ -41,12 +41,12 @@
     return { version: this.#stored?.version ?? 0 };
   }
 
-  save(): unknown {
-    return { stored: this.#stored };
+  save(): readonly unknown[] {
+    return [{ stored: this.#stored }];
   }
 
-  restore(state: unknown): void {
-    const { stored } = state as {
+  restore(parts: readonly unknown[]): void {
+    const { stored } = parts[0] as {
       readonly stored?: configurations.StoredConfiguration;
     };
     if (stored !== undefined) this.#put(stored);
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -151,7 +151,7 @@
     const machine = new configurationMachines.ConfigurationMachine((stored) =>
       told.push(stored.version)
     );
-    machine.restore({ stored: { version: 4, text: "four" } });
+    machine.restore([{ stored: { version: 4, text: "four" } }]);
     chai.expect(told).to.deep.equal([]);
     machine.apply({ kind: "noOperation" });
     chai.expect(told).to.deep.equal([4]);
--- a/src/weight_orders/weight_orders_test.ts
+++ b/src/weight_orders/weight_orders_test.ts
@@ -114,8 +114,8 @@
     it("are none once each engine holds the newest or the one before", () => {
       chai.expect(list({ m: 2, n: 1 }, (id) => id < "c" ? 2 : 1)).to.have
         .length(1);
-      const isTurn = (id: string): boolean => id === "a" || id === "c";
-      chai.expect(list({ m: 2, n: 1 }, (id) => isTurn(id) ? 2 : 1)).to.deep
+      const turns = new Set(["a", "c"]);
+      chai.expect(list({ m: 2, n: 1 }, (id) => turns.has(id) ? 2 : 1)).to.deep
         .equal([]);
     });
 
