Keep which engines run with the stores; a new leader asks them at once

Ruled out: sending work to kept engines unasked (one that said it leaves just before the restart must get none). Change: the stores' log keeps the engines as they come and go; a leader asks those it has not heard for their state, once a term, and takes the ready ones for heard. The list of engines is made in one place.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -119,6 +119,8 @@
   readonly models: readonly registry.HeldModel[];
   /** Whether an order is being carried out. */
   readonly isBusy: boolean;
+  /** Whether it is about to leave. */
+  readonly isLeaving: boolean;
   /** Orders taken since the engine's start. */
   readonly orders: number;
   readonly running: number;
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -16,6 +16,7 @@
   readonly #group: replicaGroups.ReplicaGroup;
   readonly #dispatcher: dispatch.Dispatcher;
   readonly #orders: weightOrders.WeightOrders;
+  readonly #knownEngines: weightOrders.KnownEngines;
   readonly #parts: boxParts.BoxParts;
   readonly #machine: submissions.SubmissionMachine;
   #isStopped = false;
@@ -58,6 +59,10 @@
       onLoading: (engine, model) => this.#dispatcher.moveRuns(engine, model),
       onLoaded: () => this.#dispatcher.wake(),
     });
+    this.#knownEngines = new weightOrders.KnownEngines({
+      ...shared,
+      onFound: () => this.#dispatcher.wake(),
+    });
     new submissions.SubmissionService({
       ...shared,
       changed,
@@ -77,6 +82,7 @@
     await this.#group.start();
     this.#dispatcher.start();
     this.#orders.start();
+    this.#knownEngines.start();
     this.#runForget();
   }
 
@@ -106,6 +112,7 @@
     this.#isStopped = true;
     this.#dispatcher.stop();
     this.#orders.stop();
+    this.#knownEngines.stop();
     await this.#group.stop();
   }
 }
--- a/src/submission/saved_parts.ts
+++ b/src/submission/saved_parts.ts
@@ -1,3 +1,4 @@
+import type * as registry from "../registry/mod.ts";
 import type * as submissions from "./submission.ts";
 
 /** Characters of text that one part holds, unless one value is longer. */
@@ -22,6 +23,7 @@
     readonly versions: readonly (readonly [string, number])[];
     readonly retiring: readonly string[];
     readonly holder: string | undefined;
+    readonly engines: readonly registry.RegisteredServer[];
   }
   | { readonly kind: "record"; readonly record: SavedRecord }
   | {
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,4 +1,5 @@
 import type * as consensus from "../consensus/mod.ts";
+import type * as registry from "../registry/mod.ts";
 import * as savedParts from "./saved_parts.ts";
 import type * as submissions from "./submission.ts";
 
@@ -35,6 +36,12 @@
   | { readonly kind: "keepTexts"; readonly texts: readonly TextToKeep[] }
   /** Names the box that orders engines from now on. */
   | { readonly kind: "noteHolder"; readonly box: string }
+  /** Notes which engines run, for a leader that has not heard them yet. */
+  | {
+    readonly kind: "keepEngines";
+    readonly added: readonly registry.RegisteredServer[];
+    readonly gone: readonly string[];
+  }
   | { readonly kind: "endSubmission"; readonly id: string }
   | {
     readonly kind: "nameVersion";
@@ -87,6 +94,7 @@
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
   #holder: string | undefined;
+  #engines = new Map<string, registry.RegisteredServer>();
 
   /** @param onChange Told after each command that may have changed something. */
   constructor(onChange: () => void) {
@@ -110,6 +118,11 @@
     return this.#holder;
   }
 
+  /** Engines that ran when a leader last looked. */
+  listEngines(): readonly registry.RegisteredServer[] {
+    return [...this.#engines.values()];
+  }
+
   /**
    * Finds what is kept of an item's text, in any submission that named it.
    *
@@ -152,6 +165,7 @@
       versions: [...this.#versions],
       retiring: [...this.#retiring],
       holder: this.#holder,
+      engines: this.listEngines(),
     };
     return [state, ...this.listAll().flatMap(savedParts.cutRecord)];
   }
@@ -165,6 +179,9 @@
           this.#versions = new Map(part.versions);
           this.#retiring = new Set(part.retiring);
           this.#holder = part.holder;
+          this.#engines = new Map(
+            part.engines.map((engine) => [engine.id, engine]),
+          );
           break;
         case "record":
           record = createRecord(part.record);
@@ -197,6 +214,12 @@
       case "noteHolder":
         this.#holder = command.box;
         return KNOWN;
+      case "keepEngines":
+        for (const id of command.gone) this.#engines.delete(id);
+        for (const engine of command.added) {
+          this.#engines.set(engine.id, engine);
+        }
+        return KNOWN;
       case "endSubmission":
         return this.#end(command.id);
       case "nameVersion":
--- /dev/null
+++ b/src/weight_orders/known_engines.ts
@@ -0,0 +1,128 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as listEngines from "./list_engines.ts";
+import * as orderClients from "./order_client.ts";
+
+/** Between two comparisons of the engines with those kept, in ms. */
+const LOOK_MS = 100;
+/** Longest wait until the other stores keep a change of the engines, in ms. */
+const COMMIT_MS = 2_000;
+/** Silence after which an engine that said no farewell is forgotten, in ms. */
+const FORGET_MS = 10_000;
+
+/** What the known engines need. */
+export interface KnownEnginesOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly dialect: dialects.Dialect;
+  readonly servers: registry.ServerRegistry;
+  readonly group: Pick<
+    replicaGroups.ReplicaGroup,
+    "hasAuthority" | "getTerm" | "propose"
+  >;
+  readonly machine: submissions.SubmissionMachine;
+  /** Told when engines were found that no heartbeat had named yet. */
+  readonly onFound: () => void;
+}
+
+/**
+ * Has the stores keep which engines run. A leader that has not heard them yet,
+ * as after a restart of all boxes, asks those kept for their state, instead of
+ * waiting up to a heartbeat's time for each.
+ */
+export class KnownEngines {
+  readonly #options: KnownEnginesOptions;
+  #askedTerm = 0;
+  #isBusy = false;
+  /** Kept engines that are not ready, and since when, in monotonic ms. */
+  #missingSince: ReadonlyMap<string, number> = new Map();
+  #isStopped = false;
+
+  constructor(options: KnownEnginesOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    if (this.#isStopped) return;
+    this.#compare();
+    this.#options.clock.startTimer(LOOK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  #compare(): void {
+    const { group } = this.#options;
+    if (!group.hasAuthority()) return;
+    if (group.getTerm() !== this.#askedTerm) {
+      this.#askedTerm = group.getTerm();
+      void this.#askAll();
+    }
+    void this.#keepChanges();
+  }
+
+  /** Asks the kept engines that were not heard yet. */
+  async #askAll(): Promise<void> {
+    const { machine, servers } = this.#options;
+    const unheard = machine.listEngines().filter((engine) =>
+      servers.get(engine.id) === undefined
+    );
+    await Promise.all(unheard.map((engine) => this.#ask(engine)));
+  }
+
+  async #ask(engine: registry.RegisteredServer): Promise<void> {
+    const { dialect, log, servers, onFound } = this.#options;
+    const report = await orderClients.readReport(engine, dialect);
+    if (this.#isStopped) return;
+    const isReady = report.kind === "ok" && !report.value.isLeaving;
+    log.write("info", "engine.asked", {
+      server: engine.id,
+      outcome: report.kind === "ok" ? "ok" : report.failure.message,
+      ready: isReady,
+    });
+    if (!isReady) return;
+    servers.merge({ ...engine, models: report.value.models });
+    onFound();
+  }
+
+  /** Has the stores keep engines that came, and forget those that went. */
+  async #keepChanges(): Promise<void> {
+    const { machine, group, servers } = this.#options;
+    if (this.#isBusy) return;
+    const ready = listEngines.listEngines(servers);
+    const kept = new Set(machine.listEngines().map((engine) => engine.id));
+    const added = ready.filter((engine) => !kept.has(engine.id));
+    const gone = this.#listGone(ready);
+    if (added.length === 0 && gone.length === 0) return;
+    this.#isBusy = true;
+    const command: submissions.SubmissionCommand = {
+      kind: "keepEngines",
+      added,
+      gone,
+    };
+    await group.propose(command, COMMIT_MS);
+    this.#isBusy = false;
+  }
+
+  /** Kept engines that are to be forgotten. */
+  #listGone(ready: readonly registry.RegisteredServer[]): readonly string[] {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const readyIds = new Set(ready.map((engine) => engine.id));
+    const missing = this.#options.machine.listEngines()
+      .map((engine) => engine.id)
+      .filter((id) => !readyIds.has(id));
+    this.#missingSince = new Map(
+      missing.map((id) => [id, this.#missingSince.get(id) ?? nowMs]),
+    );
+    return missing.filter((id) => {
+      const phase = this.#options.servers.get(id)?.phase;
+      if (phase === "draining" || phase === "gone") return true;
+      return nowMs - (this.#missingSince.get(id) ?? nowMs) > FORGET_MS;
+    });
+  }
+}
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -9,6 +9,7 @@
 import type * as submissions from "../submission/mod.ts";
 import * as assignEngines from "./assign_engines.ts";
 import * as listDueLoads from "./list_due_loads.ts";
+import * as listEngines from "./list_engines.ts";
 import * as orderClients from "./order_client.ts";
 import * as planHandover from "./plan_handover.ts";
 
@@ -184,14 +185,10 @@
     }
   }
 
-  /** Engines with models, those with the fewest runs first. */
+  /** Engines, those with the fewest runs first. */
   #listEngines(): readonly registry.RegisteredServer[] {
     const { servers, engines } = this.#options;
-    const all = servers.listAll().filter((server) =>
-      server.models.length > 0 && server.phase === "ready"
-    );
-    const services = new Set(all.map((server) => server.service));
-    return [...services].flatMap((service) => servers.listReady(service))
+    return listEngines.listEngines(servers)
       .toSorted((a, b) => engines.getRunning(a.id) - engines.getRunning(b.id));
   }
 
