--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -1,19 +1,22 @@
 import * as uniform from "pure-rand/distribution/uniformInt";
 import * as generator from "pure-rand/generator/xoroshiro128plus";
 import * as authorities from "./authority.ts";
+import * as formerLeaders from "./_former_leader.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replications from "./_replication.ts";
 import * as replicaStates from "./replica_state.ts";
 
-/** Command of the entry that each leader begins its term with. */
-export const NO_OPERATION = { kind: "noOperation" } as const;
-
 /** Draws the next election time: one to two election timeouts from now. */
 export function resetElection(
   state: replicaStates.ReplicaState,
   nowMs: number,
 ): replicaStates.ReplicaState {
+  if (formerLeaders.canHurry(state, nowMs)) {
+    const waitMs = state.config.electionTimeoutMs *
+      formerLeaders.HURRY_SHARE;
+    return { ...state, electionAtMs: nowMs + waitMs };
+  }
   const { seed, electionTimeoutMs } = state.config;
   const random = generator.xoroshiro128plus(seed * 7919 + state.draws);
   const extraMs = uniform.uniformInt(random, 0, electionTimeoutMs);
@@ -109,7 +112,11 @@
   nowMs: number,
 ): replicaStates.Transition {
   const firstIndex = replicaLogs.getLastIndex(state.log) + 1;
-  const entry = { index: firstIndex, term: state.term, command: NO_OPERATION };
+  const command: formerLeaders.NoOperation = {
+    kind: "noOperation",
+    leader: state.config.id,
+  };
+  const entry = { index: firstIndex, term: state.term, command };
   const first = replicaStates.createProgress(firstIndex);
   const progress = new Map(
     replicaStates.listFollowers(state).map((id) => [id, first] as const),
@@ -160,7 +167,8 @@
   nowMs: number,
 ): replicaStates.Transition {
   const { isPreVote, term } = request;
-  const isBlocked = !request.isTransfer && hasRecentLeader(state, nowMs);
+  const isBlocked = !request.isTransfer && hasRecentLeader(state, nowMs) &&
+    !formerLeaders.isOwnLeader(state, from);
   if (isBlocked || term < state.term || !state.identity.isAdmitted) {
     return refuseVote(state, from, isPreVote);
   }
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -197,35 +197,31 @@
 ): replicaStates.Transition {
   const { snapshot, term, sentAtMs } = request;
   const { identity } = state;
-  if (snapshot.index <= state.commitIndex) {
-    const index = state.commitIndex;
+  const { index } = snapshot;
+  function createReply(matched: number): replicaStates.Effect {
+    return createAppendReply(from, {
+      term,
+      isMatch: true,
+      index: matched,
+      sentAtMs,
+      identity,
+    });
+  }
+  if (index <= state.commitIndex) {
+    return { state, effects: [createReply(state.commitIndex)] };
+  }
+  // A late snapshot must not take away entries after it that were confirmed.
+  if (replicaLogs.getTermAt(state.log, index) === snapshot.term) {
+    const committed = commitTo(state, index);
     return {
-      state,
-      effects: [
-        createAppendReply(from, {
-          term,
-          isMatch: true,
-          index,
-          sentAtMs,
-          identity,
-        }),
-      ],
+      state: committed.state,
+      effects: [createReply(index), ...committed.effects],
     };
   }
-  const { index } = snapshot;
   const log = replicaLogs.createLog(snapshot);
   return {
     state: { ...state, log, commitIndex: index },
-    effects: [
-      { kind: "restore", snapshot },
-      createAppendReply(from, {
-        term,
-        isMatch: true,
-        index,
-        sentAtMs,
-        identity,
-      }),
-    ],
+    effects: [{ kind: "restore", snapshot }, createReply(index)],
   };
 }
 
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -107,6 +107,110 @@
       .equal("b");
   });
 
+  describe("a replica that was restarted", () => {
+    const IDENTITY = { incarnation: 0, isAdmitted: true };
+    const first = { kind: "noOperation", leader: "b" };
+    const saved = {
+      term: 4,
+      votedFor: undefined,
+      identity: IDENTITY,
+      log: {
+        ...replicaLogs.EMPTY_LOG,
+        entries: [
+          { index: 1, term: 4, command: first },
+          { index: 2, term: 4, command: "x" },
+        ],
+      },
+    };
+
+    function askFor(
+      from: string,
+      state: replicaStates.ReplicaState,
+      nowMs: number,
+    ): boolean {
+      const message = {
+        kind: "voteRequest",
+        term: 5,
+        isPreVote: true,
+        isTransfer: false,
+        lastIndex: 2,
+        lastTerm: 4,
+      } as const;
+      const { effects } = stepReplica.stepReplica(
+        state,
+        { kind: "message", from, message },
+        nowMs,
+      );
+      return effects.some((effect) =>
+        effect.kind === "send" && effect.message.kind === "voteReply" &&
+        effect.message.isGranted
+      );
+    }
+
+    it("votes at once for the leader it followed, and for no other", () => {
+      const state = stepReplica.createReplica(CONFIG, saved, 1_000);
+      chai.expect(askFor("b", state, 1_010)).to.equal(true);
+      chai.expect(askFor("c", state, 1_010)).to.equal(false);
+    });
+
+    it("votes for none at once where a later term may have had a leader", () => {
+      const later = { ...saved, term: 5, votedFor: "b" };
+      const state = stepReplica.createReplica(CONFIG, later, 1_000);
+      chai.expect(askFor("b", state, 1_010)).to.equal(false);
+    });
+
+    it("hurries to lead where it led, for one election timeout", () => {
+      const led = stepReplica.createReplica(
+        { ...CONFIG, id: "b" },
+        saved,
+        1_000,
+      );
+      chai.expect(led.electionAtMs).to.equal(1_025);
+      const { state } = stepReplica.stepReplica(led, { kind: "tick" }, 1_025);
+      chai.expect(state.role.kind).to.equal("preCandidate");
+      chai.expect(state.electionAtMs).to.equal(1_050);
+      const { state: last } = stepReplica.stepReplica(
+        state,
+        { kind: "tick" },
+        1_100,
+      );
+      chai.expect(last.electionAtMs).to.be.at.least(1_200);
+      const followed = stepReplica.createReplica(CONFIG, saved, 1_000);
+      chai.expect(followed.electionAtMs).to.be.at.least(1_100);
+    });
+  });
+
+  it("keeps confirmed entries after a snapshot that comes late", () => {
+    const entries = [1, 2, 3].map((index) => ({
+      index,
+      term: 1,
+      command: `c${index}`,
+    }));
+    const follower = stepReplica.createReplica(CONFIG, {
+      term: 1,
+      votedFor: "b",
+      identity: { incarnation: 0, isAdmitted: true },
+      log: { ...replicaLogs.EMPTY_LOG, entries },
+    }, 0);
+    const message = {
+      kind: "snapshotRequest",
+      term: 1,
+      snapshot: { index: 2, term: 1, state: [], voters: ["a", "b", "c"] },
+      sentAtMs: 0,
+    } as const;
+    const { state, effects } = stepReplica.stepReplica(
+      follower,
+      { kind: "message", from: "b", message },
+      10,
+    );
+    chai.expect(replicaLogs.getLastIndex(state.log)).to.equal(3);
+    chai.expect(state.commitIndex).to.equal(2);
+    chai.expect(effects.map((effect) => effect.kind)).to.deep.equal([
+      "send",
+      "commit",
+    ]);
+  });
+
   it("does not commit an entry of an earlier term by counting replicas", () => {
     const saved = {
       term: 3,
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -57,6 +57,16 @@
   readonly heardAtMs: number;
   /** Election delays drawn so far. */
   readonly draws: number;
+  /** Leader of the term in which this replica was started; see `Former`. */
+  readonly former: FormerLeader | undefined;
+}
+
+/** The leader that a replica followed when it stopped, as its log tells. */
+export interface FormerLeader {
+  readonly id: string;
+  readonly term: number;
+  /** Until when the former leader itself hurries to lead again, in ms. */
+  readonly hurryUntilMs: number;
 }
 
 /** What a replica is told. */
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -1,4 +1,5 @@
 import * as authorities from "./authority.ts";
+import * as formerLeaders from "./_former_leader.ts";
 import * as elections from "./_election.ts";
 import * as memberships from "./_membership.ts";
 import * as replications from "./_replication.ts";
@@ -24,7 +25,8 @@
 
 /**
  * Starts a replica from what it saved. It gives no vote for one election
- * timeout, since it may have heard a leader just before it stopped.
+ * timeout, since it may have heard a leader just before it stopped; only that
+ * leader itself may have it.
  *
  * @param config The configuration.
  * @param saved What was on disk.
@@ -36,6 +38,8 @@
   saved: SavedReplica,
   nowMs: number,
 ): replicaStates.ReplicaState {
+  const leader = formerLeaders.findLeader(saved.log, saved.term);
+  const hurryUntilMs = nowMs + config.electionTimeoutMs;
   const state: replicaStates.ReplicaState = {
     config,
     term: saved.term,
@@ -48,6 +52,9 @@
     electionAtMs: 0,
     heardAtMs: nowMs,
     draws: 0,
+    former: leader === undefined
+      ? undefined
+      : { id: leader, term: saved.term, hurryUntilMs },
   };
   return elections.resetElection(state, nowMs);
 }
--- a/src/dispatch/text_keeper.ts
+++ b/src/dispatch/text_keeper.ts
@@ -32,9 +32,15 @@
       kind: "keepTexts",
       texts: parts.map((part) => part.text),
     };
-    const done = await this.#group.propose(command, COMMIT_MS);
+    const done = await this.#group.propose<submissions.SubmissionAnswer>(
+      command,
+      COMMIT_MS,
+    );
     this.#isBusy = false;
-    if (done.kind === "ok") { for (const part of parts) noteKept(part); }
+    if (done.kind !== "ok") return;
+    // A part that came later than the answer to it may have been kept.
+    const note = done.value.isKnown ? noteKept : forgetKept;
+    for (const part of parts) note(part);
   }
 }
 
@@ -50,6 +56,10 @@
   if (progress.countBeginnings() === beginnings) progress.setKept(text.lastId);
 }
 
+function forgetKept({ progress }: TextPart): void {
+  progress.forgetKept();
+}
+
 function createPart(task: itemTasks.ItemTask): readonly TextPart[] {
   const { progress, submission, item } = task;
   const lastId = progress.getLastId();
--- a/src/item_run/text_progress.ts
+++ b/src/item_run/text_progress.ts
@@ -83,6 +83,12 @@
     this.#keptLastId = lastId;
   }
 
+  /** Has the whole text kept anew, where the stores keep another part of it. */
+  forgetKept(): void {
+    this.#keptEvents = 0;
+    this.#keptLastId = undefined;
+  }
+
   /** Drops everything, for a text that must begin anew. */
   reset(): void {
     this.#data = [];
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -209,8 +209,7 @@
       case "recordResults":
         return this.#recordAll(command.results);
       case "keepTexts":
-        for (const text of command.texts) this.#keep(text);
-        return KNOWN;
+        return this.#keepAll(command.texts);
       case "noteHolder":
         this.#holder = command.box;
         return KNOWN;
@@ -272,19 +271,26 @@
     return KNOWN;
   }
 
+  /** Answers that something is unknown if any text lacks what is before it. */
+  #keepAll(texts: readonly TextToKeep[]): SubmissionAnswer {
+    const outcomes = texts.map((text) => this.#keep(text));
+    return outcomes.includes(UNKNOWN) ? UNKNOWN : KNOWN;
+  }
+
   /** Keeps more of a text that follows what is kept, or one begun anew. */
-  #keep(more: TextToKeep): void {
+  #keep(more: TextToKeep): SubmissionAnswer {
     const record = this.#records.get(more.submission);
-    if (record === undefined || record.isEnded) return;
-    if (record.listed.has(more.item)) return;
+    if (record === undefined || record.isEnded) return KNOWN;
+    if (record.listed.has(more.item)) return KNOWN;
     const kept = record.kept.get(more.item);
     const isNew = more.afterId === undefined;
-    if (!isNew && kept?.lastId !== more.afterId) return;
+    if (!isNew && kept?.lastId !== more.afterId) return UNKNOWN;
     const { lastId, versions } = more;
     const text = isNew || kept === undefined
       ? more.text
       : joinTexts(kept.text, more.text);
     record.kept.set(more.item, { text, lastId, versions });
+    return KNOWN;
   }
 
   #end(id: string): SubmissionAnswer {
--- a/src/submission/submission_test.ts
+++ b/src/submission/submission_test.ts
@@ -60,8 +60,8 @@
   afterId: number | undefined,
   text: string,
   lastId: number,
-): void {
-  machine.apply({
+): machines.SubmissionAnswer {
+  return machine.apply({
     kind: "keepTexts",
     texts: [{
       submission: "a",
@@ -106,6 +106,15 @@
     chai.expect(answer.isKnown).to.equal(false);
   });
 
+  it("says when a text does not follow the part that is kept", () => {
+    const machine = createMachine();
+    chai.expect(keep(machine, undefined, "a", 1).isKnown).to.equal(true);
+    chai.expect(keep(machine, 3, "d", 4).isKnown).to.equal(false);
+    chai.expect(machine.get("a")?.kept.get("1")?.lastId).to.equal(1);
+    chai.expect(keep(machine, undefined, "a\nb", 2).isKnown).to.equal(true);
+    chai.expect(machine.get("a")?.kept.get("1")?.text).to.equal("a\nb");
+  });
+
   it("joins a result with the part of its text that was kept", () => {
     const machine = createMachine();
     keep(machine, undefined, "e1\ne2", 2);
