Order items by when each must start at the latest

Cause: earlier due submissions went first whatever their items, so long items of a later step, which decide when it is whole, waited 0.9 to 2 s behind short items of an earlier one that had seconds to spare. Change: waiting items are ordered by the due time less the expected run.

--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -70,6 +70,14 @@
     })?.id;
   }
 
+  function order(
+    tasks: readonly itemTasks.ItemTask[],
+    gapMs: number,
+  ): readonly string[] {
+    return orderTasks.orderTasks(tasks, lengths, gapMs)
+      .map((task) => task.item.id);
+  }
+
   it("takes only engines whose weights are new enough", () => {
     chai.expect(choose([createEngine("old", 1)])).to.equal(undefined);
     chai.expect(choose([createEngine("old", 1), createEngine("new", 2)])).to
@@ -127,16 +135,29 @@
     chai.expect(choose(engines, ["a", "b"])).to.equal("a");
   });
 
-  it("starts earlier due submissions first, and the longest items of each", () => {
+  it("starts items of one submission longest first, earlier due ones before later", () => {
+    const tasks = [
+      createTask("late", { acceptedAtMs: 50 }, 10_000),
+      createTask("short", {}, 1_000),
+      createTask("long", {}, 10_000),
+    ];
+    chai.expect(order(tasks, 1)).to.deep.equal(["long", "late", "short"]);
+    chai.expect(order(tasks, 0)).to.deep.equal(["short", "long", "late"]);
+  });
+
+  it("starts long items of a later submission before short ones that can wait", () => {
     const tasks = [
-      createTask("late", { acceptedAtMs: 50 }, 900),
-      createTask("short", {}, 10),
-      createTask("long", {}, 100),
+      createTask("early and short", { acceptedAtMs: 0 }, 500),
+      createTask("late and long", { acceptedAtMs: 4_000 }, 9_000),
     ];
-    chai.expect(
-      orderTasks.orderTasks(tasks, lengths).map((task) => task.item.id),
-    ).to
-      .deep.equal(["long", "short", "late"]);
+    chai.expect(order(tasks, 40)).to.deep.equal([
+      "late and long",
+      "early and short",
+    ]);
+    chai.expect(order(tasks, 10)).to.deep.equal([
+      "early and short",
+      "late and long",
+    ]);
   });
 
   it("gives an item up after as many failures as its route allows", () => {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -141,7 +141,8 @@
     );
     const moved = waiting.filter((task) => task.target !== undefined);
     const others = waiting.filter((task) => task.target === undefined);
-    const ordered = orderTasks.orderTasks(others, this.#lengths);
+    const gapMs = this.#options.engines.getMedianGapMs();
+    const ordered = orderTasks.orderTasks(others, this.#lengths, gapMs);
     for (const task of [...moved, ...ordered]) {
       const { service } = task.submission.terms;
       const engine = round.choose(service, task.getNeed(), task.target);
--- a/src/dispatch/order_tasks.ts
+++ b/src/dispatch/order_tasks.ts
@@ -2,21 +2,26 @@
 import type * as lengthEstimates from "./length_estimates.ts";
 
 /**
- * Orders waiting items: earlier due submissions first, and within one those
- * that are expected to run longest, since they decide when a step is whole.
+ * Orders waiting items by when each must start at the latest, so that its
+ * submission is done when it is due. The longest items of a submission come
+ * first, as they decide when it is whole; short ones of an earlier submission
+ * can wait for long ones of a later one without delaying either.
  *
  * @param tasks The waiting items.
  * @param lengths How long items are expected to run.
+ * @param gapMs Expected time between events, in ms.
  * @returns The same items, first to start first.
  */
 export function orderTasks(
   tasks: readonly itemTasks.ItemTask[],
   lengths: lengthEstimates.LengthEstimates,
+  gapMs: number,
 ): readonly itemTasks.ItemTask[] {
   return tasks
-    .map((task) => ({ task, remaining: lengths.estimateRemaining(task) }))
-    .toSorted((a, b) =>
-      a.task.getDueMs() - b.task.getDueMs() || b.remaining - a.remaining
-    )
+    .map((task) => {
+      const runMs = lengths.estimateRemaining(task) * gapMs;
+      return { task, latestMs: task.getDueMs() - runMs };
+    })
+    .toSorted((a, b) => a.latestMs - b.latestMs)
     .map(({ task }) => task);
 }
--- a/src/dispatch/run_mover.ts
+++ b/src/dispatch/run_mover.ts
@@ -44,9 +44,9 @@
       task.run?.engine === engine && task.getModel() === model
     );
     let moved = 0;
-    for (
-      const task of orderTasks.orderTasks(running, this.#options.lengths)
-    ) {
+    const { lengths, engines } = this.#options;
+    const gapMs = engines.getMedianGapMs();
+    for (const task of orderTasks.orderTasks(running, lengths, gapMs)) {
       if (moved >= this.#countFree(task, engine)) break;
       task.run?.cancellation.cancel();
       moved += 1;
