End connections between boxes that went silent though they are only told things

Cause: a connection may stop carrying bytes without a reset. Calls found it by their missing answers; notifications, which carry the replicas' messages, did not, so a replica behind such a connection heard its leader no more until the system gave the connection up, minutes later. Change: a second after a notification the peer is asked for a sign of life on the same connection; without an answer within a second the connection is ended.

--- a/src/rpc/_private.ts
+++ b/src/rpc/_private.ts
@@ -4,6 +4,9 @@
 /** Longest message between boxes, in bytes, before it is decompressed. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
+/** Method that every box answers, so that a silent connection is found. */
+export const PING_METHOD = "rpc.ping";
+
 /*
  * A frame: length of the payload u32, format u8, payload. The payload is one
  * JSON text, compressed where that saves bytes between failure domains.
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -12,6 +12,8 @@
 /** Largest number of bytes that wait for one slow peer. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Time after a notification at which the peer is asked for a sign of life, in ms. */
+const PING_MS = 1_000;
 /** Reason given to calls whose connection was never made. */
 const NOT_CONNECTED = "the connection was not made";
 
@@ -26,12 +28,20 @@
 /** Calls another box by JSON-RPC over one TCP connection, made on demand. */
 export class RpcClient implements Peer {
   readonly #peer: PeerAddress;
+  readonly #pingMs: number;
   readonly #client: jsonRpc.JSONRPCClient;
   #socket: net.Socket | undefined;
+  #ping: NodeJS.Timeout | undefined;
   #isClosed = false;
 
-  constructor(peer: PeerAddress) {
+  /**
+   * @param peer Where the box listens.
+   * @param pingMs How soon a box that was told something must show that it
+   * hears, in ms.
+   */
+  constructor(peer: PeerAddress, pingMs = PING_MS) {
     this.#peer = peer;
+    this.#pingMs = pingMs;
     this.#client = new jsonRpc.JSONRPCClient((message) =>
       this.#sendMessage(message)
     );
@@ -42,11 +52,29 @@
     if (this.#isClosed) return;
     try {
       this.#client.notify(method, params);
+      this.#schedulePing();
     } catch {
       // A lost message is repeated by the protocol above.
     }
   }
 
+  /**
+   * Notifications have no answer, so that a connection which went silent without
+   * a reset would swallow them for ever; a ping without an answer ends it.
+   */
+  #schedulePing(): void {
+    if (this.#ping !== undefined) return;
+    this.#ping = setTimeout(() => {
+      this.call(internals.PING_METHOD, {}, this.#pingMs)
+        // The failed call has ended a silent connection; nothing else is owed.
+        .catch(() => {})
+        .finally(() => {
+          this.#ping = undefined;
+        });
+    }, this.#pingMs);
+    this.#ping.unref();
+  }
+
   /**
    * Calls a method and waits for its result.
    *
@@ -70,6 +98,7 @@
 
   close(): void {
     this.#isClosed = true;
+    clearTimeout(this.#ping);
     this.#socket?.destroy();
   }
 
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -18,6 +18,7 @@
 
   constructor() {
     this.#server = net.createServer((socket) => this.#acceptSocket(socket));
+    this.add(internals.PING_METHOD, () => true);
   }
 
   /** Registers the handler of a method. */
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -1,9 +1,12 @@
+import * as net from "node:net";
 import * as chai from "chai";
 import * as internals from "./_private.ts";
 import * as rpcClients from "./rpc_client.ts";
 import * as rpcServers from "./rpc_server.ts";
 
 const PORT = 39_471;
+/** Turns of 5 ms in which a told text must arrive. */
+const MAX_TURNS = 1_000;
 
 describe("rpc", () => {
   const servers: rpcServers.RpcServer[] = [];
@@ -53,6 +56,34 @@
     }
   });
 
+  it("leaves a connection that went silent, though it is only told things", async () => {
+    const heard = await listen("127.0.0.1");
+    const held: net.Socket[] = [];
+    // The first connection stays open and brings nothing on; later ones work.
+    const proxy = net.createServer((socket) => {
+      held.push(socket);
+      if (held.length === 1) return void socket.resume();
+      const onward = net.connect(PORT, "127.0.0.1");
+      held.push(onward);
+      socket.pipe(onward).pipe(socket);
+    });
+    await new Promise<void>((resolve) =>
+      proxy.listen(PORT, "127.0.0.3", resolve)
+    );
+    const client = new rpcClients.RpcClient(
+      { address: "127.0.0.3", port: PORT },
+      20,
+    );
+    clients.push(client);
+    for (let turn = 0; turn < MAX_TURNS && heard.length === 0; turn += 1) {
+      client.tell("note", { text: "heard" });
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    chai.expect(heard[0]).to.equal("heard");
+    for (const socket of held) socket.destroy();
+    proxy.close();
+  });
+
   it("encodes a notification once for all that are told", () => {
     const params = { text: "long".repeat(1_000) };
     const first = internals.encodeFrame({ method: "note", params });
