Count a load for as long as loads take; pass over engines that fell silent

Cause 1: two loads at once were counted by engines under order. One that was dead kept a place for a second at each try, and one whose order got no answer for up to 4 s, while other engines' loads waited; the next load waited for a report that lags by 100 ms. Change: a load counts for 0.9 of the mean time after which loads were seen to end, learned from those that were. Cause 2: an engine that fell silent was tried again every 0.6 s, each time at the cost of 250 ms to a run. Change: it is passed over until its next heartbeat, 4 s at most.

--- a/src/dispatch/choose_engine.ts
+++ b/src/dispatch/choose_engine.ts
@@ -51,7 +51,7 @@
 ): boolean {
   const { model, minimumVersion } = need;
   if (table.getRunning(engine.id) >= engine.slots) return false;
-  if (table.isAvoided(engine.id)) return false;
+  if (table.isAvoided(engine)) return false;
   if (model === undefined) return true;
   if (table.getLoading(engine.id) === model) return false;
   return table.getVersion(engine, model) >= minimumVersion;
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -45,9 +45,17 @@
   /** The engine answered that no attempt can succeed. */
   | { readonly kind: "impossible" }
   /** The engine did not take it. */
-  | { readonly kind: "notRun"; readonly reason: string }
+  | Unfinished<"notRun">
   /** The stream broke off; a further run may go on from there. */
-  | { readonly kind: "broken"; readonly reason: string };
+  | Unfinished<"broken">;
+
+/** A run that another one must go on with. */
+export interface Unfinished<Kind> {
+  readonly kind: Kind;
+  readonly reason: string;
+  /** Whether the engine said nothing at all, as one that is gone. */
+  readonly isSilent: boolean;
+}
 
 /** Follows the stream of one run. */
 class ItemStream implements httpClient.ExchangeListener {
@@ -125,11 +133,13 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine answered ${this.#status}`;
-    this.#settle({ kind: this.#isNotRun ? "notRun" : "broken", reason });
+    const kind = this.#isNotRun ? "notRun" : "broken";
+    this.#settle({ kind, reason, isSilent: false });
   }
 
   onFail(message: string, isSent: boolean): void {
-    this.#settle({ kind: isSent ? "broken" : "notRun", reason: message });
+    const kind = isSent ? "broken" : "notRun";
+    this.#settle({ kind, reason: message, isSilent: !isSent });
   }
 
   /** A field that event streams do not define may tell a new version. */
@@ -177,13 +187,13 @@
     if (this.#isSettled) return;
     this.#cancelStall = clock.startTimer(
       stallMs,
-      () => this.#stop("no event came for long"),
+      () => this.#stop("no event came for long", true),
     );
   }
 
-  #stop(reason: string): void {
+  #stop(reason: string, isSilent = false): void {
     this.#exchange?.cancel();
-    this.#settle({ kind: "broken", reason });
+    this.#settle({ kind: "broken", reason, isSilent });
   }
 
   #settle(end: RunEnd): void {
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -10,6 +10,7 @@
 import * as assignEngines from "./assign_engines.ts";
 import * as listDueLoads from "./list_due_loads.ts";
 import * as listEngines from "./list_engines.ts";
+import * as loadLanes from "./load_lanes.ts";
 import * as orderClients from "./order_client.ts";
 import * as planHandover from "./plan_handover.ts";
 
@@ -21,9 +22,8 @@
  * (measured: two of six and two of eight load at full speed).
  */
 const LOADING_SHARE = 0.3;
-/** A load of 900 ms and the lag of reports, in ms; earlier ones say nothing. */
-const LOAD_MS = 1_000;
-const REPORT_MS = 120;
+/** Between two looks at an engine whose load should have ended, in ms. */
+const REPORT_MS = 60;
 /** Time after which an order without effect is given up, in ms. */
 const ORDER_PATIENCE_MS = 4_000;
 /** Pause before an engine that refused is asked again, in ms. */
@@ -62,16 +62,21 @@
 /** Moves engines to the newest named versions, one box at a time. */
 export class WeightOrders {
   readonly #options: WeightOrdersOptions;
+  /** Engines that are being read or ordered. */
   readonly #busy = new Set<string>();
+  readonly #lanes: loadLanes.LoadLanes;
   /** Orders that each engine has taken, as last read from it. */
   readonly #orders = new Map<string, number>();
   #homes: assignEngines.EngineHomes = new Map();
+  /** Loads that may run at once. */
+  #most = 1;
   #isStopped = false;
   #isClaiming = false;
   #transferred = { term: 0, atMs: Number.NEGATIVE_INFINITY };
 
   constructor(options: WeightOrdersOptions) {
     this.#options = options;
+    this.#lanes = new loadLanes.LoadLanes(options.clock);
   }
 
   start(): void {
@@ -168,7 +173,7 @@
       ),
       before: this.#homes,
     });
-    const most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
+    this.#most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
     const due = listDueLoads.listDueLoads({
       engines,
       homes: this.#homes,
@@ -178,10 +183,10 @@
         this.#options.engines.getVersion(engine, model),
     });
     for (const load of due) {
-      if (this.#busy.size >= most) return;
+      if (this.#lanes.count() >= this.#most) return;
       if (this.#busy.has(load.engine.id)) continue;
       this.#busy.add(load.engine.id);
-      void this.#load(load).finally(() => this.#finish(load));
+      void this.#load(load).then((isSeen) => this.#finish(load, isSeen));
     }
   }
 
@@ -201,20 +206,25 @@
     return record.namedVersion - record.submission.minimumVersion;
   }
 
-  #finish(load: listDueLoads.DueLoad): void {
-    this.#busy.delete(load.engine.id);
-    this.#options.engines.setLoading(load.engine.id, undefined);
+  /** @param isSeen Whether the load was seen from its order to its end. */
+  #finish({ engine }: listDueLoads.DueLoad, isSeen: boolean): void {
+    this.#lanes.end(engine.id, isSeen);
+    this.#busy.delete(engine.id);
+    this.#options.engines.setLoading(engine.id, undefined);
     this.#options.onLoaded();
   }
 
-  async #load(load: listDueLoads.DueLoad): Promise<void> {
+  /** @returns Whether the load was seen from its order to its end. */
+  async #load(load: listDueLoads.DueLoad): Promise<boolean> {
     const { clock, dialect, engines, group, box, log, metrics } = this.#options;
     const { engine, model, version } = load;
     if (!this.#orders.has(engine.id) && !await this.#refresh(load)) {
-      return await clocks.sleep(clock, REFUSED_MS);
+      await clocks.sleep(clock, REFUSED_MS);
+      return false;
     }
-    if (engines.getVersion(engine, model) >= version) return;
-    if (!this.#canOrder()) return;
+    if (engines.getVersion(engine, model) >= version) return false;
+    if (!this.#canOrder() || this.#lanes.count() >= this.#most) return false;
+    this.#lanes.begin(engine.id);
     engines.setLoading(engine.id, model);
     this.#options.onLoading(engine.id, model);
     const order: dialects.VersionOrder = {
@@ -239,16 +249,18 @@
     });
     switch (outcome.kind) {
       case "taken":
-        await clocks.sleep(clock, LOAD_MS);
+        await clocks.sleep(clock, this.#lanes.getLoadMs());
         return await this.#awaitLoaded(load);
       case "held":
         engines.prove(engine.id, model, version);
-        return;
+        return false;
       case "refused":
         this.#orders.delete(engine.id);
-        return await clocks.sleep(clock, REFUSED_MS);
+        await clocks.sleep(clock, REFUSED_MS);
+        return false;
       case "unanswered":
-        return await this.#awaitLoaded(load);
+        await this.#awaitLoaded(load);
+        return false;
     }
   }
 
@@ -261,17 +273,18 @@
   }
 
   /** Reads the engine's state until it holds the version or patience ends. */
-  async #awaitLoaded(load: listDueLoads.DueLoad): Promise<void> {
+  async #awaitLoaded(load: listDueLoads.DueLoad): Promise<boolean> {
     const { clock, engines, servers } = this.#options;
     const endMs = clock.getMonotonicMs() + ORDER_PATIENCE_MS;
     while (clock.getMonotonicMs() < endMs && !this.#isStopped) {
-      if (servers.get(load.engine.id)?.phase !== "ready") return;
+      if (servers.get(load.engine.id)?.phase !== "ready") return false;
       await this.#refresh(load);
       const held = engines.getVersion(load.engine, load.model);
-      if (held >= load.version) return;
+      if (held >= load.version) return true;
       await clocks.sleep(clock, REPORT_MS);
     }
     this.#orders.delete(load.engine.id);
+    return false;
   }
 
   /** Reads what an engine holds; false when it could not be read. */
