--- a/src/dispatch/choose_engine.ts
+++ b/src/dispatch/choose_engine.ts
@@ -1,5 +1,5 @@
 import type * as registry from "../registry/mod.ts";
-import type * as engineTables from "./engine_table.ts";
+import * as engineTables from "./engine_table.ts";
 
 /**
  * How much a certain failure adds to an engine's score, as a factor: a broken
@@ -15,30 +15,54 @@
   readonly avoided: ReadonlySet<string>;
 }
 
+/** An engine in a choice, with what does not change while items are placed. */
+export interface EngineCandidate {
+  readonly engine: registry.RegisteredServer;
+  /** Expected time between its events without a run, failures weighed in, in ms. */
+  readonly idleMs: number;
+  /** Runs at it, those among them that were placed since. */
+  running: number;
+}
+
+/** Describes an engine for a choice. */
+export function createCandidate(
+  engine: registry.RegisteredServer,
+  table: engineTables.EngineTable,
+): EngineCandidate {
+  const failures = FAILURE_WEIGHT * table.getFailureShare(engine.id);
+  return {
+    engine,
+    idleMs: table.getGapMs(engine.id) * (1 + failures),
+    running: table.getRunning(engine.id),
+  };
+}
+
 /**
- * Picks the engine where an item's tokens are expected to come fastest.
+ * Picks the engine with a free place where an item's tokens are expected to
+ * come fastest. Engines that failed the item are taken only where no other is
+ * left.
  *
- * @param engines Engines that take new work.
- * @param table What is known of them.
- * @param need What the item asks.
+ * @param candidates Engines that may take the item.
+ * @param avoided Ids of engines that failed it.
  * @returns The engine, or undefined when none has a place.
  */
-export function chooseEngine(
-  engines: readonly registry.RegisteredServer[],
-  table: engineTables.EngineTable,
-  need: EngineNeed,
-): registry.RegisteredServer | undefined {
-  const able = engines.filter((engine) => canTake(engine, table, need));
-  const fresh = able.filter((engine) => !need.avoided.has(engine.id));
-  let best: registry.RegisteredServer | undefined;
-  let bestScore = Number.POSITIVE_INFINITY;
-  for (const engine of fresh.length > 0 ? fresh : able) {
-    const failures = FAILURE_WEIGHT * table.getFailureShare(engine.id);
-    const running = table.getRunning(engine.id) + 1;
-    const score = table.estimateGapMs(engine, running) * (1 + failures);
-    if (score >= bestScore) continue;
-    best = engine;
-    bestScore = score;
+export function pickEngine(
+  candidates: readonly EngineCandidate[],
+  avoided: ReadonlySet<string>,
+): EngineCandidate | undefined {
+  let best: EngineCandidate | undefined;
+  let bestMs = Number.POSITIVE_INFINITY;
+  let isBestAvoided = true;
+  for (const candidate of candidates) {
+    const { engine, idleMs, running } = candidate;
+    if (running >= engine.slots) continue;
+    const isAvoided = avoided.size > 0 && avoided.has(engine.id);
+    if (isAvoided && !isBestAvoided) continue;
+    const ms = idleMs * engineTables.getSlowdown(running + 1, engine.slots);
+    if (ms >= bestMs && isAvoided === isBestAvoided) continue;
+    best = candidate;
+    bestMs = ms;
+    isBestAvoided = isAvoided;
   }
   return best;
 }
@@ -47,10 +71,19 @@
 export function canTake(
   engine: registry.RegisteredServer,
   table: engineTables.EngineTable,
-  need: EngineNeed,
+  need: Omit<EngineNeed, "avoided">,
+): boolean {
+  return table.getRunning(engine.id) < engine.slots &&
+    canServe(engine, table, need);
+}
+
+/** Tells whether an engine may take an item once it has a place. */
+export function canServe(
+  engine: registry.RegisteredServer,
+  table: engineTables.EngineTable,
+  need: Omit<EngineNeed, "avoided">,
 ): boolean {
   const { model, minimumVersion } = need;
-  if (table.getRunning(engine.id) >= engine.slots) return false;
   if (table.isAvoided(engine)) return false;
   if (model === undefined) return true;
   if (table.getLoading(engine.id) === model) return false;
--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -64,10 +64,10 @@
     engines: readonly registry.RegisteredServer[],
     avoided: readonly string[] = [],
   ): string | undefined {
-    return chooseEngine.chooseEngine(engines, table, {
-      ...need,
-      avoided: new Set(avoided),
-    })?.id;
+    const able = engines.filter((engine) =>
+      chooseEngine.canTake(engine, table, need)
+    ).map((engine) => chooseEngine.createCandidate(engine, table));
+    return chooseEngine.pickEngine(able, new Set(avoided))?.engine.id;
   }
 
   function order(
--- a/src/dispatch/engine_table.ts
+++ b/src/dispatch/engine_table.ts
@@ -51,6 +51,8 @@
   readonly #clock: clocks.Clock;
   readonly #states = new Map<string, EngineState>();
   readonly #failures: serverHealth.FailureShares;
+  /** Median of the gaps when it was last asked for. */
+  #median = { atMs: Number.NaN, gapMs: FIRST_GAP_MS };
 
   constructor(clock: clocks.Clock) {
     this.#clock = clock;
@@ -99,6 +101,13 @@
   /** Median of the engines' mean times between events, in ms. */
   getMedianGapMs(): number {
     const nowMs = this.#clock.getMonotonicMs();
+    if (this.#median.atMs !== nowMs) {
+      this.#median = { atMs: nowMs, gapMs: this.#computeMedianMs(nowMs) };
+    }
+    return this.#median.gapMs;
+  }
+
+  #computeMedianMs(nowMs: number): number {
     const gaps = [...this.#states.values()]
       .filter(({ gapAtMs }) => nowMs - gapAtMs < GAP_MS)
       .map(({ gapMs }) => gapMs)
@@ -174,6 +183,7 @@
   }
 }
 
-function getSlowdown(running: number, slots: number): number {
+/** How much longer an event takes with so many runs than with none, a factor. */
+export function getSlowdown(running: number, slots: number): number {
   return 1 + FULL_SLOWDOWN * running / slots;
 }
--- a/src/dispatch/placement_round.ts
+++ b/src/dispatch/placement_round.ts
@@ -10,28 +10,29 @@
 
 /**
  * Finds places for many waiting items in one go. The engines of a service are
- * listed once, full ones are left out as they fill up, and a need that found no
- * place is not tried again, so a long queue costs little while engines are full.
+ * listed and described once, and those that may serve a need are found once a
+ * need, so that a long queue costs little.
  */
 export class PlacementRound {
   readonly #options: PlacementRoundOptions;
-  /** Engines with a free place, by service. */
-  readonly #open = new Map<string, readonly registry.RegisteredServer[]>();
-  /** Needs for which no engine has a place in this round. */
-  readonly #hopeless = new Set<string>();
+  /** Engines that had a free place at the beginning, by service. */
+  readonly #open = new Map<string, readonly chooseEngine.EngineCandidate[]>();
+  /** Those that may serve a need, by service, model and oldest version. */
+  readonly #able = new Map<string, readonly chooseEngine.EngineCandidate[]>();
 
   constructor(options: PlacementRoundOptions) {
     this.#options = options;
   }
 
-  /** Whether any engine of the service had a free place at the last look. */
+  /** Whether any engine of the service has a free place. */
   hasPlace(service: string): boolean {
-    return this.#getOpen(service).length > 0;
+    return this.#listOpen(service).some(({ engine, running }) =>
+      running < engine.slots
+    );
   }
 
   /**
-   * Picks an engine for an item; the caller begins the run at once, so that
-   * the engine's place counts as taken.
+   * Picks an engine for an item; the caller begins the run at once.
    *
    * @param target Engine to take if it still can.
    * @returns The engine, or undefined when none has a place for it.
@@ -41,35 +42,45 @@
     need: chooseEngine.EngineNeed,
     target?: string,
   ): registry.RegisteredServer | undefined {
-    const key = `${service} ${need.model ?? ""} ${need.minimumVersion}`;
-    if (this.#hopeless.has(key)) return undefined;
-    const open = this.#setOpen(service, this.#getOpen(service));
-    const wanted = open.find((other) => other.id === target);
-    if (
-      wanted !== undefined &&
-      chooseEngine.canTake(wanted, this.#options.engines, need)
-    ) return wanted;
-    const engine = chooseEngine.chooseEngine(open, this.#options.engines, need);
-    if (engine === undefined) this.#hopeless.add(key);
-    return engine;
+    const able = this.#listAble(service, need);
+    const wanted = target === undefined
+      ? undefined
+      : able.find(({ engine, running }) =>
+        engine.id === target && running < engine.slots
+      );
+    const chosen = wanted ?? chooseEngine.pickEngine(able, need.avoided);
+    if (chosen === undefined) return undefined;
+    chosen.running += 1;
+    return chosen.engine;
   }
 
-  #getOpen(service: string): readonly registry.RegisteredServer[] {
-    const { servers } = this.#options;
-    return this.#open.get(service) ??
-      this.#setOpen(service, servers.listReady(service));
+  #listOpen(service: string): readonly chooseEngine.EngineCandidate[] {
+    const { servers, engines } = this.#options;
+    const known = this.#open.get(service);
+    if (known !== undefined) return known;
+    const open = servers.listReady(service)
+      .filter((engine) => engines.getRunning(engine.id) < engine.slots)
+      .map((engine) => chooseEngine.createCandidate(engine, engines));
+    this.#open.set(service, open);
+    return open;
   }
 
-  /** Notes which of the listed engines have a free place now. */
-  #setOpen(
+  /** Engines for a need; full ones are dropped when none has a place. */
+  #listAble(
     service: string,
-    listed: readonly registry.RegisteredServer[],
-  ): readonly registry.RegisteredServer[] {
+    need: chooseEngine.EngineNeed,
+  ): readonly chooseEngine.EngineCandidate[] {
     const { engines } = this.#options;
-    const open = listed.filter((engine) =>
-      engines.getRunning(engine.id) < engine.slots
+    const key = `${service} ${need.model ?? ""} ${need.minimumVersion}`;
+    const known = this.#able.get(key) ??
+      this.#listOpen(service).filter(({ engine }) =>
+        chooseEngine.canServe(engine, engines, need)
+      );
+    const isFull = known.every(({ engine, running }) =>
+      running >= engine.slots
     );
-    this.#open.set(service, open);
-    return open;
+    const able = isFull ? [] : known;
+    this.#able.set(key, able);
+    return able;
   }
 }
--- /dev/null
+++ b/tools/bench/bench_dispatch.ts
@@ -0,0 +1,131 @@
+import * as csp from "../../src/csp/mod.ts";
+import * as clocks from "../../src/clock/mod.ts";
+import * as dispatch from "../../src/dispatch/mod.ts";
+import type * as registry from "../../src/registry/mod.ts";
+import type * as submissions from "../../src/submission/mod.ts";
+
+/** Numbers of items and engines that are measured. */
+const SIZES = [
+  { items: 200, engines: 31 },
+  { items: 2_000, engines: 100 },
+  { items: 10_000, engines: 1_000 },
+] as const;
+const SLOTS = 12;
+const ROUNDS = 15;
+const MODELS = 6;
+/** Share of the engines that are slow, so that runs there want to move. */
+const SLOW_EVERY = 4;
+
+function createEngine(index: number): registry.RegisteredServer {
+  return {
+    id: `engine-${index}`,
+    service: "lm",
+    address: "127.0.0.1",
+    port: 1,
+    failureDomain: `d-${index % 7}`,
+    slots: SLOTS,
+    phase: "ready",
+    coldMs: 0,
+    sequence: 1,
+    models: Array.from({ length: MODELS }, (_, model) => ({
+      name: `m-${model}`,
+      version: 1,
+    })),
+  };
+}
+
+function createTask(index: number): dispatch.ItemTask {
+  const item: submissions.SubmissionItem = {
+    id: `item-${index}`,
+    path: "/run",
+    headers: {},
+    body: "",
+    tokens: 1_000,
+    group: `g-${index % 64}`,
+    lengthHint: 500 + (index * 7_919) % 9_000,
+    model: `m-${index % MODELS}`,
+    scoring: undefined,
+  };
+  const submission: submissions.Submission = {
+    id: `s-${index % 40}`,
+    model: item.model,
+    step: 1,
+    minimumVersion: 1,
+    desired: 1,
+    items: [item],
+    acceptedAtMs: (index % 40) * 100,
+    terms: {
+      host: "a.example",
+      service: "lm",
+      attempts: 2,
+      keepMs: 60_000,
+      targetCompletionMs: 7_500,
+      isSingleVersion: false,
+    },
+  };
+  const step = new dispatch.StepProgress(submission, new Set());
+  return new dispatch.ItemTask(submission, item, step, 0);
+}
+
+interface Timing {
+  readonly placeMs: number;
+  readonly moveMs: number;
+}
+
+/** Places all waiting items once and plans the moves of those that run. */
+function measureRound(items: number, engineCount: number): Timing {
+  const clock = new clocks.FakeClock(1_000);
+  const table = new dispatch.EngineTable(clock);
+  const lengths = new dispatch.LengthEstimates();
+  const engines = Array.from(
+    { length: engineCount },
+    (_, i) => createEngine(i),
+  );
+  engines.forEach((engine, index) => {
+    const gapMs = index % SLOW_EVERY === 0 ? 120 : 37;
+    for (let event = 0; event < 50; event += 1) table.noteGap(engine, gapMs);
+  });
+  const servers = { listReady: () => engines };
+  const tasks = Array.from({ length: items }, (_, index) => createTask(index));
+  const startMs = performance.now();
+  const round = new dispatch.PlacementRound({ servers, engines: table });
+  for (const task of dispatch.orderTasks(tasks, lengths, 37)) {
+    const engine = round.choose("lm", task.getNeed());
+    if (engine === undefined) continue;
+    table.begin(engine.id);
+    task.beginRun({
+      engine: engine.id,
+      cancellation: new csp.Cancellation(),
+      startedAtMs: 0,
+    });
+  }
+  const placedMs = performance.now();
+  dispatch.planMoves(tasks, 1_000, { servers, engines: table, lengths });
+  return {
+    placeMs: placedMs - startMs,
+    moveMs: performance.now() - placedMs,
+  };
+}
+
+function findMedian(values: readonly number[]): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return Math.round((sorted[Math.floor(sorted.length / 2)] ?? 0) * 100) / 100;
+}
+
+/** Measures the decisions of one round of the dispatcher. */
+export function benchDispatch(): void {
+  const results = SIZES.map(({ items, engines }) => {
+    const timings = Array.from(
+      { length: ROUNDS },
+      () => measureRound(items, engines),
+    );
+    return {
+      items,
+      engines,
+      placeMs: findMedian(timings.map((timing) => timing.placeMs)),
+      moveMs: findMedian(timings.map((timing) => timing.moveMs)),
+    };
+  });
+  for (const result of results) console.log(JSON.stringify(result));
+  console.log(JSON.stringify({ rounds: ROUNDS, results }));
+}
--- a/tools/bench/run_bench.ts
+++ b/tools/bench/run_bench.ts
@@ -7,6 +7,7 @@
  */
 import yargs from "yargs";
 import * as benchControl from "./bench_control.ts";
+import * as benchDispatch from "./bench_dispatch.ts";
 import * as benchPath from "./bench_path.ts";
 import * as benchRolling from "./bench_rolling.ts";
 import * as benchSlopes from "./bench_slopes.ts";
@@ -37,6 +38,12 @@
     {},
     () => benchSlopes.benchSlopes(),
   )
+  .command(
+    "dispatch",
+    "Time to place items and plan moves, at growing sizes",
+    {},
+    () => benchDispatch.benchDispatch(),
+  )
   .demandCommand(1, "Say what to measure")
   .strict()
   .parseAsync();
