--- /dev/null
+++ b/src/dispatch/plan_moves_test.ts
@@ -0,0 +1,150 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as itemFixtures from "../submission/item_fixture_test.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as engineTables from "./engine_table.ts";
+import * as itemTasks from "./item_task.ts";
+import * as lengthEstimates from "./length_estimates.ts";
+import * as planMoves from "./plan_moves.ts";
+import * as stepProgresses from "./step_progress.ts";
+
+/** A hinted token stands for a fiftieth of an event before any has ended. */
+const TOKENS_AN_EVENT = 50;
+const NOW_MS = 10_000;
+
+function createEngine(id: string): registry.RegisteredServer {
+  return serverFixtures.createServer(id, {
+    slots: 2,
+    models: [{ name: "m", version: 1 }],
+  });
+}
+
+describe("moves to faster engines", () => {
+  const engines = ["fast", "slower", "slow"].map(createEngine);
+  const lengths = new lengthEstimates.LengthEstimates();
+  let table = new engineTables.EngineTable(new clocks.FakeClock());
+
+  beforeEach(() => {
+    table = new engineTables.EngineTable(new clocks.FakeClock());
+    for (let event = 0; event < 200; event += 1) {
+      for (const [engine, gapMs] of [[0, 40], [1, 50], [2, 140]] as const) {
+        const noted = engines[engine];
+        if (noted !== undefined) table.noteGap(noted, gapMs);
+      }
+    }
+  });
+
+  /** Makes an item that runs at an engine and is expected to make events. */
+  function createRunning(
+    id: string,
+    engine: string,
+    events: number,
+    startedAtMs = 0,
+  ): itemTasks.ItemTask {
+    const lengthHint = events * TOKENS_AN_EVENT;
+    const item = itemFixtures.createItem(id, { lengthHint });
+    const submission = {
+      id: "s",
+      model: "m",
+      minimumVersion: 1,
+      items: [item],
+      acceptedAtMs: 0,
+      terms: { service: "lm" },
+    } as unknown as submissions.Submission;
+    const step = new stepProgresses.StepProgress(submission, new Set());
+    const task = new itemTasks.ItemTask(submission, item, step, 0);
+    const cancellation = new csp.Cancellation();
+    task.beginRun({ engine, cancellation, startedAtMs });
+    table.begin(engine);
+    return task;
+  }
+
+  function plan(tasks: readonly itemTasks.ItemTask[]): readonly string[] {
+    const moves = planMoves.planMoves(tasks, NOW_MS, {
+      servers: { listReady: () => engines },
+      engines: table,
+      lengths,
+    });
+    return moves.map(({ task, to }) => `${task.item.id} ${to.id}`);
+  }
+
+  it("move a long run from an engine that is only somewhat slower", () => {
+    const tasks = [createRunning("long", "slower", 100)];
+    chai.expect(plan(tasks)).to.deep.equal(["long fast"]);
+  });
+
+  it("leave a run that would gain less than a move costs", () => {
+    const tasks = [createRunning("short", "slower", 10)];
+    chai.expect(plan(tasks)).to.deep.equal([]);
+  });
+
+  it("give the fast places to the runs with longest to go", () => {
+    const tasks = [
+      createRunning("short", "slow", 20),
+      createRunning("long", "slow", 150),
+      createRunning("there", "fast", 150),
+    ];
+    chai.expect(plan(tasks)).to.deep.equal(["long fast", "short slower"]);
+  });
+
+  it("leave a run that has just begun, or is being moved", () => {
+    const fresh = createRunning("fresh", "slow", 150, NOW_MS - 100);
+    const moved = createRunning("moved", "slow", 150);
+    moved.run?.cancellation.cancel();
+    chai.expect(plan([fresh, moved])).to.deep.equal([]);
+  });
+
+  it("take no engine that failed the item, loads its model or is full", () => {
+    const failed = createRunning("failed", "slow", 150);
+    failed.avoid("fast");
+    chai.expect(plan([failed])).to.deep.equal(["failed slower"]);
+    table.setLoading("slower", "m");
+    chai.expect(plan([failed])).to.deep.equal([]);
+    const other = createRunning("other", "slow", 150);
+    for (let run = 0; run < 2; run += 1) table.begin("fast");
+    chai.expect(plan([other])).to.deep.equal([]);
+  });
+});
+
+describe("expected lengths", () => {
+  it("learn how many events a hinted token stands for", () => {
+    const lengths = new lengthEstimates.LengthEstimates();
+    for (let item = 0; item < 200; item += 1) lengths.note(createDone(100, 20));
+    chai.expect(lengths.estimateRemaining(createDone(1_000, 0))).to.be
+      .closeTo(200, 2);
+    chai.expect(lengths.estimateRemaining(createDone(1_000, 150))).to.be
+      .closeTo(60, 2);
+  });
+
+  it("take a run past its expected end for a long one", () => {
+    const lengths = new lengthEstimates.LengthEstimates();
+    chai.expect(lengths.estimateRemaining(createDone(500, 100))).to.equal(40);
+  });
+
+  it("go by the mean where there is no hint", () => {
+    const lengths = new lengthEstimates.LengthEstimates();
+    for (let item = 0; item < 200; item += 1) {
+      lengths.note(createDone(undefined, 60));
+    }
+    chai.expect(lengths.estimateRemaining(createDone(undefined, 10))).to.be
+      .closeTo(50, 1);
+  });
+
+  /** Makes an item with a hint that has made so many events. */
+  function createDone(
+    lengthHint: number | undefined,
+    events: number,
+  ): itemTasks.ItemTask {
+    const item = itemFixtures.createItem("a", { lengthHint });
+    const submission = { items: [item] } as unknown as submissions.Submission;
+    const step = new stepProgresses.StepProgress(submission, new Set());
+    const task = new itemTasks.ItemTask(submission, item, step, 0);
+    for (let id = 1; id <= events; id += 1) {
+      task.progress.add({ id, data: "", version: 1 });
+    }
+    return task;
+  }
+});
