--- a/src/dispatch/phase_times.ts
+++ b/src/dispatch/phase_times.ts
@@ -36,12 +36,16 @@
     this.#sinceMs = nowMs;
   }
 
-  /** Time in the phases that have ended. */
+  /** Time in the phases that have ended, in whole milliseconds. */
   describe(): PhaseDurations {
     return {
-      waitingMs: this.#totals.get("waiting") ?? 0,
-      runningMs: this.#totals.get("running") ?? 0,
-      scoringMs: this.#totals.get("scoring") ?? 0,
+      waitingMs: this.#getTotal("waiting"),
+      runningMs: this.#getTotal("running"),
+      scoringMs: this.#getTotal("scoring"),
     };
   }
+
+  #getTotal(phase: TaskPhase): number {
+    return Math.round(this.#totals.get(phase) ?? 0);
+  }
 }
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -154,42 +154,43 @@
     if (this.#isStopped) return;
     if (!this.#canOrder()) return void this.#claimOrders();
     const engines = this.#listEngines();
-    const versions = this.#options.machine.getVersions();
-    const models = listModels(engines);
     const lags = new Map(
-      models.map((model) => [model, this.#getLag(model)] as const),
+      listModels(engines).map((model) => [model, this.#getLag(model)] as const),
     );
-    this.#homes = assignEngines.assignEngines({
-      engines: engines.map((engine) => engine.id),
-      wanted: new Map(
-        models.map((model) => [
-          model,
-          assignEngines.countWantedEngines(
-            engines.length,
-            models.length,
-            lags.get(model) ?? 0,
-          ),
-        ]),
-      ),
-      before: this.#homes,
-    });
+    this.#assign(engines, lags);
     this.#most = Math.max(1, Math.round(engines.length * LOADING_SHARE));
     const due = listDueLoads.listDueLoads({
       engines,
       homes: this.#homes,
-      versions,
+      versions: this.#options.machine.getVersions(),
       lags,
       getVersion: (engine, model) =>
         this.#options.engines.getVersion(engine, model),
     });
     for (const load of due) {
       if (this.#lanes.count() >= this.#most) return;
-      if (this.#busy.has(load.engine.id)) continue;
-      this.#busy.add(load.engine.id);
-      void this.#load(load).then((isSeen) => this.#finish(load, isSeen));
+      if (!this.#busy.has(load.engine.id)) void this.#runLoad(load);
     }
   }
 
+  /** Assigns the engines to the models, by how far steps of each may lag. */
+  #assign(
+    engines: readonly registry.RegisteredServer[],
+    lags: ReadonlyMap<string, number>,
+  ): void {
+    const wanted = new Map(
+      [...lags].map(([model, lag]) => [
+        model,
+        assignEngines.countWantedEngines(engines.length, lags.size, lag),
+      ]),
+    );
+    this.#homes = assignEngines.assignEngines({
+      engines: engines.map((engine) => engine.id),
+      wanted,
+      before: this.#homes,
+    });
+  }
+
   /** Engines, those with the fewest runs first. */
   #listEngines(): readonly registry.RegisteredServer[] {
     const { servers, engines } = this.#options;
@@ -206,12 +207,18 @@
     return record.namedVersion - record.submission.minimumVersion;
   }
 
-  /** @param isSeen Whether the load was seen from its order to its end. */
-  #finish({ engine }: listDueLoads.DueLoad, isSeen: boolean): void {
-    this.#lanes.end(engine.id, isSeen);
-    this.#busy.delete(engine.id);
-    this.#options.engines.setLoading(engine.id, undefined);
-    this.#options.onLoaded();
+  async #runLoad(load: listDueLoads.DueLoad): Promise<void> {
+    const { engine } = load;
+    this.#busy.add(engine.id);
+    let isSeen = false;
+    try {
+      isSeen = await this.#load(load);
+    } finally {
+      this.#lanes.end(engine.id, isSeen);
+      this.#busy.delete(engine.id);
+      this.#options.engines.setLoading(engine.id, undefined);
+      this.#options.onLoaded();
+    }
   }
 
   /** @returns Whether the load was seen from its order to its end. */
