--- a/src/dispatch/choose_engine.ts
+++ b/src/dispatch/choose_engine.ts
@@ -84,7 +84,7 @@
   need: Omit<EngineNeed, "avoided">,
 ): boolean {
   const { model, minimumVersion } = need;
-  if (table.isAvoided(engine)) return false;
+  if (table.isAvoided(engine.id)) return false;
   if (model === undefined) return true;
   if (table.getLoading(engine.id) === model) return false;
   return table.getVersion(engine, model) >= minimumVersion;
--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -101,21 +101,10 @@
     chai.expect(choose(engines)).to.equal(undefined);
     table.setLoading("a", "another");
     chai.expect(choose(engines)).to.equal("a");
-    table.avoid(createEngine("a", 2));
+    table.avoid("a");
     chai.expect(choose(engines)).to.equal(undefined);
   });
 
-  it("takes an engine that fell silent only once a heartbeat came, or long after", () => {
-    const silent = createEngine("a", 2);
-    table.avoid(silent, true);
-    clock.extendBy(1_000);
-    chai.expect(choose([silent])).to.equal(undefined);
-    const heard = { ...silent, sequence: silent.sequence + 1 };
-    chai.expect(choose([heard])).to.equal("a");
-    clock.extendBy(3_001);
-    chai.expect(choose([silent])).to.equal("a");
-  });
-
   it("prefers fast engines until they are much fuller", () => {
     const engines = [createEngine("slow", 2), createEngine("fast", 2)];
     for (let event = 0; event < 200; event += 1) {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -226,7 +226,7 @@
         break;
       case "notRun":
       case "broken":
-        this.#options.engines.avoid(engine, end.isSilent);
+        this.#options.engines.avoid(engine.id);
         break;
     }
     this.#enter(task, "waiting");
--- a/src/dispatch/engine_table.ts
+++ b/src/dispatch/engine_table.ts
@@ -15,11 +15,6 @@
 const FULL_SLOWDOWN = 0.15;
 /** How long an engine that broke a run is passed over, in ms. */
 const AVOID_MS = 600;
-/**
- * How long one that fell silent is passed over, in ms, unless a heartbeat tells
- * that it runs; by then its missing heartbeats have told that it does not.
- */
-const SILENT_MS = 4_000;
 
 interface EngineState {
   readonly running: number;
@@ -28,8 +23,6 @@
   /** When the last gap was noted, in monotonic ms. */
   readonly gapAtMs: number;
   readonly avoidUntilMs: number;
-  /** Its last heartbeat when it fell silent, and until when that counts. */
-  readonly silent: { readonly sequence: number; readonly untilMs: number };
   /** Versions that the engine proved since its last heartbeat, by model. */
   readonly proved: ReadonlyMap<string, number>;
   /** Model that is being loaded, if any. */
@@ -41,7 +34,6 @@
   gapMs: FIRST_GAP_MS,
   gapAtMs: Number.NEGATIVE_INFINITY,
   avoidUntilMs: Number.NEGATIVE_INFINITY,
-  silent: { sequence: 0, untilMs: Number.NEGATIVE_INFINITY },
   proved: new Map(),
   loading: undefined,
 };
@@ -125,26 +117,13 @@
     return this.#failures.get(engine);
   }
 
-  /**
-   * Passes an engine over for a while.
-   *
-   * @param isSilent Whether it fell silent, so that it may be gone.
-   */
-  avoid(engine: registry.RegisteredServer, isSilent = false): void {
-    const nowMs = this.#clock.getMonotonicMs();
-    const state = this.#get(engine.id);
-    const silent = isSilent
-      ? { sequence: engine.sequence, untilMs: nowMs + SILENT_MS }
-      : state.silent;
-    const avoidUntilMs = nowMs + AVOID_MS;
-    this.#states.set(engine.id, { ...state, avoidUntilMs, silent });
+  avoid(engine: string): void {
+    const avoidUntilMs = this.#clock.getMonotonicMs() + AVOID_MS;
+    this.#states.set(engine, { ...this.#get(engine), avoidUntilMs });
   }
 
-  isAvoided(engine: registry.RegisteredServer): boolean {
-    const { avoidUntilMs, silent } = this.#get(engine.id);
-    const nowMs = this.#clock.getMonotonicMs();
-    if (avoidUntilMs > nowMs) return true;
-    return silent.untilMs > nowMs && engine.sequence <= silent.sequence;
+  isAvoided(engine: string): boolean {
+    return this.#get(engine).avoidUntilMs > this.#clock.getMonotonicMs();
   }
 
   /** Notes a version that an engine showed, before a heartbeat tells it. */
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -45,17 +45,9 @@
   /** The engine answered that no attempt can succeed. */
   | { readonly kind: "impossible" }
   /** The engine did not take it. */
-  | Unfinished<"notRun">
+  | { readonly kind: "notRun"; readonly reason: string }
   /** The stream broke off; a further run may go on from there. */
-  | Unfinished<"broken">;
-
-/** A run that another one must go on with. */
-export interface Unfinished<Kind> {
-  readonly kind: Kind;
-  readonly reason: string;
-  /** Whether the engine said nothing at all, as one that is gone. */
-  readonly isSilent: boolean;
-}
+  | { readonly kind: "broken"; readonly reason: string };
 
 /** Follows the stream of one run. */
 class ItemStream implements httpClient.ExchangeListener {
@@ -133,13 +125,11 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine answered ${this.#status}`;
-    const kind = this.#isNotRun ? "notRun" : "broken";
-    this.#settle({ kind, reason, isSilent: false });
+    this.#settle({ kind: this.#isNotRun ? "notRun" : "broken", reason });
   }
 
   onFail(message: string, isSent: boolean): void {
-    const kind = isSent ? "broken" : "notRun";
-    this.#settle({ kind, reason: message, isSilent: !isSent });
+    this.#settle({ kind: isSent ? "broken" : "notRun", reason: message });
   }
 
   /** A field that event streams do not define may tell a new version. */
@@ -187,13 +177,13 @@
     if (this.#isSettled) return;
     this.#cancelStall = clock.startTimer(
       stallMs,
-      () => this.#stop("no event came for long", true),
+      () => this.#stop("no event came for long"),
     );
   }
 
-  #stop(reason: string, isSilent = false): void {
+  #stop(reason: string): void {
     this.#exchange?.cancel();
-    this.#settle({ kind: "broken", reason, isSilent });
+    this.#settle({ kind: "broken", reason });
   }
 
   #settle(end: RunEnd): void {
