--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -57,7 +57,7 @@
   readonly heardAtMs: number;
   /** Election delays drawn so far. */
   readonly draws: number;
-  /** Leader of the term in which this replica was started; see `Former`. */
+  /** Leader of the term in which this replica was started, where its log tells. */
   readonly former: FormerLeader | undefined;
 }
 
