--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -3,27 +3,10 @@
 import * as path from "node:path";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
+import * as listMachines from "./list_machine_test.ts";
 import * as makeDataFolder from "./make_data_folder.ts";
 import * as replicaDrivers from "./replica_driver.ts";
 
-/** Counts commands; its state is the list of them. */
-class ListMachine {
-  values: readonly unknown[] = [];
-
-  apply(command: unknown): number {
-    this.values = [...this.values, command];
-    return this.values.length;
-  }
-
-  save(): readonly unknown[] {
-    return this.values;
-  }
-
-  restore(parts: readonly unknown[]): void {
-    this.values = parts;
-  }
-}
-
 describe("replica driver", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-driver-"));
   let fatal: readonly unknown[] = [];
@@ -31,7 +14,7 @@
   after(() => fs.rmSync(folder, { recursive: true, force: true }));
 
   function openDriver(
-    machine: ListMachine,
+    machine: listMachines.ListMachine,
   ): Promise<replicaDrivers.ReplicaDriver> {
     return replicaDrivers.ReplicaDriver.open({
       config: {
@@ -66,7 +49,7 @@
 
   it("does not lead from a folder that was not made for a first start", async () => {
     const empty = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-empty-"));
-    const machine = new ListMachine();
+    const machine = new listMachines.ListMachine();
     const driver = await replicaDrivers.ReplicaDriver.open({
       config: {
         id: "a",
@@ -93,7 +76,7 @@
     await makeDataFolder.makeDataFolder({ folder, owner: "a", wallMs: 1 });
     const accepted: string[] = [];
     for (let round = 0; round < 8; round += 1) {
-      const machine = new ListMachine();
+      const machine = new listMachines.ListMachine();
       const driver = await openDriver(machine);
       await proposeUntilDone(driver, `first ${round}`);
       accepted.push(`first ${round}`);
@@ -110,7 +93,7 @@
       await driver.stop();
       await Promise.all(proposals);
     }
-    const machine = new ListMachine();
+    const machine = new listMachines.ListMachine();
     const driver = await openDriver(machine);
     await proposeUntilDone(driver, "last");
     await driver.stop();
--- a/src/consensus/snapshot_transfer_test.ts
+++ b/src/consensus/snapshot_transfer_test.ts
@@ -3,6 +3,7 @@
 import * as path from "node:path";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
+import * as listMachines from "./list_machine_test.ts";
 import * as makeDataFolder from "./make_data_folder.ts";
 import type * as messages from "./message.ts";
 import * as replicaDrivers from "./replica_driver.ts";
@@ -92,24 +93,6 @@
   });
 });
 
-/** Keeps the commands; each is a part of its state. */
-class ListMachine {
-  values: readonly unknown[] = [];
-
-  apply(command: unknown): number {
-    if (typeof command === "string") this.values = [...this.values, command];
-    return this.values.length;
-  }
-
-  save(): readonly unknown[] {
-    return this.values;
-  }
-
-  restore(parts: readonly unknown[]): void {
-    this.values = parts;
-  }
-}
-
 describe("a replica that needs a snapshot", () => {
   const TEXT = "x".repeat(20_000);
   const COMMANDS = 120;
@@ -124,7 +107,10 @@
     for (const folder of folders) fs.rmSync(folder, { recursive: true });
   });
 
-  async function open(id: string, isFounder: boolean): Promise<ListMachine> {
+  async function open(
+    id: string,
+    isFounder: boolean,
+  ): Promise<listMachines.ListMachine> {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), `hoistscale-${id}-`));
     folders.push(folder);
     if (isFounder) {
@@ -135,7 +121,7 @@
         voters: ["a"],
       });
     }
-    const machine = new ListMachine();
+    const machine = new listMachines.ListMachine();
     const driver = await replicaDrivers.ReplicaDriver.open({
       config: {
         id,
