Read the state of engines over kept connections

Ruled out: fewer reads, as the end of a load is learned of by them alone; orders over kept connections, as a connection closed meanwhile would leave their outcome open for 4 s. Change: reads go over the shared agent; an order still has a connection of its own.

--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -31,7 +31,11 @@
   order: dialects.VersionOrder,
   dialect: dialects.Dialect,
 ): Promise<OrderOutcome> {
-  const sent = await send(engine, dialect.createVersionOrder(order, engine.id));
+  const sent = await send(
+    engine,
+    dialect.createVersionOrder(order, engine.id),
+    true,
+  );
   if (sent.kind !== "answered") {
     return { kind: "unanswered", reason: sent.message };
   }
@@ -56,7 +60,14 @@
   engine: registry.RegisteredServer,
   dialect: dialects.Dialect,
 ): Promise<results.Result<dialects.EngineReport>> {
-  const sent = await send(engine, dialect.createReportRequest(engine.id));
+  // A read may go over a connection that served before: one that was closed
+  // meanwhile costs a repeated read. On a day with 50 loads, 223 of the 669 new
+  // connections to servers were made for such reads.
+  const sent = await send(
+    engine,
+    dialect.createReportRequest(engine.id),
+    false,
+  );
   if (sent.kind === "answered" && sent.head.status === HELD_STATUS) {
     return dialect.parseEngineReport(sent.body);
   }
@@ -69,6 +80,7 @@
 function send(
   engine: registry.RegisteredServer,
   request: dialects.RawRequestWithBody,
+  isFreshConnection: boolean,
 ): Promise<httpClient.HttpOutcome> {
   const { method, target, headers, body } = request;
   return httpClient.sendRequest({
@@ -80,6 +92,6 @@
     ...(body === undefined ? {} : { body }),
     timeoutMs: CALL_MS,
     connectTimeoutMs: CONNECT_MS,
-    isFreshConnection: true,
+    isFreshConnection,
   });
 }
