Compress short messages between boxes against a shared text

Ruled out: a compressor that lives as long as the connection (no synchronous one in Node, and 256 KB a connection); a binary codec (loses the one JSON text that logs and tests read). Change: texts under 1,024 bytes are deflated after a text that both sides have. A refresh of 273 bytes takes 48, an empty append of 232 takes 40, a ping of 58 takes 9; 30 us to write, 15 us to read. Boxes of the version before can't read such frames: a fleet is upgraded as a whole.

--- a/src/rpc/_private.ts
+++ b/src/rpc/_private.ts
@@ -1,5 +1,6 @@
 import type * as net from "node:net";
 import * as zlib from "node:zlib";
+import * as sharedText from "./_shared_text.ts";
 
 /** Longest message between boxes, in bytes, before it is decompressed. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
@@ -9,13 +10,26 @@
 
 /*
  * A frame: length of the payload u32, format u8, payload. The payload is one
- * JSON text, compressed where that saves bytes between failure domains.
+ * JSON text, compressed unless it is long, to save bytes between failure domains.
  */
 const HEADER_BYTES = 5;
 const PLAIN_FORMAT = 0;
 const DEFLATED_FORMAT = 1;
-/** Shorter texts are sent as they are; compressing costs more than it saves. */
+/** Deflated after `SHARED_TEXT`, which the receiver has as well. */
+const SHORT_FORMAT = 2;
+/**
+ * Texts shorter than this are compressed against the shared text: a refresh of
+ * 273 bytes takes 48 then, an empty append of 232 takes 40, at some 30 us to
+ * write and 15 us to read. They made 14 of the 67 MB that 28 boxes sent across
+ * failure domains in 50 s.
+ */
 const MIN_DEFLATED_BYTES = 1_024;
+/** A short text fits into the smallest window beside the shared text. */
+const SHORT_OPTIONS: zlib.ZlibOptions = {
+  dictionary: sharedText.SHARED_TEXT,
+  windowBits: 12,
+  memLevel: 5,
+};
 /**
  * Longer texts are sent as they are too: the fastest compression takes 29 ms a
  * megabyte (measured on texts of samples) and saves a quarter. A submission is
@@ -84,16 +98,29 @@
   onMessage: (message: unknown) => void,
 ): boolean {
   try {
-    const text = format === DEFLATED_FORMAT
-      ? zlib.inflateRawSync(payload, { maxOutputLength: MAX_MESSAGE_BYTES })
-      : payload;
-    onMessage(JSON.parse(text.toString("utf8")));
+    onMessage(JSON.parse(decodeText(format, payload).toString("utf8")));
     return true;
   } catch {
     return false;
   }
 }
 
+function decodeText(format: number, payload: Buffer): Buffer {
+  switch (format) {
+    case DEFLATED_FORMAT:
+      return zlib.inflateRawSync(payload, {
+        maxOutputLength: MAX_MESSAGE_BYTES,
+      });
+    case SHORT_FORMAT:
+      return zlib.inflateRawSync(payload, {
+        ...SHORT_OPTIONS,
+        maxOutputLength: MIN_DEFLATED_BYTES,
+      });
+    default:
+      return payload;
+  }
+}
+
 /**
  * Frames of notifications by their parameters. A notification is often told to
  * many boxes at once; it is encoded and compressed for the first one only.
@@ -133,18 +160,31 @@
 
 function createFrame(message: unknown): Buffer {
   const text = Buffer.from(JSON.stringify(message));
-  const isDeflated = text.length >= MIN_DEFLATED_BYTES &&
-    text.length <= MAX_DEFLATED_BYTES;
-  const payload = isDeflated
-    ? zlib.deflateRawSync(text, { level: DEFLATE_LEVEL })
-    : text;
+  const { format, payload } = encodeText(text);
   const header = Buffer.alloc(HEADER_BYTES);
   header.writeUInt32BE(payload.length, 0);
-  const format = isDeflated ? DEFLATED_FORMAT : PLAIN_FORMAT;
   header.writeUInt8(format, HEADER_BYTES - 1);
   return Buffer.concat([header, payload]);
 }
 
+/** A text as a frame carries it. */
+interface EncodedText {
+  readonly format: number;
+  readonly payload: Buffer;
+}
+
+function encodeText(text: Buffer): EncodedText {
+  if (text.length < MIN_DEFLATED_BYTES) {
+    const payload = zlib.deflateRawSync(text, SHORT_OPTIONS);
+    return { format: SHORT_FORMAT, payload };
+  }
+  if (text.length > MAX_DEFLATED_BYTES) {
+    return { format: PLAIN_FORMAT, payload: text };
+  }
+  const payload = zlib.deflateRawSync(text, { level: DEFLATE_LEVEL });
+  return { format: DEFLATED_FORMAT, payload };
+}
+
 /** Writes one message as a frame. */
 export function writeMessage(socket: net.Socket, message: unknown): void {
   if (socket.destroyed || !socket.writable) return;
