Give a leader no authority before its machine holds what was accepted before

Cause: a new leader had authority once the first entry of its term was committed, while committed entries are applied only after the round's write. A read in between was answered from a state without what had been acknowledged in earlier terms; a stalled disk keeps that open for seconds. Change: authority needs that entry applied. Test: seen to fail without the change (0 values where 1 was accepted).

--- /dev/null
+++ b/src/consensus/_applied_machine.ts
@@ -0,0 +1,60 @@
+import type * as proposalTables from "./_proposals.ts";
+import type * as machines from "./machine.ts";
+import type * as messages from "./message.ts";
+import type * as replicaLogs from "./replica_log.ts";
+import * as replicaSets from "./replica_set.ts";
+
+/** A machine, and how far the log has been applied to it. */
+export class AppliedMachine {
+  readonly #machine: machines.Machine;
+  readonly #proposals: proposalTables.ProposalTable;
+  #index: number;
+  #term: number;
+
+  /** @param log The log whose snapshot the machine was restored from. */
+  constructor(
+    machine: machines.Machine,
+    proposals: proposalTables.ProposalTable,
+    log: replicaLogs.ReplicaLog,
+  ) {
+    this.#machine = machine;
+    this.#proposals = proposals;
+    this.#index = log.snapshotIndex;
+    this.#term = log.snapshotTerm;
+  }
+
+  /** Index of the last entry that the machine holds. */
+  getIndex(): number {
+    return this.#index;
+  }
+
+  /** Applies a committed entry, and answers who proposed it. */
+  apply(entry: replicaLogs.Entry): void {
+    if (entry.index <= this.#index) return;
+    const answer = this.#machine.apply(entry.command);
+    this.#index = entry.index;
+    this.#term = entry.term;
+    this.#proposals.settle(entry, answer);
+  }
+
+  /** Takes a snapshot that is ahead of the machine. */
+  restore(snapshot: messages.Snapshot): void {
+    if (snapshot.index <= this.#index) return;
+    this.#machine.restore(snapshot.state);
+    this.#index = snapshot.index;
+    this.#term = snapshot.term;
+    this.#proposals.dropUpTo(snapshot.index);
+  }
+
+  /** Makes a snapshot of what the machine holds now. */
+  createSnapshot(log: replicaLogs.ReplicaLog): messages.Snapshot {
+    const state = this.#machine.save();
+    const set = replicaSets.findReplicaSet(log, this.#index);
+    return {
+      index: this.#index,
+      term: this.#term,
+      state,
+      voters: set?.voters,
+    };
+  }
+}
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -1,6 +1,7 @@
 import * as csp from "../csp/mod.ts";
 import type * as results from "../results/mod.ts";
 import * as storage from "../storage/mod.ts";
+import * as appliedMachines from "./_applied_machine.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
 import * as savedRecords from "./_saved_record.ts";
@@ -11,7 +12,6 @@
 import * as replicaLogs from "./replica_log.ts";
 import type * as replicaOptions from "./replica_options.ts";
 import * as replicaStates from "./replica_state.ts";
-import * as replicaSets from "./replica_set.ts";
 import * as replicaStatuses from "./replica_status.ts";
 import * as snapshotDrafts from "./_snapshot_drafts.ts";
 import * as snapshotTransfers from "./_snapshot_transfer.ts";
@@ -27,8 +27,7 @@
   readonly #proposals = new proposalTables.ProposalTable();
   readonly #timer: tickTimers.TickTimer;
   #state: replicaStates.ReplicaState;
-  #appliedIndex: number;
-  #appliedTerm: number;
+  readonly #applied: appliedMachines.AppliedMachine;
   #snapshotIndex: number;
   #isStopped = false;
   #ended: Promise<void> = Promise.resolve();
@@ -55,8 +54,11 @@
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
       this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
     });
-    this.#appliedIndex = state.log.snapshotIndex;
-    this.#appliedTerm = state.log.snapshotTerm;
+    this.#applied = new appliedMachines.AppliedMachine(
+      options.machine,
+      this.#proposals,
+      state.log,
+    );
     this.#snapshotIndex = state.log.snapshotIndex;
   }
 
@@ -84,8 +86,15 @@
     return driver;
   }
 
-  /** Tells whether this replica may act as leader now. */
+  /**
+   * Tells whether this replica may act as leader now. Its machine must hold
+   * what was accepted before its term: what is committed is applied only after
+   * the round's write, which a stalled disk holds up for seconds.
+   */
   hasAuthority(): boolean {
+    const { role } = this.#state;
+    if (role.kind !== "leader") return false;
+    if (this.getAppliedIndex() < role.firstIndex) return false;
     const nowMs = this.#options.clock.getMonotonicMs();
     return authorities.hasAuthority(this.#state, nowMs);
   }
@@ -101,6 +110,11 @@
     return this.#state.term;
   }
 
+  /** Index of the last log entry that the machine has applied. */
+  getAppliedIndex(): number {
+    return this.#applied.getIndex();
+  }
+
   /** Id of the leader, as far as this replica knows. */
   getLeader(): string | undefined {
     return replicaStatuses.getLeader(this.#state);
@@ -277,42 +291,23 @@
       case "saveEntries":
         return;
       case "restore":
-        return this.#restore(effect.snapshot);
+        return this.#applied.restore(effect.snapshot);
       case "send":
         return this.#options.send(effect.to, effect.message);
       case "sendSnapshot":
         return this.#exchange.send(effect.to, this.#state.term);
       case "commit":
-        for (const entry of effect.entries) this.#applyEntry(entry);
+        for (const entry of effect.entries) this.#applied.apply(entry);
     }
   }
 
-  #applyEntry(entry: replicaLogs.Entry): void {
-    if (entry.index <= this.#appliedIndex) return;
-    const answer = this.#options.machine.apply(entry.command);
-    this.#appliedIndex = entry.index;
-    this.#appliedTerm = entry.term;
-    this.#proposals.settle(entry, answer);
-  }
-
-  #restore(snapshot: messages.Snapshot): void {
-    if (snapshot.index <= this.#appliedIndex) return;
-    this.#options.machine.restore(snapshot.state);
-    this.#appliedIndex = snapshot.index;
-    this.#appliedTerm = snapshot.term;
-    this.#proposals.dropUpTo(snapshot.index);
-  }
-
   #createSnapshot(): messages.Snapshot {
-    const state = this.#options.machine.save();
-    const index = this.#appliedIndex;
-    const set = replicaSets.findReplicaSet(this.#state.log, index);
-    return { index, term: this.#appliedTerm, state, voters: set?.voters };
+    return this.#applied.createSnapshot(this.#state.log);
   }
 
   /** Writes a snapshot beside the log once enough was applied. */
   #startDraft(): void {
-    const applied = this.#appliedIndex - this.#snapshotIndex;
+    const applied = this.getAppliedIndex() - this.#snapshotIndex;
     if (applied < this.#options.snapshotEntries) return;
     if (!this.#drafts.isBusy()) this.#drafts.start(this.#createSnapshot());
   }
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -15,6 +15,7 @@
 
   function openDriver(
     machine: listMachines.ListMachine,
+    dataFolder = folder,
   ): Promise<replicaDrivers.ReplicaDriver> {
     return replicaDrivers.ReplicaDriver.open({
       config: {
@@ -26,7 +27,7 @@
         seed: 1,
       },
       clock: new clocks.SystemClock(),
-      dataFolder: folder,
+      dataFolder,
       machine,
       snapshotEntries: 16,
       send: () => {},
@@ -100,4 +101,22 @@
     chai.expect(machine.values).to.include.members(accepted);
     chai.expect(fatal).to.deep.equal([]);
   });
+
+  it("has no authority before its machine holds what was accepted before", async () => {
+    const own = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-authority-"));
+    await makeDataFolder.makeDataFolder({ folder: own, owner: "a", wallMs: 1 });
+    let accepted = 0;
+    for (let round = 0; round < 5; round += 1) {
+      const machine = new listMachines.ListMachine();
+      const driver = await openDriver(machine, own);
+      while (!driver.hasAuthority()) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      chai.expect(machine.values.length).to.equal(accepted);
+      await proposeUntilDone(driver, `round ${round}`);
+      accepted += 1;
+      await driver.stop();
+    }
+    fs.rmSync(own, { recursive: true, force: true });
+  });
 });
