Read results from the voter of the box's own failure domain

Ruled out: a cache at the entry box (each box is asked seldom, and would fetch all first); reads from a follower without the leader's word (could be old). Change: the leader names a voter of the asker's failure domain with its answer; that one asks the leader for its index, waits until it has applied as much, and answers. What it does not know, and any failure, is asked of the leader.

--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -11,6 +11,8 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as controlCalls from "./control_calls.ts";
 import type * as metricTypes from "../metrics/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import * as nearReaders from "./_near_reader.ts";
 import * as plainHeaders from "./_plain_headers.ts";
 import * as readInSlices from "./_read_in_slices.ts";
 import * as rawListeners from "./_raw_listener.ts";
@@ -37,6 +39,8 @@
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly forwarder: forwarding.Forwarder;
   readonly stores: replicaGroups.LeaderCaller;
+  readonly peers: fleet.Peers;
+  readonly failureDomain: string;
   readonly draw: () => number;
 }
 
@@ -53,9 +57,11 @@
 /** Answers requests at the caller address. */
 export class CallerCalls {
   readonly #options: CallerCallsOptions;
+  readonly #reader: nearReaders.NearReader;
 
   constructor(options: CallerCallsOptions) {
     this.#options = options;
+    this.#reader = new nearReaders.NearReader(options);
   }
 
   /** Answers one request. */
@@ -258,8 +264,10 @@
       waitMs: call.waitMs,
       readOnce: (waitMs, tryMs) => {
         const { submission: id, after } = call;
-        const request: submissions.ReadRequest = { id, after, waitMs };
-        return this.#callStores(submissions.METHODS.read, request, tryMs);
+        return this.#reader.read({ id, after, waitMs }, {
+          totalMs: Math.max(STORE_TIMES.totalMs, tryMs),
+          tryMs,
+        });
       },
     });
     if (read.kind === "ok") return dialect.formatResults(read.value);
@@ -298,13 +306,11 @@
   async #callStores<T>(
     method: string,
     request: object,
-    tryMs = STORE_TIMES.tryMs,
   ): Promise<results.Result<T>> {
-    const totalMs = Math.max(STORE_TIMES.totalMs, tryMs);
     return await controlCalls.callStores<T>(
       this.#options.stores,
       { method, request },
-      { totalMs, tryMs },
+      STORE_TIMES,
     );
   }
 }
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -49,7 +49,11 @@
       core,
       stores,
     });
-    const calls = new callerCalls.CallerCalls({ ...parts, stores });
+    const calls = new callerCalls.CallerCalls({
+      ...parts,
+      stores,
+      failureDomain: parts.settings.box.failureDomain,
+    });
     const { log } = parts;
     this.#callers = rawListeners.createRawListener(
       (request, response) => calls.serve(request, response),
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -63,8 +63,17 @@
       ...shared,
       onFound: () => this.#dispatcher.wake(),
     });
+    const barrier = new replicaGroups.ReadBarrier({
+      ...shared,
+      name: "stores",
+      replica: group,
+      changed,
+    });
     new submissions.SubmissionService({
       ...shared,
+      id: settings.box.address,
+      barrier,
+      getFailureDomain: (id) => directory.get(id)?.failureDomain,
       changed,
       wantedVoters: wanted,
       listStores: () =>
--- a/src/replica_group/mod.ts
+++ b/src/replica_group/mod.ts
@@ -13,4 +13,5 @@
 export * from "./founding_desk.ts";
 export * from "./leader_caller.ts";
 export * from "./plan_voters.ts";
+export * from "./read_barrier.ts";
 export * from "./replica_group.ts";
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -6,6 +6,7 @@
 import * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as storage from "../storage/mod.ts";
+import * as createSeed from "./_create_seed.ts";
 import * as desks from "./founding_desk.ts";
 import type * as leaderCallers from "./leader_caller.ts";
 import * as planVoters from "./plan_voters.ts";
@@ -146,9 +147,19 @@
     return this.#driver?.listVoters() ?? [];
   }
 
+  /** Id of the leader, as far as this replica knows. */
+  getLeader(): string | undefined {
+    return this.#driver?.getLeader();
+  }
+
+  /** Log index up to which the machine holds everything. */
+  getAppliedIndex(): number {
+    return this.#driver?.getAppliedIndex() ?? 0;
+  }
+
   /** The answer to calls that only the leader takes. */
   createNotLeader(): leaderCallers.NotLeader {
-    return { kind: "notLeader", leader: this.#driver?.getLeader() };
+    return { kind: "notLeader", leader: this.getLeader() };
   }
 
   /** Proposes a command; see `ReplicaDriver.propose`. */
@@ -254,7 +265,7 @@
         electionTimeoutMs: ELECTION_MS,
         heartbeatMs: HEARTBEAT_MS,
         maxBatchEntries: MAX_BATCH_ENTRIES,
-        seed: createSeed(id),
+        seed: createSeed.createSeed(id),
       },
       clock,
       dataFolder,
@@ -319,13 +330,3 @@
     } else if (retiring.includes(id) && voters.length > 1) driver.transfer();
   }
 }
-
-const SEED_FACTOR = 31;
-
-/** Spreads the election delays of replicas by their ids. */
-function createSeed(id: string): number {
-  return Buffer.from(id).reduce(
-    (sum, byte) => (sum * SEED_FACTOR + byte) % 1_000_003,
-    1,
-  );
-}
--- a/src/submission/protocol.ts
+++ b/src/submission/protocol.ts
@@ -22,6 +22,17 @@
   readonly id: string;
   readonly after: number;
   readonly waitMs: number;
+  /** Failure domain of the asker. */
+  readonly failureDomain: string;
+  /** Whether a replica that does not lead may answer. */
+  readonly mayFollow: boolean;
+}
+
+/** Answers a read. */
+export interface ReadReply {
+  readonly page: submissions.ResultPage;
+  /** Replica in the asker's failure domain that can answer its next reads. */
+  readonly nearReplica: string | undefined;
 }
 
 /** Asks for the body of an item that is not listed yet. */
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -6,13 +6,19 @@
 import type * as rpc from "../rpc/mod.ts";
 import * as cutPage from "./cut_page.ts";
 import * as protocol from "./protocol.ts";
-import type * as submissions from "./submission.ts";
 import type * as machines from "./submission_machine.ts";
 
 /** Longest wait for a commit, in ms; callers try again after a second. */
 const COMMIT_MS = 900;
 /** Silence of a voter up to which it counts as present, in ms. */
 const PRESENT_MS = 1_000;
+/**
+ * Longest wait until a replica that does not lead holds what its leader holds,
+ * in ms: some heartbeats of 90 ms, which tell it what is committed.
+ */
+const CATCH_UP_MS = 300;
+/** Silence of a voter up to which reads are sent to it, in ms. */
+const READABLE_MS = 400;
 
 /** What the submission service needs. */
 export interface SubmissionServiceOptions {
@@ -20,6 +26,11 @@
   readonly log: logs.Log;
   readonly server: rpc.MethodTable;
   readonly group: replicaGroups.ReplicaGroup;
+  readonly barrier: replicaGroups.ReadBarrier;
+  /** Failure domain of each known box, by id. */
+  readonly getFailureDomain: (id: string) => string | undefined;
+  /** Id of this box. */
+  readonly id: string;
   readonly machine: machines.SubmissionMachine;
   /** Woken when the machine changed. */
   readonly changed: csp.Signal;
@@ -86,23 +97,46 @@
 
   async #read(
     request: protocol.ReadRequest,
-  ): Promise<protocol.LeaderReply<submissions.ResultPage>> {
+  ): Promise<protocol.LeaderReply<protocol.ReadReply>> {
     const { group, machine, changed, clock } = this.#options;
     const endMs = clock.getMonotonicMs() + request.waitMs;
+    const isLeading = group.hasAuthority();
+    if (!isLeading && !await this.#canFollow(request)) {
+      return group.createNotLeader();
+    }
     for (;;) {
-      if (!group.hasAuthority()) return group.createNotLeader();
+      if (isLeading && !group.hasAuthority()) return group.createNotLeader();
       const record = machine.get(request.id);
       if (record === undefined) return { kind: "unknown" };
       const leftMs = endMs - clock.getMonotonicMs();
       const hasNews = record.results.length > request.after;
       if (hasNews || leftMs <= 0 || record.isEnded) {
-        const value = cutPage.cutPage(record, request.after);
-        return { kind: "done", value };
+        const page = cutPage.cutPage(record, request.after);
+        const nearReplica = this.#findReplica(request.failureDomain);
+        return { kind: "done", value: { page, nearReplica } };
       }
       await changed.wait(clock, leftMs);
     }
   }
 
+  /** Whether this replica may answer a read although it does not lead. */
+  async #canFollow({ mayFollow }: protocol.ReadRequest): Promise<boolean> {
+    return mayFollow &&
+      await this.#options.barrier.awaitLeaderState(CATCH_UP_MS);
+  }
+
+  /** A replica in a failure domain that answers and holds almost everything. */
+  #findReplica(failureDomain: string): string | undefined {
+    const { group, getFailureDomain, id } = this.#options;
+    if (getFailureDomain(id) === failureDomain) return id;
+    const voters = group.listVoters();
+    return group.getStatus()?.followers.find((follower) =>
+      getFailureDomain(follower.id) === failureDomain &&
+      voters.includes(follower.id) && follower.isAdmitted &&
+      follower.silentMs < READABLE_MS
+    )?.id;
+  }
+
   #readBody(
     request: protocol.ReadBodyRequest,
   ): protocol.LeaderReply<string> {
