Tell all boxes who leads

Cause: a box that had not called the stores before asked one store box after the other. Small twins have 6 store boxes and hide it: a cause at size alone. Ruled out: asking voters only (boxes don't know them); spares that pass calls on (one hop more for each, and bodies twice). Change: a box that begins to lead tells its term with its record; callers ask the box with the highest term first, the others where that one refuses.

--- a/src/fleet/box_record.ts
+++ b/src/fleet/box_record.ts
@@ -18,6 +18,11 @@
   readonly isReady: boolean;
   /** Whether it is being stopped or emptied. */
   readonly isLeaving: boolean;
+  /**
+   * Newest term in which it has led its replica group since its start; 0 for
+   * none. The box with the highest leads, or led last.
+   */
+  readonly ledTerm: number;
   /** Wall time in ms when its process started; a restart raises it. */
   readonly startedAtMs: number;
   /** Rises with each refresh of one process. */
@@ -56,8 +61,13 @@
  * @returns A short text.
  */
 export function describeContent(record: BoxRecord): string {
-  const { startedAtMs, isReady, isLeaving, callerAddress, isCore, isStore } =
-    record;
-  return [startedAtMs, isReady, isLeaving, callerAddress, isCore, isStore]
-    .join(" ");
+  return [
+    record.startedAtMs,
+    record.isReady,
+    record.isLeaving,
+    record.callerAddress,
+    record.isCore,
+    record.isStore,
+    record.ledTerm,
+  ].join(" ");
 }
--- a/src/fleet/fleet_link_test.ts
+++ b/src/fleet/fleet_link_test.ts
@@ -129,6 +129,7 @@
         isStore: false,
         isReady: true,
         isLeaving: this.isLeaving,
+        ledTerm: 0,
         startedAtMs,
       }),
     });
--- a/src/fleet_daemon/box_parts.ts
+++ b/src/fleet_daemon/box_parts.ts
@@ -23,6 +23,8 @@
 export interface BoxPhase {
   isReady: boolean;
   isLeaving: boolean;
+  /** Newest term in which this box has led its replica group; 0 for none. */
+  ledTerm: number;
 }
 
 /** The parts that every box has. */
@@ -63,7 +65,7 @@
       dialect.parseConfiguration,
       log,
     ),
-    phase: { isReady: false, isLeaving: false },
+    phase: { isReady: false, isLeaving: false, ledTerm: 0 },
     draw: Math.random,
   };
   const forwarder = new forwarding.Forwarder({
@@ -97,6 +99,7 @@
       isStore: roles.store,
       isReady: phase.isReady,
       isLeaving: phase.isLeaving,
+      ledTerm: phase.ledTerm,
       startedAtMs,
     }),
   });
@@ -113,10 +116,19 @@
     log,
     listReplicas: () =>
       directory.listAlive().filter(isMember).map((box) => box.id),
+    findLeader: () => findLeader(directory.listAll().filter(isMember))?.id,
     getClient: (id) => peers.get(id),
   });
 }
 
+/** Finds the box that led last, as far as boxes have told. */
+function findLeader(
+  boxes: readonly fleet.BoxRecord[],
+): fleet.BoxRecord | undefined {
+  return boxes.filter((box) => box.ledTerm > 0)
+    .toSorted((a, b) => b.ledTerm - a.ledTerm)[0];
+}
+
 /** Tells whether a box keeps a replica of the configuration. */
 export function isCoreBox(box: fleet.BoxRecord): boolean {
   return box.isCore;
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -89,6 +89,11 @@
     await this.#core?.start();
   }
 
+  /** Term in which this box leads the core; 0 where it does not. */
+  getLeadTerm(): number {
+    return this.#core?.getLeadTerm() ?? 0;
+  }
+
   getInFlight(): number {
     return this.#callers.getInFlight();
   }
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -115,9 +115,19 @@
       log.write("info", "box.ready", { version: configuration.getVersion() });
       link.publishSelf();
     }
+    this.#followLeadership();
     clock.startTimer(READY_CHECK_MS, () => this.#followConfiguration());
   }
 
+  /** Tells the fleet when this box begins to lead its group. */
+  #followLeadership(): void {
+    const { phase, link } = this.#parts;
+    const term = this.#store?.getLeadTerm() ?? this.#entry?.getLeadTerm() ?? 0;
+    if (term <= phase.ledTerm) return;
+    phase.ledTerm = term;
+    link.publishSelf();
+  }
+
   /** Stops at once, cutting what is under way. */
   async stop(): Promise<void> {
     await this.#stopParts();
--- a/src/fleet_daemon/near_reader_test.ts
+++ b/src/fleet_daemon/near_reader_test.ts
@@ -41,6 +41,7 @@
       clock,
       log,
       listReplicas: () => ["leader"],
+      findLeader: () => undefined,
       getClient: getPeer,
     });
     reader = new nearReaders.NearReader({
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -95,6 +95,11 @@
     this.#runForget();
   }
 
+  /** Term in which this box leads the stores; 0 where it does not. */
+  getLeadTerm(): number {
+    return this.#group.getLeadTerm();
+  }
+
   /** Hands leadership over before a planned stop. */
   async setDraining(): Promise<void> {
     await this.#group.resign();
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -30,6 +30,8 @@
   readonly log: logs.Log;
   /** Ids of the replicas to try, best first. */
   readonly listReplicas: () => readonly string[];
+  /** Id of the replica that the fleet's news name as the leader, if any. */
+  readonly findLeader: () => string | undefined;
   readonly getClient: (id: string) => rpc.Peer;
 }
 
@@ -52,6 +54,8 @@
 export class LeaderCaller {
   readonly #options: LeaderCallerOptions;
   #leader: string | undefined;
+  /** Replica that was asked last and did not take the call. */
+  #doubted: string | undefined;
   #turn = 0;
 
   constructor(options: LeaderCallerOptions) {
@@ -130,14 +134,23 @@
     }
   }
 
+  /**
+   * The leader that a replica named, else the one that the news name, else one
+   * replica after the other. Without the news a box that has not called before
+   * asks one spare after the other: on a fleet with 30 store boxes, 5 of them
+   * voters, each step was accepted 0.9 s late (as its trainer sees it).
+   */
   #pickReplica(): string | undefined {
-    const ids = this.#options.listReplicas();
     if (this.#leader !== undefined) return this.#leader;
+    const told = this.#options.findLeader();
+    if (told !== undefined && told !== this.#doubted) return told;
+    const ids = this.#options.listReplicas();
     return ids[this.#turn % Math.max(1, ids.length)];
   }
 
   #noteLeader(asked: string, told: string | undefined): void {
     this.#turn += 1;
+    this.#doubted = asked;
     this.#leader = told === asked ? undefined : told;
   }
 }
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -143,6 +143,11 @@
     return this.#driver?.getStatus();
   }
 
+  /** Term in which this replica may act as leader now; 0 where it may not. */
+  getLeadTerm(): number {
+    return this.hasAuthority() ? this.getTerm() : 0;
+  }
+
   listVoters(): readonly string[] {
     return this.#driver?.listVoters() ?? [];
   }
