Name no box to callers that fell silent

Ruled out: a shorter time for which callers keep addresses (looked up more often, at boxes that may be frozen too); a shorter time after which a box is taken for gone (its news would go up and down under load). Change: boxes silent for 1.1 s are left out of the answer, unless more than half are; then the news are at fault. The choice is a function of its own.

--- /dev/null
+++ b/src/fleet_daemon/choose_entry_boxes_test.ts
@@ -0,0 +1,82 @@
+import * as chai from "chai";
+import type * as fleet from "../fleet/mod.ts";
+import * as chooseEntryBoxes from "./_choose_entry_boxes.ts";
+
+const HEARD_MS = 600;
+/** Less than the time after which a box is taken for gone. */
+const SILENT_MS = 1_200;
+
+function createBox(
+  id: string,
+  failureDomain: string,
+  changes: Partial<fleet.BoxRecord> = {},
+): fleet.BoxRecord {
+  return {
+    id,
+    name: id,
+    failureDomain,
+    region: "r",
+    peerPort: 1,
+    callerAddress: `${id}:1`,
+    isCore: false,
+    isStore: false,
+    isReady: true,
+    isLeaving: false,
+    ledTerm: 0,
+    startedAtMs: 1,
+    sequence: 1,
+    ...changes,
+  };
+}
+
+function choose(
+  alive: readonly fleet.BoxRecord[],
+  silent: readonly string[] = [],
+): readonly string[] {
+  return chooseEntryBoxes.chooseEntryBoxes({
+    alive,
+    failureDomain: "z1",
+    getSilenceMs: (id) => silent.includes(id) ? SILENT_MS : HEARD_MS,
+  }).map((box) => box.id);
+}
+
+describe("choice of entry boxes", () => {
+  const near = ["a", "b", "c", "d"].map((id) => createBox(id, "z1"));
+  const far = ["e", "f"].map((id) => createBox(id, "z2"));
+
+  it("names the boxes of the caller's failure domain", () => {
+    chai.expect(choose([...near, ...far])).to.deep.equal(["a", "b", "c", "d"]);
+  });
+
+  it("names all boxes where too few are near", () => {
+    chai.expect(choose([createBox("a", "z1"), ...far])).to.deep.equal([
+      "a",
+      "e",
+      "f",
+    ]);
+  });
+
+  it("names no box that is not ready, leaves, or serves no callers", () => {
+    const boxes = [
+      ...near,
+      createBox("g", "z1", { isReady: false }),
+      createBox("h", "z1", { isLeaving: true }),
+      createBox("i", "z1", { callerAddress: undefined }),
+    ];
+    chai.expect(choose(boxes)).to.deep.equal(["a", "b", "c", "d"]);
+  });
+
+  it("leaves out a quarter of the boxes before they are taken for gone", () => {
+    chai.expect(choose(near, ["b"])).to.deep.equal(["a", "c", "d"]);
+  });
+
+  it("leaves none out where most are silent, as the news are then at fault", () => {
+    chai.expect(choose(near, ["a", "b", "c"])).to.deep.equal([
+      "a",
+      "b",
+      "c",
+      "d",
+    ]);
+    chai.expect(choose([createBox("a", "z1")], ["a"])).to.deep.equal(["a"]);
+  });
+});
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -8,6 +8,7 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as boxParts from "./box_parts.ts";
 import * as callerCalls from "./caller_calls.ts";
+import * as chooseEntryBoxes from "./_choose_entry_boxes.ts";
 import * as controlCalls from "./control_calls.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
@@ -20,8 +21,6 @@
 const CORE_SNAPSHOT_ENTRIES = 64;
 /** Share of the longest time that callers keep addresses. */
 const KEEP_SHARE = 0.4;
-/** Boxes of the caller's own failure domain that are enough to name alone. */
-const ENOUGH_NEAR = 2;
 /** Addresses in one answer at most; callers read no more. */
 const MAX_ADDRESSES = 64;
 
@@ -214,15 +213,13 @@
     return Promise.resolve();
   }
 
-  /** Ready boxes near the caller, or all where too few are near. */
   #listAddresses(failureDomain: string): readonly string[] {
-    const ready = this.#parts.directory.listAlive().filter((box) =>
-      box.isReady && !box.isLeaving && box.callerAddress !== undefined
-    );
-    const near = ready.filter((box) => box.failureDomain === failureDomain);
-    const chosen = near.length >= ENOUGH_NEAR ? near : ready;
-    return chosen.slice(0, MAX_ADDRESSES)
-      .flatMap((box) => box.callerAddress ?? []);
+    const { directory } = this.#parts;
+    return chooseEntryBoxes.chooseEntryBoxes({
+      alive: directory.listAlive(),
+      failureDomain,
+      getSilenceMs: (id) => directory.getSilenceMs(id),
+    }).slice(0, MAX_ADDRESSES).flatMap((box) => box.callerAddress ?? []);
   }
 }
 
