--- /dev/null
+++ b/src/forwarding/choose_server_test.ts
@@ -0,0 +1,75 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as chooseServer from "./choose_server.ts";
+import * as serverLoads from "./server_loads.ts";
+
+describe("choice of a server", () => {
+  const servers = ["a", "b", "c"].map((id) =>
+    serverFixtures.createServer(id, { service: "app", slots: 4 })
+  );
+  let clock = new clocks.FakeClock(1_000);
+  let loads = new serverLoads.ServerLoads(clock);
+
+  beforeEach(() => {
+    clock = new clocks.FakeClock(1_000);
+    loads = new serverLoads.ServerLoads(clock);
+  });
+
+  function hasConnection({ id }: registry.RegisteredServer): boolean {
+    return id === "b";
+  }
+
+  function choose(
+    changes: Partial<chooseServer.ServerChoice> = {},
+  ): registry.RegisteredServer | undefined {
+    return chooseServer.chooseServer({
+      servers,
+      loads,
+      tried: new Set(),
+      refused: new Set(),
+      avoidsFull: true,
+      failureDomain: servers[0]!.failureDomain,
+      hasConnection: () => false,
+      draw: () => 0.5,
+      ...changes,
+    });
+  }
+
+  it("goes where a connection is open while servers are equally fast", () => {
+    chai.expect(choose({ hasConnection })?.id).to.equal("b");
+  });
+
+  it("leaves an open connection for a server with less to do", () => {
+    for (let count = 0; count < 2; count += 1) loads.begin("b");
+    chai.expect(choose({ hasConnection })?.id).to.not.equal("b");
+  });
+
+  it("passes over a server that refused as full, until it answers or some ms on", () => {
+    loads.noteFull("b");
+    chai.expect(choose({ hasConnection })?.id).to.not.equal("b");
+    chai.expect(choose({ hasConnection, avoidsFull: false })?.id).to.equal("b");
+    loads.begin("b");
+    loads.end("b", 40);
+    chai.expect(choose({ hasConnection })?.id).to.equal("b");
+    loads.noteFull("b");
+    clock.extendBy(30);
+    chai.expect(choose({ hasConnection })?.id).to.equal("b");
+  });
+
+  it("names no server where all refused as full just now", () => {
+    for (const { id } of servers) loads.noteFull(id);
+    chai.expect(choose()).to.equal(undefined);
+  });
+
+  it("chooses the same whatever the number of full servers among many", () => {
+    const many = Array.from(
+      { length: 1_800 },
+      (_, index) =>
+        serverFixtures.createServer(`s${index}`, { service: "app", slots: 4 }),
+    );
+    for (const { id } of many.slice(0, 1_799)) loads.noteFull(id);
+    chai.expect(choose({ servers: many })?.id).to.equal("s1799");
+  });
+});
