--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -1,6 +1,5 @@
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
-import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as attempts from "./_attempt.ts";
 import * as chooseServer from "./choose_server.ts";
@@ -96,8 +95,6 @@
       refused: this.#refused,
       avoidsFull: this.#options.weighsLoad && !this.#hasTurn,
       failureDomain,
-      hasConnection: ({ address, port }) =>
-        this.#job.isRepeatable && httpClient.hasIdleConnection(address, port),
       draw,
     });
   }
--- a/src/forwarding/choose_server.ts
+++ b/src/forwarding/choose_server.ts
@@ -12,20 +12,12 @@
   /** Whether servers that refused others just now are passed over. */
   readonly avoidsFull: boolean;
   readonly failureDomain: string;
-  /** Whether a connection to a server is open and unused. */
-  readonly hasConnection: (server: registry.RegisteredServer) => boolean;
   /** Gives a number from 0 up to, but not including, 1. */
   readonly draw: () => number;
 }
 
 /** What crossing failure domains costs against an estimate, in ms. */
 const CROSSING_MS = 2;
-/**
- * What a new connection costs against an estimate, in ms: two ways over the
- * link and some work at the server. It also keeps each box to the few servers
- * that it is connected to while they answer as fast as others.
- */
-const CONNECT_MS = 4;
 /** Spread of the tie break, in ms, so that boxes do not all pick the same. */
 const TIE_MS = 3;
 
@@ -50,9 +42,7 @@
   let bestMs = Number.POSITIVE_INFINITY;
   for (const server of pool) {
     const crossingMs = server.failureDomain === failureDomain ? 0 : CROSSING_MS;
-    const connectMs = choice.hasConnection(server) ? 0 : CONNECT_MS;
-    const ms = loads.estimateMs(server) + crossingMs + connectMs +
-      draw() * TIE_MS;
+    const ms = loads.estimateMs(server) + crossingMs + draw() * TIE_MS;
     if (ms >= bestMs) continue;
     best = server;
     bestMs = ms;
--- a/src/http_client/mod.ts
+++ b/src/http_client/mod.ts
@@ -10,7 +10,6 @@
  * ```
  * @module
  */
-export { hasIdleConnection } from "./_agent.ts";
 export * from "./http_request.ts";
 export * from "./open_exchange.ts";
 export * from "./send_json.ts";
