Refusals: say that servers were full where none was asked

Cause: a request that passed over servers which had refused others just now, and could not wait either, was refused with 'no server is ready'. Tests of both ways out of a full service: refused at once, and answered after a wait.

--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -255,15 +255,11 @@
     if (this.#mayHaveRun) {
       return this.#settle({ kind: "failed", reason: this.#reason });
     }
-    const canWait = this.#options.weighsLoad &&
-      (this.#sawBusy || this.#hasFullServer());
-    if (canWait) this.#waitForPlace();
-    else this.#refuse(this.#chooseReturn());
-  }
-
-  /** When its caller should come back, in ms. */
-  #chooseReturn(): number {
-    return this.#options.weighsLoad ? this.#line.refuse() : PLAIN_RETURN_MS;
+    if (!this.#options.weighsLoad) return this.#refuse(PLAIN_RETURN_MS);
+    if (this.#sawBusy) return this.#waitForPlace();
+    if (!this.#hasFullServer()) return this.#refuse(this.#line.refuse());
+    this.#reason = "every server refused others as full just now";
+    this.#waitForPlace();
   }
 
   /** Whether servers of the service run, and were full just now. */
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -95,6 +95,7 @@
   function send(
     changes: Partial<jobs.ForwardJob> = {},
     loads = new serverLoads.ServerLoads(clock),
+    weighsLoad = false,
   ): Promise<jobs.ForwardOutcome> {
     const forwarder = new forwarders.Forwarder({
       clock,
@@ -104,7 +105,7 @@
       dialect: DIALECT,
       failureDomain: "d",
       draw: () => 0,
-      weighsLoad: false,
+      weighsLoad,
     });
     return forwarder.send({
       requestId: "job",
@@ -275,6 +276,39 @@
     chai.expect(seen.filter((id) => id === "s0").length).to.be.lessThan(6);
   });
 
+  it("refuses at once, and says why, where its turn could only come too late", async () => {
+    const loads = new serverLoads.ServerLoads(clock);
+    for (const id of ["s0", "s1", "s2"]) loads.noteFull(id);
+    const outcome = await send(
+      { targetAtMs: clock.getMonotonicMs() },
+      loads,
+      true,
+    );
+    if (outcome.kind !== "notRun") throw new Error(outcome.kind);
+    chai.expect(outcome.reason).to.contain("full");
+    chai.expect(outcome.returnMs).to.be.greaterThan(0);
+    chai.expect(seen).to.deep.equal([]);
+  });
+
+  it("waits for a place where all servers refuse, and is answered in its turn", async () => {
+    let refusals = 0;
+    function refuseTwice(
+      request: http.IncomingMessage,
+      response: http.ServerResponse,
+    ): void {
+      refusals += 1;
+      (refusals <= 6 ? REFUSE : answer(200))(request, response);
+    }
+    scripts = [refuseTwice, refuseTwice, refuseTwice];
+    const outcome = await send(
+      {},
+      new serverLoads.ServerLoads(clock),
+      true,
+    );
+    chai.expect(outcome.kind).to.equal("answered");
+    chai.expect(refusals).to.equal(7);
+  });
+
   it("ends at its deadline and says whether it was sent", async () => {
     scripts = [() => {}];
     const nowMs = clock.getMonotonicMs();
