Check keys of client accounts, and name the account to servers

Cause: the configuration's accounts and keys were not read, so a key went through to servers, no account was named, and unknown keys were served. Calls about submissions split from callers' calls. Not measured yet.

--- a/src/client_account/mod.ts
+++ b/src/client_account/mod.ts
@@ -8,4 +8,5 @@
  * ```
  * @module
  */
+export * from "./account_keys.ts";
 export * from "./client_account.ts";
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -1,3 +1,4 @@
+import type * as accounts from "../client_account/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as results from "../results/mod.ts";
 import type * as submissions from "../submission/mod.ts";
@@ -69,11 +70,15 @@
   readonly requestId: string | undefined;
   /** How long the caller will wait, in ms. */
   readonly deadlineMs: number | undefined;
+  /** Key of a client account, as it was sent. */
+  readonly key: string | undefined;
 }
 
 /** What this box sets on a request that it sends to a server. */
 export interface ForwardMarks {
   readonly requestId: string;
+  /** Whose request it is. */
+  readonly sender: accounts.Sender;
   /** Start of the server that is meant; another one must refuse. */
   readonly server: string;
   /** Time that the server has left, in ms. */
--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -35,6 +35,7 @@
     minimumVersion: 1,
     desired: undefined,
     items: [item],
+    sender: { kind: "unasked" },
     acceptedAtMs: 0,
     terms: {
       host: "h",
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -170,6 +170,7 @@
       clock,
       dialect,
       item,
+      sender: submission.sender,
       host: submission.terms.host,
       engine,
       minimumVersion: submission.minimumVersion,
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -43,6 +43,7 @@
   minimumVersion: 1,
   desired: 1,
   items: [itemFixtures.createItem("item-1")],
+  sender: { kind: "unasked" },
   acceptedAtMs: 0,
   terms: {
     host: "a.example",
--- a/src/dispatch/score_item.ts
+++ b/src/dispatch/score_item.ts
@@ -48,6 +48,8 @@
   const nowMs = options.clock.getMonotonicMs();
   const outcome = await options.forwarder.send({
     requestId: id,
+    // Scoring calls belong to no account, whoever sent the submission.
+    sender: { kind: "anonymous" },
     service: trafficConfig.pickService(route, options.draw()),
     method: "POST",
     target: path,
--- a/src/fleet_daemon/_near_reader.ts
+++ b/src/fleet_daemon/_near_reader.ts
@@ -24,7 +24,7 @@
 /** Which results to read. */
 export type ResultsWanted = Pick<
   submissions.ReadRequest,
-  "id" | "after" | "waitMs"
+  "id" | "sender" | "after" | "waitMs"
 >;
 
 interface NearReplica {
--- /dev/null
+++ b/src/fleet_daemon/_submission_calls.ts
@@ -0,0 +1,189 @@
+import type * as accounts from "../client_account/mod.ts";
+import type * as clocks from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as results from "../results/mod.ts";
+import * as submissions from "../submission/mod.ts";
+import * as trafficConfig from "../traffic_config/mod.ts";
+import * as controlCalls from "./control_calls.ts";
+import * as nearReaders from "./_near_reader.ts";
+import * as readInSlices from "./_read_in_slices.ts";
+
+/** Times of calls about submissions; callers wait some seconds. */
+const STORE_TIMES = { totalMs: 2_500, tryMs: 1_200 };
+/** When to come back where no leader answered a read, in ms. */
+const UNREAD_RETRY_MS = 150;
+
+/** What the submission calls need. */
+export interface SubmissionCallsOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly dialect: dialects.Dialect;
+  readonly stores: replicaGroups.LeaderCaller;
+  readonly peers: fleet.Peers;
+  readonly failureDomain: string;
+  readonly draw: () => number;
+}
+
+/** A call about a submission that stands already. */
+export type SubmissionCall = Exclude<
+  dialects.CallerCall,
+  { readonly kind: "routed" }
+>;
+
+/** A submission as it came, and whose it is. */
+export interface SubmissionToAccept {
+  readonly requestId: string;
+  readonly route: trafficConfig.Route;
+  readonly sender: accounts.Sender;
+  readonly body: Buffer;
+}
+
+/** Answers callers about submissions, with what the stores say. */
+export class SubmissionCalls {
+  readonly #options: SubmissionCallsOptions;
+  readonly #reader: nearReaders.NearReader;
+
+  constructor(options: SubmissionCallsOptions) {
+    this.#options = options;
+    this.#reader = new nearReaders.NearReader(options);
+  }
+
+  /** Has a submission kept; it runs from then on. */
+  async accept(toAccept: SubmissionToAccept): Promise<dialects.RawAnswer> {
+    const { dialect, clock, draw, log } = this.#options;
+    const { route, requestId, sender, body } = toAccept;
+    const draft = dialect.parseSubmission(requestId, body);
+    if (draft.kind === "failure") return dialect.formatFailure(draft.failure);
+    const request: submissions.AcceptRequest = {
+      submission: {
+        ...draft.value,
+        sender,
+        acceptedAtMs: clock.getWallMs(),
+        terms: {
+          host: route.host,
+          service: trafficConfig.pickService(route, draw()),
+          attempts: route.attempts,
+          keepMs: route.keepMs,
+          targetCompletionMs: route.targetCompletionMs,
+          isSingleVersion: route.isSingleVersion,
+        },
+      },
+    };
+    const accepted = await this.#callStores<null>(
+      submissions.METHODS.accept,
+      request,
+    );
+    log.write("info", "submission.sent", {
+      submission: requestId,
+      account: sender.kind === "account" ? sender.name : undefined,
+      items: draft.value.items.length,
+      outcome: accepted.kind === "ok" ? "accepted" : accepted.failure.code,
+    });
+    if (accepted.kind === "ok") return dialect.formatAccepted();
+    return dialect.formatFailure(toAcceptFailure(accepted.failure));
+  }
+
+  /** Answers a call about a submission; it is the sender's or unknown. */
+  async answer(
+    call: SubmissionCall,
+    sender: accounts.Sender,
+  ): Promise<dialects.RawAnswer> {
+    switch (call.kind) {
+      case "readResults":
+        return await this.#readResults(call, sender);
+      case "readItemBody":
+        return await this.#readItemBody(call, sender);
+      case "endSubmission":
+        return await this.#endSubmission(call.submission, sender);
+    }
+  }
+
+  async #readResults(
+    call: Extract<SubmissionCall, { readonly kind: "readResults" }>,
+    sender: accounts.Sender,
+  ): Promise<dialects.RawAnswer> {
+    const { dialect } = this.#options;
+    const read = await readInSlices.readInSlices({
+      clock: this.#options.clock,
+      waitMs: call.waitMs,
+      readOnce: (waitMs, tryMs) => {
+        const { submission: id, after } = call;
+        return this.#reader.read({ id, sender, after, waitMs }, {
+          totalMs: Math.max(STORE_TIMES.totalMs, tryMs),
+          tryMs,
+        });
+      },
+    });
+    if (read.kind === "ok") return dialect.formatResults(read.value);
+    return dialect.formatFailure(toReadFailure(read.failure));
+  }
+
+  async #readItemBody(
+    call: Extract<SubmissionCall, { readonly kind: "readItemBody" }>,
+    sender: accounts.Sender,
+  ): Promise<dialects.RawAnswer> {
+    const { dialect } = this.#options;
+    const request: submissions.ReadBodyRequest = {
+      id: call.submission,
+      sender,
+      item: call.item,
+    };
+    const read = await this.#callStores<string>(
+      submissions.METHODS.readBody,
+      request,
+    );
+    if (read.kind === "failure") {
+      return dialect.formatFailure(toReadFailure(read.failure));
+    }
+    return dialect.formatItemBody(Buffer.from(read.value, "base64"));
+  }
+
+  async #endSubmission(
+    id: string,
+    sender: accounts.Sender,
+  ): Promise<dialects.RawAnswer> {
+    const { dialect } = this.#options;
+    const request: submissions.EndRequest = { id, sender };
+    const ended = await this.#callStores<null>(
+      submissions.METHODS.end,
+      request,
+    );
+    if (ended.kind === "ok") return dialect.formatDone();
+    return dialect.formatFailure(ended.failure);
+  }
+
+  async #callStores<T>(
+    method: string,
+    request: object,
+  ): Promise<results.Result<T>> {
+    return await controlCalls.callStores<T>(
+      this.#options.stores,
+      { method, request },
+      STORE_TIMES,
+    );
+  }
+}
+
+/** A submission that is there and not the sender's has its id taken. */
+function toAcceptFailure(failure: results.Failure): results.Failure {
+  if (failure.code !== "unknownStep") return failure;
+  return {
+    code: "requestReused",
+    message: "Cannot accept: another submission has this id",
+    outcome: "notRun",
+  };
+}
+
+/** Reading changes nothing, so a failed read can simply be repeated. */
+function toReadFailure(failure: results.Failure): results.Failure {
+  if (failure.code !== "changeUnknown") return failure;
+  return {
+    code: "noLeader",
+    message: failure.message,
+    outcome: "notRun",
+    retryAfterMs: UNREAD_RETRY_MS,
+  };
+}
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
@@ -7,24 +8,17 @@
 import type * as logs from "../log/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import * as results from "../results/mod.ts";
-import * as submissions from "../submission/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
-import * as controlCalls from "./control_calls.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import * as nearReaders from "./_near_reader.ts";
 import * as plainHeaders from "./_plain_headers.ts";
-import * as readInSlices from "./_read_in_slices.ts";
 import * as rawListeners from "./_raw_listener.ts";
+import * as submissionCalls from "./_submission_calls.ts";
 
 /** Kept back from a deadline so that the answer arrives before it, in ms. */
 const ANSWER_MARGIN_MS = 30;
-/** When to come back where no leader answered a read, in ms. */
-const UNREAD_RETRY_MS = 150;
 /** When to come back to a box that has no configuration yet, in ms. */
 const START_RETRY_MS = 500;
-/** Times of calls about submissions; callers wait some seconds. */
-const STORE_TIMES = { totalMs: 2_500, tryMs: 1_200 };
 /** Shortest silence before a second server is asked, in ms. */
 const MIN_HEDGE_MS = 60;
 /** Share of the target latency after which a second server is asked. */
@@ -44,9 +38,18 @@
   readonly draw: () => number;
 }
 
-/** A request with its route. */
+/** A request and the configuration under which it is answered. */
+interface AskedRequest {
+  readonly raw: dialects.RawRequest;
+  readonly configuration: trafficConfig.Configuration;
+  /** Host that the caller named, without a port. */
+  readonly host: string;
+}
+
+/** A request with its route and sender. */
 interface RoutedRequest {
   readonly raw: dialects.RawRequest;
+  readonly sender: accounts.Sender;
   readonly route: trafficConfig.Route;
   readonly configuration: trafficConfig.Configuration;
   readonly requestId: string;
@@ -57,11 +60,11 @@
 /** Answers requests at the caller address. */
 export class CallerCalls {
   readonly #options: CallerCallsOptions;
-  readonly #reader: nearReaders.NearReader;
+  readonly #submissions: submissionCalls.SubmissionCalls;
 
   constructor(options: CallerCallsOptions) {
     this.#options = options;
-    this.#reader = new nearReaders.NearReader(options);
+    this.#submissions = new submissionCalls.SubmissionCalls(options);
   }
 
   /** Answers one request. */
@@ -71,12 +74,64 @@
   ): Promise<void> {
     const raw = rawListeners.toRawRequest(request);
     const call = this.#options.dialect.parseCallerCall(raw);
-    const answer = call.kind === "routed"
-      ? await this.#serveRouted(raw, request, response)
-      : await this.#serveSubmissionCall(call);
+    const answer = await this.#answer(call, raw, request, response);
     if (answer !== undefined) rawListeners.writeAnswer(response, answer);
   }
 
+  async #answer(
+    call: dialects.CallerCall,
+    raw: dialects.RawRequest,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<dialects.RawAnswer | undefined> {
+    const configuration = this.#options.configuration.get();
+    if (configuration === undefined) {
+      return this.#refuse("noLease", "Cannot serve: no configuration yet", {
+        retryAfterMs: START_RETRY_MS,
+      });
+    }
+    const asked: AskedRequest = { raw, configuration, host: getHost(raw) };
+    if (call.kind === "routed") {
+      return await this.#serveRouted(asked, request, response);
+    }
+    const allowsAnonymous = configuration.routes.some((route) =>
+      route.host === asked.host && route.kind === "submission" &&
+      route.allowsAnonymous
+    );
+    const sender = this.#checkKey(asked, allowsAnonymous);
+    if (sender.kind === "refused") return this.#refuseKey();
+    return await this.#submissions.answer(call, sender);
+  }
+
+  /** Says whose request it is; a refusal is logged without its key. */
+  #checkKey(
+    { raw, configuration, host }: AskedRequest,
+    allowsAnonymous: boolean,
+  ): accounts.KeyVerdict {
+    const { dialect, log } = this.#options;
+    const { key, requestId } = dialect.parseRequestHead(raw.headers);
+    const verdict = accounts.checkKey(
+      configuration.accounts,
+      key,
+      allowsAnonymous,
+    );
+    if (verdict.kind === "refused") {
+      log.write("info", "key.refused", {
+        request: requestId,
+        host,
+        target: raw.target,
+        key: accounts.describeKey(key),
+        version: configuration.version,
+        reason: verdict.reason,
+      });
+    }
+    return verdict;
+  }
+
+  #refuseKey(): dialects.RawAnswer {
+    return this.#refuse("badToken", "Cannot serve: no account holds the key");
+  }
+
   #refuse(
     code: results.CodeName,
     message: string,
@@ -87,19 +142,13 @@
   }
 
   async #serveRouted(
-    raw: dialects.RawRequest,
+    asked: AskedRequest,
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<dialects.RawAnswer | undefined> {
-    const { clock, configuration: holder, dialect, log } = this.#options;
+    const { clock, dialect, log } = this.#options;
     const arrivedAtMs = clock.getMonotonicMs();
-    const configuration = holder.get();
-    if (configuration === undefined) {
-      return this.#refuse("noLease", "Cannot serve: no configuration yet", {
-        retryAfterMs: START_RETRY_MS,
-      });
-    }
-    const [host = ""] = String(raw.headers["host"] ?? "").split(":");
+    const { raw, configuration, host } = asked;
     const route = trafficConfig.matchRoute(configuration, host, raw.target);
     if (route === undefined) {
       log.write("info", "request.unrouted", {
@@ -109,6 +158,8 @@
       });
       return this.#refuse("unknownRoute", "Cannot serve: no route fits");
     }
+    const sender = this.#checkKey(asked, route.allowsAnonymous);
+    if (sender.kind === "refused") return this.#refuseKey();
     const head = dialect.parseRequestHead(raw.headers);
     if (head.requestId === undefined) {
       return this.#refuse("missingKey", "Cannot serve: the id is missing");
@@ -126,11 +177,14 @@
       raw,
       route,
       configuration,
+      sender,
       requestId: head.requestId,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + waitMs - ANSWER_MARGIN_MS,
     };
-    if (route.kind === "submission") return this.#accept(routed, body.value);
+    if (route.kind === "submission") {
+      return await this.#submissions.accept({ ...routed, body: body.value });
+    }
     return await this.#forward(routed, body.value, response);
   }
 
@@ -140,17 +194,18 @@
     response: http.ServerResponse,
   ): Promise<dialects.RawAnswer | undefined> {
     const { forwarder, draw } = this.#options;
-    const { route, raw } = routed;
+    const { route, raw, sender } = routed;
     const cancellation = new csp.Cancellation();
     response.once("close", () => cancellation.cancel());
     const outcome = await forwarder.send({
       requestId: routed.requestId,
+      sender,
       service: trafficConfig.pickService(route, draw()),
       method: raw.method,
       target: raw.target,
       headers: raw.headers,
       body,
-      priority: route.priority,
+      priority: getPriority(sender, route),
       targetAtMs: routed.arrivedAtMs + route.targetLatencyMs,
       deadlineAtMs: routed.deadlineAtMs,
       attempts: route.attempts,
@@ -171,6 +226,9 @@
     log.write(isPlain ? "debug" : "info", "request.done", {
       request: routed.requestId,
       route: routed.route.name,
+      account: routed.sender.kind === "account"
+        ? routed.sender.name
+        : undefined,
       version: routed.configuration.version,
       outcome: outcome.kind,
       reason: "reason" in outcome ? outcome.reason : undefined,
@@ -210,122 +268,18 @@
         return undefined;
     }
   }
+}
 
-  async #accept(
-    routed: RoutedRequest,
-    body: Buffer,
-  ): Promise<dialects.RawAnswer> {
-    const { dialect, clock, draw, log } = this.#options;
-    const { route, requestId } = routed;
-    const draft = dialect.parseSubmission(requestId, body);
-    if (draft.kind === "failure") return dialect.formatFailure(draft.failure);
-    const request: submissions.AcceptRequest = {
-      submission: {
-        ...draft.value,
-        acceptedAtMs: clock.getWallMs(),
-        terms: {
-          host: route.host,
-          service: trafficConfig.pickService(route, draw()),
-          attempts: route.attempts,
-          keepMs: route.keepMs,
-          targetCompletionMs: route.targetCompletionMs,
-          isSingleVersion: route.isSingleVersion,
-        },
-      },
-    };
-    const accepted = await this.#callStores<null>(
-      submissions.METHODS.accept,
-      request,
-    );
-    log.write("info", "submission.sent", {
-      submission: requestId,
-      items: draft.value.items.length,
-      outcome: accepted.kind === "ok" ? "accepted" : accepted.failure.code,
-    });
-    if (accepted.kind === "ok") return dialect.formatAccepted();
-    return dialect.formatFailure(accepted.failure);
-  }
-
-  async #serveSubmissionCall(
-    call: Exclude<dialects.CallerCall, { readonly kind: "routed" }>,
-  ): Promise<dialects.RawAnswer> {
-    switch (call.kind) {
-      case "readResults":
-        return await this.#readResults(call);
-      case "readItemBody":
-        return await this.#readItemBody(call);
-      case "endSubmission":
-        return await this.#endSubmission(call.submission);
-    }
-  }
-
-  async #readResults(
-    call: Extract<dialects.CallerCall, { readonly kind: "readResults" }>,
-  ): Promise<dialects.RawAnswer> {
-    const { dialect } = this.#options;
-    const read = await readInSlices.readInSlices({
-      clock: this.#options.clock,
-      waitMs: call.waitMs,
-      readOnce: (waitMs, tryMs) => {
-        const { submission: id, after } = call;
-        return this.#reader.read({ id, after, waitMs }, {
-          totalMs: Math.max(STORE_TIMES.totalMs, tryMs),
-          tryMs,
-        });
-      },
-    });
-    if (read.kind === "ok") return dialect.formatResults(read.value);
-    return dialect.formatFailure(toReadFailure(read.failure));
-  }
-
-  async #readItemBody(
-    call: Extract<dialects.CallerCall, { readonly kind: "readItemBody" }>,
-  ): Promise<dialects.RawAnswer> {
-    const { dialect } = this.#options;
-    const request: submissions.ReadBodyRequest = {
-      id: call.submission,
-      item: call.item,
-    };
-    const read = await this.#callStores<string>(
-      submissions.METHODS.readBody,
-      request,
-    );
-    if (read.kind === "failure") {
-      return dialect.formatFailure(toReadFailure(read.failure));
-    }
-    return dialect.formatItemBody(Buffer.from(read.value, "base64"));
-  }
-
-  async #endSubmission(id: string): Promise<dialects.RawAnswer> {
-    const { dialect } = this.#options;
-    const request: submissions.EndRequest = { id };
-    const ended = await this.#callStores<null>(
-      submissions.METHODS.end,
-      request,
-    );
-    if (ended.kind === "ok") return dialect.formatDone();
-    return dialect.formatFailure(ended.failure);
-  }
-
-  async #callStores<T>(
-    method: string,
-    request: object,
-  ): Promise<results.Result<T>> {
-    return await controlCalls.callStores<T>(
-      this.#options.stores,
-      { method, request },
-      STORE_TIMES,
-    );
-  }
+function getHost(raw: dialects.RawRequest): string {
+  const [host = ""] = String(raw.headers["host"] ?? "").split(":");
+  return host;
 }
 
-/** Reading changes nothing, so a failed read can simply be repeated. */
-function toReadFailure(failure: results.Failure): results.Failure {
-  if (failure.code !== "changeUnknown") return failure;
-  return {
-    code: "noLeader",
-    message: failure.message,
-    outcome: "notRun",
-    retryAfterMs: UNREAD_RETRY_MS,
-  };
+/** An account's rank goes before that of the route. */
+function getPriority(
+  sender: accounts.Sender,
+  route: trafficConfig.Route,
+): number {
+  if (sender.kind !== "account") return route.priority;
+  return sender.priority ?? route.priority;
 }
--- a/src/fleet_daemon/near_reader_test.ts
+++ b/src/fleet_daemon/near_reader_test.ts
@@ -6,7 +6,12 @@
 import type * as submissions from "../submission/mod.ts";
 import * as nearReaders from "./_near_reader.ts";
 
-const WANTED = { id: "s", after: 0, waitMs: 0 };
+const WANTED = {
+  sender: { kind: "unasked" } as const,
+  id: "s",
+  after: 0,
+  waitMs: 0,
+};
 const TIMES = { totalMs: 1_000, tryMs: 500 };
 /** Longer than a near replica is asked without the leader's word, in ms. */
 const LONG_MS = 10_001;
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -33,6 +33,7 @@
     path: job.target,
     headers: dialect.createForwardHeaders(job.headers, {
       requestId: job.requestId,
+      sender: job.sender,
       server: server.id,
       deadlineMs: Math.max(1, Math.floor(timeoutMs)),
     }),
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -1,9 +1,12 @@
+import type * as accounts from "../client_account/mod.ts";
 import type * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 
 /** A request to be answered by some server of a service. */
 export interface ForwardJob {
   readonly requestId: string;
+  /** Whose request it is. */
+  readonly sender: accounts.Sender;
   readonly service: string;
   readonly method: string;
   readonly target: string;
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -109,6 +109,7 @@
     });
     return forwarder.send({
       requestId: "job",
+      sender: { kind: "unasked" },
       service: "app",
       method: "POST",
       target: "/x",
--- a/src/forwarding/load_replay_test.ts
+++ b/src/forwarding/load_replay_test.ts
@@ -210,6 +210,7 @@
     const askedMs = this.#clock.getMonotonicMs();
     const outcome = await box!.send({
       requestId: `r${this.#asked}`,
+      sender: { kind: "unasked" },
       service: "app",
       method: "GET",
       target: "/",
--- a/src/item_run/item_run_test.ts
+++ b/src/item_run/item_run_test.ts
@@ -71,6 +71,7 @@
       clock: new clocks.SystemClock(),
       dialect: DIALECT,
       item: ITEM,
+      sender: { kind: "unasked" },
       host: "a.example",
       engine: serverFixtures.createServer("e-1", {
         port: (engine.address() as net.AddressInfo).port,
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -1,4 +1,5 @@
 import * as eventSource from "eventsource-parser";
+import type * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import type * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
@@ -21,6 +22,8 @@
   readonly clock: clocks.Clock;
   readonly dialect: dialects.Dialect;
   readonly item: submissions.SubmissionItem;
+  /** Whose submission it is. */
+  readonly sender: accounts.Sender;
   readonly host: string;
   readonly engine: registry.RegisteredServer;
   readonly minimumVersion: number;
@@ -72,10 +75,10 @@
   }
 
   start(): void {
-    const { item, engine, dialect, host, progress, cancellation } =
+    const { item, sender, engine, dialect, host, progress, cancellation } =
       this.#options;
     const lastEventId = progress.getLastId();
-    const marks = { requestId: item.id, server: engine.id };
+    const marks = { requestId: item.id, sender, server: engine.id };
     this.#exchange = httpClient.openExchange({
       address: engine.address,
       port: engine.port,
--- a/src/submission/mod.ts
+++ b/src/submission/mod.ts
@@ -9,6 +9,7 @@
  * ```
  * @module
  */
+export * from "./can_see.ts";
 export * from "./cut_page.ts";
 export * from "./find_forgettable.ts";
 export * from "./protocol.ts";
--- a/src/submission/protocol.ts
+++ b/src/submission/protocol.ts
@@ -1,3 +1,4 @@
+import type * as accounts from "../client_account/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as submissions from "./submission.ts";
 
@@ -20,6 +21,7 @@
 /** Asks for results. */
 export interface ReadRequest {
   readonly id: string;
+  readonly sender: accounts.Sender;
   readonly after: number;
   readonly waitMs: number;
   /** Failure domain of the asker. */
@@ -38,12 +40,14 @@
 /** Asks for the body of an item that is not listed yet. */
 export interface ReadBodyRequest {
   readonly id: string;
+  readonly sender: accounts.Sender;
   readonly item: string;
 }
 
 /** Asks to end a submission. */
 export interface EndRequest {
   readonly id: string;
+  readonly sender: accounts.Sender;
 }
 
 /** Names a weight version. */
--- a/src/submission/submission.ts
+++ b/src/submission/submission.ts
@@ -1,3 +1,5 @@
+import type * as accounts from "../client_account/mod.ts";
+
 /** A request that scores a finished text. */
 export interface ScoringCall {
   readonly id: string;
@@ -51,6 +53,8 @@
 /** An accepted submission. */
 export interface Submission extends SubmissionDraft {
   readonly terms: SubmissionTerms;
+  /** Who sent it; later calls come by any key of the same account. */
+  readonly sender: accounts.Sender;
   /** Wall time of the acceptance, in ms. */
   readonly acceptedAtMs: number;
 }
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,5 +1,7 @@
 import type * as consensus from "../consensus/mod.ts";
+import type * as accounts from "../client_account/mod.ts";
 import type * as registry from "../registry/mod.ts";
+import * as canSee from "./can_see.ts";
 import * as savedParts from "./saved_parts.ts";
 import type * as submissions from "./submission.ts";
 
@@ -42,7 +44,11 @@
     readonly added: readonly registry.RegisteredServer[];
     readonly gone: readonly string[];
   }
-  | { readonly kind: "endSubmission"; readonly id: string }
+  | {
+    readonly kind: "endSubmission";
+    readonly id: string;
+    readonly sender: accounts.Sender;
+  }
   | {
     readonly kind: "nameVersion";
     readonly model: string;
@@ -220,7 +226,7 @@
         }
         return KNOWN;
       case "endSubmission":
-        return this.#end(command.id);
+        return this.#end(command.id, command.sender);
       case "nameVersion":
         return this.#nameVersion(command.model, command.version);
       case "retireBox":
@@ -236,7 +242,12 @@
   }
 
   #accept(submission: submissions.Submission): SubmissionAnswer {
-    if (this.#records.has(submission.id)) return KNOWN;
+    const known = this.#records.get(submission.id);
+    if (known !== undefined) {
+      return canSee.canSee(submission.sender, known.submission)
+        ? KNOWN
+        : UNKNOWN;
+    }
     this.#records.set(submission.id, {
       submission: { ...submission, items: [...submission.items] },
       results: [],
@@ -293,9 +304,10 @@
     return KNOWN;
   }
 
-  #end(id: string): SubmissionAnswer {
+  #end(id: string, sender: accounts.Sender): SubmissionAnswer {
     const record = this.#records.get(id);
     if (record === undefined) return UNKNOWN;
+    if (!canSee.canSee(sender, record.submission)) return UNKNOWN;
     record.isEnded = true;
     return KNOWN;
   }
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -4,6 +4,7 @@
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import * as canSee from "./can_see.ts";
 import * as cutPage from "./cut_page.ts";
 import * as protocol from "./protocol.ts";
 import type * as machines from "./submission_machine.ts";
@@ -98,7 +99,7 @@
   async #read(
     request: protocol.ReadRequest,
   ): Promise<protocol.LeaderReply<protocol.ReadReply>> {
-    const { group, machine, changed, clock } = this.#options;
+    const { group, changed, clock } = this.#options;
     const endMs = clock.getMonotonicMs() + request.waitMs;
     const isLeading = group.hasAuthority();
     if (!isLeading && !await this.#canFollow(request)) {
@@ -106,7 +107,7 @@
     }
     for (;;) {
       if (isLeading && !group.hasAuthority()) return group.createNotLeader();
-      const record = machine.get(request.id);
+      const record = this.#find(request);
       if (record === undefined) return { kind: "unknown" };
       const leftMs = endMs - clock.getMonotonicMs();
       const hasNews = record.results.length > request.after;
@@ -119,6 +120,15 @@
     }
   }
 
+  /** The submission, where it is there and the sender's. */
+  #find(
+    { id, sender }: Pick<protocol.ReadRequest, "id" | "sender">,
+  ): machines.SubmissionRecord | undefined {
+    const record = this.#options.machine.get(id);
+    if (record === undefined) return undefined;
+    return canSee.canSee(sender, record.submission) ? record : undefined;
+  }
+
   /** Whether this replica may answer a read although it does not lead. */
   async #canFollow({ mayFollow }: protocol.ReadRequest): Promise<boolean> {
     return mayFollow &&
@@ -140,9 +150,9 @@
   #readBody(
     request: protocol.ReadBodyRequest,
   ): protocol.LeaderReply<string> {
-    const { group, machine } = this.#options;
+    const { group } = this.#options;
     if (!group.hasAuthority()) return group.createNotLeader();
-    const record = machine.get(request.id);
+    const record = this.#find(request);
     const item = record?.submission.items.find((other) =>
       other.id === request.item
     );
@@ -156,6 +166,7 @@
     const reply = await this.#propose({
       kind: "endSubmission",
       id: request.id,
+      sender: request.sender,
     });
     this.#options.log.write("info", "submission.ended", {
       submission: request.id,
--- a/src/submission/submission_test.ts
+++ b/src/submission/submission_test.ts
@@ -21,6 +21,7 @@
 ): submissions.Submission {
   return {
     id,
+    sender: { kind: "unasked" },
     model: "m",
     step: 0,
     minimumVersion: 1,
@@ -96,13 +97,21 @@
     record(machine, createResult("2", "another"));
     record(machine, createResult("1", "one"));
     chai.expect(listTexts(machine)).to.deep.equal(["two", "one"]);
-    machine.apply({ kind: "endSubmission", id: "a" });
+    machine.apply({
+      kind: "endSubmission",
+      id: "a",
+      sender: { kind: "unasked" },
+    });
     record(machine, createResult("3", "late"));
     chai.expect(listTexts(machine)).to.deep.equal(["two", "one"]);
   });
 
   it("says that it does not know what was never accepted", () => {
-    const answer = createMachine().apply({ kind: "endSubmission", id: "b" });
+    const answer = createMachine().apply({
+      kind: "endSubmission",
+      id: "b",
+      sender: { kind: "unasked" },
+    });
     chai.expect(answer.isKnown).to.equal(false);
   });
 
@@ -144,7 +153,11 @@
     const machine = createMachine();
     record(machine, createResult("2", "whole"));
     keep(machine, undefined, "e1", 1);
-    machine.apply({ kind: "endSubmission", id: "a" });
+    machine.apply({
+      kind: "endSubmission",
+      id: "a",
+      sender: { kind: "unasked" },
+    });
     chai.expect(machine.findTexts("2")).to.deep.equal([
       { text: "whole", versions: [1], lastId: undefined },
     ]);
@@ -189,6 +202,7 @@
       })),
       fastCheck.constantFrom("a", "b").map((id) => ({
         kind: "endSubmission" as const,
+        sender: { kind: "unasked" } as const,
         id,
       })),
       fastCheck.integer({ min: 1, max: 9 }).map((version) => ({
@@ -259,4 +273,31 @@
     machine.apply({ kind: "forgetSubmissions", ids: find() });
     chai.expect(machine.get("a")).to.equal(undefined);
   });
+
+  it("belongs to its account: any key of it will do, no other account's", () => {
+    const machine = createMachine();
+    const north = { kind: "account", name: "north", priority: 1 } as const;
+    const south = { kind: "account", name: "south", priority: 1 } as const;
+    const submission = { ...createSubmission("b", ["1"]), sender: north };
+    function accept(sender: submissions.Submission["sender"]) {
+      const command = { ...submission, sender };
+      return machine.apply({ kind: "acceptSubmission", submission: command });
+    }
+    function end(sender: submissions.Submission["sender"]) {
+      return machine.apply({ kind: "endSubmission", id: "b", sender });
+    }
+    chai.expect(accept(north)).to.deep.equal({ isKnown: true });
+    chai.expect(accept(north)).to.deep.equal({ isKnown: true });
+    chai.expect(accept(south)).to.deep.equal({ isKnown: false });
+    chai.expect(end(south)).to.deep.equal({ isKnown: false });
+    chai.expect(end({ kind: "anonymous" })).to.deep.equal({ isKnown: false });
+    chai.expect(machine.get("b")?.isEnded).to.equal(false);
+    chai.expect(end({ ...north, priority: 2 })).to.deep.equal({
+      isKnown: true,
+    });
+    chai.expect(end(north)).to.deep.equal({ isKnown: true });
+    const restored = createMachine();
+    restored.restore(JSON.parse(JSON.stringify(machine.save())));
+    chai.expect(restored.get("b")?.submission.sender).to.deep.equal(north);
+  });
 });
--- a/src/traffic_config/check_configuration.ts
+++ b/src/traffic_config/check_configuration.ts
@@ -1,3 +1,4 @@
+import * as accounts from "../client_account/mod.ts";
 import * as results from "../results/mod.ts";
 import type * as configurations from "./configuration.ts";
 
@@ -12,7 +13,7 @@
     if (places.has(place)) return `two routes serve ${place}`;
     places.add(place);
   }
-  return undefined;
+  return accounts.findAccountFault(configuration.accounts?.list() ?? []);
 }
 
 function findRouteFault(
--- a/src/traffic_config/configuration.ts
+++ b/src/traffic_config/configuration.ts
@@ -1,3 +1,5 @@
+import type * as accounts from "../client_account/mod.ts";
+
 /** How often a route's requests may run, and what they carry. */
 export type RouteKind =
   | "repeatable"
@@ -36,6 +38,8 @@
   readonly isSingleVersion: boolean;
   /** Time after which an item may be given up, in ms. */
   readonly keepMs: number;
+  /** Whether its requests need no key of a client account. */
+  readonly allowsAnonymous: boolean;
 }
 
 /** A service that routes name. */
@@ -62,6 +66,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: CallerLimits;
+  /** Undefined where requests need no key. */
+  readonly accounts: accounts.AccountKeys | undefined;
 }
 
 /** A configuration as the operator sent it. */
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -21,6 +21,7 @@
   canResume: false,
   isSingleVersion: false,
   keepMs: 1_000,
+  allowsAnonymous: false,
 };
 
 const SERVICE: configurations.Service = {
@@ -43,6 +44,7 @@
       headerTimeoutMs: 1,
       idleTimeoutMs: 1,
     },
+    accounts: undefined,
   };
 }
 
--- a/tools/bench/bench_dispatch.ts
+++ b/tools/bench/bench_dispatch.ts
@@ -48,6 +48,7 @@
   };
   const submission: submissions.Submission = {
     id: `s-${index % 40}`,
+    sender: { kind: "unasked" },
     model: item.model,
     step: 1,
     minimumVersion: 1,
