Feed replicas that lost their disks at a bounded rate; log what a group's consensus does

Cause: after a restart of all boxes with two of five voters emptied the leader sent the whole log to both without a bound: a further batch with each proposal and each reply, and all of it again for each answer to what was sent before a first refusal. On 0.3 of a core its own heartbeats' answers then waited over 360 ms, so its authority came and went for 25 s and more. Change: two batches on their way to a new replica, two such replicas at once, going back once for all that was sent before; bulk goes uncompressed.

--- a/src/consensus/_append_requests.ts
+++ b/src/consensus/_append_requests.ts
@@ -1,3 +1,4 @@
+import * as feedings from "./_feeding.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import type * as replicaStates from "./replica_state.ts";
@@ -8,22 +9,26 @@
   readonly effect: replicaStates.Effect;
 }
 
-/** Creates what follows an index; undefined when a snapshot is needed. */
+/**
+ * Creates what follows an index, with at most so many entries; undefined when a
+ * snapshot is needed.
+ */
 export function createRequest(
   state: replicaStates.ReplicaState,
   nextIndex: number,
+  count: number,
   nowMs: number,
 ): messages.AppendRequest | undefined {
   const previousIndex = nextIndex - 1;
   const previousTerm = replicaLogs.getTermAt(state.log, previousIndex);
   if (previousTerm === undefined) return undefined;
-  const { log, config, term, commitIndex } = state;
+  const { log, term, commitIndex } = state;
   return {
     kind: "appendRequest",
     term,
     previousIndex,
     previousTerm,
-    entries: replicaLogs.getEntries(log, nextIndex, config.maxBatchEntries),
+    entries: replicaLogs.getEntries(log, nextIndex, count),
     commitIndex,
     isEstablished: isEstablished(state),
     sentAtMs: nowMs,
@@ -60,13 +65,15 @@
   followers: ReadonlyMap<string, replicaStates.Progress>,
   nowMs: number,
 ): readonly (readonly [string, SentAppend])[] {
-  const requests = new Map<number, messages.AppendRequest | undefined>();
+  const requests = new Map<string, messages.AppendRequest | undefined>();
   return [...followers].map(([to, progress]) => {
     const { nextIndex } = progress;
-    if (!requests.has(nextIndex)) {
-      requests.set(nextIndex, createRequest(state, nextIndex, nowMs));
+    const count = feedings.countSendable(state, to, progress, nowMs);
+    const key = `${nextIndex} ${count}`;
+    if (!requests.has(key)) {
+      requests.set(key, createRequest(state, nextIndex, count, nowMs));
     }
-    const message = requests.get(nextIndex);
+    const message = requests.get(key);
     return [to, createAppend(state, to, progress, message)] as const;
   });
 }
--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -159,6 +159,20 @@
   return nowMs < state.heardAtMs + state.config.electionTimeoutMs;
 }
 
+/** Why a vote is refused whatever the candidate's log holds. */
+function findRefusal(
+  state: replicaStates.ReplicaState,
+  from: string,
+  request: messages.VoteRequest,
+  nowMs: number,
+): messages.VoteRefusal | undefined {
+  const isBlocked = !request.isTransfer && hasRecentLeader(state, nowMs) &&
+    !formerLeaders.isOwnLeader(state, from);
+  if (isBlocked) return "leaderHeard";
+  if (request.term < state.term) return "oldTerm";
+  return state.identity.isAdmitted ? undefined : "notAdmitted";
+}
+
 /** Answers a vote request; while a leader is heard it is refused unread. */
 export function handleVoteRequest(
   state: replicaStates.ReplicaState,
@@ -167,16 +181,21 @@
   nowMs: number,
 ): replicaStates.Transition {
   const { isPreVote, term } = request;
-  const isBlocked = !request.isTransfer && hasRecentLeader(state, nowMs) &&
-    !formerLeaders.isOwnLeader(state, from);
-  if (isBlocked || term < state.term || !state.identity.isAdmitted) {
-    return refuseVote(state, from, isPreVote);
+  const refusal = findRefusal(state, from, request, nowMs);
+  if (refusal !== undefined) {
+    return refuseVote(state, from, isPreVote, refusal);
   }
   if (isPreVote) {
-    if (!isUpToDate(state, request) || term <= state.term) {
-      return refuseVote(state, from, true);
+    if (term <= state.term) return refuseVote(state, from, true, "oldTerm");
+    if (!isUpToDate(state, request)) {
+      return refuseVote(state, from, true, "logBehind");
     }
-    return { state, effects: [createVoteReply(from, term, true, true)] };
+    return {
+      state,
+      effects: [
+        createVoteReply(from, { term, isPreVote: true, isGranted: true }),
+      ],
+    };
   }
   const entered = term > state.term
     ? enterTerm(state, term)
@@ -184,20 +203,20 @@
   const current = entered.state;
   const canVote = current.votedFor === undefined || current.votedFor === from;
   if (!canVote || !isUpToDate(current, request)) {
-    return {
-      state: current,
-      effects: [
-        ...entered.effects,
-        createVoteReply(from, current.term, false, false),
-      ],
-    };
+    const refused = refuseVote(
+      current,
+      from,
+      false,
+      canVote ? "logBehind" : "votedOther",
+    );
+    return { ...refused, effects: [...entered.effects, ...refused.effects] };
   }
   const voted = resetElection({ ...current, votedFor: from }, nowMs);
   return {
     state: voted,
     effects: [
       { kind: "saveVote", term, votedFor: from },
-      createVoteReply(from, term, false, true),
+      createVoteReply(from, { term, isPreVote: false, isGranted: true }),
     ],
   };
 }
@@ -206,26 +225,26 @@
   state: replicaStates.ReplicaState,
   from: string,
   isPreVote: boolean,
+  refusal: messages.VoteRefusal,
 ): replicaStates.Transition {
   return {
     state,
-    effects: [createVoteReply(from, state.term, isPreVote, false)],
+    effects: [
+      createVoteReply(from, {
+        term: state.term,
+        isPreVote,
+        isGranted: false,
+        refusal,
+      }),
+    ],
   };
 }
 
 function createVoteReply(
   to: string,
-  term: number,
-  isPreVote: boolean,
-  isGranted: boolean,
+  reply: Omit<messages.VoteReply, "kind">,
 ): replicaStates.Effect {
-  const message: messages.VoteReply = {
-    kind: "voteReply",
-    term,
-    isPreVote,
-    isGranted,
-  };
-  return { kind: "send", to, message };
+  return { kind: "send", to, message: { kind: "voteReply", ...reply } };
 }
 
 /** Counts a vote. */
--- a/src/consensus/_proposals.ts
+++ b/src/consensus/_proposals.ts
@@ -1,3 +1,4 @@
+import type * as clocks from "../clock/mod.ts";
 import * as results from "../results/mod.ts";
 import type * as driverEvents from "./_driver_event.ts";
 import type * as replicaLogs from "./replica_log.ts";
@@ -64,6 +65,30 @@
   ));
 }
 
+/**
+ * Makes a proposal and waits for what becomes of it.
+ *
+ * @param timeoutMs How long to wait for it to be committed.
+ * @param offer Gives it to the replica; false where there is no room.
+ * @returns What became of it.
+ */
+export function awaitProposal(
+  clock: clocks.Clock,
+  timeoutMs: number,
+  offer: (settle: driverEvents.Settle) => boolean,
+): Promise<results.Result<unknown>> {
+  return new Promise((resolve) => {
+    const cancel = clock.startTimer(timeoutMs, () => {
+      resolve(createUnconfirmed());
+    });
+    function settle(result: results.Result<unknown>): void {
+      cancel();
+      resolve(result);
+    }
+    if (!offer(settle)) settle(createOverloaded());
+  });
+}
+
 /** Tells proposals that this replica does not lead. */
 export function refuseProposals(
   proposals: readonly driverEvents.Proposal[],
@@ -73,7 +98,7 @@
 }
 
 /** Gives what is told of a proposal that the inbox has no room for. */
-export function createOverloaded(): results.Result<never> {
+function createOverloaded(): results.Result<never> {
   return results.createFailure(
     "overloaded",
     "Cannot accept the change: the inbox is full",
@@ -82,7 +107,7 @@
 }
 
 /** Gives what is told of a proposal whose commit was not seen in time. */
-export function createUnconfirmed(): results.Result<never> {
+function createUnconfirmed(): results.Result<never> {
   return results.createFailure(
     "changeUnknown",
     "Cannot confirm the change: no quorum answered in time",
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -1,4 +1,5 @@
 import * as appendRequests from "./_append_requests.ts";
+import * as feedings from "./_feeding.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -12,7 +13,7 @@
 
 const NO_TRANSITION_EFFECTS: readonly replicaStates.Effect[] = [];
 
-/** Sends each follower what it lacks, or a heartbeat. */
+/** Sends each follower what it lacks and may be sent, or a heartbeat. */
 export function sendAppends(
   state: replicaStates.ReplicaState,
   nowMs: number,
@@ -29,6 +30,7 @@
   });
 }
 
+/** Sends a follower what it lacks, unless it may not be sent more now. */
 function sendAppendTo(
   state: replicaStates.ReplicaState,
   to: string,
@@ -38,9 +40,12 @@
   if (role.kind !== "leader") return { state, effects: [] };
   const progress = role.progress.get(to);
   if (progress === undefined) return { state, effects: [] };
+  const count = feedings.countSendable(state, to, progress, nowMs);
+  if (count === 0) return { state, effects: [] };
   const message = appendRequests.createRequest(
     state,
     progress.nextIndex,
+    count,
     nowMs,
   );
   const sent = appendRequests.createAppend(state, to, progress, message);
@@ -246,6 +251,25 @@
   };
 }
 
+/**
+ * Goes back to where a follower's log ends. Only once for all that was sent
+ * before: each of those messages is answered like the first one, and going back
+ * for each sends the same entries again and again.
+ */
+function moveBack(
+  progress: replicaStates.Progress,
+  reply: messages.AppendReply,
+  nowMs: number,
+): replicaStates.Progress {
+  const { rewoundAtMs = Number.NEGATIVE_INFINITY, matchIndex } = progress;
+  if (reply.sentAtMs < rewoundAtMs) return progress;
+  return {
+    ...progress,
+    nextIndex: Math.max(matchIndex, reply.index) + 1,
+    rewoundAtMs: nowMs,
+  };
+}
+
 /** Notes how far a follower is, and sends what it still lacks. */
 export function handleAppendReply(
   state: replicaStates.ReplicaState,
@@ -265,19 +289,14 @@
   const old = forgetFormerSelf(known, reply);
   const answeredSentAtMs = Math.max(old.answeredSentAtMs, reply.sentAtMs);
   const { identity } = reply;
+  const heard = { ...old, identity, answeredSentAtMs };
   const progress: replicaStates.Progress = reply.isMatch
     ? {
-      identity,
-      answeredSentAtMs,
+      ...heard,
       matchIndex: Math.max(old.matchIndex, reply.index),
       nextIndex: Math.max(old.nextIndex, reply.index + 1),
     }
-    : {
-      ...old,
-      identity,
-      answeredSentAtMs,
-      nextIndex: Math.max(old.matchIndex, reply.index) + 1,
-    };
+    : moveBack(heard, reply, nowMs);
   const map = new Map([...role.progress, [from, progress] as const]);
   const noted: replicaStates.ReplicaState = {
     ...state,
--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as messages from "./message.ts";
+import type * as notices from "./replica_notice.ts";
 
 /** Parts on their way to a replica at once. */
 const WINDOW = 4;
@@ -22,6 +23,8 @@
   readonly send: (to: string, message: messages.DriverMessage) => void;
   /** Makes a snapshot of the present state. */
   readonly createSnapshot: () => messages.Snapshot;
+  /** Told of each snapshot that begins to be sent. */
+  readonly onNotice?: notices.TakeNotice | undefined;
 }
 
 /**
@@ -57,6 +60,13 @@
       movedAtMs: nowMs,
     };
     this.#transfers.set(to, transfer);
+    this.#options.onNotice?.({
+      kind: "snapshotSent",
+      to,
+      index: snapshot.index,
+      parts: snapshot.state.length,
+      tookMs: Math.round(this.#options.clock.getMonotonicMs() - nowMs),
+    });
     this.#sendParts(to, term, transfer);
   }
 
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -19,12 +19,22 @@
   readonly lastTerm: number;
 }
 
+/** Why a vote was refused. */
+export type VoteRefusal =
+  | "leaderHeard"
+  | "oldTerm"
+  | "notAdmitted"
+  | "logBehind"
+  | "votedOther";
+
 /** Answers a vote request. */
 export interface VoteReply {
   readonly kind: "voteReply";
   readonly term: number;
   readonly isPreVote: boolean;
   readonly isGranted: boolean;
+  /** For the log of the candidate; undefined where it was granted. */
+  readonly refusal?: VoteRefusal;
 }
 
 /** Carries log entries, or none as a heartbeat. */
--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -15,6 +15,7 @@
 export * from "./message.ts";
 export * from "./replica_driver.ts";
 export * from "./replica_log.ts";
+export * from "./replica_notice.ts";
 export * from "./replica_options.ts";
 export * from "./replica_set.ts";
 export * from "./replica_state.ts";
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -1,9 +1,11 @@
 import * as csp from "../csp/mod.ts";
 import type * as results from "../results/mod.ts";
-import * as storage from "../storage/mod.ts";
+import type * as storage from "../storage/mod.ts";
 import * as appliedMachines from "./_applied_machine.ts";
+import * as noticeTellers from "./_notice_teller.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
+import * as openReplicas from "./_open_replica.ts";
 import * as savedRecords from "./_saved_record.ts";
 import * as proposalTables from "./_proposals.ts";
 import * as tickTimers from "./_tick_timer.ts";
@@ -33,6 +35,7 @@
   #ended: Promise<void> = Promise.resolve();
   readonly #exchange: snapshotTransfers.SnapshotExchange;
   readonly #drafts: snapshotDrafts.SnapshotDrafts;
+  readonly #teller: noticeTellers.NoticeTeller;
 
   private constructor(
     options: replicaOptions.ReplicaDriverOptions,
@@ -50,6 +53,7 @@
       clock: options.clock,
       send: options.send,
       createSnapshot: () => this.#createSnapshot(),
+      onNotice: options.onNotice,
     });
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
       this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
@@ -60,6 +64,7 @@
       state.log,
     );
     this.#snapshotIndex = state.log.snapshotIndex;
+    this.#teller = new noticeTellers.NoticeTeller(options.onNotice);
   }
 
   /**
@@ -70,18 +75,8 @@
   static async open(
     options: replicaOptions.ReplicaDriverOptions,
   ): Promise<ReplicaDriver> {
-    const { config, clock, dataFolder, machine } = options;
-    const opened = await storage.DurableLog.open(dataFolder, config.id);
-    const snapshot = savedRecords.toSnapshot(opened.loaded.snapshot);
-    const records = opened.loaded
-      .records as readonly savedRecords.SavedRecord[];
-    const made = savedRecords.createFirst(records, clock.getWallMs());
-    await opened.log.append(made);
-    if (snapshot !== undefined) machine.restore(snapshot.state);
-    const saved = savedRecords.rebuildReplica(snapshot, [...records, ...made]);
-    const nowMs = clock.getMonotonicMs();
-    const state = stepReplica.createReplica(config, saved, nowMs);
-    const driver = new ReplicaDriver(options, opened.log, state);
+    const { log, state } = await openReplicas.openReplica(options);
+    const driver = new ReplicaDriver(options, log, state);
     driver.#start();
     return driver;
   }
@@ -168,17 +163,11 @@
     command: unknown,
     timeoutMs: number,
   ): Promise<results.Result<unknown>> {
-    return new Promise((resolve) => {
-      const cancel = this.#options.clock.startTimer(timeoutMs, () => {
-        resolve(proposalTables.createUnconfirmed());
-      });
-      function settle(result: results.Result<unknown>): void {
-        cancel();
-        resolve(result);
-      }
-      if (this.#inbox.offer({ kind: "proposal", command, settle })) return;
-      settle(proposalTables.createOverloaded());
-    });
+    return proposalTables.awaitProposal(
+      this.#options.clock,
+      timeoutMs,
+      (settle) => this.#inbox.offer({ kind: "proposal", command, settle }),
+    );
   }
 
   /**
@@ -223,10 +212,16 @@
       for (const effect of effects) this.#runEffect(effect);
       yield* this.#takeDraft();
       this.#startDraft();
+      this.#tellChanges();
       this.#setTick();
     }
   }
 
+  #tellChanges(): void {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    this.#teller.observe(this.#state, this.hasAuthority(), nowMs);
+  }
+
   #stepRound(
     round: readonly driverEvents.DriverEvent[],
   ): readonly replicaStates.Effect[] {
@@ -255,6 +250,7 @@
   }
 
   #step(event: replicaStates.ReplicaEvent): readonly replicaStates.Effect[] {
+    this.#teller.tellRefusal(event);
     const nowMs = this.#options.clock.getMonotonicMs();
     const transition = stepReplica.stepReplica(this.#state, event, nowMs);
     this.#state = transition.state;
@@ -277,11 +273,19 @@
   *#saveRestored(
     effect: Extract<replicaStates.Effect, { kind: "restore" }>,
   ): csp.Step<void> {
+    const { clock, onNotice } = this.#options;
+    const startMs = clock.getMonotonicMs();
     // Both write the same file.
     yield* csp.waitFor(this.#drafts.settle());
     const head = savedRecords.createHead(this.#state);
     yield* this.#writer.restore(effect.snapshot, head);
     this.#snapshotIndex = effect.snapshot.index;
+    onNotice?.({
+      kind: "snapshotTaken",
+      index: effect.snapshot.index,
+      parts: effect.snapshot.state.length,
+      tookMs: Math.round(clock.getMonotonicMs() - startMs),
+    });
   }
 
   #runEffect(effect: replicaStates.Effect): void {
--- a/src/consensus/replica_options.ts
+++ b/src/consensus/replica_options.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as machines from "./machine.ts";
 import type * as messages from "./message.ts";
+import type * as notices from "./replica_notice.ts";
 import type * as replicaStates from "./replica_state.ts";
 
 /** What a driver needs. */
@@ -13,6 +14,8 @@
   readonly snapshotEntries: number;
   /** Sends a message; it may be lost. */
   readonly send: (to: string, message: messages.DriverMessage) => void;
+  /** Told of what explains the group afterwards. */
+  readonly onNotice?: notices.TakeNotice;
   /** Told of a failed write; the process must end. */
   readonly onFatal: (error: unknown) => void;
 }
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -23,6 +23,8 @@
   readonly matchIndex: number;
   /** Leader's clock when it sent the last message that was answered, in ms. */
   readonly answeredSentAtMs: number;
+  /** Leader's clock when it last went back in what it sends, in ms. */
+  readonly rewoundAtMs?: number;
   readonly identity: messages.ReplicaIdentity;
 }
 
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -4,10 +4,11 @@
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
 import * as results from "../results/mod.ts";
-import type * as rpc from "../rpc/mod.ts";
+import * as rpc from "../rpc/mod.ts";
 import * as storage from "../storage/mod.ts";
 import * as createSeed from "./_create_seed.ts";
-import * as desks from "./founding_desk.ts";
+import * as describeNotice from "./_describe_notice.ts";
+import * as founders from "./_founder.ts";
 import type * as leaderCallers from "./leader_caller.ts";
 import * as planVoters from "./plan_voters.ts";
 
@@ -24,11 +25,6 @@
 const PLAN_MS = 400;
 /** Silence after which a voter is replaced by a spare, in ms. */
 const DEAD_MS = 3_000;
-/** Between two applications to found the set, in ms. */
-const APPLY_MS = 250;
-/** Time after which an unreachable seed is passed over, in ms. */
-const SEED_PATIENCE_MS = 4_000;
-const CALL_MS = 1_000;
 /** Between two tries to open a data folder on a full disk, in ms. */
 const DISK_FULL_MS = 500;
 const RESIGN_TRIES = 20;
@@ -79,12 +75,14 @@
     consensus.DriverMessage,
     ConsensusEnvelope
   >();
+  readonly #founder: founders.Founder;
   #isStopped = false;
   /** Term that this replica led last, and since when, in monotonic ms. */
   #reign = { term: 0, sinceMs: 0 };
 
   constructor(options: ReplicaGroupOptions) {
     this.#options = options;
+    this.#founder = new founders.Founder(options);
     options.server.add(
       this.#getMethod(),
       (envelope: ConsensusEnvelope) =>
@@ -97,7 +95,7 @@
     const { isFirstStart, dataFolder } = this.#options;
     fs.mkdirSync(dataFolder, { recursive: true });
     const isEmpty = fs.readdirSync(dataFolder).length === 0;
-    if (isFirstStart && isEmpty) await this.#found();
+    if (isFirstStart && isEmpty) await this.#founder.found();
     if (this.#isStopped) return;
     this.#driver = await this.#openWhenPossible();
     this.#runPlan();
@@ -105,6 +103,7 @@
 
   async stop(): Promise<void> {
     this.#isStopped = true;
+    this.#founder.stop();
     await this.#driver?.stop();
   }
 
@@ -186,66 +185,6 @@
     return `${this.#options.name}.consensus`;
   }
 
-  async #found(): Promise<void> {
-    const { dataFolder, id, clock, log, name } = this.#options;
-    const voters = await this.#awaitFounders();
-    if (voters === undefined || !voters.includes(id)) return;
-    const made = await consensus.makeDataFolder({
-      folder: dataFolder,
-      owner: id,
-      wallMs: clock.getWallMs(),
-      voters,
-    });
-    if (made.kind === "failure") {
-      log.write("error", "group.notFounded", {
-        group: name,
-        message: made.failure.message,
-      });
-    }
-  }
-
-  /** Applies at the first seed that answers until the founders are known. */
-  async #awaitFounders(): Promise<readonly string[] | undefined> {
-    const { clock, seeds } = this.#options;
-    const startMs = clock.getMonotonicMs();
-    while (!this.#isStopped) {
-      const elapsedMs = clock.getMonotonicMs() - startMs;
-      const reachable = 1 + Math.floor(elapsedMs / SEED_PATIENCE_MS);
-      for (const seed of seeds.slice(0, reachable)) {
-        const reply = await this.#applyAt(seed);
-        if (reply?.kind === "founded") return reply.voters;
-        if (reply?.kind === "wait") break;
-      }
-      await clocks.sleep(clock, APPLY_MS);
-    }
-    return undefined;
-  }
-
-  async #applyAt(seed: string): Promise<desks.FoundingReply | undefined> {
-    const { name, id, failureDomain, wanted, least, peers, log } =
-      this.#options;
-    const applicant: desks.Applicant = {
-      group: name,
-      id,
-      failureDomain,
-      wanted,
-      least,
-    };
-    try {
-      return await peers.get(seed).call<desks.FoundingReply>(
-        desks.FOUNDING_METHOD,
-        applicant,
-        CALL_MS,
-      );
-    } catch (error) {
-      log.write("debug", "group.seedUnreachable", {
-        seed,
-        message: (error as Error).message,
-      });
-      return undefined;
-    }
-  }
-
   /** Opens the data folder, again and again while its disk is full. */
   async #openWhenPossible(): Promise<consensus.ReplicaDriver> {
     const { clock, log, name } = this.#options;
@@ -278,15 +217,25 @@
       snapshotEntries,
       send: (to, message) =>
         peers.get(to).tell(this.#getMethod(), this.#wrap(message)),
+      onNotice: (notice) => this.#writeNotice(notice),
       onFatal,
     });
   }
 
+  #writeNotice(notice: consensus.ReplicaNotice): void {
+    const { log, name } = this.#options;
+    log.write("info", `replica.${notice.kind}`, {
+      group: name,
+      ...describeNotice.describeNotice(notice),
+    });
+  }
+
   #wrap(message: consensus.DriverMessage): ConsensusEnvelope {
     const known = this.#envelopes.get(message);
     if (known !== undefined) return known;
     const envelope: ConsensusEnvelope = { from: this.#options.id, message };
     this.#envelopes.set(message, envelope);
+    if (isBulk(message)) rpc.markPlain(envelope);
     return envelope;
   }
 
@@ -335,3 +284,10 @@
     } else if (retiring.includes(id) && voters.length > 1) driver.transfer();
   }
 }
+
+/** Whether a message feeds a replica that lacks much. */
+function isBulk(message: consensus.DriverMessage): boolean {
+  if (message.kind === "snapshotPart") return true;
+  return message.kind === "appendRequest" &&
+    message.entries.length === MAX_BATCH_ENTRIES;
+}
--- a/src/rpc/_private.ts
+++ b/src/rpc/_private.ts
@@ -127,6 +127,19 @@
  */
 const sharedFrames = new WeakMap<object, Buffer>();
 
+/** Parameters of notifications that are sent as they are. */
+const plainParams = new WeakSet<object>();
+
+/**
+ * Has a notification sent uncompressed: for bulk, where the sender's time is
+ * dearer than the quarter of the bytes that compression saves.
+ *
+ * @param params Its parameters.
+ */
+export function markPlain(params: object): void {
+  plainParams.add(params);
+}
+
 /** A JSON-RPC message, as far as it is read here. */
 interface Envelope {
   readonly id?: unknown;
@@ -160,7 +173,11 @@
 
 function createFrame(message: unknown): Buffer {
   const text = Buffer.from(JSON.stringify(message));
-  const { format, payload } = encodeText(text);
+  const notified = getNotified(message as Envelope);
+  const isPlain = notified !== undefined && plainParams.has(notified);
+  const { format, payload } = isPlain
+    ? { format: PLAIN_FORMAT, payload: text }
+    : encodeText(text);
   const header = Buffer.alloc(HEADER_BYTES);
   header.writeUInt32BE(payload.length, 0);
   header.writeUInt8(format, HEADER_BYTES - 1);
--- a/src/rpc/mod.ts
+++ b/src/rpc/mod.ts
@@ -8,5 +8,6 @@
  * ```
  * @module
  */
+export { markPlain } from "./_private.ts";
 export * from "./rpc_client.ts";
 export * from "./rpc_server.ts";
