Report usage of client accounts by the one box that holds the duties

Change: the holder of orders to engines became the holder of all duties (src/duty), its fence the group's term. Boxes tell the leader running totals, which merge by maximum; a window's counts are agreed on 4 s after its end, before they are first sent, so that any holder repeats them exactly.

--- a/src/consensus/_feeding.ts
+++ b/src/consensus/_feeding.ts
@@ -11,16 +11,21 @@
  * load, so that a pause of it does not fill the leader's sockets.
  */
 const PIPELINE_ENTRIES = 240;
-/** Batches on their way to a fed replica: one is encoded while one is taken in. */
-const FEED_BATCHES = 2;
+/**
+ * Entries in one message to a fed replica: with some 10 KB an entry the leader
+ * pauses for some 10 ms on 0.3 of a core, not for a heartbeat's length.
+ */
+const FEED_ENTRIES = 8;
+/** Messages on their way to it: one is encoded while one is taken in. */
+const FEED_MESSAGES = 2;
 /** Replicas that are fed at once; the others wait for their turn. */
-const FED_AT_ONCE = 2;
+const FED_AT_ONCE = 1;
 /** Silence after which another replica is fed instead, in ms. */
 const SILENT_MS = 1_000;
 
 /**
  * Says how many entries a follower may be sent now. Replicas that lost their
- * disks are fed few at once, two batches at a time and the next once one is confirmed. Fed all at once and without a bound, two of five voters took a
+ * disks are fed one after the other, with few entries on their way. Fed all at once and without a bound, two of five voters took a
  * leader with 0.3 of a core its authority for 25 s and more after a restart of
  * all boxes.
  *
@@ -44,8 +49,8 @@
     return limitCount(PIPELINE_ENTRIES - unconfirmed, maxBatchEntries);
   }
   if (!listFed(state, nowMs).includes(to)) return 0;
-  const window = FEED_BATCHES * maxBatchEntries;
-  return limitCount(window - unconfirmed, maxBatchEntries);
+  const batch = Math.min(FEED_ENTRIES, maxBatchEntries);
+  return limitCount(FEED_MESSAGES * batch - unconfirmed, batch);
 }
 
 function limitCount(count: number, most: number): number {
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -119,6 +119,21 @@
   readonly expectedOrders: number | undefined;
 }
 
+/** Marks of a call that one box at a time may make. */
+export interface DutyMarks {
+  /** Name of the box that calls. */
+  readonly holder: string;
+  /** Rises with each change of the holder. */
+  readonly fence: number;
+}
+
+/** A report of one window of usage to the infrastructure. */
+export interface UsageReport extends DutyMarks {
+  readonly window: number;
+  /** Requests that began to run in it, by client account. */
+  readonly counts: Readonly<Record<string, number>>;
+}
+
 /** State of an engine as it reports it, some hundred ms old. */
 export interface EngineReport {
   readonly models: readonly registry.HeldModel[];
@@ -158,6 +173,7 @@
   ): Readonly<Record<string, string>>;
   createVersionOrder(order: VersionOrder, server: string): RawRequestWithBody;
   createReportRequest(server: string): RawRequestWithBody;
+  createUsageReport(report: UsageReport): RawRequestWithBody;
   formatAddresses(
     addresses: readonly string[],
     keepMs: number,
--- /dev/null
+++ b/src/duty/duty_client.ts
@@ -0,0 +1,47 @@
+import type * as dialects from "../dialect/mod.ts";
+import type * as fleetSettings from "../fleet_settings/mod.ts";
+import * as httpClient from "../http_client/mod.ts";
+
+/** Longest wait for the infrastructure's answer, in ms. */
+const CALL_MS = 1_000;
+const CONNECT_MS = 400;
+const FIRST_OTHER_STATUS = 300;
+
+/** What the infrastructure said to a call. */
+export type DutyOutcome =
+  | { readonly kind: "taken" }
+  | { readonly kind: "refused"; readonly status: number }
+  /** It may be taken now or later. */
+  | { readonly kind: "unanswered"; readonly reason: string };
+
+/**
+ * Calls the infrastructure once, on a connection of its own.
+ *
+ * @param endpoint Where it listens.
+ * @param request The call.
+ * @returns What became of it; it never throws.
+ */
+export async function sendDutyCall(
+  endpoint: fleetSettings.Endpoint,
+  request: dialects.RawRequestWithBody,
+): Promise<DutyOutcome> {
+  const { method, target, headers, body } = request;
+  const sent = await httpClient.sendRequest({
+    address: endpoint.address,
+    port: endpoint.port,
+    method,
+    path: target,
+    headers,
+    ...(body === undefined ? {} : { body }),
+    timeoutMs: CALL_MS,
+    connectTimeoutMs: CONNECT_MS,
+    isFreshConnection: true,
+  });
+  if (sent.kind !== "answered") {
+    return { kind: "unanswered", reason: sent.message };
+  }
+  const { status } = sent.head;
+  return status < FIRST_OTHER_STATUS
+    ? { kind: "taken" }
+    : { kind: "refused", status };
+}
--- /dev/null
+++ b/src/duty/duty_holder.ts
@@ -0,0 +1,153 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import * as planHandover from "./plan_handover.ts";
+
+/** Between two looks at who holds the duties, in ms. */
+const TICK_MS = 40;
+/** Margin on the lease of the former holder, for its last calls' way, in ms. */
+const LEASE_MARGIN_MS = 250;
+/** Longest wait until the other replicas know the holder, in ms. */
+const CLAIM_MS = 1_000;
+/**
+ * Time between two handovers to the former holder, in ms; one that lost its
+ * leadership again so soon is slow and should not lead.
+ */
+const HANDOVER_MS = 10_000;
+
+/** Names the box that holds the duties from now on. */
+export interface NoteHolder {
+  readonly kind: "noteHolder";
+  readonly box: string;
+}
+
+/** The agreed holder, as a replica's machine knows it. */
+export interface HolderRecord {
+  /** Name of the box that acted last, or may have. */
+  getHolder(): string | undefined;
+  /** Ids of boxes that are to be emptied. */
+  listRetiring(): readonly string[];
+}
+
+/** What a duty holder needs. */
+export interface DutyHolderOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly machine: HolderRecord;
+  readonly directory: fleet.BoxDirectory;
+  /** Name of this box. */
+  readonly box: string;
+  /** Id of this box. */
+  readonly id: string;
+  /** Time between the calls of two holders, in ms. */
+  readonly leaseMs: number;
+}
+
+/**
+ * Makes one box at a time the holder of the duties towards servers and the
+ * infrastructure: the leader of a replica group, once the last call of the
+ * former holder lies a whole lease back. The term of the group is its fence.
+ */
+export class DutyHolder {
+  readonly #options: DutyHolderOptions;
+  #isStopped = false;
+  #isClaiming = false;
+  #transferred = { term: 0, atMs: Number.NEGATIVE_INFINITY };
+
+  constructor(options: DutyHolderOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    if (this.#isStopped) return;
+    if (!this.canAct()) void this.#claim();
+    this.#options.clock.startTimer(TICK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /**
+   * Whether this box is the agreed holder now. To be asked right before each
+   * call: a box that was paused has lost its authority by its own clock.
+   */
+  canAct(): boolean {
+    const { group, machine, box } = this.#options;
+    return !this.#isStopped && group.hasAuthority() &&
+      machine.getHolder() === box;
+  }
+
+  /** Number that rises with each change of the holder. */
+  getFence(): number {
+    return this.#options.group.getTerm();
+  }
+
+  /** Name under which this box acts. */
+  getName(): string {
+    return this.#options.box;
+  }
+
+  /** How long this box has led, in ms. */
+  getReignMs(): number {
+    return this.#options.group.getReignMs();
+  }
+
+  /**
+   * Becomes the holder once the former one's last call lies a whole lease
+   * back; the box that was the holder before goes on at once.
+   */
+  async #claim(): Promise<void> {
+    const { group, leaseMs, box, log, machine } = this.#options;
+    if (this.#isClaiming || !group.hasAuthority()) return;
+    if (group.getReignMs() < leaseMs + LEASE_MARGIN_MS) {
+      return this.#transferToHolder();
+    }
+    this.#isClaiming = true;
+    const former = machine.getHolder();
+    const command: NoteHolder = { kind: "noteHolder", box };
+    const claimed = await group.propose(command, CLAIM_MS);
+    this.#isClaiming = false;
+    log.write("info", "duties.claimed", {
+      fence: group.getTerm(),
+      former,
+      outcome: claimed.kind,
+    });
+  }
+
+  /** Lets the former holder lead where it is sound; it need not wait. */
+  #transferToHolder(): void {
+    const { group, clock, log, id } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const term = group.getTerm();
+    const isSameTerm = this.#transferred.term === term;
+    if (!isSameTerm && nowMs - this.#transferred.atMs < HANDOVER_MS) return;
+    const heir = planHandover.planHandover({
+      ...this.#describeHolder(),
+      self: id,
+    });
+    if (heir === undefined) return;
+    if (!isSameTerm) {
+      log.write("info", "leadership.transferred", { holder: heir, term });
+      this.#transferred = { term, atMs: nowMs };
+    }
+    group.transferTo(heir);
+  }
+
+  #describeHolder(): Omit<planHandover.HandoverSituation, "self"> {
+    const { group, machine, directory, leaseMs } = this.#options;
+    const holder = directory.findByName(machine.getHolder() ?? "");
+    const isRetiring = holder !== undefined &&
+      machine.listRetiring().includes(holder.id);
+    return {
+      holder: holder?.id,
+      isHolderLeaving: holder?.isLeaving === true || isRetiring,
+      reignMs: group.getReignMs(),
+      waitMs: leaseMs + LEASE_MARGIN_MS,
+      voters: group.listVoters(),
+      followers: group.getStatus()?.followers ?? [],
+    };
+  }
+}
--- /dev/null
+++ b/src/fleet_daemon/_duty_settings.ts
@@ -0,0 +1,22 @@
+import type * as fleetSettings from "../fleet_settings/mod.ts";
+import type * as usages from "../usage/mod.ts";
+
+/** Name of the duty to report usage. */
+const USAGE_DUTY = "usage_reporting";
+
+/**
+ * Gives the windows in which usage is reported.
+ *
+ * @param settings Settings of the box.
+ * @returns The windows; undefined where no report is asked for.
+ */
+export function getUsageTimes(
+  settings: fleetSettings.FleetSettings,
+): usages.WindowTimes | undefined {
+  const { usageWindowMs: windowMs, usageLateMs: lateMs } = settings.bounds;
+  const isAsked = settings.infrastructure?.duties.includes(USAGE_DUTY);
+  if (!isAsked || windowMs === undefined || lateMs === undefined) {
+    return undefined;
+  }
+  return { windowMs, lateMs };
+}
--- a/src/fleet_daemon/box_parts.ts
+++ b/src/fleet_daemon/box_parts.ts
@@ -123,7 +123,7 @@
 }
 
 /** Finds the box that led last, as far as boxes have told. */
-function findLeader(
+export function findLeader(
   boxes: readonly fleet.BoxRecord[],
 ): fleet.BoxRecord | undefined {
   return boxes.filter((box) => box.ledTerm > 0)
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -12,6 +12,7 @@
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as plainHeaders from "./_plain_headers.ts";
+import type * as usages from "../usage/mod.ts";
 import * as rawListeners from "./_raw_listener.ts";
 import * as submissionCalls from "./_submission_calls.ts";
 
@@ -35,6 +36,8 @@
   readonly stores: replicaGroups.LeaderCaller;
   readonly peers: fleet.Peers;
   readonly failureDomain: string;
+  /** Counts usage where that is asked for. */
+  readonly usage: usages.UsageTeller | undefined;
   readonly draw: () => number;
 }
 
@@ -212,12 +215,20 @@
       isRepeatable: route.kind === "repeatable",
       retriesErrors: true,
       hedgeMs: Math.max(MIN_HEDGE_MS, route.targetLatencyMs * HEDGE_SHARE),
+      onBegun: (begunAtMs) => this.#countUsage(sender, begunAtMs),
       cancellation,
     });
     this.#note(routed, outcome);
     return this.#toAnswer(outcome);
   }
 
+  #countUsage(sender: accounts.Sender, begunAtMs: number): void {
+    const { clock, usage } = this.#options;
+    if (sender.kind !== "account" || usage === undefined) return;
+    const agoMs = clock.getMonotonicMs() - begunAtMs;
+    usage.count(sender.name, clock.getWallMs() - agoMs);
+  }
+
   #note(routed: RoutedRequest, outcome: forwarding.ForwardOutcome): void {
     const { clock, log, metrics } = this.#options;
     const tookMs = clock.getMonotonicMs() - routed.arrivedAtMs;
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -5,11 +5,13 @@
 import * as httpServer from "../http_server/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
 import * as results from "../results/mod.ts";
+import * as usages from "../usage/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as boxParts from "./box_parts.ts";
 import * as callerCalls from "./caller_calls.ts";
 import * as chooseEntryBoxes from "./_choose_entry_boxes.ts";
 import * as controlCalls from "./control_calls.ts";
+import * as duties from "./_duty_settings.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
 /** Largest body of a control call, in bytes; a configuration has some 100 KB. */
@@ -34,6 +36,7 @@
   readonly #directory: httpServer.HttpListener;
   readonly #controlCalls: controlCalls.ControlCalls;
   readonly #core: replicaGroups.ReplicaGroup | undefined;
+  readonly #usage: usages.UsageTeller | undefined;
 
   constructor(parts: boxParts.BoxParts) {
     this.#parts = parts;
@@ -48,9 +51,11 @@
       core,
       stores,
     });
+    this.#usage = createUsageTeller(parts, stores);
     const calls = new callerCalls.CallerCalls({
       ...parts,
       stores,
+      usage: this.#usage,
       failureDomain: parts.settings.box.failureDomain,
     });
     const { log } = parts;
@@ -81,6 +86,7 @@
     await listenAt(this.#ready, listen.ready);
     await listenAt(this.#directory, listen.directory);
     await listenAt(this.#callers, listen.caller);
+    this.#usage?.start();
   }
 
   /** Joins the core where this box has a disk; waits for the founding. */
@@ -118,6 +124,7 @@
     for (const listener of [this.#callers, ...this.#others]) {
       listener.close(false);
     }
+    this.#usage?.stop();
     await this.#core?.stop();
   }
 
@@ -223,6 +230,28 @@
   }
 }
 
+/** Counts usage where the settings ask for its report. */
+function createUsageTeller(
+  parts: boxParts.BoxParts,
+  stores: replicaGroups.LeaderCaller,
+): usages.UsageTeller | undefined {
+  const { clock, settings, directory } = parts;
+  const times = duties.getUsageTimes(settings);
+  if (times === undefined) return undefined;
+  return new usages.UsageTeller({
+    clock,
+    stores,
+    times,
+    source: `${settings.box.address} ${clock.getWallMs()}`,
+    describeLeader: () => {
+      const leader = boxParts.findLeader(
+        directory.listAll().filter(boxParts.isStoreBox),
+      );
+      return `${leader?.id} ${leader?.ledTerm}`;
+    },
+  });
+}
+
 async function listenAt(
   listener: httpServer.HttpListener,
   endpoint: fleetSettings.Endpoint | undefined,
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -1,9 +1,12 @@
 import * as csp from "../csp/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
+import * as duties from "../duty/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as weightOrders from "../weight_orders/mod.ts";
+import * as usages from "../usage/mod.ts";
 import * as boxParts from "./box_parts.ts";
+import * as dutySettings from "./_duty_settings.ts";
 
 /** Entries after which the stores' log is cut; bodies make it large. */
 const STORE_SNAPSHOT_ENTRIES = 4_096;
@@ -15,6 +18,8 @@
 export class StoreBox {
   readonly #group: replicaGroups.ReplicaGroup;
   readonly #dispatcher: dispatch.Dispatcher;
+  readonly #duty: duties.DutyHolder;
+  readonly #usage: usages.UsageReporter | undefined;
   readonly #orders: weightOrders.WeightOrders;
   readonly #knownEngines: weightOrders.KnownEngines;
   readonly #parts: boxParts.BoxParts;
@@ -51,11 +56,16 @@
     const engines = new dispatch.EngineTable(clock);
     const shared = { ...parts, group, machine, engines };
     this.#dispatcher = new dispatch.Dispatcher(shared);
-    this.#orders = new weightOrders.WeightOrders({
+    this.#duty = new duties.DutyHolder({
       ...shared,
       box: settings.box.name,
       id: settings.box.address,
       leaseMs: settings.bounds.orderLeaseMs,
+    });
+    this.#usage = this.#createUsageReporter();
+    this.#orders = new weightOrders.WeightOrders({
+      ...shared,
+      duty: this.#duty,
       onLoading: (engine, model) => this.#dispatcher.moveRuns(engine, model),
       onLoaded: () => this.#dispatcher.wake(),
     });
@@ -86,10 +96,27 @@
     });
   }
 
+  #createUsageReporter(): usages.UsageReporter | undefined {
+    const { settings } = this.#parts;
+    const times = dutySettings.getUsageTimes(settings);
+    const endpoint = settings.infrastructure?.address;
+    if (times === undefined || endpoint === undefined) return undefined;
+    return new usages.UsageReporter({
+      ...this.#parts,
+      group: this.#group,
+      duty: this.#duty,
+      book: this.#machine.getUsage(),
+      times,
+      endpoint,
+    });
+  }
+
   /** Joins the stores; waits for the founding. */
   async join(): Promise<void> {
     await this.#group.start();
     this.#dispatcher.start();
+    this.#duty.start();
+    this.#usage?.start();
     this.#orders.start();
     this.#knownEngines.start();
     this.#runForget();
@@ -125,6 +152,8 @@
   async stop(): Promise<void> {
     this.#isStopped = true;
     this.#dispatcher.stop();
+    this.#duty.stop();
+    this.#usage?.stop();
     this.#orders.stop();
     this.#knownEngines.stop();
     await this.#group.stop();
--- a/src/fleet_settings/fleet_settings.ts
+++ b/src/fleet_settings/fleet_settings.ts
@@ -53,7 +53,17 @@
     resultsKeepMs: z.number().positive().describe(
       "How long results stay readable after the submission, in ms",
     ),
+    usageWindowMs: z.number().positive().optional().describe(
+      "Length of the windows in which usage is reported, in ms",
+    ),
+    usageLateMs: z.number().positive().optional().describe(
+      "When the report of a window is due after its end, in ms",
+    ),
   }),
+  infrastructure: z.strictObject({
+    address: endpoint.describe("Where it takes calls of duties"),
+    duties: z.array(z.string()).describe("Duties that it asks for"),
+  }).optional().describe("Undefined where there are no such duties"),
   log: z.strictObject({
     level: z.enum(["trace", "debug", "info", "warn", "error"]).default("info"),
   }).default({ level: "info" }),
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -5,6 +5,7 @@
 import * as chooseServer from "./choose_server.ts";
 import type * as jobs from "./forward_job.ts";
 import type * as forwarderOptions from "./forwarder_options.ts";
+import * as limitWait from "./_limit_wait.ts";
 import type * as serviceLines from "./_service_line.ts";
 
 /** When refused callers come back where load is not weighed, in ms. */
@@ -13,15 +14,6 @@
 const MAX_REFUSALS = 8;
 /** The same for a request that has waited and whose turn has come. */
 const MAX_REFUSALS_A_TURN = 2;
-/**
- * Share of the time that a request has left for which it may wait for a place at
- * most; the rest is for its run, or for its caller to come back. It waits no
- * longer than it can still be answered within its target either: a place given
- * to one that is late anyway makes one more late. Waits of half the time left
- * served 0.04 to 0.08 more of a load above the capacity, and 0.08 to 0.14 fewer
- * within their target.
- */
-const WAIT_SHARE = 0.5;
 const FIRST_ERROR_STATUS = 500;
 
 /** Follows one job over all its attempts. */
@@ -32,7 +24,8 @@
   readonly #resolve: (outcome: jobs.ForwardOutcome) => void;
   readonly #tried = new Set<string>();
   readonly #refused = new Set<string>();
-  readonly #running = new Set<csp.Cancellation>();
+  /** Attempts under way, and when they were sent, in monotonic ms. */
+  readonly #running = new Map<csp.Cancellation, number>();
   readonly #onAbandon = () => this.#settle({ kind: "abandoned" });
   #sent = 0;
   #maxRefusals = MAX_REFUSALS;
@@ -45,6 +38,8 @@
   /** When it must have got a place, in monotonic ms. */
   #giveUpAtMs = 0;
   #mayHaveRun = false;
+  /** When the run that counts was sent, in monotonic ms. */
+  #begunAtMs: number | undefined;
   #isSettled = false;
   #reason = "no server is ready";
   #errorAnswer: jobs.ServerAnswer | undefined;
@@ -136,7 +131,7 @@
     const { clock, dialect, loads } = this.#options;
     const cancellation = new csp.Cancellation();
     const startMs = clock.getMonotonicMs();
-    this.#running.add(cancellation);
+    this.#running.set(cancellation, startMs);
     loads.begin(server.id);
     const { sendAttempt = attempts.sendAttempt } = this.#options;
     const outcome = await sendAttempt({
@@ -149,6 +144,7 @@
     const tookMs = clock.getMonotonicMs() - startMs;
     this.#noteEnd(outcome, server, tookMs);
     this.#running.delete(cancellation);
+    this.#noteBegun(outcome, startMs);
     if (this.#isSettled) this.#noteTold(outcome, server);
     else this.#take(outcome, server);
     if (outcome.kind === "answered") this.#line.noteFreed();
@@ -182,6 +178,12 @@
     }
   }
 
+  /** The run that was answered counts, else the first that may have been. */
+  #noteBegun(outcome: jobs.AttemptOutcome, startMs: number): void {
+    if (outcome.kind === "answered") this.#begunAtMs = startMs;
+    if (outcome.kind === "broken") this.#begunAtMs ??= startMs;
+  }
+
   /** Notes the load that a server told, with an answer or a refusal. */
   #noteTold(
     outcome: jobs.AttemptOutcome,
@@ -292,20 +294,11 @@
     if (this.#waitingSinceMs !== undefined) return;
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#waitingSinceMs = nowMs;
-    const leftMs = this.#job.deadlineAtMs - nowMs;
-    const runMs = this.#estimateRunMs();
-    this.#giveUpAtMs = Math.min(
-      nowMs + leftMs * WAIT_SHARE,
-      Math.max(nowMs, this.#job.targetAtMs - runMs),
-    );
-  }
-
-  /** Time that the fastest server is expected to take for it, in ms. */
-  #estimateRunMs(): number {
-    const { servers, loads } = this.#options;
-    const times = servers.listReady(this.#job.service)
-      .map((server) => loads.getMeanMs(server.id));
-    return Math.min(...times);
+    this.#giveUpAtMs = limitWait.limitWait(this.#job, nowMs, () => {
+      const { servers, loads } = this.#options;
+      return servers.listReady(this.#job.service)
+        .map((server) => loads.getMeanMs(server.id));
+    });
   }
 
   #refuse(returnMs: number): void {
@@ -319,6 +312,12 @@
     });
   }
 
+  #tellBegun(): void {
+    const [underWayMs] = this.#running.values();
+    const begunAtMs = this.#begunAtMs ?? underWayMs;
+    if (begunAtMs !== undefined) this.#job.onBegun?.(begunAtMs);
+  }
+
   #settle(outcome: jobs.ForwardOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
@@ -326,7 +325,8 @@
     this.#cancelHedge();
     this.#leaveLine();
     this.#job.cancellation.remove(this.#onAbandon);
-    for (const cancellation of this.#running) cancellation.cancel();
+    this.#tellBegun();
+    for (const cancellation of this.#running.keys()) cancellation.cancel();
     this.#resolve(outcome);
   }
 }
--- /dev/null
+++ b/src/forwarding/_limit_wait.ts
@@ -0,0 +1,32 @@
+import type * as jobs from "./forward_job.ts";
+
+/**
+ * Share of the time that a request has left for which it may wait for a place at
+ * most; the rest is for its run, or for its caller to come back. It waits no
+ * longer than it can still be answered within its target either: a place given
+ * to one that is late anyway makes one more late. Waits of half the time left
+ * served 0.04 to 0.08 more of a load above the capacity, and 0.08 to 0.14 fewer
+ * within their target.
+ */
+const WAIT_SHARE = 0.5;
+
+/**
+ * Says until when a request may wait for a place.
+ *
+ * @param job The request.
+ * @param nowMs When it begins to wait, in monotonic ms.
+ * @param listRunMs Lists how long each server takes for a request, in ms.
+ * @returns Monotonic ms.
+ */
+export function limitWait(
+  job: Pick<jobs.ForwardJob, "deadlineAtMs" | "targetAtMs">,
+  nowMs: number,
+  listRunMs: () => readonly number[],
+): number {
+  const leftMs = job.deadlineAtMs - nowMs;
+  const runMs = Math.min(...listRunMs());
+  return Math.min(
+    nowMs + leftMs * WAIT_SHARE,
+    Math.max(nowMs, job.targetAtMs - runMs),
+  );
+}
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -27,6 +27,8 @@
   readonly retriesErrors: boolean;
   /** Silence after which a second server is asked as well, in ms. */
   readonly hedgeMs: number;
+  /** Told once, at the end, when the run began; not told if none did. */
+  readonly onBegun?: (beganAtMs: number) => void;
   /** Cancelled once the caller has left. */
   readonly cancellation: csp.Cancellation;
 }
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -21,6 +21,8 @@
 const HEARTBEAT_MS = 90;
 /** Entries a message; a submission with its bodies takes some 300 KB. */
 const MAX_BATCH_ENTRIES = 24;
+/** Entries a message from which it is bulk: a replica is catching up. */
+const BULK_ENTRIES = 8;
 /** Between two looks at the voters, in ms. */
 const PLAN_MS = 400;
 /** Silence after which a voter is replaced by a spare, in ms. */
@@ -289,5 +291,5 @@
 function isBulk(message: consensus.DriverMessage): boolean {
   if (message.kind === "snapshotPart") return true;
   return message.kind === "appendRequest" &&
-    message.entries.length === MAX_BATCH_ENTRIES;
+    message.entries.length >= BULK_ENTRIES;
 }
--- a/src/submission/saved_parts.ts
+++ b/src/submission/saved_parts.ts
@@ -1,4 +1,5 @@
 import type * as registry from "../registry/mod.ts";
+import type * as usages from "../usage/mod.ts";
 import type * as submissions from "./submission.ts";
 
 /** Characters of text that one part holds, unless one value is longer. */
@@ -24,6 +25,7 @@
     readonly retiring: readonly string[];
     readonly holder: string | undefined;
     readonly engines: readonly registry.RegisteredServer[];
+    readonly usage: usages.SavedUsage;
   }
   | { readonly kind: "record"; readonly record: SavedRecord }
   | {
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,67 +1,11 @@
 import type * as consensus from "../consensus/mod.ts";
 import type * as accounts from "../client_account/mod.ts";
 import type * as registry from "../registry/mod.ts";
+import * as usages from "../usage/mod.ts";
 import * as canSee from "./can_see.ts";
 import * as savedParts from "./saved_parts.ts";
 import type * as submissions from "./submission.ts";
-
-/** Results to list, in order. */
-export interface RecordedResult {
-  readonly submission: string;
-  /** Its text is what follows the kept part. */
-  readonly result: submissions.ItemResult;
-  /** Id of the last event of the kept part; undefined where none is meant. */
-  readonly keptLastId?: number | undefined;
-}
-
-/** More of an item's text to keep. */
-export interface TextToKeep {
-  readonly submission: string;
-  readonly item: string;
-  /** Last event of the part kept before; undefined for none. */
-  readonly afterId: number | undefined;
-  readonly text: string;
-  readonly lastId: number;
-  readonly versions: readonly number[];
-}
-
-/** A command of the submissions' log. */
-export type SubmissionCommand =
-  | {
-    readonly kind: "acceptSubmission";
-    readonly submission: submissions.Submission;
-  }
-  | {
-    readonly kind: "recordResults";
-    readonly results: readonly RecordedResult[];
-  }
-  | { readonly kind: "keepTexts"; readonly texts: readonly TextToKeep[] }
-  /** Names the box that orders engines from now on. */
-  | { readonly kind: "noteHolder"; readonly box: string }
-  /** Notes which engines run, for a leader that has not heard them yet. */
-  | {
-    readonly kind: "keepEngines";
-    readonly added: readonly registry.RegisteredServer[];
-    readonly gone: readonly string[];
-  }
-  | {
-    readonly kind: "endSubmission";
-    readonly id: string;
-    readonly sender: accounts.Sender;
-  }
-  | {
-    readonly kind: "nameVersion";
-    readonly model: string;
-    readonly version: number;
-  }
-  | { readonly kind: "retireBox"; readonly box: string }
-  | { readonly kind: "forgetSubmissions"; readonly ids: readonly string[] };
-
-/** What became of a command. */
-export interface SubmissionAnswer {
-  /** Whether the thing named by the command exists. */
-  readonly isKnown: boolean;
-}
+import type * as commands from "./submission_command.ts";
 
 /** A submission with what was listed of it. */
 export interface SubmissionRecord {
@@ -90,12 +34,13 @@
   isEnded: boolean;
 }
 
-const KNOWN: SubmissionAnswer = { isKnown: true };
-const UNKNOWN: SubmissionAnswer = { isKnown: false };
+const KNOWN: commands.SubmissionAnswer = { isKnown: true };
+const UNKNOWN: commands.SubmissionAnswer = { isKnown: false };
 
 /** Submissions, their results and the named versions, under the stores' log. */
 export class SubmissionMachine implements consensus.Machine {
   readonly #onChange: () => void;
+  readonly #usage = new usages.UsageBook();
   #records = new Map<string, MutableRecord>();
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
@@ -124,6 +69,11 @@
     return this.#holder;
   }
 
+  /** What is agreed on about usage. */
+  getUsage(): usages.UsageBook {
+    return this.#usage;
+  }
+
   /** Engines that ran when a leader last looked. */
   listEngines(): readonly registry.RegisteredServer[] {
     return [...this.#engines.values()];
@@ -159,8 +109,8 @@
     return this.#versions;
   }
 
-  apply(command: unknown): SubmissionAnswer {
-    const answer = this.#applyCommand(command as SubmissionCommand);
+  apply(command: unknown): commands.SubmissionAnswer {
+    const answer = this.#applyCommand(command as commands.SubmissionCommand);
     this.#onChange();
     return answer;
   }
@@ -172,6 +122,7 @@
       retiring: [...this.#retiring],
       holder: this.#holder,
       engines: this.listEngines(),
+      usage: this.#usage.save(),
     };
     return [state, ...this.listAll().flatMap(savedParts.cutRecord)];
   }
@@ -185,6 +136,7 @@
           this.#versions = new Map(part.versions);
           this.#retiring = new Set(part.retiring);
           this.#holder = part.holder;
+          this.#usage.restore(part.usage);
           this.#engines = new Map(
             part.engines.map((engine) => [engine.id, engine]),
           );
@@ -208,7 +160,9 @@
     this.#onChange();
   }
 
-  #applyCommand(command: SubmissionCommand): SubmissionAnswer {
+  #applyCommand(
+    command: commands.SubmissionCommand,
+  ): commands.SubmissionAnswer {
     switch (command.kind) {
       case "acceptSubmission":
         return this.#accept(command.submission);
@@ -225,6 +179,10 @@
           this.#engines.set(engine.id, engine);
         }
         return KNOWN;
+      case "closeUsageWindow":
+      case "noteUsageReported":
+        this.#usage.apply(command);
+        return KNOWN;
       case "endSubmission":
         return this.#end(command.id, command.sender);
       case "nameVersion":
@@ -241,7 +199,7 @@
     }
   }
 
-  #accept(submission: submissions.Submission): SubmissionAnswer {
+  #accept(submission: submissions.Submission): commands.SubmissionAnswer {
     const known = this.#records.get(submission.id);
     if (known !== undefined) {
       return canSee.canSee(submission.sender, known.submission)
@@ -260,14 +218,16 @@
   }
 
   /** Answers that something is unknown if any text lacks its kept part. */
-  #recordAll(results: readonly RecordedResult[]): SubmissionAnswer {
+  #recordAll(
+    results: readonly commands.RecordedResult[],
+  ): commands.SubmissionAnswer {
     const outcomes = results.map((result) => this.#record(result));
     return outcomes.includes(UNKNOWN) ? UNKNOWN : KNOWN;
   }
 
   #record(
-    { submission, result, keptLastId }: RecordedResult,
-  ): SubmissionAnswer {
+    { submission, result, keptLastId }: commands.RecordedResult,
+  ): commands.SubmissionAnswer {
     const record = this.#records.get(submission);
     if (record === undefined || record.isEnded) return KNOWN;
     if (record.listed.has(result.id)) return KNOWN;
@@ -283,13 +243,13 @@
   }
 
   /** Answers that something is unknown if any text lacks what is before it. */
-  #keepAll(texts: readonly TextToKeep[]): SubmissionAnswer {
+  #keepAll(texts: readonly commands.TextToKeep[]): commands.SubmissionAnswer {
     const outcomes = texts.map((text) => this.#keep(text));
     return outcomes.includes(UNKNOWN) ? UNKNOWN : KNOWN;
   }
 
   /** Keeps more of a text that follows what is kept, or one begun anew. */
-  #keep(more: TextToKeep): SubmissionAnswer {
+  #keep(more: commands.TextToKeep): commands.SubmissionAnswer {
     const record = this.#records.get(more.submission);
     if (record === undefined || record.isEnded) return KNOWN;
     if (record.listed.has(more.item)) return KNOWN;
@@ -304,7 +264,7 @@
     return KNOWN;
   }
 
-  #end(id: string, sender: accounts.Sender): SubmissionAnswer {
+  #end(id: string, sender: accounts.Sender): commands.SubmissionAnswer {
     const record = this.#records.get(id);
     if (record === undefined) return UNKNOWN;
     if (!canSee.canSee(sender, record.submission)) return UNKNOWN;
@@ -312,7 +272,7 @@
     return KNOWN;
   }
 
-  #nameVersion(model: string, version: number): SubmissionAnswer {
+  #nameVersion(model: string, version: number): commands.SubmissionAnswer {
     const known = this.#versions.get(model) ?? 0;
     if (version > known) this.#versions.set(model, version);
     return KNOWN;
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -7,6 +7,7 @@
 import * as canSee from "./can_see.ts";
 import * as cutPage from "./cut_page.ts";
 import * as protocol from "./protocol.ts";
+import type * as commands from "./submission_command.ts";
 import type * as machines from "./submission_machine.ts";
 
 /** Longest wait for a commit, in ms; callers try again after a second. */
@@ -227,11 +228,11 @@
   }
 
   async #propose(
-    command: machines.SubmissionCommand,
-  ): Promise<protocol.LeaderReply<machines.SubmissionAnswer>> {
+    command: commands.SubmissionCommand,
+  ): Promise<protocol.LeaderReply<commands.SubmissionAnswer>> {
     const { group } = this.#options;
     if (!group.hasAuthority()) return group.createNotLeader();
-    const result = await group.propose<machines.SubmissionAnswer>(
+    const result = await group.propose<commands.SubmissionAnswer>(
       command,
       COMMIT_MS,
     );
@@ -240,8 +241,8 @@
 }
 
 function toReply(
-  result: results.Result<machines.SubmissionAnswer>,
-): protocol.LeaderReply<machines.SubmissionAnswer> {
+  result: results.Result<commands.SubmissionAnswer>,
+): protocol.LeaderReply<commands.SubmissionAnswer> {
   if (result.kind === "ok") {
     if (!result.value.isKnown) return { kind: "unknown" };
     return { kind: "done", value: result.value };
--- a/src/submission/submission_test.ts
+++ b/src/submission/submission_test.ts
@@ -4,6 +4,7 @@
 import * as cutPage from "./cut_page.ts";
 import * as findForgettable from "./find_forgettable.ts";
 import type * as submissions from "./submission.ts";
+import type * as commands from "./submission_command.ts";
 import * as machines from "./submission_machine.ts";
 
 const TERMS: submissions.SubmissionTerms = {
@@ -49,7 +50,7 @@
   machine: machines.SubmissionMachine,
   result: submissions.ItemResult,
   keptLastId?: number,
-): machines.SubmissionAnswer {
+): commands.SubmissionAnswer {
   return machine.apply({
     kind: "recordResults",
     results: [{ submission: "a", result, keptLastId }],
@@ -61,7 +62,7 @@
   afterId: number | undefined,
   text: string,
   lastId: number,
-): machines.SubmissionAnswer {
+): commands.SubmissionAnswer {
   return machine.apply({
     kind: "keepTexts",
     texts: [{
--- /dev/null
+++ b/src/usage/usage_tally.ts
@@ -0,0 +1,89 @@
+import type * as usageWindows from "./usage_window.ts";
+
+/** Running total of an account in a window at one box. */
+export interface UsageTotal {
+  readonly window: number;
+  readonly account: string;
+  readonly count: number;
+}
+
+/** What one box counted since its start. */
+export class UsageTally {
+  readonly #windows = new Map<number, Map<string, number>>();
+  #hasNews = false;
+
+  /** Counts a request of an account in a window. */
+  count(window: number, account: string): void {
+    const counts = this.#windows.get(window) ?? new Map<string, number>();
+    counts.set(account, (counts.get(account) ?? 0) + 1);
+    this.#windows.set(window, counts);
+    this.#hasNews = true;
+  }
+
+  /** Whether something was counted since the totals were taken. */
+  hasNews(): boolean {
+    return this.#hasNews;
+  }
+
+  isEmpty(): boolean {
+    return this.#windows.size === 0;
+  }
+
+  /** Running totals of all windows that are not forgotten. */
+  take(): readonly UsageTotal[] {
+    this.#hasNews = false;
+    return [...this.#windows].flatMap(([window, counts]) =>
+      [...counts].map(([account, count]) => ({ window, account, count }))
+    );
+  }
+
+  /** Has the totals told again, as none of them may have arrived. */
+  markUntold(): void {
+    this.#hasNews = true;
+  }
+
+  /** Forgets windows up to one that is agreed on. */
+  forgetThrough(window: number): void {
+    for (const known of this.#windows.keys()) {
+      if (known <= window) this.#windows.delete(known);
+    }
+  }
+}
+
+/** Running totals of boxes, whatever order they come in and how often. */
+export class UsageTotals {
+  /** Highest total by window, then by box, its start and account. */
+  readonly #windows = new Map<number, Map<string, UsageTotal>>();
+
+  /**
+   * Takes a running total; the highest holds, so that nothing counts twice.
+   *
+   * @param source The box and its start; another start counts anew.
+   * @returns Whether it says more than was known.
+   */
+  merge(source: string, total: UsageTotal): boolean {
+    const known = this.#windows.get(total.window) ?? new Map();
+    const key = `${source} ${total.account}`;
+    const before = known.get(key)?.count ?? 0;
+    const isNews = total.count > before;
+    if (isNews) known.set(key, total);
+    this.#windows.set(total.window, known);
+    return isNews;
+  }
+
+  /** Sums a window over all boxes, by account. */
+  sum(window: number): usageWindows.UsageCounts {
+    const counts: Record<string, number> = {};
+    for (const total of this.#windows.get(window)?.values() ?? []) {
+      counts[total.account] = (counts[total.account] ?? 0) + total.count;
+    }
+    return counts;
+  }
+
+  /** Forgets windows up to one that is agreed on. */
+  forgetThrough(window: number): void {
+    for (const known of this.#windows.keys()) {
+      if (known <= window) this.#windows.delete(known);
+    }
+  }
+}
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -1,22 +1,18 @@
 import * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
+import type * as duties from "../duty/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import * as assignEngines from "./assign_engines.ts";
 import * as listDueLoads from "./list_due_loads.ts";
 import * as listEngines from "./list_engines.ts";
 import * as loadLanes from "./load_lanes.ts";
 import * as orderClients from "./order_client.ts";
-import * as planHandover from "./plan_handover.ts";
 
 const TICK_MS = 40;
-/** Margin on the lease of the former holder, for its last orders' way, in ms. */
-const LEASE_MARGIN_MS = 250;
 /**
  * Share of the engines that load at once; more would slow each other down
  * (measured: two of six and two of eight load at full speed).
@@ -28,13 +24,6 @@
 const ORDER_PATIENCE_MS = 4_000;
 /** Pause before an engine that refused is asked again, in ms. */
 const REFUSED_MS = 500;
-/** Longest wait until the other stores know the holder, in ms. */
-const CLAIM_MS = 1_000;
-/**
- * Time between two handovers to the former holder, in ms; one that lost its
- * leadership again so soon is slow and should not lead.
- */
-const HANDOVER_MS = 10_000;
 
 /** What the weight orders need. */
 export interface WeightOrdersOptions {
@@ -43,16 +32,10 @@
   readonly metrics: metrics.FleetMetrics;
   readonly dialect: dialects.Dialect;
   readonly servers: registry.ServerRegistry;
-  readonly group: replicaGroups.ReplicaGroup;
+  /** Says whether this box is the one that orders. */
+  readonly duty: duties.DutyHolder;
   readonly machine: submissions.SubmissionMachine;
   readonly engines: dispatch.EngineTable;
-  readonly directory: fleet.BoxDirectory;
-  /** Name of this box; it is the holder of the orders. */
-  readonly box: string;
-  /** Id of this box. */
-  readonly id: string;
-  /** Time between the orders of two boxes, in ms. */
-  readonly leaseMs: number;
   /** Told when an engine begins to load a model. */
   readonly onLoading: (engine: string, model: string) => void;
   /** Told when an engine has ended a load. */
@@ -71,8 +54,6 @@
   /** Loads that may run at once. */
   #most = 1;
   #isStopped = false;
-  #isClaiming = false;
-  #transferred = { term: 0, atMs: Number.NEGATIVE_INFINITY };
 
   constructor(options: WeightOrdersOptions) {
     this.#options = options;
@@ -89,70 +70,12 @@
     this.#isStopped = true;
   }
 
-  /** Whether this box is the agreed holder, so that no other one orders. */
   #canOrder(): boolean {
-    const { group, machine, box } = this.#options;
-    return !this.#isStopped && group.hasAuthority() &&
-      machine.getHolder() === box;
-  }
-
-  /**
-   * Becomes the holder once the former one's last order lies a whole lease
-   * back; the box that was the holder before goes on at once.
-   */
-  async #claimOrders(): Promise<void> {
-    const { group, leaseMs, box, log } = this.#options;
-    if (this.#isClaiming || !group.hasAuthority()) return;
-    if (group.getReignMs() < leaseMs + LEASE_MARGIN_MS) {
-      return this.#transferToHolder();
-    }
-    this.#isClaiming = true;
-    const command: submissions.SubmissionCommand = { kind: "noteHolder", box };
-    const claimed = await group.propose(command, CLAIM_MS);
-    this.#isClaiming = false;
-    log.write("info", "orders.claimed", {
-      fence: group.getTerm(),
-      outcome: claimed.kind,
-    });
-  }
-
-  /** Lets the former holder lead where it is sound; it need not wait. */
-  #transferToHolder(): void {
-    const { group, clock, log, id } = this.#options;
-    const nowMs = clock.getMonotonicMs();
-    const term = group.getTerm();
-    const isSameTerm = this.#transferred.term === term;
-    if (!isSameTerm && nowMs - this.#transferred.atMs < HANDOVER_MS) return;
-    const heir = planHandover.planHandover({
-      ...this.#describeHolder(),
-      self: id,
-    });
-    if (heir === undefined) return;
-    if (!isSameTerm) {
-      log.write("info", "leadership.transferred", { holder: heir, term });
-      this.#transferred = { term, atMs: nowMs };
-    }
-    group.transferTo(heir);
-  }
-
-  #describeHolder(): Omit<planHandover.HandoverSituation, "self"> {
-    const { group, machine, directory, leaseMs } = this.#options;
-    const holder = directory.findByName(machine.getHolder() ?? "");
-    const isRetiring = holder !== undefined &&
-      machine.listRetiring().includes(holder.id);
-    return {
-      holder: holder?.id,
-      isHolderLeaving: holder?.isLeaving === true || isRetiring,
-      reignMs: group.getReignMs(),
-      waitMs: leaseMs + LEASE_MARGIN_MS,
-      voters: group.listVoters(),
-      followers: group.getStatus()?.followers ?? [],
-    };
+    return !this.#isStopped && this.#options.duty.canAct();
   }
 
   #checkEngines(): void {
-    if (this.#isStopped) return;
-    if (!this.#canOrder()) return void this.#claimOrders();
+    if (!this.#canOrder()) return;
     const engines = this.#listEngines();
     const lags = new Map(
       listModels(engines).map((model) => [model, this.#getLag(model)] as const),
@@ -223,7 +146,7 @@
 
   /** @returns Whether the load was seen from its order to its end. */
   async #load(load: listDueLoads.DueLoad): Promise<boolean> {
-    const { clock, dialect, engines, group, box, log, metrics } = this.#options;
+    const { clock, dialect, engines, duty, log, metrics } = this.#options;
     const { engine, model, version } = load;
     if (!this.#orders.has(engine.id) && !await this.#refresh(load)) {
       await clocks.sleep(clock, REFUSED_MS);
@@ -237,8 +160,8 @@
     const order: dialects.VersionOrder = {
       model,
       version,
-      holder: box,
-      fence: group.getTerm(),
+      holder: duty.getName(),
+      fence: duty.getFence(),
       letsRunsEnd: this.#hasSingleVersion(model),
       expectedOrders: this.#orders.get(engine.id),
     };
