--- /dev/null
+++ b/src/capacity/capacity_orders.ts
@@ -0,0 +1,199 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as dialects from "../dialect/mod.ts";
+import * as duties from "../duty/mod.ts";
+import type * as fleetSettings from "../fleet_settings/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as trafficConfig from "../traffic_config/mod.ts";
+import type * as capacityBooks from "./capacity_book.ts";
+import * as demandWindows from "./demand_window.ts";
+import * as planCapacity from "./plan_capacity.ts";
+
+/** Between two looks at what the work needs, in ms. */
+const TICK_MS = 200;
+/** Between two plans of a service, in ms; each call has its price. */
+const PLAN_MS = 1_000;
+/** Time for which a peak counts, in ms: some rounds of steps 4 s apart. */
+const DEMAND_MS = 15_000;
+/** Longest wait for a commit, in ms. */
+const COMMIT_MS = 1_000;
+/**
+ * Time for which a failure domain that refused an order, or took its spot
+ * engines back, is passed over, in ms.
+ */
+const SHORT_MS = 10_000;
+
+/** What capacity orders need. */
+export interface CapacityOrdersOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly dialect: dialects.Dialect;
+  readonly servers: registry.ServerRegistry;
+  readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly duty: duties.DutyHolder;
+  readonly book: capacityBooks.CapacityBook;
+  readonly policy: planCapacity.CapacityPolicy;
+  /** Address of the infrastructure. */
+  readonly endpoint: fleetSettings.Endpoint;
+  /** Runs of a service that have a place or wait for one. */
+  readonly countWantedRuns: (service: string) => number;
+}
+
+/** Orders engines as the work needs them; one box at a time does. */
+export class CapacityOrders {
+  readonly #options: CapacityOrdersOptions;
+  readonly #demand = new Map<string, demandWindows.DemandWindow>();
+  /** When a failure domain was found short, by service and domain. */
+  readonly #shortAtMs = new Map<string, number>();
+  #plannedAtMs = Number.NEGATIVE_INFINITY;
+  #isBusy = false;
+  #isStopped = false;
+
+  constructor(options: CapacityOrdersOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    if (this.#isStopped) return;
+    this.#observe();
+    this.#options.clock.startTimer(TICK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  #observe(): void {
+    const { clock, duty } = this.#options;
+    if (!duty.canAct()) return;
+    const services = this.#listServices();
+    for (const service of services) this.#noteService(service);
+    const nowMs = clock.getMonotonicMs();
+    if (this.#isBusy || nowMs - this.#plannedAtMs < PLAN_MS) return;
+    this.#plannedAtMs = nowMs;
+    void this.#orderAll(services);
+  }
+
+  #listServices(): readonly trafficConfig.ScaledService[] {
+    const services = this.#options.configuration.get()?.services.values() ?? [];
+    return [...services].filter(hasScaling);
+  }
+
+  #noteService({ name }: trafficConfig.ScaledService): void {
+    const { clock, servers, countWantedRuns } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const demand = this.#demand.get(name) ??
+      new demandWindows.DemandWindow(DEMAND_MS);
+    this.#demand.set(name, demand);
+    demand.note(nowMs, countWantedRuns(name));
+    for (const server of servers.listAll()) {
+      if (server.service !== name || !server.isSpot) continue;
+      if (server.phase !== "draining") continue;
+      this.#shortAtMs.set(`${name} ${server.failureDomain}`, nowMs);
+    }
+  }
+
+  async #orderAll(
+    services: readonly trafficConfig.ScaledService[],
+  ): Promise<void> {
+    this.#isBusy = true;
+    for (const service of services) await this.#orderService(service);
+    this.#isBusy = false;
+  }
+
+  async #orderService(service: trafficConfig.ScaledService): Promise<void> {
+    const { book, policy } = this.#options;
+    const { name } = service;
+    const engines = this.#options.servers.listReady(name);
+    if (engines.length === 0) return;
+    const base = book.getBase(name);
+    if (base === undefined) return this.#noteBase(name, engines.length);
+    const plans = planCapacity.planCapacity({
+      policy,
+      base,
+      limits: service.scaling,
+      slots: Math.max(...engines.map((engine) => engine.slots)),
+      wantedRuns: this.#demand.get(name)?.getPeak() ?? 0,
+      domains: this.#describeDomains(service, engines),
+    });
+    for (const plan of plans) await this.#order(name, plan);
+  }
+
+  async #noteBase(service: string, engines: number): Promise<void> {
+    await this.#propose({ kind: "noteCapacityBase", service, engines });
+  }
+
+  #describeDomains(
+    { name, scaling }: trafficConfig.ScaledService,
+    engines: readonly registry.RegisteredServer[],
+  ): readonly planCapacity.DomainEngines[] {
+    const { clock, book } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    return [...scaling.prices.keys()].map((domain) => {
+      const shortAtMs = this.#shortAtMs.get(`${name} ${domain}`);
+      return {
+        domain,
+        lasting: engines.filter((engine) =>
+          engine.failureDomain === domain && !engine.isSpot
+        ).length,
+        orderedSpot: book.getDesired({
+          service: name,
+          domain,
+          engines: "spot",
+        }),
+        isShort: shortAtMs !== undefined && nowMs - shortAtMs < SHORT_MS,
+      };
+    });
+  }
+
+  /** Orders once what was agreed on before; what is refused is agreed on, too. */
+  async #order(service: string, plan: planCapacity.SpotPlan): Promise<void> {
+    const { dialect, duty, endpoint, log, clock, book } = this.#options;
+    const { domain, desired } = plan;
+    const order: capacityBooks.CapacityOrder = {
+      service,
+      domain,
+      engines: "spot",
+      desired,
+    };
+    const before = book.getDesired(order);
+    if (!await this.#propose({ kind: "noteCapacityOrder", order })) return;
+    if (!duty.canAct()) return;
+    const request = dialect.createCapacityOrder({
+      ...order,
+      holder: duty.getName(),
+      fence: duty.getFence(),
+    });
+    const outcome = await duties.sendDutyCall(endpoint, request);
+    log.write("info", "capacity.ordered", {
+      service,
+      domain,
+      desired,
+      before,
+      fence: duty.getFence(),
+      peakRuns: this.#demand.get(service)?.getPeak(),
+      engines: this.#options.servers.listReady(service).length,
+      outcome: outcome.kind,
+      status: "status" in outcome ? outcome.status : undefined,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+    });
+    if (outcome.kind === "taken") return;
+    const nowMs = clock.getMonotonicMs();
+    this.#shortAtMs.set(`${service} ${domain}`, nowMs);
+    const former = { ...order, desired: before };
+    await this.#propose({ kind: "noteCapacityOrder", order: former });
+  }
+
+  async #propose(command: capacityBooks.CapacityCommand): Promise<boolean> {
+    const result = await this.#options.group.propose(command, COMMIT_MS);
+    return result.kind === "ok";
+  }
+}
+
+function hasScaling(
+  service: trafficConfig.Service,
+): service is trafficConfig.ScaledService {
+  return service.scaling !== undefined;
+}
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -134,6 +134,15 @@
   readonly counts: Readonly<Record<string, number>>;
 }
 
+/** Asks the infrastructure for engines of a kind in a failure domain. */
+export interface CapacityOrder extends DutyMarks {
+  readonly service: string;
+  readonly domain: string;
+  readonly engines: "lasting" | "spot";
+  /** Number that there should be. */
+  readonly desired: number;
+}
+
 /** State of an engine as it reports it, some hundred ms old. */
 export interface EngineReport {
   readonly models: readonly registry.HeldModel[];
@@ -173,6 +182,7 @@
   ): Readonly<Record<string, string>>;
   createVersionOrder(order: VersionOrder, server: string): RawRequestWithBody;
   createReportRequest(server: string): RawRequestWithBody;
+  createCapacityOrder(order: CapacityOrder): RawRequestWithBody;
   createUsageReport(report: UsageReport): RawRequestWithBody;
   formatAddresses(
     addresses: readonly string[],
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -98,6 +98,15 @@
     });
   }
 
+  /** Runs of a service that have a place or wait for one. */
+  countWantedRuns(service: string): number {
+    return this.#tasks.list().filter((task) =>
+      task.submission.terms.service === service &&
+      (task.phase === "waiting" || task.phase === "running") &&
+      task.isWanted()
+    ).length;
+  }
+
   #updateTasks(): void {
     if (this.#isStopped) return this.#dropAll();
     if (!this.#options.group.hasAuthority()) return this.#waitForQuorum();
--- a/src/fleet_daemon/_duty_settings.ts
+++ b/src/fleet_daemon/_duty_settings.ts
@@ -1,6 +1,9 @@
 import type * as fleetSettings from "../fleet_settings/mod.ts";
+import type * as capacity from "../capacity/mod.ts";
 import type * as usages from "../usage/mod.ts";
 
+/** Name of the duty to order engines. */
+const CAPACITY_DUTY = "autoscaling";
 /** Name of the duty to report usage. */
 const USAGE_DUTY = "usage_reporting";
 
@@ -20,3 +23,26 @@
   }
   return { windowMs, lateMs };
 }
+
+/**
+ * Gives the policy by which engines are ordered.
+ *
+ * @param settings Settings of the box.
+ * @returns The policy; undefined where none are.
+ */
+export function getCapacityPolicy(
+  settings: fleetSettings.FleetSettings,
+): capacity.CapacityPolicy | undefined {
+  const { policy, headroom } = settings.capacity;
+  if (!settings.infrastructure?.duties.includes(CAPACITY_DUTY)) {
+    return undefined;
+  }
+  switch (policy) {
+    case "off":
+      return undefined;
+    case "fixed":
+      return { kind: "fixed" };
+    case "planned":
+      return { kind: "planned", headroom };
+  }
+}
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -1,3 +1,4 @@
+import * as capacity from "../capacity/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import * as duties from "../duty/mod.ts";
@@ -20,6 +21,7 @@
   readonly #dispatcher: dispatch.Dispatcher;
   readonly #duty: duties.DutyHolder;
   readonly #usage: usages.UsageReporter | undefined;
+  readonly #capacity: capacity.CapacityOrders | undefined;
   readonly #orders: weightOrders.WeightOrders;
   readonly #knownEngines: weightOrders.KnownEngines;
   readonly #parts: boxParts.BoxParts;
@@ -63,6 +65,7 @@
       leaseMs: settings.bounds.orderLeaseMs,
     });
     this.#usage = this.#createUsageReporter();
+    this.#capacity = this.#createCapacityOrders();
     this.#orders = new weightOrders.WeightOrders({
       ...shared,
       duty: this.#duty,
@@ -111,12 +114,29 @@
     });
   }
 
+  #createCapacityOrders(): capacity.CapacityOrders | undefined {
+    const { settings } = this.#parts;
+    const policy = dutySettings.getCapacityPolicy(settings);
+    const endpoint = settings.infrastructure?.address;
+    if (policy === undefined || endpoint === undefined) return undefined;
+    return new capacity.CapacityOrders({
+      ...this.#parts,
+      group: this.#group,
+      duty: this.#duty,
+      book: this.#machine.getCapacity(),
+      policy,
+      endpoint,
+      countWantedRuns: (service) => this.#dispatcher.countWantedRuns(service),
+    });
+  }
+
   /** Joins the stores; waits for the founding. */
   async join(): Promise<void> {
     await this.#group.start();
     this.#dispatcher.start();
     this.#duty.start();
     this.#usage?.start();
+    this.#capacity?.start();
     this.#orders.start();
     this.#knownEngines.start();
     this.#runForget();
@@ -154,6 +174,7 @@
     this.#dispatcher.stop();
     this.#duty.stop();
     this.#usage?.stop();
+    this.#capacity?.stop();
     this.#orders.stop();
     this.#knownEngines.stop();
     await this.#group.stop();
--- a/src/registry/registered_server.ts
+++ b/src/registry/registered_server.ts
@@ -18,6 +18,10 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly phase: ServerPhase;
+  /** Whether it is cheaper and may be taken away at short notice. */
+  readonly isSpot: boolean;
+  /** Time until it is taken away when it told so, in ms; undefined if unknown. */
+  readonly leavesMs: number | undefined;
   /** How much longer it stays slow from its start, in ms. */
   readonly coldMs: number;
   /** Rises with each heartbeat. */
@@ -50,6 +54,8 @@
     failureDomain: "",
     slots: 0,
     phase: "gone",
+    isSpot: false,
+    leavesMs: undefined,
     coldMs: 0,
     sequence: NO_SEQUENCE,
     models: [],
@@ -72,7 +78,8 @@
   const phase = PHASE_RANKS[left.phase] >= PHASE_RANKS[right.phase]
     ? left.phase
     : right.phase;
-  return { ...newer, phase };
+  // A kind that was told once holds, also for reports that leave it out.
+  return { ...newer, phase, isSpot: left.isSpot || right.isSpot };
 }
 
 /**
--- a/src/registry/server_fixture_test.ts
+++ b/src/registry/server_fixture_test.ts
@@ -19,6 +19,8 @@
     failureDomain: "d",
     slots: 1,
     phase: "ready",
+    isSpot: false,
+    leavesMs: undefined,
     coldMs: 0,
     sequence: 1,
     models: [],
--- a/src/submission/saved_parts.ts
+++ b/src/submission/saved_parts.ts
@@ -1,3 +1,4 @@
+import type * as capacity from "../capacity/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as usages from "../usage/mod.ts";
 import type * as submissions from "./submission.ts";
@@ -26,6 +27,7 @@
     readonly holder: string | undefined;
     readonly engines: readonly registry.RegisteredServer[];
     readonly usage: usages.SavedUsage;
+    readonly capacity: capacity.SavedCapacity;
   }
   | { readonly kind: "record"; readonly record: SavedRecord }
   | {
--- a/src/submission/submission_command.ts
+++ b/src/submission/submission_command.ts
@@ -1,3 +1,4 @@
+import type * as capacity from "../capacity/mod.ts";
 import type * as accounts from "../client_account/mod.ts";
 import type * as duties from "../duty/mod.ts";
 import type * as registry from "../registry/mod.ts";
@@ -37,6 +38,7 @@
   | { readonly kind: "keepTexts"; readonly texts: readonly TextToKeep[] }
   | duties.NoteHolder
   | usages.UsageCommand
+  | capacity.CapacityCommand
   /** Notes which engines run, for a leader that has not heard them yet. */
   | {
     readonly kind: "keepEngines";
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,4 +1,5 @@
 import type * as consensus from "../consensus/mod.ts";
+import * as capacity from "../capacity/mod.ts";
 import type * as accounts from "../client_account/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as usages from "../usage/mod.ts";
@@ -41,6 +42,7 @@
 export class SubmissionMachine implements consensus.Machine {
   readonly #onChange: () => void;
   readonly #usage = new usages.UsageBook();
+  readonly #capacity = new capacity.CapacityBook();
   #records = new Map<string, MutableRecord>();
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
@@ -69,6 +71,11 @@
     return this.#holder;
   }
 
+  /** What is agreed on about capacity. */
+  getCapacity(): capacity.CapacityBook {
+    return this.#capacity;
+  }
+
   /** What is agreed on about usage. */
   getUsage(): usages.UsageBook {
     return this.#usage;
@@ -123,6 +130,7 @@
       holder: this.#holder,
       engines: this.listEngines(),
       usage: this.#usage.save(),
+      capacity: this.#capacity.save(),
     };
     return [state, ...this.listAll().flatMap(savedParts.cutRecord)];
   }
@@ -137,6 +145,7 @@
           this.#retiring = new Set(part.retiring);
           this.#holder = part.holder;
           this.#usage.restore(part.usage);
+          this.#capacity.restore(part.capacity);
           this.#engines = new Map(
             part.engines.map((engine) => [engine.id, engine]),
           );
@@ -183,6 +192,10 @@
       case "noteUsageReported":
         this.#usage.apply(command);
         return KNOWN;
+      case "noteCapacityOrder":
+      case "noteCapacityBase":
+        this.#capacity.apply(command);
+        return KNOWN;
       case "endSubmission":
         return this.#end(command.id, command.sender);
       case "nameVersion":
--- a/src/traffic_config/check_configuration.ts
+++ b/src/traffic_config/check_configuration.ts
@@ -13,9 +13,24 @@
     if (places.has(place)) return `two routes serve ${place}`;
     places.add(place);
   }
+  for (const service of configuration.services.values()) {
+    const fault = findScalingFault(service);
+    if (fault !== undefined) return `service ${service.name}: ${fault}`;
+  }
   return accounts.findAccountFault(configuration.accounts?.list() ?? []);
 }
 
+function findScalingFault(
+  { scaling }: configurations.Service,
+): string | undefined {
+  if (scaling === undefined) return undefined;
+  if (scaling.minimum > scaling.maximum) {
+    return `its least number of engines is above the most, ${scaling.maximum}`;
+  }
+  const prices = [...scaling.prices.values(), scaling.spotPrice ?? 0];
+  return prices.some((price) => price < 0) ? "a price is below 0" : undefined;
+}
+
 function findRouteFault(
   route: configurations.Route,
   configuration: configurations.Configuration,
--- a/src/traffic_config/configuration.ts
+++ b/src/traffic_config/configuration.ts
@@ -42,6 +42,19 @@
   readonly allowsAnonymous: boolean;
 }
 
+/** How many engines of a service the system may order. */
+export interface Scaling {
+  /** Engines of a failure domain, of all kinds together. */
+  readonly minimum: number;
+  readonly maximum: number;
+  /** Time until a new engine serves, in ms. */
+  readonly bootMs: number;
+  /** Price of a spot engine as a share of a lasting one's; undefined for none. */
+  readonly spotPrice: number | undefined;
+  /** Price of an engine by failure domain, against each other. */
+  readonly prices: ReadonlyMap<string, number>;
+}
+
 /** A service that routes name. */
 export interface Service {
   readonly name: string;
@@ -50,6 +63,13 @@
   readonly connectionLimit: number;
   /** Models of the service's engines; empty for plain servers. */
   readonly models: readonly string[];
+  /** Undefined where the system orders no engines. */
+  readonly scaling: Scaling | undefined;
+}
+
+/** A service whose engines the system orders. */
+export interface ScaledService extends Service {
+  readonly scaling: Scaling;
 }
 
 /** Bounds on what callers send. */
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -29,6 +29,7 @@
   healthPath: "/",
   connectionLimit: 10,
   models: [],
+  scaling: undefined,
 };
 
 function createConfiguration(
--- a/tools/bench/bench_dispatch.ts
+++ b/tools/bench/bench_dispatch.ts
@@ -25,6 +25,8 @@
     failureDomain: `d-${index % 7}`,
     slots: SLOTS,
     phase: "ready",
+    isSpot: false,
+    leavesMs: undefined,
     coldMs: 0,
     sequence: 1,
     models: Array.from({ length: MODELS }, (_, model) => ({
