--- a/src/capacity/capacity_orders.ts
+++ b/src/capacity/capacity_orders.ts
@@ -3,6 +3,7 @@
 import * as duties from "../duty/mod.ts";
 import type * as fleetSettings from "../fleet_settings/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metricTypes from "../metrics/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
@@ -23,11 +24,14 @@
  * engines back, is passed over, in ms.
  */
 const SHORT_MS = 10_000;
+/** Time beyond a start-up after which a spot engine counts as lost, in ms. */
+const MISSING_SLACK_MS = 5_000;
 
 /** What capacity orders need. */
 export interface CapacityOrdersOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly metrics: metricTypes.FleetMetrics;
   readonly dialect: dialects.Dialect;
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
@@ -47,6 +51,8 @@
   readonly #demand = new Map<string, demandWindows.DemandWindow>();
   /** When a failure domain was found short, by service and domain. */
   readonly #shortAtMs = new Map<string, number>();
+  /** Since when a domain has fewer spot engines than were asked for. */
+  readonly #missingSinceMs = new Map<string, number>();
   #plannedAtMs = Number.NEGATIVE_INFINITY;
   #isBusy = false;
   #isStopped = false;
@@ -129,8 +135,7 @@
     { name, scaling }: trafficConfig.ScaledService,
     engines: readonly registry.RegisteredServer[],
   ): readonly planCapacity.DomainEngines[] {
-    const { clock, book } = this.#options;
-    const nowMs = clock.getMonotonicMs();
+    const nowMs = this.#options.clock.getMonotonicMs();
     return [...scaling.prices.keys()].map((domain) => {
       const shortAtMs = this.#shortAtMs.get(`${name} ${domain}`);
       return {
@@ -138,19 +143,43 @@
         lasting: engines.filter((engine) =>
           engine.failureDomain === domain && !engine.isSpot
         ).length,
-        orderedSpot: book.getDesired({
-          service: name,
-          domain,
-          engines: "spot",
+        orderedSpot: this.#countOrderedSpot(name, domain, {
+          present: engines.filter((engine) =>
+            engine.failureDomain === domain && engine.isSpot
+          ).length,
+          bootMs: scaling.bootMs,
         }),
         isShort: shortAtMs !== undefined && nowMs - shortAtMs < SHORT_MS,
       };
     });
   }
 
+  /**
+   * Spot engines that were asked for, less those that have been missing for too
+   * long: they were lost without a notice and are asked for again.
+   */
+  #countOrderedSpot(
+    service: string,
+    domain: string,
+    { present, bootMs }: { readonly present: number; readonly bootMs: number },
+  ): number {
+    const { clock, book } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    const key = `${service} ${domain}`;
+    const ordered = book.getDesired({ service, domain, engines: "spot" });
+    if (present >= ordered) {
+      this.#missingSinceMs.delete(key);
+      return ordered;
+    }
+    const sinceMs = this.#missingSinceMs.get(key) ?? nowMs;
+    this.#missingSinceMs.set(key, sinceMs);
+    return nowMs - sinceMs > bootMs + MISSING_SLACK_MS ? present : ordered;
+  }
+
   /** Orders once what was agreed on before; what is refused is agreed on, too. */
   async #order(service: string, plan: planCapacity.SpotPlan): Promise<void> {
-    const { dialect, duty, endpoint, log, clock, book } = this.#options;
+    const { dialect, duty, endpoint, log, clock, book, metrics } =
+      this.#options;
     const { domain, desired } = plan;
     const order: capacityBooks.CapacityOrder = {
       service,
@@ -159,6 +188,7 @@
       desired,
     };
     const before = book.getDesired(order);
+    this.#missingSinceMs.delete(`${service} ${domain}`);
     if (!await this.#propose({ kind: "noteCapacityOrder", order })) return;
     if (!duty.canAct()) return;
     const request = dialect.createCapacityOrder({
@@ -167,6 +197,7 @@
       fence: duty.getFence(),
     });
     const outcome = await duties.sendDutyCall(endpoint, request);
+    metrics.countCapacityOrder(outcome.kind);
     log.write("info", "capacity.ordered", {
       service,
       domain,
--- a/src/duty/duty_holder.ts
+++ b/src/duty/duty_holder.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metricTypes from "../metrics/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import * as planHandover from "./plan_handover.ts";
 
@@ -34,6 +35,7 @@
 export interface DutyHolderOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly metrics: metricTypes.FleetMetrics;
   readonly group: replicaGroups.ReplicaGroup;
   readonly machine: HolderRecord;
   readonly directory: fleet.BoxDirectory;
@@ -100,7 +102,7 @@
    * back; the box that was the holder before goes on at once.
    */
   async #claim(): Promise<void> {
-    const { group, leaseMs, box, log, machine } = this.#options;
+    const { group, leaseMs, box, log, machine, metrics } = this.#options;
     if (this.#isClaiming || !group.hasAuthority()) return;
     if (group.getReignMs() < leaseMs + LEASE_MARGIN_MS) {
       return this.#transferToHolder();
@@ -110,6 +112,7 @@
     const command: NoteHolder = { kind: "noteHolder", box };
     const claimed = await group.propose(command, CLAIM_MS);
     this.#isClaiming = false;
+    metrics.countClaim(claimed.kind);
     log.write("info", "duties.claimed", {
       fence: group.getTerm(),
       former,
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -111,7 +111,7 @@
     { raw, configuration, host }: AskedRequest,
     allowsAnonymous: boolean,
   ): accounts.KeyVerdict {
-    const { dialect, log } = this.#options;
+    const { dialect, log, metrics } = this.#options;
     const { key, requestId } = dialect.parseRequestHead(raw.headers);
     const verdict = accounts.checkKey(
       configuration.accounts,
@@ -119,6 +119,7 @@
       allowsAnonymous,
     );
     if (verdict.kind === "refused") {
+      metrics.countRefusedKey(verdict.reason);
       log.write("info", "key.refused", {
         request: requestId,
         host,
--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -24,6 +24,10 @@
   readonly #items: prometheus.Counter<"outcome">;
   readonly #itemMs: prometheus.Histogram<string>;
   readonly #orders: prometheus.Counter<"outcome">;
+  readonly #keysRefused: prometheus.Counter<"reason">;
+  readonly #claims: prometheus.Counter<"outcome">;
+  readonly #unreported: prometheus.Gauge<string>;
+  readonly #capacityOrders: prometheus.Counter<"outcome">;
   readonly #logLost: prometheus.Gauge<string>;
   #server: http.Server | undefined;
 
@@ -54,6 +58,29 @@
       labelNames: ["outcome"],
       registers,
     });
+    this.#keysRefused = new prometheus.Counter({
+      name: "hoistscale_keys_refused_total",
+      help: "Requests refused for their key, by reason",
+      labelNames: ["reason"],
+      registers,
+    });
+    this.#claims = new prometheus.Counter({
+      name: "hoistscale_duty_claims_total",
+      help: "Times that this box asked to hold the duties, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#unreported = new prometheus.Gauge({
+      name: "hoistscale_usage_unreported_ms",
+      help: "Age of the oldest usage window that is agreed on and not reported",
+      registers,
+    });
+    this.#capacityOrders = new prometheus.Counter({
+      name: "hoistscale_capacity_orders_total",
+      help: "Orders of engines from the infrastructure, by their answer",
+      labelNames: ["outcome"],
+      registers,
+    });
     this.#logLost = new prometheus.Gauge({
       name: "hoistscale_log_lines_lost",
       help: "Log lines dropped because the output was not read",
@@ -77,6 +104,23 @@
     this.#orders.inc({ outcome });
   }
 
+  countRefusedKey(reason: string): void {
+    this.#keysRefused.inc({ reason });
+  }
+
+  countClaim(outcome: string): void {
+    this.#claims.inc({ outcome });
+  }
+
+  /** Age of the oldest window that is not reported, in ms; 0 for none. */
+  setUnreportedMs(ageMs: number): void {
+    this.#unreported.set(ageMs);
+  }
+
+  countCapacityOrder(outcome: string): void {
+    this.#capacityOrders.inc({ outcome });
+  }
+
   setLogLost(lines: number): void {
     this.#logLost.set(lines);
   }
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -3,6 +3,7 @@
 import * as duties from "../duty/mod.ts";
 import type * as fleetSettings from "../fleet_settings/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metricTypes from "../metrics/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as protocol from "./protocol.ts";
@@ -32,6 +33,7 @@
 export interface UsageReporterOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly metrics: metricTypes.FleetMetrics;
   readonly dialect: dialects.Dialect;
   readonly server: rpc.MethodTable;
   readonly group: replicaGroups.ReplicaGroup;
@@ -93,10 +95,20 @@
     if (!this.#options.duty.canAct()) return;
     this.#isBusy = true;
     await this.#closeDue();
+    this.#measureAge();
     await this.#reportNext();
     this.#isBusy = false;
   }
 
+  #measureAge(): void {
+    const { book, metrics, clock, times } = this.#options;
+    const [oldest] = book.listUnreported();
+    const ageMs = oldest === undefined
+      ? 0
+      : clock.getWallMs() - (oldest.window + 1) * times.windowMs;
+    metrics.setUnreportedMs(ageMs);
+  }
+
   async #closeDue(): Promise<void> {
     const { clock, duty, book, times, log } = this.#options;
     if (duty.getReignMs() < COLLECT_MS) return;
