--- /dev/null
+++ b/src/duty/duty_holder_test.ts
@@ -0,0 +1,158 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import * as logs from "../log/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import * as results from "../results/mod.ts";
+import * as dutyHolders from "./duty_holder.ts";
+
+const LEASE_MS = 3_000;
+/** A lease, its margin, and a look at the state. */
+const CLAIMED_MS = LEASE_MS + 250 + 80;
+
+/** A group that one box leads, and what it agreed on. */
+class FakeGroup {
+  readonly #clock: clocks.FakeClock;
+  #ledSinceMs: number;
+  hasLead = true;
+  /** Whether a quorum confirms what is proposed. */
+  confirms = true;
+  holder: string | undefined;
+  term = 7;
+
+  constructor(clock: clocks.FakeClock) {
+    this.#clock = clock;
+    this.#ledSinceMs = clock.getMonotonicMs();
+  }
+
+  hasAuthority(): boolean {
+    return this.hasLead;
+  }
+
+  getReignMs(): number {
+    return this.#clock.getMonotonicMs() - this.#ledSinceMs;
+  }
+
+  getTerm(): number {
+    return this.term;
+  }
+
+  /** Begins to lead in a later term. */
+  renewLead(): void {
+    this.term += 1;
+    this.hasLead = true;
+    this.#ledSinceMs = this.#clock.getMonotonicMs();
+  }
+
+  propose(command: dutyHolders.NoteHolder): Promise<results.Result<null>> {
+    if (!this.confirms) {
+      return Promise.resolve(
+        results.createFailure("changeUnknown", "no quorum"),
+      );
+    }
+    this.holder = command.box;
+    return Promise.resolve(results.createOk(null));
+  }
+
+  getHolder(): string | undefined {
+    return this.holder;
+  }
+
+  listRetiring(): readonly string[] {
+    return [];
+  }
+
+  listVoters(): readonly string[] {
+    return [];
+  }
+
+  getStatus(): undefined {
+    return undefined;
+  }
+
+  transferTo(): void {}
+}
+
+describe("holder of the duties", () => {
+  let clock = new clocks.FakeClock();
+  let group = new FakeGroup(clock);
+  let holder = createHolder();
+
+  function createHolder(): dutyHolders.DutyHolder {
+    return new dutyHolders.DutyHolder({
+      clock,
+      log: new logs.Log("box", "error", () => {}),
+      metrics: new metrics.FleetMetrics(),
+      group: group as unknown as replicaGroups.ReplicaGroup,
+      machine: group,
+      directory: {
+        findByName: () => undefined,
+      } as unknown as fleet.BoxDirectory,
+      box: "box-a",
+      id: "a",
+      leaseMs: LEASE_MS,
+    });
+  }
+
+  beforeEach(() => {
+    clock = new clocks.FakeClock();
+    group = new FakeGroup(clock);
+    holder = createHolder();
+    holder.start();
+  });
+
+  afterEach(() => holder.stop());
+
+  /** Lets time pass in steps, so that timers and promises come in turn. */
+  async function wait(ms: number): Promise<void> {
+    for (let left = ms; left > 0; left -= 20) {
+      clock.extendBy(20);
+      await Promise.resolve();
+    }
+  }
+
+  it("acts only once the former holder's lease has passed", async () => {
+    group.holder = "box-b";
+    await wait(LEASE_MS);
+    chai.expect(holder.canAct()).to.equal(false);
+    await wait(CLAIMED_MS - LEASE_MS);
+    chai.expect(holder.canAct()).to.equal(true);
+    chai.expect(holder.getFence()).to.equal(7);
+  });
+
+  it("acts at once where it was the holder before", async () => {
+    await wait(CLAIMED_MS);
+    group.hasLead = false;
+    chai.expect(holder.canAct()).to.equal(false);
+    group.renewLead();
+    chai.expect(holder.canAct()).to.equal(true);
+    chai.expect(holder.getFence()).to.equal(8);
+  });
+
+  it("does not act while no quorum knows that it is the holder", async () => {
+    group.holder = "box-b";
+    group.confirms = false;
+    await wait(2 * CLAIMED_MS);
+    chai.expect(holder.canAct()).to.equal(false);
+    group.confirms = true;
+    await wait(100);
+    chai.expect(holder.canAct()).to.equal(true);
+  });
+
+  it("does not act after another box has become the holder", async () => {
+    await wait(CLAIMED_MS);
+    group.hasLead = false;
+    group.holder = "box-b";
+    group.renewLead();
+    chai.expect(holder.canAct()).to.equal(false);
+    await wait(LEASE_MS);
+    chai.expect(holder.canAct()).to.equal(false);
+  });
+
+  it("does not act once it is stopped", async () => {
+    await wait(CLAIMED_MS);
+    holder.stop();
+    chai.expect(holder.canAct()).to.equal(false);
+  });
+});
--- a/tools/bench/run_bench.ts
+++ b/tools/bench/run_bench.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import yargs from "yargs";
+import * as benchAccounts from "./bench_accounts.ts";
 import * as benchControl from "./bench_control.ts";
 import * as benchDispatch from "./bench_dispatch.ts";
 import * as benchLoad from "./bench_load.ts";
@@ -51,6 +52,12 @@
     {},
     () => benchLoad.benchLoad(),
   )
+  .command(
+    "accounts",
+    "What a key costs a request, and usage the box that sums it",
+    {},
+    () => benchAccounts.benchAccounts(),
+  )
   .demandCommand(1, "Say what to measure")
   .strict()
   .parseAsync();
