--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -8,7 +8,7 @@
 import type * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
 import * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
--- a/src/dispatch/plan_moves_test.ts
+++ b/src/dispatch/plan_moves_test.ts
@@ -2,7 +2,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
 import type * as submissions from "../submission/mod.ts";
 import * as engineTables from "./engine_table.ts";
--- a/src/fleet/fleet_link_test.ts
+++ b/src/fleet/fleet_link_test.ts
@@ -2,7 +2,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
--- a/src/forwarding/choose_server_test.ts
+++ b/src/forwarding/choose_server_test.ts
@@ -1,7 +1,7 @@
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as chooseServer from "./choose_server.ts";
 import * as serverLoads from "./server_loads.ts";
 
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -6,7 +6,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as jobs from "./forward_job.ts";
 import * as forwarders from "./forwarder.ts";
 import * as serverLoads from "./server_loads.ts";
--- a/src/forwarding/load_test.ts
+++ b/src/forwarding/load_test.ts
@@ -1,5 +1,5 @@
 import * as chai from "chai";
-import * as loadReplays from "./load_replay_test.ts";
+import * as loadReplays from "../fixtures/load_replay.ts";
 
 const SEED = 4;
 /** Share of callers by which two plays of one load differ without a cause. */
--- a/src/forwarding/mod.ts
+++ b/src/forwarding/mod.ts
@@ -8,6 +8,7 @@
  * ```
  * @module
  */
+export type { AttemptOptions } from "./_attempt.ts";
 export * from "./choose_server.ts";
 export * from "./forward_job.ts";
 export * from "./forwarder.ts";
--- a/src/item_run/item_run_test.ts
+++ b/src/item_run/item_run_test.ts
@@ -4,7 +4,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
 import * as runItem from "./run_item.ts";
 import * as textProgresses from "./text_progress.ts";
--- a/src/registry/registry_test.ts
+++ b/src/registry/registry_test.ts
@@ -2,7 +2,7 @@
 import * as fastCheck from "fast-check";
 import * as clocks from "../clock/mod.ts";
 import type * as registeredServers from "./registered_server.ts";
-import * as serverFixtures from "./server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as serverRegistries from "./server_registry.ts";
 
 const HEARTBEAT_MS = 1_000;
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -75,11 +75,21 @@
   }
 
   #take({ source, totals }: protocol.TellRequest): protocol.TellReply {
-    const { group, book, log } = this.#options;
+    const { group, book, log, clock, times } = this.#options;
     if (!group.hasAuthority()) return group.createNotLeader();
     const lastClosed = book.getLastClosed();
     const closed = lastClosed ?? Number.NEGATIVE_INFINITY;
-    const news = totals.filter((total) => this.#totals.merge(source, total));
+    const wallMs = clock.getWallMs();
+    const sound = totals.filter((total) =>
+      usageTallies.isPlausible(total, wallMs, times)
+    );
+    if (sound.length < totals.length) {
+      log.write("warn", "usage.nonsense", {
+        source,
+        totals: totals.length - sound.length,
+      });
+    }
+    const news = sound.filter((total) => this.#totals.merge(source, total));
     const late = news.filter(({ window }) => window <= closed);
     if (late.length > 0) {
       log.write("info", "usage.late", {
@@ -140,7 +150,7 @@
     const [next] = book.listUnreported();
     if (next === undefined || clock.getMonotonicMs() < this.#retryAtMs) return;
     const { window } = next;
-    if (usageWindows.isStale(window, clock.getWallMs(), times)) {
+    if (window < usageWindows.getOldestWindow(clock.getWallMs(), times)) {
       log.write("error", "usage.abandoned", { window });
       return void await this.#propose({ kind: "noteUsageReported", window });
     }
--- a/src/usage/usage_tally.ts
+++ b/src/usage/usage_tally.ts
@@ -1,4 +1,4 @@
-import type * as usageWindows from "./usage_window.ts";
+import * as usageWindows from "./usage_window.ts";
 
 /** Running total of an account in a window at one box. */
 export interface UsageTotal {
@@ -7,6 +7,26 @@
   readonly count: number;
 }
 
+/**
+ * Tells whether a total can be what a box counted: its clock may be off by a
+ * window, no more.
+ *
+ * @param total The total, from another box.
+ * @param wallMs Wall time, in ms.
+ * @param times Windows.
+ * @returns Whether to take it.
+ */
+export function isPlausible(
+  { window, account, count }: UsageTotal,
+  wallMs: number,
+  times: usageWindows.WindowTimes,
+): boolean {
+  if (!Number.isInteger(window) || !Number.isInteger(count)) return false;
+  if (typeof account !== "string" || count <= 0) return false;
+  return window >= usageWindows.getOldestWindow(wallMs, times) &&
+    window <= usageWindows.getWindow(wallMs, times) + 1;
+}
+
 /** What one box counted since its start. */
 export class UsageTally {
   readonly #windows = new Map<number, Map<string, number>>();
--- a/src/usage/usage_teller.ts
+++ b/src/usage/usage_teller.ts
@@ -53,8 +53,8 @@
 
   #forgetStale(): void {
     const { clock, times } = this.#options;
-    const staleMs = clock.getWallMs() - 3 * times.lateMs;
-    this.#tally.forgetThrough(usageWindows.getWindow(staleMs, times));
+    const oldest = usageWindows.getOldestWindow(clock.getWallMs(), times);
+    this.#tally.forgetThrough(oldest - 1);
   }
 
   /** Tells a new leader everything: it knows only what it is told. */
--- a/src/usage/usage_test.ts
+++ b/src/usage/usage_test.ts
@@ -59,6 +59,27 @@
     );
   });
 
+  it("takes no nonsense for a total", () => {
+    const sound = { window: 100, account: "north", count: 1 };
+    function judge(changes: object): boolean {
+      const total = { ...sound, ...changes };
+      return usageTallies.isPlausible(total, 500_000, TIMES);
+    }
+    chai.expect(judge({})).to.equal(true);
+    chai.expect(judge({ window: 101 })).to.equal(true);
+    const nonsense = [
+      { window: 102 },
+      { window: 93 },
+      { window: -1 },
+      { window: 99.5 },
+      { count: 0 },
+      { count: -4 },
+      { count: Number.NaN },
+      { account: undefined },
+    ];
+    chai.expect(nonsense.filter(judge)).to.deep.equal([]);
+  });
+
   it("keeps the totals of a box until they are agreed on", () => {
     const tally = new usageTallies.UsageTally();
     tally.count(7, "north");
--- a/src/usage/usage_window.ts
+++ b/src/usage/usage_window.ts
@@ -54,7 +54,7 @@
 ): readonly number[] {
   const settleMs = times.lateMs * SETTLE_SHARE;
   const newest = getWindow(wallMs - settleMs, times) - 1;
-  const oldest = getWindow(wallMs - STALE_FACTOR * times.lateMs, times);
+  const oldest = getOldestWindow(wallMs, times);
   const first = lastClosed === undefined
     ? newest
     : Math.max(lastClosed + 1, oldest);
@@ -63,17 +63,12 @@
 }
 
 /**
- * Tells whether a window is too old to be counted or reported.
+ * Gives the oldest window that is still counted and reported.
  *
- * @param window The window.
  * @param wallMs Wall time, in ms.
  * @param times Windows.
- * @returns Whether it is.
+ * @returns The window's number.
  */
-export function isStale(
-  window: number,
-  wallMs: number,
-  times: WindowTimes,
-): boolean {
-  return window < getWindow(wallMs - STALE_FACTOR * times.lateMs, times);
+export function getOldestWindow(wallMs: number, times: WindowTimes): number {
+  return getWindow(wallMs - STALE_FACTOR * times.lateMs, times);
 }
--- a/src/weight_orders/known_engines_test.ts
+++ b/src/weight_orders/known_engines_test.ts
@@ -5,7 +5,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as results from "../results/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as knownEngines from "./known_engines.ts";
--- a/src/weight_orders/weight_orders_test.ts
+++ b/src/weight_orders/weight_orders_test.ts
@@ -1,7 +1,7 @@
 import * as chai from "chai";
 import * as fastCheck from "fast-check";
 import * as assignEngines from "./assign_engines.ts";
-import * as serverFixtures from "../registry/server_fixture_test.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
 import * as listDueLoads from "./list_due_loads.ts";
 import * as planVersion from "./plan_version.ts";
 
--- a/tools/bench/bench_load.ts
+++ b/tools/bench/bench_load.ts
@@ -1,8 +1,8 @@
 import * as admission from "../../src/admission/mod.ts";
 import * as clocks from "../../src/clock/mod.ts";
 import * as forwarding from "../../src/forwarding/mod.ts";
-import * as loadReplays from "../../src/forwarding/load_replay_test.ts";
-import * as serverFixtures from "../../src/registry/server_fixture_test.ts";
+import * as loadReplays from "../../src/fixtures/load_replay.ts";
+import * as serverFixtures from "../../src/fixtures/create_server.ts";
 
 const SEEDS = [1, 2, 3] as const;
 const SERVER_COUNTS = [20, 200, 1_800] as const;
