Settings of usage windows in seconds, as a platform's fractions would lose their unit

Cause found by reading: the template wrote 000 after a number of seconds, so 2.5 would have become 2.5 ms. Reports and orders go on after an error.

--- a/src/capacity/capacity_orders.ts
+++ b/src/capacity/capacity_orders.ts
@@ -105,8 +105,11 @@
     services: readonly trafficConfig.ScaledService[],
   ): Promise<void> {
     this.#isBusy = true;
-    for (const service of services) await this.#orderService(service);
-    this.#isBusy = false;
+    try {
+      for (const service of services) await this.#orderService(service);
+    } finally {
+      this.#isBusy = false;
+    }
   }
 
   async #orderService(service: trafficConfig.ScaledService): Promise<void> {
--- a/src/consensus/_feeding.ts
+++ b/src/consensus/_feeding.ts
@@ -3,18 +3,15 @@
 
 /**
  * Entries by which a new replica may lag and still be sent each new one at
- * once; one that lags more is fed. Four batches of 24 pass in some 100 ms.
+ * once; one that lags more is fed. Four of the largest messages.
  */
 const FEED_LAG_ENTRIES = 96;
 /**
- * Entries on their way to an admitted follower at most: some seconds of a full
- * load, so that a pause of it does not fill the leader's sockets.
+ * Entries on their way to an admitted follower at most, some seconds of a full
+ * load: a follower that pauses does not fill the leader's sockets.
  */
 const PIPELINE_ENTRIES = 240;
-/**
- * Entries in one message to a fed replica: with some 10 KB an entry the leader
- * pauses for some 10 ms on 0.3 of a core, not for a heartbeat's length.
- */
+/** Entries in one message to a fed replica, of some 10 KB each (estimated). */
 const FEED_ENTRIES = 8;
 /** Messages on their way to it: one is encoded while one is taken in. */
 const FEED_MESSAGES = 2;
@@ -25,9 +22,9 @@
 
 /**
  * Says how many entries a follower may be sent now. Replicas that lost their
- * disks are fed one after the other, with few entries on their way. Fed all at once and without a bound, two of five voters took a
- * leader with 0.3 of a core its authority for 25 s and more after a restart of
- * all boxes.
+ * disks are fed one after the other, with few entries on their way. Fed at once
+ * and without a bound, two of five voters took a leader with 0.3 of a core its
+ * authority, again and again for 25 s after a restart of all boxes (log lines).
  *
  * @param state The leader.
  * @param to The follower.
--- a/src/fleet_daemon/_duty_settings.ts
+++ b/src/fleet_daemon/_duty_settings.ts
@@ -2,6 +2,7 @@
 import type * as capacity from "../capacity/mod.ts";
 import type * as usages from "../usage/mod.ts";
 
+const MS_PER_SECOND = 1_000;
 /** Name of the duty to order engines. */
 const CAPACITY_DUTY = "autoscaling";
 /** Name of the duty to report usage. */
@@ -16,12 +17,15 @@
 export function getUsageTimes(
   settings: fleetSettings.FleetSettings,
 ): usages.WindowTimes | undefined {
-  const { usageWindowMs: windowMs, usageLateMs: lateMs } = settings.bounds;
+  const { usageWindowS, usageLateS } = settings.bounds;
   const isAsked = settings.infrastructure?.duties.includes(USAGE_DUTY);
-  if (!isAsked || windowMs === undefined || lateMs === undefined) {
+  if (!isAsked || usageWindowS === undefined || usageLateS === undefined) {
     return undefined;
   }
-  return { windowMs, lateMs };
+  return {
+    windowMs: usageWindowS * MS_PER_SECOND,
+    lateMs: usageLateS * MS_PER_SECOND,
+  };
 }
 
 /**
--- a/src/fleet_settings/fleet_settings.ts
+++ b/src/fleet_settings/fleet_settings.ts
@@ -53,11 +53,11 @@
     resultsKeepMs: z.number().positive().describe(
       "How long results stay readable after the submission, in ms",
     ),
-    usageWindowMs: z.number().positive().optional().describe(
-      "Length of the windows in which usage is reported, in ms",
+    usageWindowS: z.number().positive().optional().describe(
+      "Length of the windows in which usage is reported, in s",
     ),
-    usageLateMs: z.number().positive().optional().describe(
-      "When the report of a window is due after its end, in ms",
+    usageLateS: z.number().positive().optional().describe(
+      "When the report of a window is due after its end, in s",
     ),
   }),
   infrastructure: z.strictObject({
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -104,10 +104,13 @@
   async #act(): Promise<void> {
     if (!this.#options.duty.canAct()) return;
     this.#isBusy = true;
-    await this.#closeDue();
-    this.#measureAge();
-    await this.#reportNext();
-    this.#isBusy = false;
+    try {
+      await this.#closeDue();
+      this.#measureAge();
+      await this.#reportNext();
+    } finally {
+      this.#isBusy = false;
+    }
   }
 
   #measureAge(): void {
