Read a request's head once; one type of scaling limits; no circle between usage and submissions

Found reading the whole change: the head of each routed request was parsed twice; CapacityLimits repeated the fields of Scaling; two classes forgot windows by the same loop; submissions imported usage, duty and capacity by their mod files, which import the dialect, which imports submissions. No behaviour changes.

--- a/src/capacity/plan_capacity.ts
+++ b/src/capacity/plan_capacity.ts
@@ -1,3 +1,5 @@
+import type * as trafficConfig from "../traffic_config/mod.ts";
+
 /** How an engine is paid for. */
 export type EngineKind =
   /** Stays until it is given back. */
@@ -17,15 +19,7 @@
   };
 
 /** What the operator allows, for each failure domain. */
-export interface CapacityLimits {
-  /** Engines of both kinds together. */
-  readonly minimum: number;
-  readonly maximum: number;
-  /** Price of a spot engine as a share of a lasting one's; undefined for none. */
-  readonly spotPrice: number | undefined;
-  /** Price of an engine by failure domain, against each other. */
-  readonly prices: ReadonlyMap<string, number>;
-}
+export type CapacityLimits = Omit<trafficConfig.Scaling, "bootMs">;
 
 /** The engines of a service in one failure domain. */
 export interface DomainEngines {
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -44,6 +44,7 @@
 /** A request and the configuration under which it is answered. */
 interface AskedRequest {
   readonly raw: dialects.RawRequest;
+  readonly head: dialects.RequestHead;
   readonly configuration: trafficConfig.Configuration;
   /** Host that the caller named, without a port. */
   readonly host: string;
@@ -93,7 +94,12 @@
         retryAfterMs: START_RETRY_MS,
       });
     }
-    const asked: AskedRequest = { raw, configuration, host: getHost(raw) };
+    const asked: AskedRequest = {
+      raw,
+      head: this.#options.dialect.parseRequestHead(raw.headers),
+      configuration,
+      host: getHost(raw),
+    };
     if (call.kind === "routed") {
       return await this.#serveRouted(asked, request, response);
     }
@@ -108,11 +114,11 @@
 
   /** Says whose request it is; a refusal is logged without its key. */
   #checkKey(
-    { raw, configuration, host }: AskedRequest,
+    { raw, head, configuration, host }: AskedRequest,
     allowsAnonymous: boolean,
   ): accounts.KeyVerdict {
-    const { dialect, log, metrics } = this.#options;
-    const { key, requestId } = dialect.parseRequestHead(raw.headers);
+    const { log, metrics } = this.#options;
+    const { key, requestId } = head;
     const verdict = accounts.checkKey(
       configuration.accounts,
       key,
@@ -152,7 +158,7 @@
   ): Promise<dialects.RawAnswer | undefined> {
     const { clock, dialect, log } = this.#options;
     const arrivedAtMs = clock.getMonotonicMs();
-    const { raw, configuration, host } = asked;
+    const { raw, head, configuration, host } = asked;
     const route = trafficConfig.matchRoute(configuration, host, raw.target);
     if (route === undefined) {
       log.write("info", "request.unrouted", {
@@ -164,7 +170,6 @@
     }
     const sender = this.#checkKey(asked, route.allowsAnonymous);
     if (sender.kind === "refused") return this.#refuseKey();
-    const head = dialect.parseRequestHead(raw.headers);
     if (head.requestId === undefined) {
       return this.#refuse("missingKey", "Cannot serve: the id is missing");
     }
--- a/src/submission/saved_parts.ts
+++ b/src/submission/saved_parts.ts
@@ -1,6 +1,6 @@
-import type * as capacity from "../capacity/mod.ts";
+import type * as capacityBooks from "../capacity/capacity_book.ts";
 import type * as registry from "../registry/mod.ts";
-import type * as usages from "../usage/mod.ts";
+import type * as usageBooks from "../usage/usage_book.ts";
 import type * as submissions from "./submission.ts";
 
 /** Characters of text that one part holds, unless one value is longer. */
@@ -26,8 +26,8 @@
     readonly retiring: readonly string[];
     readonly holder: string | undefined;
     readonly engines: readonly registry.RegisteredServer[];
-    readonly usage: usages.SavedUsage;
-    readonly capacity: capacity.SavedCapacity;
+    readonly usage: usageBooks.SavedUsage;
+    readonly capacity: capacityBooks.SavedCapacity;
   }
   | { readonly kind: "record"; readonly record: SavedRecord }
   | {
--- a/src/submission/submission_command.ts
+++ b/src/submission/submission_command.ts
@@ -1,8 +1,8 @@
-import type * as capacity from "../capacity/mod.ts";
+import type * as capacityBooks from "../capacity/capacity_book.ts";
 import type * as accounts from "../client_account/mod.ts";
-import type * as duties from "../duty/mod.ts";
+import type * as dutyHolders from "../duty/duty_holder.ts";
 import type * as registry from "../registry/mod.ts";
-import type * as usages from "../usage/mod.ts";
+import type * as usageBooks from "../usage/usage_book.ts";
 import type * as submissions from "./submission.ts";
 
 /** Results to list, in order. */
@@ -36,9 +36,9 @@
     readonly results: readonly RecordedResult[];
   }
   | { readonly kind: "keepTexts"; readonly texts: readonly TextToKeep[] }
-  | duties.NoteHolder
-  | usages.UsageCommand
-  | capacity.CapacityCommand
+  | dutyHolders.NoteHolder
+  | usageBooks.UsageCommand
+  | capacityBooks.CapacityCommand
   /** Notes which engines run, for a leader that has not heard them yet. */
   | {
     readonly kind: "keepEngines";
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,8 +1,8 @@
 import type * as consensus from "../consensus/mod.ts";
-import * as capacity from "../capacity/mod.ts";
+import * as capacityBooks from "../capacity/capacity_book.ts";
 import type * as accounts from "../client_account/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import * as usages from "../usage/mod.ts";
+import * as usageBooks from "../usage/usage_book.ts";
 import * as canSee from "./can_see.ts";
 import * as savedParts from "./saved_parts.ts";
 import type * as submissions from "./submission.ts";
@@ -41,8 +41,8 @@
 /** Submissions, their results and the named versions, under the stores' log. */
 export class SubmissionMachine implements consensus.Machine {
   readonly #onChange: () => void;
-  readonly #usage = new usages.UsageBook();
-  readonly #capacity = new capacity.CapacityBook();
+  readonly #usage = new usageBooks.UsageBook();
+  readonly #capacity = new capacityBooks.CapacityBook();
   #records = new Map<string, MutableRecord>();
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
@@ -72,12 +72,12 @@
   }
 
   /** What is agreed on about capacity. */
-  getCapacity(): capacity.CapacityBook {
+  getCapacity(): capacityBooks.CapacityBook {
     return this.#capacity;
   }
 
   /** What is agreed on about usage. */
-  getUsage(): usages.UsageBook {
+  getUsage(): usageBooks.UsageBook {
     return this.#usage;
   }
 
--- a/src/usage/usage_tally.ts
+++ b/src/usage/usage_tally.ts
@@ -64,9 +64,7 @@
 
   /** Forgets windows up to one that is agreed on. */
   forgetThrough(window: number): void {
-    for (const known of this.#windows.keys()) {
-      if (known <= window) this.#windows.delete(known);
-    }
+    deleteThrough(this.#windows, window);
   }
 }
 
@@ -102,8 +100,15 @@
 
   /** Forgets windows up to one that is agreed on. */
   forgetThrough(window: number): void {
-    for (const known of this.#windows.keys()) {
-      if (known <= window) this.#windows.delete(known);
-    }
+    deleteThrough(this.#windows, window);
+  }
+}
+
+function deleteThrough(
+  windows: Map<number, unknown>,
+  window: number,
+): void {
+  for (const known of windows.keys()) {
+    if (known <= window) windows.delete(known);
   }
 }
