Test of a torn write of several records, failing: the box does not start again

A write of several records that a loss of power tears in the middle leaves whole records after damaged bytes.

--- a/src/storage/storage_test.ts
+++ b/src/storage/storage_test.ts
@@ -64,6 +64,34 @@
     }
   });
 
+  // A box that lost power while it wrote several records at once would not start
+  // again: the pages of one write reach the disk in any order, so the first record
+  // was missing and a later one whole, which looks like damage of what was synced
+  // ("log.0 is damaged at byte 58 and has whole records after it"). Such a box is
+  // lost with all that its disk holds, though nothing of that write was confirmed.
+  it("cuts a write whose pages reached the disk in part, in any order", async () => {
+    const file = await writeRecords(2);
+    const before = fs.statSync(file).size;
+    const { log } = await durableLogs.DurableLog.open(folder, "box-1");
+    const long = "x".repeat(600_000);
+    await log.append([{ index: 2 }, { index: 3, long }, { index: 4 }]);
+    await log.close();
+    const whole = fs.readFileSync(file);
+    const last = whole.length - 1;
+    for (const at of [before, before + 20, before + 300_000, last]) {
+      const torn = Buffer.from(whole);
+      torn.fill(0, at, Math.min(at + 4_096, whole.length));
+      fs.writeFileSync(file, torn);
+      const { log: again, loaded } = await durableLogs.DurableLog.open(
+        folder,
+        "box-1",
+      );
+      await again.close();
+      chai.expect(loaded.records).to.deep.equal([{ index: 0 }, { index: 1 }]);
+      chai.expect(loaded.tornBytes).to.equal(whole.length - before);
+    }
+  });
+
   it("refuses the folder of another box", async () => {
     await writeRecords(1);
     chai.expect(
