Put all records of one write under one checksum, so that a torn write is cut

Cause: each record had its own checksum. Pages of an unsynced write reach the disk in any order, and Node splits writes above 512 KB, so a later record may be whole where an earlier one is lost; that was taken for damage of synced bytes and the box refused to start, for good. Ruled out: telling both apart by length or position; only the checksum says what was written together, and at most one write is unsynced at a time. Change: a write is one record; files of the format before are read on. Before: corruptLog at byte 86. Damage of synced records is refused as before.

--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -5,7 +5,9 @@
 import * as readRecords from "./_read_records.ts";
 import * as records from "./record.ts";
 
-const FORMAT_VERSION = 2;
+const FORMAT_VERSION = 3;
+/** Format before, in which each record of a write stands by itself. */
+const SINGLE_RECORDS_VERSION = 2;
 /** Bytes of a snapshot that are written at a time. */
 const WRITE_BYTES = 512 * 1024;
 /** A snapshot that is being written; nothing reads it before its rename. */
@@ -109,11 +111,15 @@
    * Appends records; they last once the promise resolves. A failed append
    * leaves the log as it was, so that it can be tried again.
    *
+   * All records of a write stand under one checksum: pages of an unsynced write
+   * reach the disk in any order, and a whole record after a lost one would look
+   * like damage of what was confirmed, after which a box never starts again.
+   *
    * @throws The error of the file system.
    */
   async append(records: readonly unknown[]): Promise<void> {
     if (records.length === 0) return;
-    const bytes = Buffer.concat(records.map(toBytes));
+    const bytes = toBytes(records);
     try {
       await this.#file.appendFile(bytes);
       await this.#file.datasync();
@@ -261,7 +267,11 @@
   const values: unknown[] = [];
   const { wholeBytes, restBytes, isDamaged } = readRecords.readRecords(
     name,
-    (payload) => values.push(parsePayload(payload)),
+    (payload) => {
+      const value = parsePayload(payload);
+      if (Array.isArray(value)) values.push(...value);
+      else values.push(value);
+    },
   );
   if (isDamaged) throw createCorruptError(name, wholeBytes);
   checkHeader(values[0] as FileHeader | undefined, name, owner);
@@ -278,7 +288,9 @@
   owner: string,
 ): void {
   if (header === undefined) throw createCorruptError(name, 0);
-  if (header.format === FORMAT_VERSION && header.owner === owner) return;
+  const isKnown = header.format === FORMAT_VERSION ||
+    header.format === SINGLE_RECORDS_VERSION;
+  if (isKnown && header.owner === owner) return;
   throw new results.FailureError({
     code: "wrongFolder",
     message:
