Tell what a replica is opened with, and when it is admitted

Cause: the record of four stores without a leader could not tell which replica counts in a quorum, nor what its disk held. Ruled out: telling admissions from the replica's step; the notices are told after the round's write, so `admitted` is only told once it lasts. No decision is changed. Each is told once; a leader that first hears a follower which counts tells nothing, since it did not feed it.

--- a/src/consensus/_notice_teller.ts
+++ b/src/consensus/_notice_teller.ts
@@ -1,17 +1,38 @@
+import type * as clocks from "../clock/mod.ts";
+import * as feedingWatches from "./_feeding_watch.ts";
 import type * as notices from "./replica_notice.ts";
+import type * as replicaOptions from "./replica_options.ts";
 import * as replicaStates from "./replica_state.ts";
 import * as replicaStatuses from "./replica_status.ts";
 
+/** What a teller needs. */
+type TellerOptions = Pick<
+  replicaOptions.ReplicaDriverOptions,
+  "clock" | "onNotice"
+>;
+
 /** Tells what changed about a replica since it was looked at last. */
 export class NoticeTeller {
+  readonly #clock: clocks.Clock;
   readonly #tell: notices.TakeNotice;
   #role = "";
   #voters = "";
   #hadAuthority = false;
+  #wasAdmitted: boolean;
+  readonly #openedAtMs: number;
+  readonly #feeding: feedingWatches.FeedingWatch;
 
-  /** @param tell Takes the notices; none are told unless given. */
-  constructor(tell: notices.TakeNotice = () => {}) {
-    this.#tell = tell;
+  /**
+   * @param options Where notices go; none are told unless `onNotice` is given.
+   * @param opened The replica as it was opened.
+   */
+  constructor(options: TellerOptions, opened: replicaStates.ReplicaState) {
+    const { clock, onNotice = () => {} } = options;
+    this.#clock = clock;
+    this.#tell = onNotice;
+    this.#wasAdmitted = opened.identity.isAdmitted;
+    this.#openedAtMs = clock.getMonotonicMs();
+    this.#feeding = new feedingWatches.FeedingWatch(onNotice);
   }
 
   /** Tells of a vote that was refused to this replica. */
@@ -23,13 +44,12 @@
   }
 
   /** Looks at the replica; tells each change once. */
-  observe(
-    state: replicaStates.ReplicaState,
-    hasAuthority: boolean,
-    nowMs: number,
-  ): void {
+  observe(state: replicaStates.ReplicaState, hasAuthority: boolean): void {
+    const nowMs = this.#clock.getMonotonicMs();
     this.#observeRole(state);
     this.#observeVoters(state);
+    this.#observeAdmission(state, nowMs);
+    this.#feeding.observe(state, nowMs);
     this.#observeAuthority(state, hasAuthority, nowMs);
   }
 
@@ -50,6 +70,19 @@
     this.#tell({ kind: "voters", voters, term: state.term });
   }
 
+  #observeAdmission(state: replicaStates.ReplicaState, nowMs: number): void {
+    const { identity, term, commitIndex } = state;
+    if (identity.isAdmitted === this.#wasAdmitted) return;
+    this.#wasAdmitted = identity.isAdmitted;
+    this.#tell({
+      kind: "admitted",
+      incarnation: identity.incarnation,
+      term,
+      index: commitIndex,
+      openedMs: Math.round(nowMs - this.#openedAtMs),
+    });
+  }
+
   #observeAuthority(
     state: replicaStates.ReplicaState,
     hasAuthority: boolean,
--- a/src/consensus/_open_replica.ts
+++ b/src/consensus/_open_replica.ts
@@ -1,7 +1,10 @@
 import * as storage from "../storage/mod.ts";
 import * as savedRecords from "./_saved_record.ts";
+import * as replicaLogs from "./replica_log.ts";
+import type * as notices from "./replica_notice.ts";
 import type * as replicaOptions from "./replica_options.ts";
 import type * as replicaStates from "./replica_state.ts";
+import * as replicaStatuses from "./replica_status.ts";
 import * as stepReplica from "./step_replica.ts";
 
 /** A replica as its data folder holds it. */
@@ -27,5 +30,27 @@
   if (snapshot !== undefined) machine.restore(snapshot.state);
   const saved = savedRecords.rebuildReplica(snapshot, [...records, ...made]);
   const nowMs = clock.getMonotonicMs();
-  return { log, state: stepReplica.createReplica(config, saved, nowMs) };
+  const state = stepReplica.createReplica(config, saved, nowMs);
+  options.onNotice?.(describeOpened(state, loaded.tornBytes));
+  return { log, state };
+}
+
+function describeOpened(
+  state: replicaStates.ReplicaState,
+  tornBytes: number,
+): notices.ReplicaNotice {
+  const { config, identity, term, votedFor, log } = state;
+  const lastIndex = replicaLogs.getLastIndex(log);
+  return {
+    kind: "opened",
+    id: config.id,
+    identity,
+    term,
+    votedFor,
+    set: replicaStatuses.describeVoterSet(state),
+    snapshotIndex: log.snapshotIndex,
+    lastIndex,
+    lastTerm: replicaLogs.getTermAt(log, lastIndex) ?? 0,
+    tornBytes,
+  };
 }
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -64,7 +64,7 @@
       state.log,
     );
     this.#snapshotIndex = state.log.snapshotIndex;
-    this.#teller = new noticeTellers.NoticeTeller(options.onNotice);
+    this.#teller = new noticeTellers.NoticeTeller(options, state);
   }
 
   /**
@@ -212,16 +212,11 @@
       for (const effect of effects) this.#runEffect(effect);
       yield* this.#takeDraft();
       this.#startDraft();
-      this.#tellChanges();
+      this.#teller.observe(this.#state, this.hasAuthority());
       this.#setTick();
     }
   }
 
-  #tellChanges(): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    this.#teller.observe(this.#state, this.hasAuthority(), nowMs);
-  }
-
   #stepRound(
     round: readonly driverEvents.DriverEvent[],
   ): readonly replicaStates.Effect[] {
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -5,6 +5,8 @@
 import * as clocks from "../clock/mod.ts";
 import * as listMachines from "./list_machine_test.ts";
 import * as makeDataFolder from "./make_data_folder.ts";
+import * as openReplicas from "./_open_replica.ts";
+import type * as notices from "./replica_notice.ts";
 import * as replicaDrivers from "./replica_driver.ts";
 
 describe("replica driver", () => {
@@ -73,6 +75,49 @@
     fs.rmSync(empty, { recursive: true, force: true });
   });
 
+  it("tells at its opening what its disk held, with the bytes that were cut off", async () => {
+    const own = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-opened-"));
+    await makeDataFolder.makeDataFolder({
+      folder: own,
+      owner: "a",
+      wallMs: 5,
+      voters: ["a", "b"],
+    });
+    fs.appendFileSync(path.join(own, "log.0"), Buffer.from([1, 2, 3]));
+    const told: notices.ReplicaNotice[] = [];
+    const { log } = await openReplicas.openReplica({
+      config: {
+        id: "a",
+        voters: [],
+        electionTimeoutMs: 50,
+        heartbeatMs: 10,
+        maxBatchEntries: 8,
+        seed: 1,
+      },
+      clock: new clocks.FakeClock(),
+      dataFolder: own,
+      machine: new listMachines.ListMachine(),
+      snapshotEntries: 16,
+      send: () => {},
+      onNotice: (notice) => told.push(notice),
+      onFatal: () => {},
+    });
+    await log.close();
+    chai.expect(told).to.deep.equal([{
+      kind: "opened",
+      id: "a",
+      identity: { incarnation: 5, isAdmitted: true },
+      term: 1,
+      votedFor: undefined,
+      set: { voters: ["a", "b"], index: 1, isCommitted: false },
+      snapshotIndex: 0,
+      lastIndex: 1,
+      lastTerm: 1,
+      tornBytes: 3,
+    }]);
+    fs.rmSync(own, { recursive: true, force: true });
+  });
+
   it("keeps every accepted command over stops under load, with snapshots in between", async () => {
     await makeDataFolder.makeDataFolder({ folder, owner: "a", wallMs: 1 });
     const accepted: string[] = [];
--- a/src/consensus/replica_notice.ts
+++ b/src/consensus/replica_notice.ts
@@ -1,4 +1,5 @@
 import type * as messages from "./message.ts";
+import type * as replicaStatuses from "./replica_status.ts";
 import type * as replicaStates from "./replica_state.ts";
 
 /** A voter and how long it has not answered, in ms. */
@@ -12,6 +13,42 @@
 
 /** What a replica does or learns that explains its group afterwards. */
 export type ReplicaNotice =
+  /** What the disk held when the replica was opened. */
+  | {
+    readonly kind: "opened";
+    readonly id: string;
+    readonly identity: messages.ReplicaIdentity;
+    readonly term: number;
+    readonly votedFor: string | undefined;
+    readonly set: replicaStatuses.VoterSet;
+    /** Last entry of the snapshot; all up to it is committed. */
+    readonly snapshotIndex: number;
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+    /** Bytes of a torn write that were cut off. */
+    readonly tornBytes: number;
+  }
+  /** This replica counts in a quorum from now on. */
+  | {
+    readonly kind: "admitted";
+    readonly incarnation: number;
+    readonly term: number;
+    /** Last entry known to be committed. */
+    readonly index: number;
+    /** Time since the replica was opened, in ms. */
+    readonly openedMs: number;
+  }
+  /** This leader learned that a follower which it fed counts. */
+  | {
+    readonly kind: "followerAdmitted";
+    readonly id: string;
+    readonly incarnation: number;
+    readonly term: number;
+    /** Last entry that the follower is known to hold. */
+    readonly index: number;
+    /** Time since this leader knew that it did not count, in ms. */
+    readonly fedMs: number;
+  }
   | {
     readonly kind: "role";
     readonly role: replicaStates.Role["kind"];
--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -1,5 +1,6 @@
 import * as replicaLogs from "./replica_log.ts";
-import type * as replicaStates from "./replica_state.ts";
+import * as replicaSets from "./replica_set.ts";
+import * as replicaStates from "./replica_state.ts";
 
 /** What others may know of a replica. */
 export interface ReplicaStatus {
@@ -21,6 +22,32 @@
   readonly isAdmitted: boolean;
 }
 
+/** Who votes, as the log of one replica says. */
+export interface VoterSet {
+  readonly voters: readonly string[];
+  /** Index of the entry that names them; 0 where none does. */
+  readonly index: number;
+  /** Whether the replica knows that entry to be committed. */
+  readonly isCommitted: boolean;
+}
+
+/**
+ * Tells who votes as a replica's log says, and since which entry.
+ *
+ * @param state The replica.
+ * @returns The set in force for this replica.
+ */
+export function describeVoterSet(
+  state: replicaStates.ReplicaState,
+): VoterSet {
+  const index = replicaSets.findReplicaSet(state.log)?.index ?? 0;
+  return {
+    voters: replicaStates.listVoters(state),
+    index,
+    isCommitted: index <= state.commitIndex,
+  };
+}
+
 /**
  * Gives the id of the leader, as far as a replica knows.
  *
--- a/src/replica_group/_describe_notice.ts
+++ b/src/replica_group/_describe_notice.ts
@@ -13,6 +13,27 @@
  */
 export function describeNotice(notice: consensus.ReplicaNotice): NoticeFields {
   switch (notice.kind) {
+    case "opened":
+      return {
+        id: notice.id,
+        incarnation: notice.identity.incarnation,
+        isAdmitted: notice.identity.isAdmitted,
+        term: notice.term,
+        votedFor: notice.votedFor,
+        ...describeSet(notice.set),
+        snapshotIndex: notice.snapshotIndex,
+        lastIndex: notice.lastIndex,
+        lastTerm: notice.lastTerm,
+        tornBytes: notice.tornBytes,
+      };
+    case "admitted": {
+      const { incarnation, term, index, openedMs } = notice;
+      return { incarnation, term, index, openedMs };
+    }
+    case "followerAdmitted": {
+      const { id, incarnation, term, index, fedMs } = notice;
+      return { id, incarnation, term, index, fedMs };
+    }
     case "role":
       return { role: notice.role, term: notice.term, leader: notice.leader };
     case "authority":
@@ -37,6 +58,16 @@
   }
 }
 
+function describeSet(
+  { voters, index, isCommitted }: consensus.VoterSet,
+): NoticeFields {
+  return {
+    voters: voters.join(","),
+    setIndex: index,
+    isSetCommitted: isCommitted,
+  };
+}
+
 function describeVoter(voter: consensus.SilentVoter): string {
   const { id, silentMs, isAdmitted, lag } = voter;
   const shown = Number.isFinite(silentMs) ? `${silentMs}ms` : "never";
