--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -82,9 +82,14 @@
       this.#transfers.delete(from);
       return;
     }
-    if (reply.received <= transfer.confirmed) return;
+    if (reply.received === transfer.confirmed) return;
+    // A replica that was started again holds none of what its former process
+    // confirmed; without going back its transfer never ends.
+    const hasLost = reply.received < transfer.confirmed;
     transfer.confirmed = reply.received;
-    transfer.sent = Math.max(transfer.sent, reply.received);
+    transfer.sent = hasLost
+      ? reply.received
+      : Math.max(transfer.sent, reply.received);
     transfer.movedAtMs = this.#options.clock.getMonotonicMs();
     this.#sendParts(from, term, transfer);
   }
