Tell an emptied voter from a whole one when voters are planned

Cause: the plan looked at silence alone. A voter that lost its disk answers heartbeats at once, but counts in no quorum until it is admitted. Of four voters the plan dropped a whole one, silent for 20 ms longer, and kept the emptied one; for one that is not admitted for long it fed and added no spare. Either leaves two admitted voters of three, and the next lost disk leaves one: no leader, for good, while all boxes answer. Ruled out: a spare that is not whole is still not added. Change: an emptied voter goes before a quiet one, and is replaced like a silent one once a spare holds all.

--- a/src/replica_group/plan_voters.ts
+++ b/src/replica_group/plan_voters.ts
@@ -58,8 +58,9 @@
   if (retiring.includes(self)) return undefined;
   const others = voters.filter((id) => id !== self);
   const dead = others.filter((id) => isDead(id, situation));
-  const emptied = others.filter((id) => retiring.includes(id));
-  const unwanted = [...dead, ...emptied];
+  const leaving = others.filter((id) => retiring.includes(id));
+  const emptied = others.filter((id) => isEmptied(id, situation));
+  const unwanted = [...dead, ...leaving, ...emptied];
   const fresh = findFresh(situation);
   if (voters.length > wanted) {
     const isEven = voters.length % 2 === 0;
@@ -87,7 +88,8 @@
   const { voters, wanted, retiring, candidates, self } = situation;
   const others = voters.filter((id) => id !== self);
   const doubtful = others.filter((id) =>
-    retiring.includes(id) || isDead(id, { ...situation, deadMs: DOUBT_MS })
+    retiring.includes(id) || isEmptied(id, situation) ||
+    isDead(id, { ...situation, deadMs: DOUBT_MS })
   );
   const missing = Math.max(0, wanted - voters.length);
   const leaving = doubtful.length + (retiring.includes(self) ? 1 : 0);
@@ -137,6 +139,16 @@
   return follower === undefined || follower.silentMs > situation.deadMs;
 }
 
+/**
+ * A voter that answers but counts in no quorum: it lost its disk. Taken for a
+ * whole one, it stayed in the set in the place of a whole one that was silent for
+ * 20 ms longer; one disk more then left one voter of three that counts.
+ */
+function isEmptied(id: string, situation: VoterSituation): boolean {
+  const follower = situation.followers.find((item) => item.id === id);
+  return follower !== undefined && !follower.isAdmitted;
+}
+
 /** A candidate that holds all that is committed. */
 function findFresh(situation: VoterSituation): string | undefined {
   const { candidates, voters, followers, commitIndex } = situation;
