Let an emptied replica whose clock was stepped back take a new incarnation

Cause: the incarnation is the time of day of the first start, and a leader passes over answers of a smaller one than it knows. An emptied replica with a smaller one stayed empty for as long as that leader led. Ruled out: taking any other incarnation for a new one; a late answer of the former self would then count entries that are gone (messages that cross a restart). Change: the leader tells such a replica the incarnation that it knows; if it is not admitted it takes the next one. The test's leader now has an entry of its own term committed, without which no replica is ever admitted; the rest of the test stands as it was.

--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -1,5 +1,6 @@
 import * as appendRequests from "./_append_requests.ts";
 import * as feedings from "./_feeding.ts";
+import * as formerSelves from "./_former_self.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -237,20 +238,6 @@
   };
 }
 
-/** A replica whose disk was lost holds nothing of what it held before. */
-function forgetFormerSelf(
-  known: replicaStates.Progress,
-  reply: messages.AppendReply,
-): replicaStates.Progress {
-  if (reply.identity.incarnation === known.identity.incarnation) return known;
-  return {
-    nextIndex: reply.index + 1,
-    matchIndex: 0,
-    answeredSentAtMs: Number.NEGATIVE_INFINITY,
-    identity: reply.identity,
-  };
-}
-
 /**
  * Goes back to where a follower's log ends. Only once for all that was sent
  * before: each of those messages is answered like the first one, and going back
@@ -284,9 +271,9 @@
   const known = role.progress.get(from);
   if (known === undefined) return { state, effects: [] };
   if (reply.identity.incarnation < known.identity.incarnation) {
-    return { state, effects: [] };
+    return formerSelves.refuseAnswer(state, from, known, reply);
   }
-  const old = forgetFormerSelf(known, reply);
+  const old = formerSelves.forgetFormerSelf(known, reply);
   const answeredSentAtMs = Math.max(old.answeredSentAtMs, reply.sentAtMs);
   const { identity } = reply;
   const heard = { ...old, identity, answeredSentAtMs };
--- a/src/consensus/clock_step_test.ts
+++ b/src/consensus/clock_step_test.ts
@@ -22,6 +22,7 @@
 /** The leader keeps its authority throughout. */
 const LONG_MS = 60_000;
 
+/** A leader that has committed all entries, the last one in its own term. */
 function createLeader(): replicaStates.ReplicaState {
   const leader = leaderFixtures.createLeader({
     term: 1,
@@ -36,8 +37,11 @@
       })),
     ),
   });
+  if (leader.role.kind !== "leader") throw new Error("a does not lead");
   return {
     ...leader,
+    commitIndex: ENTRIES,
+    role: { ...leader.role, firstIndex: ENTRIES },
     config: { ...leader.config, electionTimeoutMs: LONG_MS },
   };
 }
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -18,6 +18,7 @@
   compactChance: 0,
   transferChance: 0,
   wipeChance: 0,
+  clockStepChance: 0,
   spares: 0,
   memberChance: 0,
 };
@@ -32,6 +33,7 @@
   compactChance: 5,
   transferChance: 5,
   wipeChance: 0,
+  clockStepChance: 0,
   spares: 0,
   memberChance: 0,
 };
@@ -286,6 +288,22 @@
     chai.expect(committed).to.be.greaterThan(SCHEDULES * 10);
   });
 
+  it("loses nothing when clocks are stepped back before disks come back empty", () => {
+    let committed = 0;
+    for (let seed = 1; seed <= SCHEDULES; seed += 1) {
+      const replicas = seed % 2 === 0 ? 3 : 5;
+      const schedule = {
+        ...ROUGH,
+        replicas,
+        seed,
+        wipeChance: 500,
+        clockStepChance: 500,
+      };
+      committed += new simulations.Simulation(schedule).run().committed;
+    }
+    chai.expect(committed).to.be.greaterThan(SCHEDULES * 10);
+  });
+
   it("keeps every invariant while voters are added, removed and wiped", () => {
     let sets = 0;
     let committed = 0;
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -86,6 +86,17 @@
   readonly term: number;
 }
 
+/**
+ * Tells a replica without a disk of before that its incarnation is not above the
+ * one that the leader knows, as after a clock that was stepped back.
+ */
+export interface RenewRequest {
+  readonly kind: "renewRequest";
+  readonly term: number;
+  /** Incarnation of the replica's former self. */
+  readonly incarnation: number;
+}
+
 /** Carries a part of a snapshot; drivers join them to a snapshot request. */
 export interface SnapshotPart {
   readonly kind: "snapshotPart";
@@ -119,4 +130,5 @@
   | AppendRequest
   | AppendReply
   | SnapshotRequest
-  | TransferRequest;
+  | TransferRequest
+  | RenewRequest;
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -17,6 +17,8 @@
   readonly transferChance: number;
   /** Chance that a crashed replica comes back with an empty disk. */
   readonly wipeChance: number;
+  /** Chance that the clock was stepped back before a disk came back empty. */
+  readonly clockStepChance: number;
   /** Replicas beside the founding ones, which begin with empty disks. */
   readonly spares: number;
   /** Chance that a leader tries to add or remove a voter. */
@@ -51,10 +53,11 @@
   applied: readonly string[];
 }
 
-const SPARE_RECORD: savedRecords.SavedRecord = {
-  kind: "identity",
-  identity: { incarnation: 0, isAdmitted: false },
-};
+/** Makes the disk of a replica that must catch up before it counts. */
+export function createEmptyDisk(incarnation: number): Disk {
+  const identity = { incarnation, isAdmitted: false };
+  return { snapshot: undefined, records: [{ kind: "identity", identity }] };
+}
 
 /** How a replica begins. */
 export interface NodeOptions {
@@ -74,12 +77,12 @@
   return {
     config,
     rate,
-    disk: {
-      snapshot: undefined,
-      records: founders.includes(config.id)
-        ? savedRecords.createFounding(founders, 0)
-        : [SPARE_RECORD],
-    },
+    disk: founders.includes(config.id)
+      ? {
+        snapshot: undefined,
+        records: savedRecords.createFounding(founders, 0),
+      }
+      : createEmptyDisk(0),
     wipedAt: 0,
     state: undefined,
     appliedIndex: 0,
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -136,11 +136,11 @@
     const others = this.#nodes.filter((other) => other !== node);
     if (others.some((other) => other.wipedAt > other.appliedIndex)) return;
     node.wipedAt = highest;
-    const identity = { incarnation: this.#nowMs, isAdmitted: false };
-    node.disk = {
-      snapshot: undefined,
-      records: [{ kind: "identity", identity }],
-    };
+    const { clockStepChance } = this.#options;
+    const isStepped = clockStepChance > 0 && this.#happens(clockStepChance);
+    node.disk = simulatedNodes.createEmptyDisk(
+      isStepped ? this.#draw(this.#nowMs) : this.#nowMs,
+    );
   }
 
   #restart(node: simulatedNodes.SimulatedNode): void {
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -128,6 +128,8 @@
       return elections.handleVoteReply(state, from, message, nowMs);
     case "transferRequest":
       return elections.handleTransferRequest(state, message, nowMs);
+    case "renewRequest":
+      return renewIdentity(state, message);
     case "appendRequest":
     case "snapshotRequest":
       return followLeader(state, from, message, nowMs);
@@ -139,6 +141,22 @@
   }
 }
 
+/** Takes an incarnation above the former self's, unless it counts already. */
+function renewIdentity(
+  state: replicaStates.ReplicaState,
+  request: messages.RenewRequest,
+): replicaStates.Transition {
+  const { incarnation, isAdmitted } = state.identity;
+  const isDue = request.term === state.term && !isAdmitted &&
+    incarnation < request.incarnation;
+  if (!isDue) return { state, effects: [] };
+  const identity = { incarnation: request.incarnation + 1, isAdmitted };
+  return {
+    state: { ...state, identity },
+    effects: [{ kind: "saveIdentity", identity }],
+  };
+}
+
 function followLeader(
   state: replicaStates.ReplicaState,
   from: string,
