--- /dev/null
+++ b/src/submission/read_retire_test.ts
@@ -0,0 +1,81 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import type * as consensus from "../consensus/mod.ts";
+import * as csp from "../csp/mod.ts";
+import * as logs from "../log/mod.ts";
+import type * as replicaGroups from "../replica_group/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+import * as protocol from "./protocol.ts";
+import * as machines from "./submission_machine.ts";
+import * as services from "./submission_service.ts";
+
+/*
+ * A box that is told as emptied is taken away at once, with its disk. The set of
+ * voters in the leader's log counts from the moment at which it is appended, before
+ * it is on any disk. Told on such a set, the box was gone while the disks could
+ * still hold the set of four with it: of the three others, all are then needed for
+ * a quorum, and the next lost disk leaves the group without a leader for good.
+ */
+
+const RETIRED = "r";
+const SET_INDEX = 101;
+const COMMIT_INDEX = 100;
+
+function createFollower(id: string): consensus.FollowerStatus {
+  return { id, matchIndex: COMMIT_INDEX, silentMs: 20, isAdmitted: true };
+}
+
+/** A leader whose log names three voters without the box to be emptied. */
+function createGroup(isCommitted: boolean) {
+  const voters = ["a", "b", "c"];
+  const group = {
+    hasAuthority: () => true,
+    listVoters: () => voters,
+    getVoterSet: () => ({ voters, index: SET_INDEX, isCommitted }),
+    getStatus: () => ({
+      role: "leader",
+      term: 3,
+      leader: "a",
+      commitIndex: COMMIT_INDEX,
+      lastIndex: SET_INDEX,
+      followers: ["b", "c", RETIRED].map(createFollower),
+    }),
+  };
+  return group as unknown as replicaGroups.ReplicaGroup;
+}
+
+function readRetire(isCommitted: boolean): unknown {
+  const methods = new Map<string, rpc.RpcHandler>();
+  const machine = new machines.SubmissionMachine(() => {});
+  machine.apply({ kind: "retireBox", box: RETIRED });
+  new services.SubmissionService({
+    clock: new clocks.FakeClock(),
+    log: new logs.Log("box", "error", () => {}),
+    server: { add: (name, method) => methods.set(name, method) },
+    group: createGroup(isCommitted),
+    barrier: {} as replicaGroups.ReadBarrier,
+    getFailureDomain: () => undefined,
+    id: "a",
+    machine,
+    changed: new csp.Signal(),
+    wantedVoters: 3,
+    listStores: () => ["a", "b", "c"],
+  });
+  return methods.get(protocol.METHODS.readRetire)?.({ box: RETIRED } as never);
+}
+
+describe("the state of a box that is to be emptied", () => {
+  it("is completed once the set of voters without it is committed", () => {
+    chai.expect(readRetire(true)).to.deep.equal({
+      kind: "done",
+      value: "completed",
+    });
+  });
+
+  it("is running while that set is in the leader's log only", () => {
+    chai.expect(readRetire(false)).to.deep.equal({
+      kind: "done",
+      value: "running",
+    });
+  });
+});
