Tell a box as emptied only once the set of voters without it is committed

Cause: the state read the newest set of the leader's log, which counts from the moment it is appended; it may be on no disk yet, and lost with the next loss of power, while the box that was told as emptied is gone with its disk. The disks then hold a set of four of which one is gone for good. Looked for elsewhere: handovers and near reads also go by the newest set; both are checked again where they arrive (votes, read barrier), so nothing else changed. Before: completed. After: running until it is committed.

--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -153,6 +153,11 @@
     return this.#driver?.listVoters() ?? [];
   }
 
+  /** Who votes, and whether that is committed; undefined before the start. */
+  getVoterSet(): consensus.VoterSet | undefined {
+    return this.#driver?.getVoterSet();
+  }
+
   /** Id of the leader, as far as this replica knows. */
   getLeader(): string | undefined {
     return this.#driver?.getLeader();
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -204,7 +204,11 @@
     return reply.kind === "done" ? { kind: "done", value: "running" } : reply;
   }
 
-  /** A box is empty once the voters without it are whole and caught up. */
+  /**
+   * A box is empty once the voters without it are whole and caught up. They must
+   * be committed: the box goes at once, and where the disks still held a set of
+   * four with it, the next lost disk would leave no quorum of that set.
+   */
   #readRetire(
     request: protocol.RetireRequest,
   ): protocol.LeaderReply<protocol.RetireState> {
@@ -216,7 +220,11 @@
     if (!machine.listRetiring().includes(request.box)) {
       return { kind: "unknown" };
     }
-    const voters = group.listVoters();
+    const set = group.getVoterSet();
+    if (set === undefined || !set.isCommitted) {
+      return { kind: "done", value: "running" };
+    }
+    const { voters } = set;
     const whole = status.followers.filter((follower) =>
       voters.includes(follower.id) && follower.isAdmitted &&
       follower.matchIndex >= status.commitIndex &&
