Tell how followers are fed, that no leader is known, and whether a set is agreed

Cause: without a leader, a store told neither its role, its log's end, its voters nor what they answered; a leader told nothing of a voter that is never admitted. Ruled out: telling `leaderless` from the rounds alone: a round that waits for a write without end would tell nothing, so a timer of the driver looks too and the line shows how long the write under way lasts. A line each 2 s from each replica: spares that no leader feeds would write for ever, so one that is not in its own set tells after 2, 4, 8 s and so on up to 60 s. A line for each follower: one line lists them all. Change: `replica.feeding` (each 1 s at most), `replica.leaderless` (each 2 s, level warn; also of a leader by role that gains no authority), `replica.voters` with the index of the set and whether it is committed, told again once it is. Answers to vote requests are kept of voters only, one each. No decision is changed; `trimLog` moved from the driver to the state, as it was.

--- a/src/consensus/_durable_writer.ts
+++ b/src/consensus/_durable_writer.ts
@@ -12,6 +12,8 @@
   readonly #log: storage.DurableLog;
   readonly #clock: clocks.Clock;
   #isStopped = false;
+  /** When the write under way began, in monotonic ms. */
+  #writingSinceMs: number | undefined;
 
   constructor(log: storage.DurableLog, clock: clocks.Clock) {
     this.#log = log;
@@ -20,7 +22,7 @@
 
   /** Appends records, again and again while the disk is full. */
   *append(records: readonly savedRecords.SavedRecord[]): csp.Step<void> {
-    yield* this.#retry(() => this.#log.append(records));
+    yield* this.#measure(this.#retry(() => this.#log.append(records)));
   }
 
   /** Replaces the log by a snapshot, again and again while the disk is full. */
@@ -28,7 +30,9 @@
     snapshot: messages.Snapshot,
     records: readonly savedRecords.SavedRecord[],
   ): csp.Step<void> {
-    yield* this.#retry(() => this.#log.compact(toStored(snapshot), records));
+    yield* this.#measure(
+      this.#retry(() => this.#log.compact(toStored(snapshot), records)),
+    );
   }
 
   /**
@@ -51,7 +55,7 @@
     records: readonly savedRecords.SavedRecord[],
   ): csp.Step<boolean> {
     try {
-      yield* csp.waitFor(this.#log.takeDraft(records));
+      yield* this.#measure(csp.waitFor(this.#log.takeDraft(records)));
       return true;
     } catch (error) {
       if (storage.isDiskFull(error)) return false;
@@ -59,6 +63,12 @@
     }
   }
 
+  /** How long the write under way has lasted, in ms; 0 for none. */
+  getWritingMs(): number {
+    if (this.#writingSinceMs === undefined) return 0;
+    return Math.round(this.#clock.getMonotonicMs() - this.#writingSinceMs);
+  }
+
   /** Waits for a disk no longer; what is under way is not finished. */
   stop(): void {
     this.#isStopped = true;
@@ -68,6 +78,16 @@
     return this.#log.close();
   }
 
+  /** Keeps since when a write that the replica waits for is under way. */
+  *#measure<T>(write: csp.Step<T>): csp.Step<T> {
+    this.#writingSinceMs = this.#clock.getMonotonicMs();
+    try {
+      return yield* write;
+    } finally {
+      this.#writingSinceMs = undefined;
+    }
+  }
+
   *#retry(write: () => Promise<void>): csp.Step<void> {
     while (!this.#isStopped) {
       try {
--- a/src/consensus/_notice_teller.ts
+++ b/src/consensus/_notice_teller.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../clock/mod.ts";
 import * as feedingWatches from "./_feeding_watch.ts";
+import * as leaderWatches from "./_leader_watch.ts";
 import type * as notices from "./replica_notice.ts";
 import type * as replicaOptions from "./replica_options.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -21,6 +22,7 @@
   #wasAdmitted: boolean;
   readonly #openedAtMs: number;
   readonly #feeding: feedingWatches.FeedingWatch;
+  readonly #leader: leaderWatches.LeaderWatch;
 
   /**
    * @param options Where notices go; none are told unless `onNotice` is given.
@@ -33,14 +35,35 @@
     this.#wasAdmitted = opened.identity.isAdmitted;
     this.#openedAtMs = clock.getMonotonicMs();
     this.#feeding = new feedingWatches.FeedingWatch(onNotice);
+    this.#leader = new leaderWatches.LeaderWatch(this.#openedAtMs, onNotice);
   }
 
-  /** Tells of a vote that was refused to this replica. */
-  tellRefusal(event: replicaStates.ReplicaEvent): void {
+  /** Notes an answer to a vote request, and tells of a refusal. */
+  noteEvent(
+    state: replicaStates.ReplicaState,
+    event: replicaStates.ReplicaEvent,
+  ): void {
     if (event.kind !== "message" || event.message.kind !== "voteReply") return;
-    const { refusal: reason, term } = event.message;
+    const { from, message: reply } = event;
+    this.#leader.noteAnswer(state, from, reply, this.#clock.getMonotonicMs());
+    const { refusal: reason, term } = reply;
     if (reason === undefined) return;
-    this.#tell({ kind: "voteRefused", by: event.from, term, reason });
+    this.#tell({ kind: "voteRefused", by: from, term, reason });
+  }
+
+  /**
+   * Looks whether the replica knows a leader, also while it waits for a write,
+   * which may not end; tells at intervals that it knows none.
+   *
+   * @param writingMs How long the write under way has lasted, in ms.
+   */
+  observeLeader(
+    state: replicaStates.ReplicaState,
+    hasAuthority: boolean,
+    writingMs: number,
+  ): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#leader.observe(state, hasAuthority, nowMs, writingMs);
   }
 
   /** Looks at the replica; tells each change once. */
@@ -50,6 +73,7 @@
     this.#observeVoters(state);
     this.#observeAdmission(state, nowMs);
     this.#feeding.observe(state, nowMs);
+    this.#leader.observe(state, hasAuthority, nowMs, 0);
     this.#observeAuthority(state, hasAuthority, nowMs);
   }
 
@@ -63,11 +87,12 @@
   }
 
   #observeVoters(state: replicaStates.ReplicaState): void {
-    const voters = replicaStates.listVoters(state);
-    const shown = voters.join(",");
+    const set = replicaStatuses.describeVoterSet(state);
+    if (set.voters.length === 0) return;
+    const shown = `${set.voters.join(",")} ${set.index} ${set.isCommitted}`;
     if (shown === this.#voters) return;
     this.#voters = shown;
-    this.#tell({ kind: "voters", voters, term: state.term });
+    this.#tell({ kind: "voters", set, term: state.term });
   }
 
   #observeAdmission(state: replicaStates.ReplicaState, nowMs: number): void {
--- /dev/null
+++ b/src/consensus/leader_watch_test.ts
@@ -0,0 +1,111 @@
+import * as chai from "chai";
+import * as leaderFixtures from "./leader_fixture_test.ts";
+import * as fixtures from "./notice_fixture_test.ts";
+import type * as notices from "./replica_notice.ts";
+import type * as replicaStates from "./replica_state.ts";
+
+describe("watch for a leader", () => {
+  it("tells each 2 s that no leader is known, with the last answer of each voter", () => {
+    const candidate: replicaStates.ReplicaState = {
+      ...fixtures.createFollower(fixtures.ADMITTED),
+      role: { kind: "preCandidate", votes: new Set(["a"]) },
+    };
+    const recorder = new fixtures.NoticeRecorder(candidate);
+    recorder.clock.extendBy(1_500);
+    recorder.answerVote(candidate, {
+      isPreVote: true,
+      isGranted: false,
+      refusal: "notAdmitted",
+    });
+    recorder.clock.extendBy(499);
+    recorder.observeLeader(candidate);
+    chai.expect(recorder.list("leaderless")).to.deep.equal([]);
+    recorder.clock.extendBy(1);
+    recorder.observeLeader(candidate, 70);
+    recorder.observeLeader(candidate, 70);
+    const expected: notices.ReplicaNotice = {
+      kind: "leaderless",
+      role: "preCandidate",
+      term: 3,
+      sinceMs: 2_000,
+      isAdmitted: true,
+      lastIndex: 0,
+      lastTerm: 0,
+      commitIndex: 0,
+      set: { voters: ["a", "b", "c"], index: 0, isCommitted: true },
+      asked: [
+        {
+          id: "b",
+          answer: {
+            kind: "refused",
+            isPreVote: true,
+            reason: "notAdmitted",
+            ageMs: 500,
+          },
+        },
+        { id: "c", answer: { kind: "none" } },
+      ],
+      writingMs: 70,
+    };
+    chai.expect(recorder.list("leaderless")).to.deep.equal([expected]);
+    recorder.answerVote(candidate, { isPreVote: false, isGranted: true });
+    recorder.clock.extendBy(2_000);
+    recorder.observeLeader(candidate);
+    const [, second] = recorder.list("leaderless");
+    chai.expect(second?.asked[0]?.answer).to.deep.equal({
+      kind: "granted",
+      isPreVote: false,
+      ageMs: 2_000,
+    });
+  });
+
+  it("tells anew from the time at which a leader was known last", () => {
+    const follower = fixtures.createFollower(fixtures.ADMITTED);
+    const recorder = new fixtures.NoticeRecorder(follower);
+    recorder.clock.extendBy(1_900);
+    const heard = { ...follower, heardAtMs: recorder.clock.getMonotonicMs() };
+    recorder.observeLeader(heard);
+    recorder.clock.extendBy(1_900);
+    recorder.observeLeader(heard);
+    chai.expect(recorder.list("leaderless")).to.deep.equal([]);
+    recorder.clock.extendBy(100);
+    recorder.observeLeader(heard);
+    chai.expect(recorder.list("leaderless")).to.have.length(1);
+  });
+
+  it("tells of a leader that gains no authority, but not of one that has it", () => {
+    const leader = fixtures.createLeader();
+    const recorder = new fixtures.NoticeRecorder(leader);
+    recorder.clock.extendBy(5_000);
+    recorder.observe(leader, true);
+    recorder.clock.extendBy(1_999);
+    recorder.observe(leader);
+    chai.expect(recorder.list("leaderless")).to.deep.equal([]);
+    recorder.clock.extendBy(1);
+    recorder.observe(leader);
+    chai.expect(recorder.list("leaderless").map(({ role }) => role)).to.deep
+      .equal([
+        "leader",
+      ]);
+  });
+
+  it("tells ever more seldom of a replica that votes nowhere", () => {
+    const spare: replicaStates.ReplicaState = {
+      ...fixtures.createFollower(fixtures.EMPTIED),
+      config: { ...leaderFixtures.CONFIG, voters: [] },
+    };
+    const recorder = new fixtures.NoticeRecorder(spare);
+    const minutes = 10;
+    for (let second = 0; second < minutes * 60; second += 1) {
+      recorder.clock.extendBy(1_000);
+      recorder.observeLeader(spare);
+    }
+    const told = recorder.list("leaderless").map(({ sinceMs }) =>
+      sinceMs / 1_000
+    );
+    chai.expect(told.slice(0, 6)).to.deep.equal([2, 4, 8, 16, 32, 64]);
+    chai.expect(told.slice(6)).to.deep.equal(
+      [124, 184, 244, 304, 364, 424, 484, 544],
+    );
+  });
+});
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -20,6 +20,8 @@
 import * as stepReplica from "./step_replica.ts";
 
 const INBOX_CAPACITY = 8_192;
+/** Between two looks whether a leader is known, in ms. */
+const WATCH_MS = 1_000;
 
 /** Runs one replica: its disk, its messages and its timer. */
 export class ReplicaDriver {
@@ -193,6 +195,15 @@
   #start(): void {
     this.#ended = csp.runProcess(() => this.#run(), this.#options.onFatal);
     this.#setTick();
+    this.#watchLeader();
+  }
+
+  /** Looks for a leader, also while a round waits for its write. */
+  #watchLeader(): void {
+    if (this.#isStopped) return;
+    const writingMs = this.#writer.getWritingMs();
+    this.#teller.observeLeader(this.#state, this.hasAuthority(), writingMs);
+    this.#options.clock.startTimer(WATCH_MS, () => this.#watchLeader());
   }
 
   #setTick(): void {
@@ -245,7 +256,7 @@
   }
 
   #step(event: replicaStates.ReplicaEvent): readonly replicaStates.Effect[] {
-    this.#teller.tellRefusal(event);
+    this.#teller.noteEvent(this.#state, event);
     const nowMs = this.#options.clock.getMonotonicMs();
     const transition = stepReplica.stepReplica(this.#state, event, nowMs);
     this.#state = transition.state;
@@ -320,15 +331,10 @@
   }
 
   *#trim(index: number): csp.Step<void> {
-    const { snapshotEntries } = this.#options;
     const records = savedRecords.createRest(this.#state, index);
     if (!(yield* this.#writer.takeDraft(records))) return;
     this.#snapshotIndex = index;
-    const { log } = this.#state;
-    const keptFrom = index - Math.floor(snapshotEntries / 2);
-    this.#state = {
-      ...this.#state,
-      log: replicaLogs.compactLog(log, Math.max(keptFrom, log.snapshotIndex)),
-    };
+    const keptFrom = index - Math.floor(this.#options.snapshotEntries / 2);
+    this.#state = replicaStates.trimLog(this.#state, keptFrom);
   }
 }
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -118,6 +118,35 @@
     fs.rmSync(own, { recursive: true, force: true });
   });
 
+  it("tells that it knows no leader, without waiting for a round", async () => {
+    const own = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-alone-"));
+    const clock = new clocks.FakeClock();
+    const told: string[] = [];
+    const driver = await replicaDrivers.ReplicaDriver.open({
+      config: {
+        id: "a",
+        voters: ["a", "b", "c"],
+        electionTimeoutMs: 50,
+        heartbeatMs: 10,
+        maxBatchEntries: 8,
+        seed: 1,
+      },
+      clock,
+      dataFolder: own,
+      machine: new listMachines.ListMachine(),
+      snapshotEntries: 16,
+      send: () => {},
+      onNotice: (notice) => told.push(notice.kind),
+      onFatal: () => {},
+    });
+    clock.extendBy(6_000);
+    chai.expect(told).to.deep.equal(
+      ["opened", "leaderless", "leaderless", "leaderless"],
+    );
+    await driver.stop();
+    fs.rmSync(own, { recursive: true, force: true });
+  });
+
   it("keeps every accepted command over stops under load, with snapshots in between", async () => {
     await makeDataFolder.makeDataFolder({ folder, owner: "a", wallMs: 1 });
     const accepted: string[] = [];
--- a/src/consensus/replica_notice.ts
+++ b/src/consensus/replica_notice.ts
@@ -11,6 +11,51 @@
   readonly isAdmitted: boolean;
 }
 
+/** A follower that does not count in a quorum, as its leader sees it. */
+export type FeedingFollower =
+  /** It has not answered since this leader began to feed it. */
+  | {
+    readonly kind: "unheard";
+    readonly id: string;
+    readonly isVoter: boolean;
+    readonly sinceMs: number;
+  }
+  | {
+    readonly kind: "fed";
+    readonly id: string;
+    readonly isVoter: boolean;
+    readonly incarnation: number;
+    /** Entries that it lacks. */
+    readonly lag: number;
+    /** Entries that it confirmed since the last notice. */
+    readonly confirmed: number;
+    readonly silentMs: number;
+    /** Time since this leader knew that it did not count, in ms. */
+    readonly fedMs: number;
+  };
+
+/** What a voter answered last to a replica that asked for its vote. */
+export type VoteAnswer =
+  | { readonly kind: "none" }
+  | {
+    readonly kind: "granted";
+    readonly isPreVote: boolean;
+    readonly ageMs: number;
+  }
+  | {
+    readonly kind: "refused";
+    readonly isPreVote: boolean;
+    /** Undefined where the voter gave none. */
+    readonly reason: messages.VoteRefusal | undefined;
+    readonly ageMs: number;
+  };
+
+/** A voter and its last answer. */
+export interface AskedVoter {
+  readonly id: string;
+  readonly answer: VoteAnswer;
+}
+
 /** What a replica does or learns that explains its group afterwards. */
 export type ReplicaNotice =
   /** What the disk held when the replica was opened. */
@@ -63,11 +108,35 @@
     /** Voters, the most silent ones first; they explain a loss. */
     readonly silent: readonly SilentVoter[];
   }
+  /** Another set holds at this replica, or it learned that its set is agreed. */
   | {
     readonly kind: "voters";
-    readonly voters: readonly string[];
+    readonly set: replicaStatuses.VoterSet;
     readonly term: number;
   }
+  /** Told at intervals while a leader has followers that do not count. */
+  | {
+    readonly kind: "feeding";
+    readonly term: number;
+    readonly lastIndex: number;
+    readonly followers: readonly FeedingFollower[];
+  }
+  /** Told at intervals while a replica knows no leader that may act. */
+  | {
+    readonly kind: "leaderless";
+    readonly role: replicaStates.Role["kind"];
+    readonly term: number;
+    /** Time since a leader was known, in ms. */
+    readonly sinceMs: number;
+    readonly isAdmitted: boolean;
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+    readonly commitIndex: number;
+    readonly set: replicaStatuses.VoterSet;
+    readonly asked: readonly AskedVoter[];
+    /** How long the write under way has lasted, in ms; 0 for none. */
+    readonly writingMs: number;
+  }
   | {
     readonly kind: "voteRefused";
     readonly by: string;
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -1,5 +1,5 @@
 import type * as messages from "./message.ts";
-import type * as replicaLogs from "./replica_log.ts";
+import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 
 /** What does not change while a replica runs. */
@@ -185,6 +185,19 @@
   return [...new Set(all)].filter((id) => id !== state.config.id);
 }
 
+/**
+ * Drops the entries up to an index, which a snapshot covers.
+ *
+ * @param state The replica.
+ * @param index Last entry to drop; none are dropped where that was done before.
+ * @returns The replica with a shorter log.
+ */
+export function trimLog(state: ReplicaState, index: number): ReplicaState {
+  const { log } = state;
+  const last = Math.max(index, log.snapshotIndex);
+  return { ...state, log: replicaLogs.compactLog(log, last) };
+}
+
 /** What a leader takes for known of a replica that it has not heard. */
 export function createProgress(nextIndex: number): Progress {
   return {
--- a/src/replica_group/_describe_notice.ts
+++ b/src/replica_group/_describe_notice.ts
@@ -1,10 +1,16 @@
 import type * as consensus from "../consensus/mod.ts";
+import type * as logs from "../log/mod.ts";
 
 /** Fields of a log line. */
 export type NoticeFields = Readonly<
   Record<string, string | number | boolean | undefined>
 >;
 
+/** Says how loud a notice is told: without a leader no call is served. */
+export function chooseLevel(notice: consensus.ReplicaNotice): logs.LogLevel {
+  return notice.kind === "leaderless" ? "warn" : "info";
+}
+
 /**
  * Gives a notice of a replica as fields of a log line.
  *
@@ -44,7 +50,26 @@
         silent: notice.silent.map(describeVoter).join(","),
       };
     case "voters":
-      return { term: notice.term, voters: notice.voters.join(",") };
+      return { term: notice.term, ...describeSet(notice.set) };
+    case "feeding":
+      return {
+        term: notice.term,
+        lastIndex: notice.lastIndex,
+        followers: notice.followers.map(describeFollower).join(","),
+      };
+    case "leaderless":
+      return {
+        role: notice.role,
+        term: notice.term,
+        sinceMs: notice.sinceMs,
+        isAdmitted: notice.isAdmitted,
+        lastIndex: notice.lastIndex,
+        lastTerm: notice.lastTerm,
+        commitIndex: notice.commitIndex,
+        ...describeSet(notice.set),
+        asked: notice.asked.map(describeAsked).join(","),
+        writingMs: notice.writingMs,
+      };
     case "voteRefused":
       return { by: notice.by, term: notice.term, reason: notice.reason };
     case "snapshotSent": {
@@ -73,3 +98,33 @@
   const shown = Number.isFinite(silentMs) ? `${silentMs}ms` : "never";
   return `${id}:${shown}:lag${lag}${isAdmitted ? "" : ":notAdmitted"}`;
 }
+
+function describeFollower(follower: consensus.FeedingFollower): string {
+  const { kind, id, isVoter } = follower;
+  const name = isVoter ? id : `${id}:spare`;
+  switch (kind) {
+    case "unheard":
+      return `${name}:unheard${follower.sinceMs}ms`;
+    case "fed": {
+      const { lag, confirmed, silentMs, fedMs } = follower;
+      return `${name}:lag${lag}:confirmed${confirmed}:silent${silentMs}ms:fed${fedMs}ms`;
+    }
+  }
+}
+
+function describeAsked({ id, answer }: consensus.AskedVoter): string {
+  switch (answer.kind) {
+    case "none":
+      return `${id}:none`;
+    case "granted":
+      return `${id}:${nameVote(answer.isPreVote)}Granted:${answer.ageMs}ms`;
+    case "refused": {
+      const { isPreVote, reason = "noReason", ageMs } = answer;
+      return `${id}:${nameVote(isPreVote)}Refused:${reason}:${ageMs}ms`;
+    }
+  }
+}
+
+function nameVote(isPreVote: boolean): string {
+  return isPreVote ? "preVote" : "vote";
+}
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -226,7 +226,8 @@
 
   #writeNotice(notice: consensus.ReplicaNotice): void {
     const { log, name } = this.#options;
-    log.write("info", `replica.${notice.kind}`, {
+    const level = describeNotice.chooseLevel(notice);
+    log.write(level, `replica.${notice.kind}`, {
       group: name,
       ...describeNotice.describeNotice(notice),
     });
