--- /dev/null
+++ b/src/replica_group/simulated_process_test.ts
@@ -0,0 +1,109 @@
+import type * as clocks from "../clock/mod.ts";
+
+/** Work that a process does in one go. */
+interface Task {
+  /** Processor time, in ms. */
+  readonly costMs: number;
+  readonly run: () => void;
+}
+
+/**
+ * The process of a box on a fake clock: one thread, which does one thing after
+ * the other, can be frozen, and ends without a word.
+ */
+export class SimulatedProcess implements clocks.Clock {
+  readonly #clock: clocks.Clock;
+  readonly #wallOffsetMs: () => number;
+  #tasks: Task[] = [];
+  #busyUntilMs = 0;
+  #isWaking = false;
+  #isStopped = false;
+  #isEnded = false;
+
+  /** @param getWallOffsetMs How far the wall clock of the box is ahead, in ms. */
+  constructor(clock: clocks.Clock, getWallOffsetMs: () => number) {
+    this.#clock = clock;
+    this.#wallOffsetMs = getWallOffsetMs;
+  }
+
+  getWallMs(): number {
+    return Math.round(this.#clock.getWallMs() + this.#wallOffsetMs());
+  }
+
+  getMonotonicMs(): number {
+    return this.#clock.getMonotonicMs();
+  }
+
+  startTimer(delayMs: number, action: () => void): clocks.CancelTimer {
+    let isCancelled = false;
+    const cancel = this.#clock.startTimer(
+      Math.ceil(delayMs),
+      () =>
+        this.add(0, () => {
+          if (!isCancelled) action();
+        }),
+    );
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
+
+  /** Has something done once the processor is free. */
+  add(costMs: number, run: () => void): void {
+    if (this.#isEnded) return;
+    this.#tasks.push({ costMs, run });
+    this.#runTasks();
+  }
+
+  /** Uses processor time, in ms, before the next task. */
+  use(ms: number): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#busyUntilMs = Math.max(nowMs, this.#busyUntilMs) + ms;
+  }
+
+  /** Stands still until it is resumed, as after SIGSTOP. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  resume(): void {
+    this.#isStopped = false;
+    this.#runTasks();
+  }
+
+  isStopped(): boolean {
+    return this.#isStopped;
+  }
+
+  isEnded(): boolean {
+    return this.#isEnded;
+  }
+
+  /** Ends at once, as by a loss of power. */
+  end(): void {
+    this.#isEnded = true;
+    this.#tasks = [];
+  }
+
+  #runTasks(): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    while (!this.#isEnded && !this.#isStopped && this.#busyUntilMs <= nowMs) {
+      const task = this.#tasks.shift();
+      if (task === undefined) return;
+      if (task.costMs > 0) this.use(task.costMs);
+      task.run();
+    }
+    if (this.#tasks.length > 0) this.#wakeLater(nowMs);
+  }
+
+  #wakeLater(nowMs: number): void {
+    if (this.#isWaking || this.#isStopped) return;
+    this.#isWaking = true;
+    const delayMs = Math.max(1, Math.ceil(this.#busyUntilMs - nowMs));
+    this.#clock.startTimer(delayMs, () => {
+      this.#isWaking = false;
+      this.#runTasks();
+    });
+  }
+}
--- /dev/null
+++ b/src/replica_group/simulated_store_test.ts
@@ -0,0 +1,217 @@
+import type * as clocks from "../clock/mod.ts";
+import type * as consensus from "../consensus/mod.ts";
+import * as duties from "../duty/mod.ts";
+import * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+import * as groupMachines from "./group_machine_test.ts";
+import * as replicaGroups from "./replica_group.ts";
+import * as disks from "./simulated_disk_test.ts";
+import * as processes from "./simulated_process_test.ts";
+
+/** Between two refreshes of what a box tells of itself, in ms. */
+const REFRESH_MS = 500;
+/** Name of the call that carries what a box tells of itself. */
+export const NEWS_METHOD = "simulated.news";
+
+/** What all stores have in common. */
+export interface StoreOptions {
+  readonly clock: clocks.Clock;
+  readonly wanted: number;
+  readonly snapshotEntries: number;
+  readonly syncMs: number;
+  /** Lease of the duties; none are held unless given. */
+  readonly leaseMs: number | undefined;
+  /** Gives the other boxes by their ids. */
+  readonly getPeer: (from: string, to: string) => rpc.Peer;
+  /** Tells all other boxes of a box. */
+  readonly publish: (record: fleet.BoxRecord) => void;
+  /** Folder that exists but stays empty; the disk is a fake one. */
+  readonly dataFolder: string;
+  readonly trace: (
+    id: string,
+    event: string,
+    fields: logs.LogFields,
+  ) => void;
+}
+
+/** One run of a store's process. */
+interface Run {
+  readonly process: processes.SimulatedProcess;
+  readonly group: replicaGroups.ReplicaGroup;
+  readonly duty: duties.DutyHolder | undefined;
+  readonly machine: groupMachines.GroupMachine;
+  readonly directory: fleet.BoxDirectory;
+  readonly methods: ReadonlyMap<string, rpc.RpcHandler>;
+  readonly startedAtMs: number;
+  sequence: number;
+  isLeaving: boolean;
+}
+
+/** A store box: its disk, and its process while it runs. */
+export class SimulatedStore {
+  readonly id: string;
+  readonly disk: disks.SimulatedDisk;
+  /** How far its wall clock is ahead, in ms. */
+  wallOffsetMs = 0;
+  readonly #options: StoreOptions;
+  #run: Run | undefined;
+
+  constructor(id: string, options: StoreOptions) {
+    this.id = id;
+    this.#options = options;
+    this.disk = new disks.SimulatedDisk(options.clock, options.syncMs);
+  }
+
+  getProcess(): processes.SimulatedProcess | undefined {
+    return this.#run?.process;
+  }
+
+  getGroup(): replicaGroups.ReplicaGroup | undefined {
+    return this.#run?.group;
+  }
+
+  getMachine(): groupMachines.GroupMachine | undefined {
+    return this.#run?.machine;
+  }
+
+  /** Whether its process runs and is not frozen. */
+  isActive(): boolean {
+    return this.#run?.process.isStopped() === false;
+  }
+
+  /** Starts the process. */
+  start(): void {
+    const run = this.#createRun();
+    this.#run = run;
+    void run.group.start().then(() => run.duty?.start());
+    this.#runRefresh(run);
+  }
+
+  /** Ends the process at once; what was not synced is lost with power only. */
+  end(): void {
+    this.#run?.process.end();
+    this.#run = undefined;
+  }
+
+  /** Takes a call of another box. */
+  receive(method: string, params: object): void {
+    this.#run?.methods.get(method)?.(params as never);
+  }
+
+  /** Hands leadership over and says that it leaves, before a planned stop. */
+  resign(): void {
+    if (this.#run === undefined) return;
+    this.#run.isLeaving = true;
+    this.#publish(this.#run);
+    void this.#run.group.resign();
+  }
+
+  #createRun(): Run {
+    const { clock, leaseMs } = this.#options;
+    const process = new processes.SimulatedProcess(
+      clock,
+      () => this.wallOffsetMs,
+    );
+    const machine = new groupMachines.GroupMachine();
+    const directory = new fleet.BoxDirectory(process);
+    const methods = new Map<string, rpc.RpcHandler>();
+    methods.set(
+      NEWS_METHOD,
+      (record: fleet.BoxRecord) => void directory.merge(record),
+    );
+    const log = this.#createLog();
+    const group = this.#createGroup({ process, machine, directory, methods });
+    const duty = leaseMs === undefined ? undefined : new duties.DutyHolder({
+      clock: process,
+      log,
+      metrics: { countClaim: () => {} } as unknown as metrics.FleetMetrics,
+      group,
+      machine,
+      directory,
+      box: this.id,
+      id: this.id,
+      leaseMs,
+    });
+    const startedAtMs = process.getWallMs();
+    return {
+      process,
+      group,
+      duty,
+      machine,
+      directory,
+      methods,
+      startedAtMs,
+      sequence: 0,
+      isLeaving: false,
+    };
+  }
+
+  #createGroup({ process, machine, directory, methods }: {
+    readonly process: processes.SimulatedProcess;
+    readonly machine: groupMachines.GroupMachine;
+    readonly directory: fleet.BoxDirectory;
+    readonly methods: Map<string, rpc.RpcHandler>;
+  }): replicaGroups.ReplicaGroup {
+    const { wanted, snapshotEntries, getPeer, dataFolder } = this.#options;
+    return new replicaGroups.ReplicaGroup({
+      name: "stores",
+      id: this.id,
+      failureDomain: `of ${this.id}`,
+      dataFolder: `${dataFolder}/${this.id}`,
+      isFirstStart: false,
+      wanted,
+      least: wanted,
+      snapshotEntries,
+      seeds: [],
+      clock: process,
+      log: this.#createLog(),
+      machine: machine as consensus.Machine,
+      directory,
+      peers: { get: (to) => getPeer(this.id, to) },
+      server: {
+        add: (method, handler) => void methods.set(method, handler),
+      },
+      canVote: (box) => box.isStore,
+      listRetiring: () => machine.listRetiring(),
+      onFatal: (error) => {
+        throw error;
+      },
+    });
+  }
+
+  #createLog(): logs.Log {
+    const { trace } = this.#options;
+    return {
+      write: (_level: string, event: string, fields: logs.LogFields) =>
+        trace(this.id, event, fields),
+    } as unknown as logs.Log;
+  }
+
+  #runRefresh(run: Run): void {
+    this.#publish(run);
+    run.process.startTimer(REFRESH_MS, () => this.#runRefresh(run));
+  }
+
+  #publish(run: Run): void {
+    run.sequence += 1;
+    const record: fleet.BoxRecord = {
+      id: this.id,
+      name: this.id,
+      failureDomain: `of ${this.id}`,
+      region: "region",
+      peerPort: 0,
+      callerAddress: undefined,
+      isCore: false,
+      isStore: true,
+      isReady: true,
+      isLeaving: run.isLeaving,
+      ledTerm: 0,
+      startedAtMs: run.startedAtMs,
+      sequence: run.sequence,
+    };
+    run.directory.merge(record);
+    this.#options.publish(record);
+  }
+}
--- /dev/null
+++ b/src/replica_group/simulated_stores_test.ts
@@ -0,0 +1,276 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as clocks from "../clock/mod.ts";
+import type * as consensus from "../consensus/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as rpc from "../rpc/mod.ts";
+import * as storage from "../storage/mod.ts";
+import type * as electionChecks from "./election_check_test.ts";
+import * as simulatedStores from "./simulated_store_test.ts";
+
+/** What a deployment of stores is like. */
+export interface StoresOptions {
+  /** Ids of the boxes; the first ones, as many as are wanted, found the set. */
+  readonly ids: readonly string[];
+  readonly wanted: number;
+  readonly syncMs: number;
+  /** Processor time for an entry that is sent or taken, in ms. */
+  readonly entryMs: number;
+  readonly snapshotEntries: number;
+  /** Commands proposed in a second. */
+  readonly commandsPerS: number;
+  /** Lease of the duties, in ms; none are held unless given. */
+  readonly leaseMs: number | undefined;
+}
+
+/** A line of the log of a store. */
+export interface TraceLine {
+  readonly atMs: number;
+  readonly id: string;
+  readonly event: string;
+  readonly fields: logs.LogFields;
+}
+
+/** Way of a message, in ms. */
+const LATENCY_MS = 1;
+/** Way of what boxes tell of themselves, through a relay, in ms. */
+const NEWS_MS = 200;
+/** Processor time for a message, in ms. */
+const MESSAGE_MS = 0.05;
+const COMMIT_MS = 900;
+const MS_A_SECOND = 1_000;
+/** Turns of the event loop until all promises that can settle have settled. */
+const TURNS = 4;
+
+/**
+ * Stores with real replica groups on a fake clock, fake disks and a fake
+ * network. Nothing but what a test does to it changes its course.
+ */
+export class SimulatedStores {
+  readonly clock = new clocks.FakeClock(1_000_000);
+  readonly lines: TraceLine[] = [];
+  commandsPerS: number;
+  entryMs: number;
+  readonly #options: StoresOptions;
+  readonly #stores = new Map<string, simulatedStores.SimulatedStore>();
+  readonly #cuts = new Set<string>();
+  readonly #folder: string;
+  readonly #openFile = storage.DurableLog.open;
+  #syncMs: number;
+  #due = 0;
+  #committed = 0;
+
+  constructor(options: StoresOptions) {
+    this.#options = options;
+    this.#syncMs = options.syncMs;
+    this.commandsPerS = options.commandsPerS;
+    this.entryMs = options.entryMs;
+    this.#folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-sim-"));
+    storage.DurableLog.open = (folder, owner) => this.#open(folder, owner);
+    const founders = options.ids.slice(0, options.wanted);
+    for (const id of options.ids) this.addBox(id);
+    for (const id of founders) this.get(id).disk.found(founders);
+  }
+
+  /** Puts the real disks back. */
+  close(): void {
+    storage.DurableLog.open = this.#openFile;
+    for (const store of this.#stores.values()) store.end();
+    fs.rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  /** Time since the beginning, in ms. */
+  getNowMs(): number {
+    return this.clock.getMonotonicMs() - 1_000_000;
+  }
+
+  /** Ids of the boxes that are not gone for good. */
+  listIds(): readonly string[] {
+    return [...this.#stores.keys()];
+  }
+
+  get(id: string): simulatedStores.SimulatedStore {
+    const store = this.#stores.get(id);
+    if (store === undefined) throw new Error(`no box ${id}`);
+    return store;
+  }
+
+  /** Adds a box with an empty disk, which does not run yet. */
+  addBox(id: string): void {
+    const store = new simulatedStores.SimulatedStore(id, {
+      ...this.#options,
+      syncMs: this.#syncMs,
+      clock: this.clock,
+      dataFolder: this.#folder,
+      getPeer: (from, to) => this.#createPeer(from, to),
+      publish: (record) => this.#publish(record),
+      trace: (from, event, fields) =>
+        this.lines.push({ atMs: this.getNowMs(), id: from, event, fields }),
+    });
+    this.#stores.set(id, store);
+  }
+
+  /** Takes a box away for good, with its disk. */
+  removeBox(id: string): void {
+    this.get(id).end();
+    this.#stores.delete(id);
+  }
+
+  /** Starts boxes that run no process, all after the same time. */
+  start(ids: readonly string[], afterMs = 0): void {
+    for (const id of ids) {
+      this.clock.startTimer(afterMs, () => {
+        const store = this.#stores.get(id);
+        if (store?.getProcess() === undefined) store?.start();
+      });
+    }
+  }
+
+  /** Takes power from boxes; writes that were not synced are lost. */
+  cutPower(ids: readonly string[], keptWrites = 0): void {
+    for (const id of ids) {
+      const store = this.get(id);
+      store.end();
+      store.disk.cutPower(keptWrites);
+    }
+  }
+
+  /** Takes power and disk from a box. */
+  wipeDisk(id: string): void {
+    this.cutPower([id]);
+    this.get(id).disk.wipe();
+  }
+
+  /** Has a sync take so long on all disks, in ms. */
+  setSync(syncMs: number): void {
+    this.#syncMs = syncMs;
+    for (const store of this.#stores.values()) store.disk.syncMs = syncMs;
+  }
+
+  /** Cuts the way from one box to another. */
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts a box from all others, both ways. */
+  cutOff(id: string): void {
+    for (const other of this.listIds()) {
+      this.cut(id, other);
+      this.cut(other, id);
+    }
+  }
+
+  /** Ends all cuts. */
+  restoreLinks(): void {
+    this.#cuts.clear();
+  }
+
+  /** Id of the box that leads with authority, if one does. */
+  findLeader(): string | undefined {
+    return this.listIds().find((id) => {
+      const store = this.get(id);
+      return store.isActive() && store.getGroup()?.hasAuthority() === true;
+    });
+  }
+
+  /** Commands that were committed. */
+  countCommitted(): number {
+    return this.#committed;
+  }
+
+  /** What the disks hold. */
+  getDisks(): electionChecks.Disks {
+    return new Map(
+      this.listIds().map((id) => [id, this.get(id).disk.getSummary()]),
+    );
+  }
+
+  /** Lets time pass, until something holds where it is given. */
+  async run(ms: number, isDone: () => boolean = () => false): Promise<boolean> {
+    for (let left = ms; left > 0; left -= 1) {
+      if (isDone()) return true;
+      this.clock.extendBy(1);
+      this.#propose();
+      for (let turn = 0; turn < TURNS; turn += 1) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    }
+    return isDone();
+  }
+
+  #propose(): void {
+    this.#due += this.commandsPerS / MS_A_SECOND;
+    if (this.#due < 1) return;
+    const leader = this.findLeader();
+    for (; this.#due >= 1; this.#due -= 1) {
+      if (leader === undefined) continue;
+      const group = this.get(leader).getGroup();
+      void group?.propose({ kind: "load" }, COMMIT_MS).then((result) => {
+        if (result.kind === "ok") this.#committed += 1;
+      });
+    }
+  }
+
+  #open(folder: string, owner: string): Promise<storage.OpenedLog> {
+    const store = folder.startsWith(this.#folder)
+      ? this.#stores.get(owner)
+      : undefined;
+    const process = store?.getProcess();
+    if (store === undefined || process === undefined) {
+      return this.#openFile(folder, owner);
+    }
+    return Promise.resolve(store.disk.open(process));
+  }
+
+  #publish(record: fleet.BoxRecord): void {
+    for (const to of this.listIds()) {
+      if (to === record.id) continue;
+      this.clock.startTimer(
+        NEWS_MS,
+        () =>
+          this.#deliver(record.id, to, {
+            method: simulatedStores.NEWS_METHOD,
+            params: record,
+            costMs: MESSAGE_MS,
+          }),
+      );
+    }
+  }
+
+  #createPeer(from: string, to: string): rpc.Peer {
+    return {
+      tell: (method, params) => this.#tell(from, to, method, params),
+      call: () => Promise.reject(new Error("no calls here")),
+    };
+  }
+
+  #tell(from: string, to: string, method: string, params: object): void {
+    const costMs = MESSAGE_MS + this.entryMs * countEntries(params);
+    this.#stores.get(from)?.getProcess()?.use(costMs);
+    const target = this.#stores.get(to)?.getProcess();
+    this.clock.startTimer(LATENCY_MS, () => {
+      // A connection ends with the process that it was made to.
+      if (this.#stores.get(to)?.getProcess() !== target) return;
+      this.#deliver(from, to, { method, params, costMs });
+    });
+  }
+
+  #deliver(from: string, to: string, call: {
+    readonly method: string;
+    readonly params: object;
+    readonly costMs: number;
+  }): void {
+    if (this.#cuts.has(`${from}>${to}`)) return;
+    const store = this.#stores.get(to);
+    const process = store?.getProcess();
+    process?.add(call.costMs, () => store?.receive(call.method, call.params));
+  }
+}
+
+function countEntries(params: object): number {
+  const { message } = params as { readonly message?: consensus.DriverMessage };
+  if (message?.kind === "appendRequest") return message.entries.length;
+  return message?.kind === "snapshotPart" ? message.values.length : 0;
+}
