Have replicas that do not lead say why, and leader.unfound tell it

Cause: `leader.unfound` showed `notLeader` of four stores and nothing more, so a minute without a leader could not be told from a slow election. Ruled out: naming the group's leader where a proposal was refused in between (submissions): it would change whom the caller asks next, so that answer keeps naming none and gives the reason `lostLead`. `leader.unfound` gets `said`: each replica once, the twelve asked last. `lastTried` stays as it was.

--- a/src/consensus/_notice_teller.ts
+++ b/src/consensus/_notice_teller.ts
@@ -77,6 +77,20 @@
     this.#observeAuthority(state, hasAuthority, nowMs);
   }
 
+  /** Describes why the replica leads, or why it does not. */
+  describe(
+    state: replicaStates.ReplicaState,
+    hasAuthority: boolean,
+    writingMs: number,
+  ): replicaStatuses.ReplicaSight {
+    this.observeLeader(state, hasAuthority, writingMs);
+    const nowMs = this.#clock.getMonotonicMs();
+    const leaderlessMs = this.#leader.getSinceMs(nowMs);
+    const fedMs = this.#feeding.getLongestMs(nowMs);
+    const times = { hasAuthority, leaderlessMs, writingMs, fedMs };
+    return replicaStatuses.describeSight(state, times, nowMs);
+  }
+
   #observeRole(state: replicaStates.ReplicaState): void {
     const { term, role } = state;
     const leader = replicaStatuses.getLeader(state);
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -58,7 +58,7 @@
       onNotice: options.onNotice,
     });
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
-      this.#inbox.offer({ kind: "replica", event: { kind: "tick" } });
+      this.#offer({ kind: "tick" });
     });
     this.#applied = new appliedMachines.AppliedMachine(
       options.machine,
@@ -122,6 +122,12 @@
     return replicaStatuses.describeReplica(this.#state, nowMs);
   }
 
+  /** What explains that this replica leads, or that it does not. */
+  getSight(): replicaStatuses.ReplicaSight {
+    const writingMs = this.#writer.getWritingMs();
+    return this.#teller.describe(this.#state, this.hasAuthority(), writingMs);
+  }
+
   /** Ids of the voters, as this replica's log names them. */
   listVoters(): readonly string[] {
     return replicaStates.listVoters(this.#state);
@@ -129,28 +135,19 @@
 
   /** Names the replicas to feed beside the voters, should this replica lead. */
   setLearners(learners: readonly string[]): void {
-    this.#inbox.offer({
-      kind: "replica",
-      event: { kind: "setLearners", learners },
-    });
+    this.#offer({ kind: "setLearners", learners });
   }
 
   /** Asks to add or remove one voter; see `listVoters` for what came of it. */
   changeVoters(voters: readonly string[]): void {
-    this.#inbox.offer({
-      kind: "replica",
-      event: { kind: "changeVoters", voters },
-    });
+    this.#offer({ kind: "changeVoters", voters });
   }
 
   /** Gives a message from another replica; dropped when the inbox is full. */
   receive(from: string, message: messages.DriverMessage): void {
     const whole = this.#exchange.take(from, message, this.#state.term);
     if (whole === undefined) return;
-    this.#inbox.offer({
-      kind: "replica",
-      event: { kind: "message", from, message: whole },
-    });
+    this.#offer({ kind: "message", from, message: whole });
   }
 
   /**
@@ -178,7 +175,7 @@
    * @param to Id of the only follower that may take it; any unless given.
    */
   transfer(to?: string): void {
-    this.#inbox.offer({ kind: "replica", event: { kind: "transfer", to } });
+    this.#offer({ kind: "transfer", to });
   }
 
   /** Stops once the write under way has ended; what was synced stays. */
@@ -192,6 +189,11 @@
     await this.#writer.close();
   }
 
+  /** Gives an event to the next round; dropped when the inbox is full. */
+  #offer(event: replicaStates.ReplicaEvent): void {
+    this.#inbox.offer({ kind: "replica", event });
+  }
+
   #start(): void {
     this.#ended = csp.runProcess(() => this.#run(), this.#options.onFatal);
     this.#setTick();
@@ -267,29 +269,24 @@
     const restore = effects.findLastIndex((effect) =>
       effect.kind === "restore"
     );
-    if (restore >= 0) {
-      yield* this.#saveRestored(
-        effects[restore] as Extract<replicaStates.Effect, { kind: "restore" }>,
-      );
-    }
+    const last = effects[restore];
+    if (last?.kind === "restore") yield* this.#saveRestored(last.snapshot);
     const records = effects.slice(restore + 1).flatMap(savedRecords.toRecords);
     if (records.length > 0) yield* this.#writer.append(records);
   }
 
-  *#saveRestored(
-    effect: Extract<replicaStates.Effect, { kind: "restore" }>,
-  ): csp.Step<void> {
+  *#saveRestored(snapshot: messages.Snapshot): csp.Step<void> {
     const { clock, onNotice } = this.#options;
     const startMs = clock.getMonotonicMs();
     // Both write the same file.
     yield* csp.waitFor(this.#drafts.settle());
     const head = savedRecords.createHead(this.#state);
-    yield* this.#writer.restore(effect.snapshot, head);
-    this.#snapshotIndex = effect.snapshot.index;
+    yield* this.#writer.restore(snapshot, head);
+    this.#snapshotIndex = snapshot.index;
     onNotice?.({
       kind: "snapshotTaken",
-      index: effect.snapshot.index,
-      parts: effect.snapshot.state.length,
+      index: snapshot.index,
+      parts: snapshot.state.length,
       tookMs: Math.round(clock.getMonotonicMs() - startMs),
     });
   }
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -143,6 +143,19 @@
     chai.expect(told).to.deep.equal(
       ["opened", "leaderless", "leaderless", "leaderless"],
     );
+    chai.expect(driver.getSight()).to.deep.equal({
+      role: "follower",
+      term: 0,
+      leader: undefined,
+      hasAuthority: false,
+      isAdmitted: false,
+      isInSet: true,
+      set: { voters: ["a", "b", "c"], index: 0, isCommitted: true },
+      lastIndex: 0,
+      leaderlessMs: 6_000,
+      writingMs: 0,
+      followers: undefined,
+    });
     await driver.stop();
     fs.rmSync(own, { recursive: true, force: true });
   });
--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -2,6 +2,9 @@
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
 
+/** Silence of a follower up to which it counts as present, in ms. */
+const PRESENT_MS = 1_000;
+
 /** What others may know of a replica. */
 export interface ReplicaStatus {
   readonly role: replicaStates.ReplicaState["role"]["kind"];
@@ -22,6 +25,35 @@
   readonly isAdmitted: boolean;
 }
 
+/** What explains that a replica leads, or that it does not. */
+export interface ReplicaSight {
+  readonly role: replicaStates.Role["kind"];
+  readonly term: number;
+  readonly leader: string | undefined;
+  /** Whether this replica may act as leader now. */
+  readonly hasAuthority: boolean;
+  readonly isAdmitted: boolean;
+  /** Whether it is among the voters that its log names. */
+  readonly isInSet: boolean;
+  readonly set: VoterSet;
+  readonly lastIndex: number;
+  /** Time since a leader that may act was known, in ms. */
+  readonly leaderlessMs: number;
+  /** How long the write under way has lasted, in ms; 0 for none. */
+  readonly writingMs: number;
+  /** What a leader knows of its followers; undefined without the lead. */
+  readonly followers: FollowersSight | undefined;
+}
+
+/** What a leader knows of its followers together. */
+export interface FollowersSight {
+  /** Voters that answered lately and count in a quorum, the leader among them. */
+  readonly presentVoters: number;
+  readonly quorum: number;
+  /** How long the follower that is fed longest has not counted, in ms. */
+  readonly fedMs: number;
+}
+
 /** Who votes, as the log of one replica says. */
 export interface VoterSet {
   readonly voters: readonly string[];
@@ -95,3 +127,54 @@
     })),
   };
 }
+
+/** What a replica's state alone does not tell of its sight. */
+export type SightTimes =
+  & Pick<ReplicaSight, "hasAuthority" | "leaderlessMs" | "writingMs">
+  & Pick<FollowersSight, "fedMs">;
+
+/**
+ * Describes why a replica leads, or why it does not.
+ *
+ * @param state The replica.
+ * @param times What was measured beside the state.
+ * @param nowMs Monotonic time, in ms.
+ * @returns What explains it.
+ */
+export function describeSight(
+  state: replicaStates.ReplicaState,
+  times: SightTimes,
+  nowMs: number,
+): ReplicaSight {
+  const { role, term, identity, log } = state;
+  const { hasAuthority, leaderlessMs, writingMs, fedMs } = times;
+  const set = describeVoterSet(state);
+  return {
+    role: role.kind,
+    term,
+    leader: getLeader(state),
+    hasAuthority,
+    isAdmitted: identity.isAdmitted,
+    isInSet: set.voters.includes(state.config.id),
+    set,
+    lastIndex: replicaLogs.getLastIndex(log),
+    leaderlessMs,
+    writingMs,
+    followers: role.kind !== "leader" ? undefined : {
+      presentVoters: countPresent(state, nowMs),
+      quorum: replicaStates.getQuorum(state),
+      fedMs,
+    },
+  };
+}
+
+/** Counts the voters that a leader may count on, itself among them. */
+function countPresent(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): number {
+  const present = replicaStates.listAdmitted(state).filter((progress) =>
+    nowMs - progress.answeredSentAtMs < PRESENT_MS
+  );
+  return present.length + (replicaStates.isVoter(state) ? 1 : 0);
+}
--- /dev/null
+++ b/src/consensus/replica_status_test.ts
@@ -0,0 +1,43 @@
+import * as chai from "chai";
+import * as fixtures from "./notice_fixture_test.ts";
+import * as replicaStatuses from "./replica_status.ts";
+
+const TIMES = {
+  hasAuthority: true,
+  leaderlessMs: 0,
+  writingMs: 0,
+  fedMs: 0,
+};
+
+describe("sight of a leader", () => {
+  const leader = fixtures.createLeader();
+
+  /** Voters that count at a time, of three. */
+  function countPresent(state: typeof leader, nowMs: number): unknown {
+    const sight = replicaStatuses.describeSight(state, TIMES, nowMs);
+    return sight.followers?.presentVoters;
+  }
+
+  it("counts itself and the voters that answer", () => {
+    chai.expect(countPresent(leader, 999)).to.equal(3);
+  });
+
+  it("counts no voter that lost its disk, nor one that is silent", () => {
+    const emptied = fixtures.changeProgress(leader, {
+      identity: fixtures.EMPTIED,
+    });
+    chai.expect(countPresent(emptied, 999)).to.equal(2);
+    const heard = fixtures.changeProgress(leader, { answeredSentAtMs: 500 });
+    chai.expect(countPresent(heard, 1_400)).to.equal(2);
+    chai.expect(countPresent(heard, 1_500)).to.equal(1);
+  });
+
+  it("tells the quorum, and nothing of followers without the lead", () => {
+    const sight = replicaStatuses.describeSight(leader, TIMES, 0);
+    chai.expect(sight.followers?.quorum).to.equal(2);
+    const follower = fixtures.createFollower(fixtures.ADMITTED);
+    chai.expect(
+      replicaStatuses.describeSight(follower, TIMES, 0).followers,
+    ).to.equal(undefined);
+  });
+});
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -2,18 +2,15 @@
 import * as results from "../results/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import * as notLeaders from "./not_leader.ts";
 
 /** Pause between two tries, in ms; an election takes some hundred. */
 const RETRY_MS = 40;
 
 /** Tries that the log tells of a call without an answer. */
 const TOLD_TRIES = 4;
-
-/** The answer of a replica that does not lead. */
-export interface NotLeader {
-  readonly kind: "notLeader";
-  readonly leader: string | undefined;
-}
+/** Replicas of which the log tells what they said last. */
+const TOLD_REPLICAS = 12;
 
 /** The answer of a leader whose change no quorum confirmed in time. */
 export interface Unsure {
@@ -22,7 +19,7 @@
 }
 
 /** An answer after which the call is tried again. */
-type NotDone = NotLeader | Unsure;
+type NotDone = notLeaders.NotLeader | Unsure;
 
 /** What a leader caller needs. */
 export interface LeaderCallerOptions {
@@ -48,8 +45,17 @@
   readonly tries: number;
   /** Replicas that were asked last, in order, with what they said. */
   readonly lastTried: readonly string[];
+  /** What each of the replicas asked last said, the one asked last at the end. */
+  readonly said: ReadonlyMap<string, string>;
 }
 
+const NO_TRIES: CallState = {
+  mayHaveRun: false,
+  tries: 0,
+  lastTried: [],
+  said: new Map(),
+};
+
 /** Calls the leader of a replica group, whichever replica that is. */
 export class LeaderCaller {
   readonly #options: LeaderCallerOptions;
@@ -76,7 +82,7 @@
   ): Promise<results.Result<Exclude<T, NotDone>>> {
     const { clock } = this.#options;
     const endMs = clock.getMonotonicMs() + times.totalMs;
-    let state: CallState = { mayHaveRun: false, tries: 0, lastTried: [] };
+    let state = NO_TRIES;
     for (;;) {
       const leftMs = endMs - clock.getMonotonicMs();
       if (leftMs <= 0) return this.#giveUp(method, state);
@@ -87,14 +93,7 @@
       if (answer.kind === "ok" && isDone(answer.value)) {
         return results.createOk(answer.value as Exclude<T, NotDone>);
       }
-      state = {
-        mayHaveRun: state.mayHaveRun || hasMaybeRun(answer),
-        tries: state.tries + 1,
-        lastTried: [
-          ...state.lastTried.slice(1 - TOLD_TRIES),
-          `${replica}:${describeAnswer(answer)}`,
-        ],
-      };
+      state = noteTry(state, replica, answer);
       await clocks.sleep(clock, RETRY_MS);
     }
   }
@@ -108,6 +107,7 @@
       replicas: this.#options.listReplicas().length,
       tries: state.tries,
       lastTried: state.lastTried.join(","),
+      said: [...state.said].map(([id, text]) => `${id}:${text}`).join(","),
     });
     return createCallFailure(method, state);
   }
@@ -125,7 +125,7 @@
       const client = this.#options.getClient(id);
       const reply = await client.call<T | NotDone>(method, params, timeoutMs);
       if (reply.kind === "notLeader") {
-        this.#noteLeader(id, (reply as NotLeader).leader);
+        this.#noteLeader(id, (reply as notLeaders.NotLeader).leader);
       } else this.#leader = id;
       return results.createOk(reply);
     } catch (error) {
@@ -167,11 +167,42 @@
   return tried.value.kind === "unsure" && (tried.value as Unsure).mayHaveRun;
 }
 
+/** Adds a try that did not end its call to what is known of the call. */
+function noteTry(
+  state: CallState,
+  replica: string | undefined,
+  answer: results.Result<{ readonly kind: string }>,
+): CallState {
+  const name = replica ?? "none";
+  const others = [...state.said].filter(([id]) => id !== name);
+  return {
+    mayHaveRun: state.mayHaveRun || hasMaybeRun(answer),
+    tries: state.tries + 1,
+    lastTried: [
+      ...state.lastTried.slice(1 - TOLD_TRIES),
+      `${replica}:${nameAnswer(answer)}`,
+    ],
+    said: new Map([
+      ...others.slice(1 - TOLD_REPLICAS),
+      [name, describeAnswer(answer)],
+    ]),
+  };
+}
+
+function nameAnswer(
+  answer: results.Result<{ readonly kind: string }>,
+): string {
+  return answer.kind === "ok" ? answer.value.kind : answer.failure.code;
+}
+
 /** Describes an answer that did not end its call, for the log. */
 function describeAnswer(
   answer: results.Result<{ readonly kind: string }>,
 ): string {
-  return answer.kind === "ok" ? answer.value.kind : answer.failure.code;
+  if (answer.kind === "ok" && answer.value.kind === "notLeader") {
+    return notLeaders.describeNotLeader(answer.value as notLeaders.NotLeader);
+  }
+  return nameAnswer(answer);
 }
 
 function createCallFailure(
--- a/src/replica_group/leader_caller_test.ts
+++ b/src/replica_group/leader_caller_test.ts
@@ -2,6 +2,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as logs from "../log/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import type * as notLeaders from "./not_leader.ts";
 import * as leaderCallers from "./leader_caller.ts";
 
 const TIMES = { totalMs: 2_000, tryMs: 500 };
@@ -14,12 +15,17 @@
 
 describe("leader caller", () => {
   /** Spares and voters; spares do not know who leads. */
-  const replicas = Array.from({ length: 30 }, (_, index) => `s${index}`);
+  const stores = Array.from({ length: 30 }, (_, index) => `s${index}`);
+  let replicas = stores;
   let clock = new clocks.FakeClock(1_000);
   let asked: string[] = [];
   let leader = "s29";
   let told: string | undefined;
   let dead: readonly string[] = [];
+  /** Leaders that replicas name, and why they don't lead. */
+  let named: Readonly<Record<string, string>> = {};
+  let reasons: Readonly<Record<string, notLeaders.NotLeaderReason>> = {};
+  let lines: string[] = [];
 
   beforeEach(() => {
     clock = new clocks.FakeClock(1_000);
@@ -27,6 +33,10 @@
     leader = "s29";
     told = undefined;
     dead = [];
+    replicas = stores;
+    named = {};
+    reasons = {};
+    lines = [];
   });
 
   function getClient(id: string): rpc.Peer {
@@ -39,7 +49,7 @@
         }
         const reply = id === leader
           ? { kind: "done", by: id }
-          : { kind: "notLeader", leader: undefined };
+          : { kind: "notLeader", leader: named[id], reason: reasons[id] };
         return Promise.resolve(reply as T);
       },
     };
@@ -48,7 +58,7 @@
   function createCaller(): leaderCallers.LeaderCaller {
     return new leaderCallers.LeaderCaller({
       clock,
-      log: new logs.Log("box", "error", () => {}),
+      log: new logs.Log("box", "warn", (line) => lines.push(line)),
       listReplicas: () => replicas,
       findLeader: () => told,
       getClient,
@@ -101,4 +111,83 @@
     chai.expect(await callOnce(caller)).to.equal("s29");
     chai.expect(asked).to.deep.equal(["s29", "s29"]);
   });
+
+  it("keeps to the fixed round of the replicas while none names another", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    chai.expect(await callOnce(createCaller())).to.equal("noLeader");
+    chai.expect(asked.length).to.be.greaterThan(8);
+    chai.expect(asked).to.deep.equal(
+      asked.map((_, turn) => replicas[turn % replicas.length]),
+    );
+  });
+
+  it("shares the turn of that round between calls that run at once", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    const caller = createCaller();
+    const first = callOnce(caller);
+    await new Promise((resolve) => setImmediate(resolve));
+    await Promise.all([first, callOnce(caller)]);
+    const told = lines.map((line) => /lastTried=(\S+)/.exec(line)?.[1]);
+    chai.expect(told.toSorted()).to.deep.equal([
+      "s0:notLeader,s2:notLeader,s0:notLeader,s2:notLeader",
+      "s1:notLeader,s3:notLeader,s1:notLeader,s3:notLeader",
+    ]);
+  });
+
+  it("leaves the round for a replica that another one follows", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    named = { s1: "s3", s3: "s3" };
+    await callOnce(createCaller());
+    chai.expect(asked.slice(0, 4)).to.deep.equal(["s0", "s1", "s3", "s3"]);
+    chai.expect(asked.filter((id) => id === "s1").length).to.be.lessThan(
+      asked.filter((id) => id === "s3").length,
+    );
+  });
+
+  it("leaves the round for a replica that the news name, again and again", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    told = "s3";
+    await callOnce(createCaller());
+    chai.expect(asked.slice(0, 4)).to.deep.equal(["s3", "s1", "s3", "s3"]);
+  });
+
+  it("tells of a call without a leader what each replica said last, once", async () => {
+    replicas = ["s0", "s1", "s2"];
+    leader = "none";
+    dead = ["s2"];
+    reasons = {
+      s0: {
+        kind: "leaderless",
+        role: "preCandidate",
+        term: 5,
+        sinceMs: 900,
+        lastIndex: 7,
+        isAdmitted: true,
+        isInSet: true,
+        voters: 3,
+        writingMs: 0,
+      },
+      s1: { kind: "notStarted" },
+    };
+    await callOnce(createCaller());
+    chai.expect(lines).to.have.length(1);
+    const said = /said=(\S+)/.exec(lines[0] ?? "")?.[1]?.split(",");
+    chai.expect(said?.toSorted()).to.deep.equal([
+      "s0:preCandidate:term5:since900ms:last7:voters3",
+      "s1:notStarted",
+      "s2:internal",
+    ]);
+  });
+
+  it("tells of at most twelve replicas, those asked last", async () => {
+    leader = "none";
+    await callOnce(createCaller());
+    const said = /said=(\S+)/.exec(lines[0] ?? "")?.[1]?.split(",") ?? [];
+    const last = asked.slice(-12).map((id) => `${id}:notLeader`);
+    chai.expect(said).to.deep.equal(last);
+  });
 });
--- a/src/replica_group/mod.ts
+++ b/src/replica_group/mod.ts
@@ -12,6 +12,7 @@
  */
 export * from "./founding_desk.ts";
 export * from "./leader_caller.ts";
+export * from "./not_leader.ts";
 export * from "./plan_voters.ts";
 export * from "./read_barrier.ts";
 export * from "./replica_group.ts";
--- a/src/replica_group/read_barrier.ts
+++ b/src/replica_group/read_barrier.ts
@@ -2,7 +2,7 @@
 import type * as csp from "../csp/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
-import type * as leaderCallers from "./leader_caller.ts";
+import type * as notLeaders from "./not_leader.ts";
 
 /** What a read barrier asks of its replica. */
 export interface BarrierReplica {
@@ -27,7 +27,7 @@
 
 /** How far the leader's state is. */
 type IndexReply =
-  | leaderCallers.NotLeader
+  | notLeaders.NotLeader
   | { readonly kind: "index"; readonly index: number };
 
 /**
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -9,7 +9,7 @@
 import * as createSeed from "./_create_seed.ts";
 import * as describeNotice from "./_describe_notice.ts";
 import * as founders from "./_founder.ts";
-import type * as leaderCallers from "./leader_caller.ts";
+import * as notLeaders from "./not_leader.ts";
 import * as planVoters from "./plan_voters.ts";
 
 /**
@@ -164,8 +164,9 @@
   }
 
   /** The answer to calls that only the leader takes. */
-  createNotLeader(): leaderCallers.NotLeader {
-    return { kind: "notLeader", leader: this.getLeader() };
+  createNotLeader(): notLeaders.NotLeader {
+    const reason = notLeaders.explainNotLeader(this.#driver?.getSight());
+    return { kind: "notLeader", leader: this.getLeader(), reason };
   }
 
   /** Proposes a command; see `ReplicaDriver.propose`. */
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -248,7 +248,11 @@
     return { kind: "done", value: result.value };
   }
   if (result.failure.code === "notLeader") {
-    return { kind: "notLeader", leader: undefined };
+    return {
+      kind: "notLeader",
+      leader: undefined,
+      reason: { kind: "lostLead" },
+    };
   }
   return { kind: "unsure", mayHaveRun: result.failure.outcome !== "notRun" };
 }
