Measure voters left, time without a leader, feeding, and refused votes

Cause: nothing measured told that a group of three voters could bear no further loss, though its leader knew. Ruled out: counting admitted voters alone: a voter that died stays admitted for its leader, so only those that answered within 1 s are counted. Change: gauges at the leader of present voters, of losses left before the quorum is gone, and of the longest feeding; at each replica the time since it knew a leader; a counter of votes refused by reason. What only a leader tells goes with its lead. A test compares the list in OPERATIONS.md with the figures served.

--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import * as prometheus from "prom-client";
+import * as replicaMetrics from "./replica_metrics.ts";
 
 /** Upper bounds of the latency histograms, in ms. */
 const BUCKETS_MS = [
@@ -20,6 +21,8 @@
 /** Counters and histograms of a box, served as text. */
 export class FleetMetrics {
   readonly #registry = new prometheus.Registry();
+  /** Figures of the replica groups. */
+  readonly replicas = new replicaMetrics.ReplicaMetrics(this.#registry);
   readonly #requests: prometheus.Histogram<"route" | "outcome">;
   readonly #items: prometheus.Counter<"outcome">;
   readonly #itemMs: prometheus.Histogram<string>;
@@ -125,6 +128,11 @@
     this.#logLost.set(lines);
   }
 
+  /** Names of all figures. */
+  listNames(): readonly string[] {
+    return this.#registry.getMetricsAsArray().map((metric) => metric.name);
+  }
+
   /** Serves the figures at any path of a port. */
   listen(address: string, port: number): void {
     this.#server = http.createServer((_request, response) => {
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -10,3 +10,4 @@
  */
 export * from "./metrics.ts";
 export * from "./fleet_metrics.ts";
+export * from "./replica_metrics.ts";
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -3,6 +3,7 @@
 import * as consensus from "../consensus/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metricTypes from "../metrics/mod.ts";
 import * as results from "../results/mod.ts";
 import * as rpc from "../rpc/mod.ts";
 import * as storage from "../storage/mod.ts";
@@ -48,6 +49,7 @@
   readonly seeds: readonly string[];
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly metrics: metricTypes.FleetMetrics;
   readonly machine: consensus.Machine;
   readonly directory: fleet.BoxDirectory;
   readonly peers: fleet.Peers;
@@ -226,7 +228,10 @@
   }
 
   #writeNotice(notice: consensus.ReplicaNotice): void {
-    const { log, name } = this.#options;
+    const { log, name, metrics } = this.#options;
+    if (notice.kind === "voteRefused") {
+      metrics.replicas.countRefusedVote(name, notice.reason);
+    }
     const level = describeNotice.chooseLevel(notice);
     log.write(level, `replica.${notice.kind}`, {
       group: name,
@@ -246,9 +251,16 @@
   #runPlan(): void {
     if (this.#isStopped) return;
     this.#plan();
+    this.#measure();
     this.#options.clock.startTimer(PLAN_MS, () => this.#runPlan());
   }
 
+  #measure(): void {
+    const { metrics, name } = this.#options;
+    const sight = this.#driver?.getSight();
+    if (sight !== undefined) metrics.replicas.setFigures(name, sight);
+  }
+
   #plan(): void {
     const driver = this.#driver;
     if (driver === undefined || !driver.hasAuthority()) return;
--- a/tools/reference/reference_test.ts
+++ b/tools/reference/reference_test.ts
@@ -1,5 +1,6 @@
 import * as fs from "node:fs";
 import * as chai from "chai";
+import * as metrics from "../../src/metrics/mod.ts";
 import * as results from "../../src/results/mod.ts";
 import * as settings from "../../src/settings/mod.ts";
 import * as renderReference from "./render_reference.ts";
@@ -14,6 +15,14 @@
     );
   });
 
+  it("names every figure that a box serves", () => {
+    const page = fs.readFileSync("docs/OPERATIONS.md", "utf8");
+    const listed = [...page.matchAll(/^\| `(hoistscale_\w+)/gm)];
+    chai.expect(listed.map(([, name]) => name)).to.have.members(
+      [...new metrics.FleetMetrics().listNames()],
+    );
+  });
+
   it("gives each result its own number and exit code", () => {
     const entries = Object.values(results.RESULT_CODES);
     chai.expect(new Set(entries.map((entry) => entry.number)).size).to.equal(
