--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -3,13 +3,14 @@
 import * as consensus from "../consensus/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metricTypes from "../metrics/mod.ts";
 import * as results from "../results/mod.ts";
 import * as rpc from "../rpc/mod.ts";
 import * as storage from "../storage/mod.ts";
 import * as createSeed from "./_create_seed.ts";
 import * as describeNotice from "./_describe_notice.ts";
 import * as founders from "./_founder.ts";
-import type * as leaderCallers from "./leader_caller.ts";
+import * as notLeaders from "./not_leader.ts";
 import * as planVoters from "./plan_voters.ts";
 
 /**
@@ -48,6 +49,7 @@
   readonly seeds: readonly string[];
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly metrics: metricTypes.FleetMetrics;
   readonly machine: consensus.Machine;
   readonly directory: fleet.BoxDirectory;
   readonly peers: fleet.Peers;
@@ -169,8 +171,9 @@
   }
 
   /** The answer to calls that only the leader takes. */
-  createNotLeader(): leaderCallers.NotLeader {
-    return { kind: "notLeader", leader: this.getLeader() };
+  createNotLeader(): notLeaders.NotLeader {
+    const reason = notLeaders.explainNotLeader(this.#driver?.getSight());
+    return { kind: "notLeader", leader: this.getLeader(), reason };
   }
 
   /** Proposes a command; see `ReplicaDriver.propose`. */
@@ -230,7 +233,10 @@
   }
 
   #writeNotice(notice: consensus.ReplicaNotice): void {
-    const { log, name } = this.#options;
+    const { log, name, metrics } = this.#options;
+    if (notice.kind === "voteRefused") {
+      metrics.replicas.countRefusedVote(name, notice.reason);
+    }
     const level = describeNotice.chooseLevel(notice);
     log.write(level, `replica.${notice.kind}`, {
       group: name,
@@ -250,9 +256,16 @@
   #runPlan(): void {
     if (this.#isStopped) return;
     this.#plan();
+    this.#measure();
     this.#options.clock.startTimer(PLAN_MS, () => this.#runPlan());
   }
 
+  #measure(): void {
+    const { metrics, name } = this.#options;
+    const sight = this.#driver?.getSight();
+    if (sight !== undefined) metrics.replicas.setFigures(name, sight);
+  }
+
   #plan(): void {
     const driver = this.#driver;
     if (driver === undefined || !driver.hasAuthority()) return;
