--- a/src/replica_group/simulated_store_test.ts
+++ b/src/replica_group/simulated_store_test.ts
@@ -3,7 +3,7 @@
 import * as duties from "../duty/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
-import type * as metrics from "../metrics/mod.ts";
+import * as metrics from "../metrics/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as groupMachines from "./group_machine_test.ts";
 import * as replicaGroups from "./replica_group.ts";
@@ -167,6 +167,7 @@
       seeds: [],
       clock: process,
       log: this.#createLog(),
+      metrics: new metrics.FleetMetrics(),
       machine: machine as consensus.Machine,
       directory,
       peers: { get: (to) => getPeer(this.id, to) },
