Have a fed replica gain on the log even where its leader is held up

Cause: at a third of a core (real processes) the quorum's answers were 0.4 to 0.9 s old all the time; 8 entries a message then reach the replica slower than new ones come, and it never counts again (lag 422, 182, 513, 133 in 40 s). Change: messages double also while the replica does not gain; they shrink to 32 entries, not 8, where it gains and the leader is held up. Leaders change meanwhile: with processors that are full to three quarters without it, feeding and load don't fit; open.

--- a/src/consensus/_feeding.ts
+++ b/src/consensus/_feeding.ts
@@ -18,8 +18,10 @@
 const MESSAGE_BYTES = 512 * 1024;
 /** Messages on their way to a fed replica: one is encoded while one is taken in. */
 const FEED_MESSAGES = 2;
-/** Entries in a message to a fed replica at first, and while the leader is held up. */
-const FEED_LEAST_ENTRIES = 8;
+/** Entries in a message to a fed replica at first. */
+const FEED_FIRST_ENTRIES = 8;
+/** Entries to which its messages shrink while the leader is held up. */
+const FEED_LEAST_ENTRIES = 32;
 /** Entries in a message to a fed replica at most, under a megabyte usually. */
 const FEED_MOST_ENTRIES = 96;
 /** By how much these messages grow and shrink. */
@@ -82,24 +84,32 @@
 
 /**
  * Says how many entries the next messages to a fed replica take, after it has
- * answered one: more while the leader is not held up, else fewer.
+ * confirmed more. They double while the leader is not held up, and also while
+ * the replica does not gain on the log: one that never catches up is worse than a
+ * leader that is held up. Else they shrink.
  *
  * @param state The leader.
- * @param progress How far the replica was before the answer.
+ * @param before How far the replica was before the answer.
+ * @param gained Entries by which it is nearer to the log's end since the answer
+ * before.
  * @param nowMs Monotonic time, in ms.
  * @returns The number of entries.
  */
 export function updateBatch(
   state: replicaStates.ReplicaState,
-  progress: replicaStates.Progress,
+  before: replicaStates.Progress,
+  gained: number,
   nowMs: number,
 ): number {
-  const { feedEntries = FEED_LEAST_ENTRIES } = progress;
+  const { feedEntries = FEED_FIRST_ENTRIES } = before;
   const leftMs = authorities.getAuthorityUntilMs(state, nowMs) - nowMs;
   const isAtEase = leftMs > state.config.electionTimeoutMs * EASE_SHARE;
-  return isAtEase
-    ? Math.min(FEED_MOST_ENTRIES, feedEntries * FEED_FACTOR)
-    : Math.max(FEED_LEAST_ENTRIES, Math.floor(feedEntries / FEED_FACTOR));
+  const isGaining = gained > feedEntries / FEED_FACTOR;
+  if (isAtEase || !isGaining) {
+    return Math.min(FEED_MOST_ENTRIES, feedEntries * FEED_FACTOR);
+  }
+  const fewer = Math.floor(feedEntries / FEED_FACTOR);
+  return Math.min(feedEntries, Math.max(FEED_LEAST_ENTRIES, fewer));
 }
 
 function findWindow(
@@ -117,7 +127,7 @@
     };
   }
   if (!listFed(state, nowMs).includes(to)) return undefined;
-  const { feedEntries = Math.min(FEED_LEAST_ENTRIES, maxBatchEntries) } =
+  const { feedEntries = Math.min(FEED_FIRST_ENTRIES, maxBatchEntries) } =
     progress;
   return {
     entries: FEED_MESSAGES * feedEntries,
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -113,10 +113,12 @@
   const progress = role.progress.get(from);
   if (progress === undefined) return state;
   if (progress.matchIndex <= before.matchIndex) return state;
-  const feedEntries = feedings.updateBatch(state, before, nowMs);
+  const lag = replicaLogs.getLastIndex(state.log) - progress.matchIndex;
+  const gained = (before.feedLag ?? Number.POSITIVE_INFINITY) - lag;
+  const feedEntries = feedings.updateBatch(state, before, gained, nowMs);
   const next = new Map([
     ...role.progress,
-    [from, { ...progress, feedEntries }] as const,
+    [from, { ...progress, feedEntries, feedLag: lag }] as const,
   ]);
   return { ...state, role: { ...role, progress: next } };
 }
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -35,6 +35,8 @@
   readonly movedAtMs?: number;
   /** Entries of the next message to it while it is fed. */
   readonly feedEntries?: number;
+  /** Entries that it lacked when it last confirmed more while it was fed. */
+  readonly feedLag?: number;
   readonly identity: messages.ReplicaIdentity;
 }
 
