--- /dev/null
+++ b/tools/soak/engine_service.ts
@@ -0,0 +1,145 @@
+import type * as http from "node:http";
+import * as jsonServers from "../stand_ins/json_server.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
+import * as layouts from "./fleet_layout.ts";
+
+/** Names that the configuration and the submissions use. */
+export const ENGINE_SERVICE = "sommelier-lm";
+export const SCORER_SERVICE = "cellar-app";
+export const MODEL = "m0";
+
+const HEARTBEAT_MS = 1_000;
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+const OK_STATUS = 200;
+const ACCEPTED_STATUS = 202;
+const FIRST_PORT = 9_300;
+
+/** What the servers are. */
+export interface EngineServiceOptions {
+  /** First of the four third numbers of the addresses. */
+  readonly net: number;
+  readonly engines: number;
+  readonly slots: number;
+  readonly eventsPerItem: number;
+  readonly eventBytes: number;
+  readonly eventMs: number;
+  readonly entries: readonly layouts.SoakBox[];
+}
+
+/** Engines and a scorer that speak the platform's protocol. */
+export class EngineService {
+  readonly #options: EngineServiceOptions;
+  readonly #servers: http.Server[] = [];
+  readonly #text: string;
+  #isStopped = false;
+
+  constructor(options: EngineServiceOptions) {
+    this.#options = options;
+    this.#text = "x".repeat(options.eventBytes);
+  }
+
+  async start(): Promise<void> {
+    const { engines } = this.#options;
+    for (let index = 0; index <= engines; index += 1) {
+      await this.#startServer(index, index === engines);
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+
+  async #startServer(index: number, isScorer: boolean): Promise<void> {
+    const address = `127.77.${this.#options.net}.200`;
+    const port = FIRST_PORT + index;
+    const server = await jsonServers.startServer(
+      address,
+      port,
+      (request) => isScorer ? answerScore(request) : this.#answer(request),
+    );
+    this.#servers.push(server);
+    void this.#runHeartbeats(`i-${index}`, `${address}:${port}`, isScorer);
+  }
+
+  async #runHeartbeats(
+    id: string,
+    address: string,
+    isScorer: boolean,
+  ): Promise<void> {
+    const { entries, slots } = this.#options;
+    for (let sequence = 1; !this.#isStopped; sequence += 1) {
+      const entry = entries[sequence % entries.length];
+      const models = isScorer
+        ? []
+        : [{ name: MODEL, version: 1, adapters: [] }];
+      const sent = fetch(
+        `http://${entry?.address}:${layouts.PORTS.control}/Instances.Heartbeat/${id}`,
+        {
+          method: "POST",
+          signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS),
+          body: JSON.stringify({
+            service: isScorer ? SCORER_SERVICE : ENGINE_SERVICE,
+            address,
+            zone: entries[0]?.failureDomain,
+            slots,
+            state: "ready",
+            cold_remaining_ms: 0,
+            sequence,
+            models,
+          }),
+        },
+      ).then((answer) => answer.arrayBuffer());
+      // A heartbeat that is lost is followed by the next one, elsewhere.
+      const isTaken = await sent.then(() => true, () => false);
+      if (isTaken) await sleeps.sleep(HEARTBEAT_MS);
+    }
+  }
+
+  async #answer(request: jsonServers.StandInRequest): Promise<void> {
+    const { path, response } = request;
+    if (path === "/report") return answerReport(response);
+    if (path === "/order") {
+      return jsonServers.answerJson(response, ACCEPTED_STATUS, {});
+    }
+    await this.#stream(request);
+  }
+
+  async #stream(request: jsonServers.StandInRequest): Promise<void> {
+    const { headers, response } = request;
+    const { eventsPerItem, eventMs } = this.#options;
+    const id = String(headers["x-request-id"]);
+    const after = Number(headers["last-event-id"] ?? 0);
+    response.writeHead(OK_STATUS, {
+      "x-server-stamp": `stamp-${id}`,
+      "content-type": "text/event-stream",
+      "x-weight-versions": "1",
+    });
+    for (let event = after + 1; event <= eventsPerItem; event += 1) {
+      if (response.destroyed) return;
+      response.write(`id: ${event}\ndata: ${id}.${event}.${this.#text}\n\n`);
+      await sleeps.sleep(eventMs);
+    }
+    response.end();
+  }
+}
+
+function answerScore({ headers, response }: jsonServers.StandInRequest): void {
+  const stamp = `stamp-${String(headers["x-request-id"])}`;
+  response.writeHead(OK_STATUS, { "x-server-stamp": stamp });
+  response.end("scored");
+}
+
+function answerReport(response: http.ServerResponse): void {
+  jsonServers.answerJson(response, OK_STATUS, {
+    stage: "both",
+    models: [{ name: MODEL, version: 1, adapters: [] }],
+    busy: false,
+    sequence: 0,
+    running: 0,
+    waiting: 0,
+  });
+}
--- /dev/null
+++ b/tools/soak/run_soak.ts
@@ -0,0 +1,92 @@
+/**
+ * Plays days of faults on real processes: store and entry boxes on loopback
+ * addresses, under a load of submissions. A day is good if a store leads and
+ * all that was accepted can be read within a bound after the last restart.
+ *
+ * @example `npm run soak -- --seeds 3 --seed 1`
+ * @module
+ */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import yargs from "yargs";
+import * as soakDays from "./soak_day.ts";
+
+const options = await yargs(process.argv.slice(2))
+  .scriptName("soak")
+  .option("seed", {
+    type: "number",
+    default: 0,
+    describe: "first seed; 0 is the day with disks lost in series",
+  })
+  .option("seeds", { type: "number", default: 1, describe: "days to play" })
+  .option("share", {
+    type: "number",
+    default: 1,
+    describe: "share of a core that each box may use",
+  })
+  .option("warm-s", {
+    type: "number",
+    default: 5,
+    describe: "traffic before the first fault, in s",
+  })
+  .option("every-ms", {
+    type: "number",
+    default: 4_000,
+    describe: "time between submissions",
+  })
+  .option("catch-up-ms", {
+    type: "number",
+    default: 5_100,
+    describe: "from the start of an emptied box until the next lost disk",
+  })
+  .option("spread-ms", {
+    type: "number",
+    default: 300,
+    describe: "time in which all boxes start again",
+  })
+  .option("bound-s", {
+    type: "number",
+    default: 30,
+    describe: "time from the last restart until all must be readable",
+  })
+  .option("net", {
+    type: "number",
+    default: 10,
+    describe: "third number of the first address 127.77.NET.x; takes four",
+  })
+  .option("folder", {
+    type: "string",
+    describe: "where settings, disks and logs go; kept after a bad day",
+  })
+  .option("plan", {
+    type: "string",
+    describe: "JSON file with a plan that goes before the seed",
+  })
+  .strict()
+  .help()
+  .parseAsync();
+
+let bad = 0;
+for (let seed = options.seed; seed < options.seed + options.seeds; seed += 1) {
+  const base = options.folder ?? path.join(os.tmpdir(), "hoistscale-soak");
+  const folder = path.join(base, `seed-${seed}-${options.net}`);
+  fs.rmSync(folder, { recursive: true, force: true });
+  const report = await soakDays.runDay({
+    seed,
+    folder,
+    net: options.net,
+    planFile: options.plan,
+    share: options.share,
+    warmMs: options.warmS * 1_000,
+    everyMs: options.everyMs,
+    catchUpMs: options.catchUpMs,
+    startSpreadMs: options.spreadMs,
+    boundMs: options.boundS * 1_000,
+  });
+  console.log(JSON.stringify(report));
+  if (report.isGood) fs.rmSync(folder, { recursive: true, force: true });
+  else bad += 1;
+}
+console.log(`soak: ${options.seeds} days, ${bad} bad`);
+process.exit(bad === 0 ? 0 : 1);
