Soak: slow starts, runs of unequal length, processes that end by themselves are told

Cause: results came in lockstep, so the log had few, large entries; a process that died of its heap was not told as such. Change: run times differ by item; starts may be slow; a signal ends the boxes.

--- a/tools/soak/engine_service.ts
+++ b/tools/soak/engine_service.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as zlib from "node:zlib";
 import * as jsonServers from "../stand_ins/json_server.ts";
 import * as sleeps from "../stand_ins/sleep.ts";
 import * as layouts from "./fleet_layout.ts";
@@ -22,7 +23,8 @@
   readonly slots: number;
   readonly eventsPerItem: number;
   readonly eventBytes: number;
-  readonly eventMs: number;
+  /** Longest time of an item; they differ, as its results must not come at once. */
+  readonly runMs: number;
   readonly entries: readonly layouts.SoakBox[];
 }
 
@@ -110,8 +112,9 @@
 
   async #stream(request: jsonServers.StandInRequest): Promise<void> {
     const { headers, response } = request;
-    const { eventsPerItem, eventMs } = this.#options;
+    const { eventsPerItem, runMs } = this.#options;
     const id = String(headers["x-request-id"]);
+    const eventMs = computeShare(id) * runMs / eventsPerItem;
     const after = Number(headers["last-event-id"] ?? 0);
     response.writeHead(OK_STATUS, {
       "x-server-stamp": `stamp-${id}`,
@@ -127,6 +130,12 @@
   }
 }
 
+/** A share between 0.2 and 1 that depends on the id alone. */
+function computeShare(id: string): number {
+  const sum = zlib.crc32(id) % 1_000;
+  return 0.2 + 0.8 * sum / 1_000;
+}
+
 function answerScore({ headers, response }: jsonServers.StandInRequest): void {
   const stamp = `stamp-${String(headers["x-request-id"])}`;
   response.writeHead(OK_STATUS, { "x-server-stamp": stamp });
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -45,6 +45,11 @@
     default: 300,
     describe: "time in which all boxes start again",
   })
+  .option("slow-start-ms", {
+    type: "number",
+    default: 0,
+    describe: "longest time that a new process stands still first",
+  })
   .option("bound-s", {
     type: "number",
     default: 30,
@@ -59,6 +64,11 @@
     type: "string",
     describe: "where settings, disks and logs go; kept after a bad day",
   })
+  .option("keep", {
+    type: "boolean",
+    default: false,
+    describe: "keep the folder of a good day too",
+  })
   .option("plan", {
     type: "string",
     describe: "JSON file with a plan that goes before the seed",
@@ -67,6 +77,11 @@
   .help()
   .parseAsync();
 
+// An exit ends the boxes too; a signal alone would leave them running.
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+  process.once(signal, () => process.exit(1));
+}
+
 let bad = 0;
 for (let seed = options.seed; seed < options.seed + options.seeds; seed += 1) {
   const base = options.folder ?? path.join(os.tmpdir(), "hoistscale-soak");
@@ -82,11 +97,12 @@
     everyMs: options.everyMs,
     catchUpMs: options.catchUpMs,
     startSpreadMs: options.spreadMs,
+    slowStartMs: options.slowStartMs,
     boundMs: options.boundS * 1_000,
   });
   console.log(JSON.stringify(report));
-  if (report.isGood) fs.rmSync(folder, { recursive: true, force: true });
-  else bad += 1;
+  if (!report.isGood) bad += 1;
+  else if (!options.keep) fs.rmSync(folder, { recursive: true, force: true });
 }
 console.log(`soak: ${options.seeds} days, ${bad} bad`);
 process.exit(bad === 0 ? 0 : 1);
--- a/tools/soak/soak_day.ts
+++ b/tools/soak/soak_day.ts
@@ -23,6 +23,7 @@
   readonly catchUpMs: number;
   readonly startSpreadMs: number;
   readonly boundMs: number;
+  readonly slowStartMs: number;
 }
 
 /** Time from an empty start until the box counted in a quorum. */
@@ -30,6 +31,8 @@
   readonly box: string;
   /** Undefined where it was not admitted, or no line told it. */
   readonly tookMs: number | undefined;
+  /** Last entry that it held then. */
+  readonly index: number | undefined;
 }
 
 /** What came of a day. */
@@ -40,6 +43,8 @@
   /** From the restart of all boxes until a store led. */
   readonly leaderMs: number | undefined;
   readonly admissions: readonly Admission[];
+  /** Boxes whose processes ended by themselves. */
+  readonly ended: readonly string[];
   readonly verdict: trainers.TrainerVerdict;
 }
 
@@ -48,7 +53,7 @@
 const ENGINES = 12;
 const SLOTS = 24;
 const LOAD = { groups: 39, itemsPerGroup: 4, bodyBytes: 1_024, desired: 30 };
-const EVENTS = { eventsPerItem: 20, eventBytes: 290, eventMs: 120 };
+const EVENTS = { eventsPerItem: 20, eventBytes: 290, runMs: 5_000 };
 
 /** One day on a fleet of its own. */
 class SoakDay {
@@ -70,7 +75,7 @@
       ? dayPlans.createPlan(seed)
       : JSON.parse(fs.readFileSync(planFile, "utf8"));
     this.#brake = new brakes.ProcessBrake(share);
-    this.#fleet = new fleets.SoakFleet({ folder, net, brake: this.#brake });
+    this.#fleet = new fleets.SoakFleet({ ...options, brake: this.#brake });
     const { entries } = this.#fleet;
     this.#engines = new engineServices.EngineService({
       ...EVENTS,
@@ -127,10 +132,13 @@
     const endMs = restartMs + this.#options.boundMs;
     const ledMs = await this.#awaitLeader(restartMs, endMs);
     const verdict = await this.#trainer.judge(endMs);
+    const ended = this.#fleet.listFailures();
     const report: SoakReport = {
       seed: this.#options.seed,
       plan: this.#plan,
-      isGood: ledMs !== undefined && verdict.faults.length === 0,
+      isGood: ledMs !== undefined && verdict.faults.length === 0 &&
+        ended.length === 0,
+      ended,
       leaderMs: ledMs === undefined ? undefined : ledMs - restartMs,
       admissions: this.#listAdmissions(),
       verdict,
@@ -157,10 +165,13 @@
 
   #listAdmissions(): readonly Admission[] {
     return this.#dayRun.emptyStarts.map(({ box, startMs }) => {
-      const atMs = this.#watch.findAdmission(box, startMs);
+      const line = this.#watch.findAdmission(box, startMs);
       return {
         box: box.name,
-        tookMs: atMs === undefined ? undefined : atMs - startMs,
+        tookMs: line === undefined ? undefined : line.atMs - startMs,
+        index: line === undefined
+          ? undefined
+          : Number(line.fields.get("index")),
       };
     });
   }
--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -1,6 +1,8 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
+import * as zlib from "node:zlib";
 import * as children from "../deployment/child.ts";
+import * as sleeps from "../stand_ins/sleep.ts";
 import * as layouts from "./fleet_layout.ts";
 import type * as brakes from "./process_brake.ts";
 
@@ -15,6 +17,8 @@
   /** First of the four third numbers of the addresses. */
   readonly net: number;
   readonly brake: brakes.ProcessBrake;
+  /** Longest time that a new process stands still first, in ms. */
+  readonly slowStartMs: number;
 }
 
 /** Boxes as processes, with the disks that outlive them. */
@@ -24,6 +28,10 @@
   readonly entries: readonly layouts.SoakBox[];
   #stores: readonly layouts.SoakBox[];
   #storeCount = INITIAL_STORES;
+  /** Processes that were told to end. */
+  readonly #endedByPlan = new WeakSet<children.Child>();
+  readonly #failures: string[] = [];
+  #starts = 0;
   #isFirstStart = true;
 
   constructor(options: SoakFleetOptions) {
@@ -74,23 +82,41 @@
       logFolder: this.#options.folder,
     });
     this.#running.set(box.name, child);
+    void this.#watchEnd(child);
+    void this.#beginSlowly(child);
+  }
+
+  /** Processes take unequal times to start on a machine that is busy. */
+  async #beginSlowly(child: children.Child): Promise<void> {
+    this.#starts += 1;
+    const share = zlib.crc32(`${child.name} ${this.#starts}`) % 1_000 / 1_000;
+    const delayMs = this.#options.slowStartMs * share;
+    if (delayMs > 0) {
+      child.kill("SIGSTOP");
+      await sleeps.sleep(delayMs);
+      child.kill("SIGCONT");
+    }
     this.#options.brake.limit(child);
   }
 
+  /** Names boxes whose processes ended by themselves. */
+  listFailures(): readonly string[] {
+    return this.#failures;
+  }
+
   async kill(box: layouts.SoakBox): Promise<void> {
-    const child = this.#get(box);
-    child.kill("SIGKILL");
-    await child.ended;
+    await this.#kill([this.#get(box)]);
   }
 
   /** Kills all boxes at once. */
   async killAll(): Promise<void> {
-    await children.stopChildren([...this.#running.values()]);
+    await this.#kill([...this.#running.values()]);
   }
 
   /** Stops a box as planned: SIGTERM, and SIGKILL after a time. */
   async stop(box: layouts.SoakBox, graceMs: number): Promise<void> {
     const child = this.#get(box);
+    this.#endedByPlan.add(child);
     const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
     child.kill("SIGTERM");
     await child.ended;
@@ -133,6 +159,17 @@
     }
   }
 
+  #kill(ending: readonly children.Child[]): Promise<void> {
+    for (const child of ending) this.#endedByPlan.add(child);
+    return children.stopChildren(ending);
+  }
+
+  async #watchEnd(child: children.Child): Promise<void> {
+    const { code, signal } = await child.ended;
+    if (this.#endedByPlan.has(child)) return;
+    this.#failures.push(`${child.name}: ended by itself, ${code ?? signal}`);
+  }
+
   #get(box: layouts.SoakBox): children.Child {
     const child = this.#running.get(box.name);
     if (child === undefined) {
--- a/tools/soak/store_watch.ts
+++ b/tools/soak/store_watch.ts
@@ -56,10 +56,10 @@
     return (newest?.fields.get("voters") ?? "").split(",");
   }
 
-  /** When a box was admitted after it was started; undefined if not yet. */
-  findAdmission(box: layouts.SoakBox, startMs: number): number | undefined {
+  /** The line of a box's admission after it was started, if there is one. */
+  findAdmission(box: layouts.SoakBox, startMs: number): LogLine | undefined {
     return this.listLines(box, startMs)
-      .find((line) => line.event === "replica.admitted")?.atMs;
+      .find((line) => line.event === "replica.admitted");
   }
 
   #findLast(
