--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -35,6 +35,11 @@
     default: 4_000,
     describe: "time between submissions",
   })
+  .option("event-bytes", {
+    type: "number",
+    default: 290,
+    describe: "bytes of each of an item's 20 events",
+  })
   .option("catch-up-ms", {
     type: "number",
     default: 5_100,
@@ -95,6 +100,7 @@
     share: options.share,
     warmMs: options.warmS * 1_000,
     everyMs: options.everyMs,
+    eventBytes: options.eventBytes,
     catchUpMs: options.catchUpMs,
     startSpreadMs: options.spreadMs,
     slowStartMs: options.slowStartMs,
--- a/tools/soak/soak_day.ts
+++ b/tools/soak/soak_day.ts
@@ -20,6 +20,7 @@
   readonly share: number;
   readonly warmMs: number;
   readonly everyMs: number;
+  readonly eventBytes: number;
   readonly catchUpMs: number;
   readonly startSpreadMs: number;
   readonly boundMs: number;
@@ -53,7 +54,7 @@
 const ENGINES = 12;
 const SLOTS = 24;
 const LOAD = { groups: 39, itemsPerGroup: 4, bodyBytes: 1_024, desired: 30 };
-const EVENTS = { eventsPerItem: 20, eventBytes: 290, runMs: 5_000 };
+const EVENTS = { eventsPerItem: 20, runMs: 5_000 };
 
 /** One day on a fleet of its own. */
 class SoakDay {
@@ -79,6 +80,7 @@
     const { entries } = this.#fleet;
     this.#engines = new engineServices.EngineService({
       ...EVENTS,
+      eventBytes: options.eventBytes,
       net,
       engines: ENGINES,
       slots: SLOTS,
