Failing tests: the time of day taken for an order or an age elsewhere

The ages by the monotonic clock are there, not used yet. Others are fine: ages in metrics, audit lines, usage windows (true time by their definition), the source's name of usage.

--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -26,11 +26,13 @@
   readonly #knownEngines: weightOrders.KnownEngines;
   readonly #parts: boxParts.BoxParts;
   readonly #machine: submissions.SubmissionMachine;
+  readonly #ages: submissions.SubmissionAges;
   #isStopped = false;
 
   /** @param dataFolder Folder on the box's disk. */
   constructor(parts: boxParts.BoxParts, dataFolder: string) {
     this.#parts = parts;
+    this.#ages = new submissions.SubmissionAges(parts.clock);
     const { settings, clock, directory } = parts;
     const changed = new csp.Signal();
     const machine = new submissions.SubmissionMachine(() => {
@@ -155,9 +157,11 @@
   #runForget(): void {
     if (this.#isStopped) return;
     const { clock, settings } = this.#parts;
+    this.#ages.observe(this.#machine.listAll());
     const ids = submissions.findForgettable(this.#machine.listAll(), {
       nowMs: clock.getWallMs(),
       resultsKeepMs: settings.bounds.resultsKeepMs,
+      getKnownMs: (id) => this.#ages.getAgeMs(id),
     });
     if (ids.length > 0 && this.#group.hasAuthority()) {
       const command: submissions.SubmissionCommand = {
--- a/src/submission/find_forgettable.ts
+++ b/src/submission/find_forgettable.ts
@@ -5,6 +5,8 @@
   readonly nowMs: number;
   /** How long results stay readable after the submission, in ms. */
   readonly resultsKeepMs: number;
+  /** How long this process has known a submission, by its monotonic clock, in ms. */
+  readonly getKnownMs: (id: string) => number;
 }
 
 /** Kept longer than promised, for clocks that differ, in ms. */
--- a/src/submission/mod.ts
+++ b/src/submission/mod.ts
@@ -16,5 +16,6 @@
 export * from "./saved_parts.ts";
 export * from "./submission.ts";
 export * from "./submission_command.ts";
+export * from "./submission_ages.ts";
 export * from "./submission_machine.ts";
 export * from "./submission_service.ts";
--- a/src/submission/submission_test.ts
+++ b/src/submission/submission_test.ts
@@ -260,7 +260,11 @@
 
   it("forgets only what was promised for long enough", () => {
     const machine = createMachine();
-    const times = { nowMs: 70_000, resultsKeepMs: 50_000 };
+    const times = {
+      nowMs: 70_000,
+      resultsKeepMs: 50_000,
+      getKnownMs: () => 60_000,
+    };
     function find(): readonly string[] {
       return findForgettable.findForgettable(machine.listAll(), times);
     }
@@ -275,6 +279,19 @@
     chai.expect(machine.get("a")).to.equal(undefined);
   });
 
+  // A leader whose time of day was some minutes ahead forgot, for all boxes,
+  // submissions that were accepted and ended a moment before: their age was the
+  // difference between two boxes' clocks. They could not be read again.
+  it("is not forgotten by a leader whose clock is ahead", () => {
+    const machine = createMachine();
+    const forgettable = findForgettable.findForgettable(machine.listAll(), {
+      nowMs: 3_600_000,
+      resultsKeepMs: 50_000,
+      getKnownMs: () => 49_000,
+    });
+    chai.expect(forgettable).to.deep.equal([]);
+  });
+
   it("belongs to its account: any key of it will do, no other account's", () => {
     const machine = createMachine();
     const north = { kind: "account", name: "north", priority: 1 } as const;
