Order processes of a box and ages of submissions without the time of day

Cause: two processes of a box were ordered by the time of day of their starts, and a submission's age was the difference of two boxes' clocks. After a step back a box started again was not alive for others for up to a minute; a leader some minutes ahead forgot accepted, ended submissions for all boxes. Ruled out: late records of the former process; they count while the new one is silent for 1.8 s at most. Change: a record of another process is taken once the known one is silent; nothing is forgotten that this process has not known for as long by its monotonic clock.

--- a/src/fleet/box_directory.ts
+++ b/src/fleet/box_directory.ts
@@ -24,12 +24,19 @@
     this.#clock = clock;
   }
 
-  /** Takes a record if it is newer than the known one. */
+  /**
+   * Takes a record if it is newer than the known one, or if that one's process is
+   * silent and this is of another: with a clock stepped back before its start it
+   * has the earlier time, and would be taken for gone for up to a minute.
+   */
   merge(record: boxRecords.BoxRecord): MergeOutcome {
     const known = this.#boxes.get(record.id);
-    if (!boxRecords.isNewer(record, known?.record)) return "old";
-    const heardAtMs = this.#clock.getMonotonicMs();
     const wasSilent = known === undefined || this.#isSilent(known);
+    const isOther = record.startedAtMs !== known?.record.startedAtMs;
+    const isNewer = boxRecords.isNewer(record, known?.record) ||
+      (wasSilent && isOther);
+    if (!isNewer) return "old";
+    const heardAtMs = this.#clock.getMonotonicMs();
     this.#boxes.set(record.id, { record, heardAtMs });
     if (wasSilent) return "changed";
     const before = boxRecords.describeContent(known.record);
--- a/src/submission/find_forgettable.ts
+++ b/src/submission/find_forgettable.ts
@@ -27,8 +27,11 @@
 ): readonly string[] {
   return records.filter(({ submission, isEnded }) => {
     const openMs = isEnded ? 0 : submission.terms.keepMs;
-    const untilMs = submission.acceptedAtMs + openMs + times.resultsKeepMs +
-      CLOCK_SLACK_MS;
+    const keptMs = openMs + times.resultsKeepMs;
+    // The clocks of two boxes may differ by minutes; a leader whose clock was
+    // ahead forgot what had just been accepted.
+    if (times.getKnownMs(submission.id) < keptMs) return false;
+    const untilMs = submission.acceptedAtMs + keptMs + CLOCK_SLACK_MS;
     return times.nowMs > untilMs;
   }).map(({ submission }) => submission.id);
 }
