--- a/src/consensus/_notice_teller.ts
+++ b/src/consensus/_notice_teller.ts
@@ -82,13 +82,13 @@
     state: replicaStates.ReplicaState,
     hasAuthority: boolean,
     writingMs: number,
-  ): replicaStatuses.ReplicaSight {
+  ): replicaStatuses.ReplicaHealth {
     this.observeLeader(state, hasAuthority, writingMs);
     const nowMs = this.#clock.getMonotonicMs();
     const leaderlessMs = this.#leader.getSinceMs(nowMs);
     const fedMs = this.#feeding.getLongestMs(nowMs);
     const times = { hasAuthority, leaderlessMs, writingMs, fedMs };
-    return replicaStatuses.describeSight(state, times, nowMs);
+    return replicaStatuses.describeHealth(state, times, nowMs);
   }
 
   #observeRole(state: replicaStates.ReplicaState): void {
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -123,7 +123,7 @@
   }
 
   /** What explains that this replica leads, or that it does not. */
-  getSight(): replicaStatuses.ReplicaSight {
+  getHealth(): replicaStatuses.ReplicaHealth {
     const writingMs = this.#writer.getWritingMs();
     return this.#teller.describe(this.#state, this.hasAuthority(), writingMs);
   }
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -143,7 +143,7 @@
     chai.expect(told).to.deep.equal(
       ["opened", "leaderless", "leaderless", "leaderless"],
     );
-    chai.expect(driver.getSight()).to.deep.equal({
+    chai.expect(driver.getHealth()).to.deep.equal({
       role: "follower",
       term: 0,
       leader: undefined,
--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -26,7 +26,7 @@
 }
 
 /** What explains that a replica leads, or that it does not. */
-export interface ReplicaSight {
+export interface ReplicaHealth {
   readonly role: replicaStates.Role["kind"];
   readonly term: number;
   readonly leader: string | undefined;
@@ -42,11 +42,11 @@
   /** How long the write under way has lasted, in ms; 0 for none. */
   readonly writingMs: number;
   /** What a leader knows of its followers; undefined without the lead. */
-  readonly followers: FollowersSight | undefined;
+  readonly followers: FollowersHealth | undefined;
 }
 
 /** What a leader knows of its followers together. */
-export interface FollowersSight {
+export interface FollowersHealth {
   /** Voters that answered lately and count in a quorum, the leader among them. */
   readonly presentVoters: number;
   readonly quorum: number;
@@ -128,10 +128,10 @@
   };
 }
 
-/** What a replica's state alone does not tell of its sight. */
-export type SightTimes =
-  & Pick<ReplicaSight, "hasAuthority" | "leaderlessMs" | "writingMs">
-  & Pick<FollowersSight, "fedMs">;
+/** What a replica's state alone does not tell of its health. */
+export type HealthTimes =
+  & Pick<ReplicaHealth, "hasAuthority" | "leaderlessMs" | "writingMs">
+  & Pick<FollowersHealth, "fedMs">;
 
 /**
  * Describes why a replica leads, or why it does not.
@@ -141,11 +141,11 @@
  * @param nowMs Monotonic time, in ms.
  * @returns What explains it.
  */
-export function describeSight(
+export function describeHealth(
   state: replicaStates.ReplicaState,
-  times: SightTimes,
+  times: HealthTimes,
   nowMs: number,
-): ReplicaSight {
+): ReplicaHealth {
   const { role, term, identity, log } = state;
   const { hasAuthority, leaderlessMs, writingMs, fedMs } = times;
   const set = describeVoterSet(state);
--- a/src/consensus/replica_status_test.ts
+++ b/src/consensus/replica_status_test.ts
@@ -9,13 +9,13 @@
   fedMs: 0,
 };
 
-describe("sight of a leader", () => {
+describe("health of a leader", () => {
   const leader = fixtures.createLeader();
 
   /** Voters that count at a time, of three. */
   function countPresent(state: typeof leader, nowMs: number): unknown {
-    const sight = replicaStatuses.describeSight(state, TIMES, nowMs);
-    return sight.followers?.presentVoters;
+    const health = replicaStatuses.describeHealth(state, TIMES, nowMs);
+    return health.followers?.presentVoters;
   }
 
   it("counts itself and the voters that answer", () => {
@@ -33,11 +33,11 @@
   });
 
   it("tells the quorum, and nothing of followers without the lead", () => {
-    const sight = replicaStatuses.describeSight(leader, TIMES, 0);
-    chai.expect(sight.followers?.quorum).to.equal(2);
+    const health = replicaStatuses.describeHealth(leader, TIMES, 0);
+    chai.expect(health.followers?.quorum).to.equal(2);
     const follower = fixtures.createFollower(fixtures.ADMITTED);
     chai.expect(
-      replicaStatuses.describeSight(follower, TIMES, 0).followers,
+      replicaStatuses.describeHealth(follower, TIMES, 0).followers,
     ).to.equal(undefined);
   });
 });
--- a/src/replica_group/not_leader.ts
+++ b/src/replica_group/not_leader.ts
@@ -34,7 +34,7 @@
   }
   | {
     readonly kind: "leaderless";
-    readonly role: consensus.ReplicaSight["role"];
+    readonly role: consensus.ReplicaHealth["role"];
     readonly term: number;
     /** Time since it knew a leader, in ms. */
     readonly sinceMs: number;
@@ -51,14 +51,14 @@
 /**
  * Explains why a replica does not take what only the leader takes.
  *
- * @param sight What the replica knows; undefined before it is opened.
+ * @param health What the replica knows; undefined before it is opened.
  * @returns The reason.
  */
 export function explainNotLeader(
-  sight: consensus.ReplicaSight | undefined,
+  health: consensus.ReplicaHealth | undefined,
 ): NotLeaderReason {
-  if (sight === undefined) return { kind: "notStarted" };
-  const { role, leader, term, leaderlessMs, writingMs, followers } = sight;
+  if (health === undefined) return { kind: "notStarted" };
+  const { role, leader, term, leaderlessMs, writingMs, followers } = health;
   if (followers !== undefined) {
     const { presentVoters, quorum } = followers;
     return {
@@ -78,10 +78,10 @@
     role,
     term,
     sinceMs: leaderlessMs,
-    lastIndex: sight.lastIndex,
-    isAdmitted: sight.isAdmitted,
-    isInSet: sight.isInSet,
-    voters: sight.set.voters.length,
+    lastIndex: health.lastIndex,
+    isAdmitted: health.isAdmitted,
+    isInSet: health.isInSet,
+    voters: health.set.voters.length,
     writingMs,
   };
 }
--- a/src/replica_group/not_leader_test.ts
+++ b/src/replica_group/not_leader_test.ts
@@ -2,7 +2,7 @@
 import type * as consensus from "../consensus/mod.ts";
 import * as notLeaders from "./not_leader.ts";
 
-const SIGHT: consensus.ReplicaSight = {
+const HEALTH: consensus.ReplicaHealth = {
   role: "preCandidate",
   term: 5,
   leader: undefined,
@@ -17,11 +17,11 @@
 };
 
 /** What the log shows of a replica that does not lead. */
-function showAnswer(sight: consensus.ReplicaSight | undefined): string {
+function showAnswer(health: consensus.ReplicaHealth | undefined): string {
   return notLeaders.describeNotLeader({
     kind: "notLeader",
-    leader: sight?.leader,
-    reason: notLeaders.explainNotLeader(sight),
+    leader: health?.leader,
+    reason: notLeaders.explainNotLeader(health),
   });
 }
 
@@ -31,18 +31,18 @@
   });
 
   it("tells whom it follows, and when it heard that one", () => {
-    const follower = { ...SIGHT, role: "follower" as const, leader: "b" };
+    const follower = { ...HEALTH, role: "follower" as const, leader: "b" };
     chai.expect(showAnswer(follower)).to.equal("follows:b:term5:heard2100ms");
   });
 
   it("tells its role, its log's end and how many vote without a leader", () => {
-    chai.expect(showAnswer(SIGHT)).to.equal(
+    chai.expect(showAnswer(HEALTH)).to.equal(
       "preCandidate:term5:since2100ms:last90:voters3",
     );
   });
 
   it("tells that it does not count, does not vote, or waits for its disk", () => {
-    const emptied = { ...SIGHT, isAdmitted: false, isInSet: false };
+    const emptied = { ...HEALTH, isAdmitted: false, isInSet: false };
     chai.expect(showAnswer({ ...emptied, writingMs: 700 })).to.equal(
       "preCandidate:term5:since2100ms:last90:voters3:notInSet:notAdmitted:writing700ms",
     );
@@ -50,7 +50,7 @@
 
   it("tells that it leads by role alone", () => {
     const leader = {
-      ...SIGHT,
+      ...HEALTH,
       role: "leader" as const,
       leader: "a",
       followers: { presentVoters: 1, quorum: 2, fedMs: 0 },
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -167,7 +167,7 @@
 
   /** The answer to calls that only the leader takes. */
   createNotLeader(): notLeaders.NotLeader {
-    const reason = notLeaders.explainNotLeader(this.#driver?.getSight());
+    const reason = notLeaders.explainNotLeader(this.#driver?.getHealth());
     return { kind: "notLeader", leader: this.getLeader(), reason };
   }
 
@@ -257,8 +257,8 @@
 
   #measure(): void {
     const { metrics, name } = this.#options;
-    const sight = this.#driver?.getSight();
-    if (sight !== undefined) metrics.replicas.setFigures(name, sight);
+    const health = this.#driver?.getHealth();
+    if (health !== undefined) metrics.replicas.setFigures(name, health);
   }
 
   #plan(): void {
