Cut a replica's log by its bytes too

A leader of 140 MB of heap held a log of 70 MB and ran out of memory while it fed a replica. Ruled out: messages alone (they are bounded by bytes now; the log still grew).

--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -5,6 +5,7 @@
 import * as noticeTellers from "./_notice_teller.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
+import * as logBudgets from "./_log_budget.ts";
 import * as openReplicas from "./_open_replica.ts";
 import * as savedRecords from "./_saved_record.ts";
 import * as proposalTables from "./_proposals.ts";
@@ -37,6 +38,7 @@
   #ended: Promise<void> = Promise.resolve();
   readonly #exchange: snapshotTransfers.SnapshotExchange;
   readonly #drafts: snapshotDrafts.SnapshotDrafts;
+  readonly #budget: logBudgets.LogBudget;
   readonly #teller: noticeTellers.NoticeTeller;
 
   private constructor(
@@ -54,7 +56,7 @@
     this.#exchange = new snapshotTransfers.SnapshotExchange({
       clock: options.clock,
       send: options.send,
-      createSnapshot: () => this.#createSnapshot(),
+      createSnapshot: () => this.#applied.createSnapshot(this.#state.log),
       onNotice: options.onNotice,
     });
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
@@ -66,6 +68,7 @@
       state.log,
     );
     this.#snapshotIndex = state.log.snapshotIndex;
+    this.#budget = new logBudgets.LogBudget(options.snapshotEntries);
     this.#teller = new noticeTellers.NoticeTeller(options, state);
   }
 
@@ -107,7 +110,7 @@
     return this.#state.term;
   }
 
-  /** Index of the last log entry that the machine has applied. */
+  /** Index of the last entry that the machine holds. */
   getAppliedIndex(): number {
     return this.#applied.getIndex();
   }
@@ -305,18 +308,15 @@
         return this.#exchange.send(effect.to, this.#state.term);
       case "commit":
         for (const entry of effect.entries) this.#applied.apply(entry);
+        this.#budget.add(effect.entries);
     }
   }
 
-  #createSnapshot(): messages.Snapshot {
-    return this.#applied.createSnapshot(this.#state.log);
-  }
-
   /** Writes a snapshot beside the log once enough was applied. */
   #startDraft(): void {
     const applied = this.getAppliedIndex() - this.#snapshotIndex;
-    if (applied < this.#options.snapshotEntries) return;
-    if (!this.#drafts.isBusy()) this.#drafts.start(this.#createSnapshot());
+    if (this.#drafts.isBusy() || !this.#budget.take(applied)) return;
+    this.#drafts.start(this.#applied.createSnapshot(this.#state.log));
   }
 
   /** Shortens the log by a snapshot that is written. */
@@ -331,7 +331,7 @@
     const records = savedRecords.createRest(this.#state, index);
     if (!(yield* this.#writer.takeDraft(records))) return;
     this.#snapshotIndex = index;
-    const keptFrom = index - Math.floor(this.#options.snapshotEntries / 2);
-    this.#state = replicaStates.trimLog(this.#state, keptFrom);
+    const cut = this.#budget.findCut(this.#state.log, index);
+    this.#state = replicaStates.trimLog(this.#state, cut);
   }
 }
