--- a/src/consensus/_log_budget.ts
+++ b/src/consensus/_log_budget.ts
@@ -10,6 +10,9 @@
 /** Bytes of entries that stay in memory beside a snapshot, for those that lag. */
 const KEPT_BYTES = 8 * 1024 * 1024;
 
+/** The same while a replica is fed that needs them. */
+const FED_BYTES = 32 * 1024 * 1024;
+
 /** Says when a log is cut, and where: by its entries or by their bytes. */
 export class LogBudget {
   readonly #snapshotEntries: number;
@@ -42,33 +45,33 @@
   /**
    * Finds the last entry that leaves the memory once a snapshot is written: half
    * as many entries stay as a snapshot covers, and no more bytes than is kept.
+   * What a replica that is fed needs stays too, up to its own bound: cut away,
+   * it would need a snapshot again, and again (200 commands a second, a
+   * snapshot each 200: not whole after 5.1 s on a fake clock).
    *
    * @param log The log.
    * @param index Last index of the snapshot.
+   * @param neededIndex Entries after it are needed by a replica that is fed.
    * @returns The index; not above the snapshot's.
    */
-  findCut(log: replicaLogs.ReplicaLog, index: number): number {
-    const least = Math.max(
-      log.snapshotIndex,
-      index - Math.floor(this.#snapshotEntries / 2),
+  findCut(
+    log: replicaLogs.ReplicaLog,
+    index: number,
+    neededIndex: number,
+  ): number {
+    const kept = replicaLogs.getEntries(
+      log,
+      log.snapshotIndex + 1,
+      index - log.snapshotIndex,
     );
-    let cut = index;
+    const leastIndex = index - Math.floor(this.#snapshotEntries / 2);
     let bytes = 0;
-    for (const entry of listBackwards(log, cut, least)) {
+    for (const entry of kept.toReversed()) {
       bytes += entrySizes.estimateBytes(entry);
-      if (bytes > KEPT_BYTES) break;
-      cut = entry.index - 1;
+      const isNeeded = entry.index > neededIndex && bytes <= FED_BYTES;
+      const isNear = entry.index > leastIndex && bytes <= KEPT_BYTES;
+      if (!isNeeded && !isNear) return entry.index;
     }
-    return cut;
+    return log.snapshotIndex;
   }
 }
-
-/** Entries from an index down to the one after another. */
-function listBackwards(
-  log: replicaLogs.ReplicaLog,
-  fromIndex: number,
-  downTo: number,
-): readonly replicaLogs.Entry[] {
-  return replicaLogs.getEntries(log, downTo + 1, fromIndex - downTo)
-    .toReversed();
-}
--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as messages from "./message.ts";
 import type * as notices from "./replica_notice.ts";
+import type * as replicaStates from "./replica_state.ts";
 
 /** Parts on their way to a replica at once. */
 const WINDOW = 4;
@@ -34,6 +35,8 @@
 export class SnapshotSender {
   readonly #options: SnapshotSenderOptions;
   readonly #transfers = new Map<string, Transfer>();
+  /** Last index of the newest snapshot that each replica was sent. */
+  readonly #sentIndexes = new Map<string, number>();
   #count = 0;
 
   constructor(options: SnapshotSenderOptions) {
@@ -60,6 +63,7 @@
       movedAtMs: nowMs,
     };
     this.#transfers.set(to, transfer);
+    this.#sentIndexes.set(to, snapshot.index);
     this.#options.onNotice?.({
       kind: "snapshotSent",
       to,
@@ -97,6 +101,12 @@
   /** Forgets all transfers, as when another replica leads. */
   drop(): void {
     this.#transfers.clear();
+    this.#sentIndexes.clear();
+  }
+
+  /** Last index of the newest snapshot that a replica was sent; 0 for none. */
+  getSentIndex(to: string): number {
+    return this.#sentIndexes.get(to) ?? 0;
   }
 
   #sendParts(to: string, term: number, transfer: Transfer): void {
@@ -195,6 +205,24 @@
     this.#sender.drop();
   }
 
+  /**
+   * Finds the index after which replicas that are fed need entries: what they
+   * hold, or get with a snapshot.
+   *
+   * @param state The replica.
+   * @returns The lowest such index; infinite where none is fed.
+   */
+  findNeededIndex(state: replicaStates.ReplicaState): number {
+    if (state.role.kind !== "leader") return Number.POSITIVE_INFINITY;
+    const held = [...state.role.progress]
+      .filter(([, progress]) => !progress.identity.isAdmitted)
+      .map(([id, { matchIndex }]) =>
+        Math.max(matchIndex, this.#sender.getSentIndex(id))
+      )
+      .filter((index) => index > 0);
+    return Math.min(...held);
+  }
+
   /**
    * Takes what concerns snapshots in parts.
    *
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -5,7 +5,7 @@
 import * as noticeTellers from "./_notice_teller.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
-import * as logBudgets from "./_log_budget.ts";
+import * as logCutters from "./_log_cutter.ts";
 import * as openReplicas from "./_open_replica.ts";
 import * as savedRecords from "./_saved_record.ts";
 import * as proposalTables from "./_proposals.ts";
@@ -16,7 +16,6 @@
 import type * as replicaOptions from "./replica_options.ts";
 import * as replicaStates from "./replica_state.ts";
 import * as replicaStatuses from "./replica_status.ts";
-import * as snapshotDrafts from "./_snapshot_drafts.ts";
 import * as snapshotTransfers from "./_snapshot_transfer.ts";
 import * as stepReplica from "./step_replica.ts";
 
@@ -33,12 +32,10 @@
   readonly #timer: tickTimers.TickTimer;
   #state: replicaStates.ReplicaState;
   readonly #applied: appliedMachines.AppliedMachine;
-  #snapshotIndex: number;
   #isStopped = false;
   #ended: Promise<void> = Promise.resolve();
   readonly #exchange: snapshotTransfers.SnapshotExchange;
-  readonly #drafts: snapshotDrafts.SnapshotDrafts;
-  readonly #budget: logBudgets.LogBudget;
+  readonly #cutter: logCutters.LogCutter;
   readonly #teller: noticeTellers.NoticeTeller;
 
   private constructor(
@@ -49,10 +46,11 @@
     this.#options = options;
     this.#writer = new durableWriters.DurableWriter(log, options.clock);
     this.#state = state;
-    this.#drafts = new snapshotDrafts.SnapshotDrafts(
-      this.#writer,
-      options.onFatal,
-    );
+    this.#cutter = new logCutters.LogCutter({
+      ...options,
+      writer: this.#writer,
+      snapshotIndex: state.log.snapshotIndex,
+    });
     this.#exchange = new snapshotTransfers.SnapshotExchange({
       clock: options.clock,
       send: options.send,
@@ -67,8 +65,6 @@
       this.#proposals,
       state.log,
     );
-    this.#snapshotIndex = state.log.snapshotIndex;
-    this.#budget = new logBudgets.LogBudget(options.snapshotEntries);
     this.#teller = new noticeTellers.NoticeTeller(options, state);
   }
 
@@ -188,7 +184,7 @@
     this.#inbox.close();
     this.#writer.stop();
     await this.#ended;
-    await this.#drafts.settle();
+    await this.#cutter.settle();
     await this.#writer.close();
   }
 
@@ -226,8 +222,11 @@
       yield* this.#saveEffects(effects);
       if (this.#isStopped) return;
       for (const effect of effects) this.#runEffect(effect);
-      yield* this.#takeDraft();
-      this.#startDraft();
+      this.#state = yield* this.#cutter.cut(
+        this.#state,
+        this.#exchange.findNeededIndex(this.#state),
+      );
+      this.#cutter.startDraft(this.#applied, this.#state.log);
       this.#teller.observe(this.#state, this.hasAuthority());
       this.#setTick();
     }
@@ -281,11 +280,7 @@
   *#saveRestored(snapshot: messages.Snapshot): csp.Step<void> {
     const { clock, onNotice } = this.#options;
     const startMs = clock.getMonotonicMs();
-    // Both write the same file.
-    yield* csp.waitFor(this.#drafts.settle());
-    const head = savedRecords.createHead(this.#state);
-    yield* this.#writer.restore(snapshot, head);
-    this.#snapshotIndex = snapshot.index;
+    yield* this.#cutter.restore(snapshot, this.#state);
     onNotice?.({
       kind: "snapshotTaken",
       index: snapshot.index,
@@ -308,30 +303,7 @@
         return this.#exchange.send(effect.to, this.#state.term);
       case "commit":
         for (const entry of effect.entries) this.#applied.apply(entry);
-        this.#budget.add(effect.entries);
+        this.#cutter.add(effect.entries);
     }
   }
-
-  /** Writes a snapshot beside the log once enough was applied. */
-  #startDraft(): void {
-    const applied = this.getAppliedIndex() - this.#snapshotIndex;
-    if (this.#drafts.isBusy() || !this.#budget.take(applied)) return;
-    this.#drafts.start(this.#applied.createSnapshot(this.#state.log));
-  }
-
-  /** Shortens the log by a snapshot that is written. */
-  *#takeDraft(): csp.Step<void> {
-    const index = this.#drafts.take();
-    if (index !== undefined && index > this.#snapshotIndex) {
-      yield* this.#trim(index);
-    }
-  }
-
-  *#trim(index: number): csp.Step<void> {
-    const records = savedRecords.createRest(this.#state, index);
-    if (!(yield* this.#writer.takeDraft(records))) return;
-    this.#snapshotIndex = index;
-    const cut = this.#budget.findCut(this.#state.log, index);
-    this.#state = replicaStates.trimLog(this.#state, cut);
-  }
 }
