--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -1,12 +1,12 @@
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import * as attempts from "./_attempt.ts";
 import * as chooseServer from "./choose_server.ts";
 import type * as jobs from "./forward_job.ts";
 import type * as forwarderOptions from "./forwarder_options.ts";
 import * as limitWait from "./_limit_wait.ts";
 import type * as serviceLines from "./_service_line.ts";
+import * as watchedAttempts from "./_watched_attempt.ts";
 
 /** When refused callers come back where load is not weighed, in ms. */
 const PLAIN_RETURN_MS = 150;
@@ -15,7 +15,6 @@
 /** The same for a request that has waited and whose turn has come. */
 const MAX_REFUSALS_A_TURN = 2;
 const FIRST_ERROR_STATUS = 500;
-const STARTED_AGAIN = "the server started again";
 
 /** Follows one job over all its attempts. */
 export class JobRun {
@@ -134,7 +133,14 @@
     const startMs = clock.getMonotonicMs();
     this.#running.set(cancellation, startMs);
     loads.begin(server.lifetime);
-    const outcome = await this.#sendWatched(server, startMs, cancellation);
+    const { servers, dialect, sendAttempt } = this.#options;
+    const outcome = await watchedAttempts.sendWatched(servers, {
+      job: this.#job,
+      server,
+      dialect,
+      timeoutMs: Math.max(1, this.#job.deadlineAtMs - startMs),
+      cancellation,
+    }, sendAttempt);
     const tookMs = clock.getMonotonicMs() - startMs;
     this.#noteEnd(outcome, server, tookMs);
     this.#running.delete(cancellation);
@@ -144,34 +150,6 @@
     if (outcome.kind === "answered") this.#line.noteFreed();
   }
 
-  /**
-   * Sends one attempt. It is lost when its server starts again, which a silent
-   * connection tells only at the deadline.
-   */
-  async #sendWatched(
-    server: registry.RegisteredServer,
-    startMs: number,
-    cancellation: csp.Cancellation,
-  ): Promise<jobs.AttemptOutcome> {
-    const { servers, dialect, sendAttempt = attempts.sendAttempt } =
-      this.#options;
-    let isReplaced = false;
-    const endWatch = servers.watch(server.lifetime, () => {
-      isReplaced = true;
-      cancellation.cancel();
-    });
-    const outcome = await sendAttempt({
-      job: this.#job,
-      server,
-      dialect,
-      timeoutMs: Math.max(1, this.#job.deadlineAtMs - startMs),
-      cancellation,
-    });
-    endWatch();
-    if (!isReplaced || outcome.kind !== "broken") return outcome;
-    return { ...outcome, reason: STARTED_AGAIN };
-  }
-
   /** Tells the loads what this try says of its server. */
   #noteEnd(
     outcome: jobs.AttemptOutcome,
