Merge lifetimes of servers; give a schedule of the search its last fault

The schedule of fed_by_snapshot_test stands as it was; the search now names the last fault too. It still fails without the repair (seen), and holds with it.

--- a/src/replica_group/fed_by_snapshot_test.ts
+++ b/src/replica_group/fed_by_snapshot_test.ts
@@ -57,6 +57,11 @@
       fault: { kind: "disk", target: "follower", startMs: 2_173 },
     },
   ],
+  last: {
+    kind: "diskAndPowerOfAll",
+    target: "follower",
+    startMs: [300, 300, 300, 300, 300],
+  },
 };
 
 describe("a replica that is fed by a snapshot", () => {
