--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -271,16 +271,33 @@
     const restore = effects.findLastIndex((effect) =>
       effect.kind === "restore"
     );
+    const later = effects.slice(restore + 1);
     const last = effects[restore];
-    if (last?.kind === "restore") yield* this.#saveRestored(last.snapshot);
-    const records = effects.slice(restore + 1).flatMap(savedRecords.toRecords);
+    if (last?.kind === "restore") {
+      const isAdmittedLater = later.some(({ kind }) => kind === "saveIdentity");
+      yield* this.#saveRestored(last.snapshot, isAdmittedLater);
+    }
+    const records = later.flatMap(savedRecords.toRecords);
     if (records.length > 0) yield* this.#writer.append(records);
   }
 
-  *#saveRestored(snapshot: messages.Snapshot): csp.Step<void> {
+  /**
+   * Writes a snapshot in the place of the log. Where the replica is admitted by
+   * what follows it, the disk must not say so before it holds that too: with power
+   * lost in between, it would vote away what its former self vouched for.
+   */
+  *#saveRestored(
+    snapshot: messages.Snapshot,
+    isAdmittedLater: boolean,
+  ): csp.Step<void> {
     const { clock, onNotice } = this.#options;
     const startMs = clock.getMonotonicMs();
-    yield* this.#cutter.restore(snapshot, this.#state);
+    const { identity } = this.#state;
+    const isAdmitted = identity.isAdmitted && !isAdmittedLater;
+    yield* this.#cutter.restore(snapshot, {
+      ...this.#state,
+      identity: { ...identity, isAdmitted },
+    });
     onNotice?.({
       kind: "snapshotTaken",
       index: snapshot.index,
--- a/src/fleet/box_directory.ts
+++ b/src/fleet/box_directory.ts
@@ -6,10 +6,15 @@
 /** A box silent for this long is forgotten; a late record brings it back. */
 const FORGET_MS = 60_000;
 
+/** Former processes of a box that are remembered. */
+const FORMER_STARTS = 4;
+
 /** A known box, and when news of it came. */
 interface KnownBox {
   readonly record: boxRecords.BoxRecord;
   readonly heardAtMs: number;
+  /** Starts of its former processes, oldest first; they count no more. */
+  readonly formerStarts: readonly number[];
 }
 
 /** What a merged record changed. */
@@ -35,9 +40,16 @@
     const isOther = record.startedAtMs !== known?.record.startedAtMs;
     const isNewer = boxRecords.isNewer(record, known?.record) ||
       (wasSilent && isOther);
-    if (!isNewer) return "old";
+    const formerStarts = known?.formerStarts ?? [];
+    if (!isNewer || formerStarts.includes(record.startedAtMs)) return "old";
     const heardAtMs = this.#clock.getMonotonicMs();
-    this.#boxes.set(record.id, { record, heardAtMs });
+    this.#boxes.set(record.id, {
+      record,
+      heardAtMs,
+      formerStarts: isOther && known !== undefined
+        ? [...formerStarts.slice(1 - FORMER_STARTS), known.record.startedAtMs]
+        : formerStarts,
+    });
     if (wasSilent) return "changed";
     const before = boxRecords.describeContent(known.record);
     return boxRecords.describeContent(record) === before
--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -100,6 +100,9 @@
     if (read.tornBytes > 0) cutTail(name, read.wholeBytes);
     syncFolder(folder);
     const file = await fsPromises.open(name, "a");
+    // A write whose process ended before its sync is read like any other; vouched
+    // for again and then lost with the power, it would never be sent anew.
+    await file.datasync();
     const log = new DurableLog(folder, owner, generation, file);
     return {
       log,
