--- a/src/replica_group/simulated_stores_test.ts
+++ b/src/replica_group/simulated_stores_test.ts
@@ -35,7 +35,7 @@
   readonly fields: logs.LogFields;
 }
 
-/** Way of a message, in ms. */
+/** Way of a message, in ms, unless a test has it longer. */
 const LATENCY_MS = 1;
 /** Way of what boxes tell of themselves, through a relay, in ms. */
 const NEWS_MS = 200;
@@ -56,6 +56,7 @@
   readonly lines: TraceLine[] = [];
   commandsPerS: number;
   entryMs: number;
+  latencyMs = LATENCY_MS;
   readonly #options: StoresOptions;
   readonly #stores = new Map<string, simulatedStores.SimulatedStore>();
   readonly #cuts = new Set<string>();
@@ -252,7 +253,7 @@
     const costMs = MESSAGE_MS + this.entryMs * countEntries(params);
     this.#stores.get(from)?.getProcess()?.use(costMs);
     const target = this.#stores.get(to)?.getProcess();
-    this.clock.startTimer(LATENCY_MS, () => {
+    this.clock.startTimer(this.latencyMs, () => {
       // A connection ends with the process that it was made to.
       if (this.#stores.get(to)?.getProcess() !== target) return;
       this.#deliver(from, to, { method, params, costMs });
