Follow no passing step of the clock in usage; write a former log anew

A leader whose clock was 300 s ahead for 8 s agreed on 58 windows of usage as empty; what was counted in them was never reported. A log of the format before went on in the present one under its old header; it is written anew when it is opened.

--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -92,6 +92,8 @@
     const read = readLog(name, owner);
     const snapshot = readSnapshot(folder, generation);
     if (read.tornBytes > 0) cutTail(name, read.wholeBytes);
+    // A process of the former version must not pass over what comes in this one.
+    if (read.isFormer) createFile(name, owner, read.records);
     syncFolder(folder);
     const file = await fsPromises.open(name, "a");
     // A write whose process ended before its sync is read like any other; vouched
@@ -245,6 +247,8 @@
   readonly records: readonly unknown[];
   readonly wholeBytes: number;
   readonly tornBytes: number;
+  /** Whether the file has the format before. */
+  readonly isFormer: boolean;
 }
 
 function readLog(name: string, owner: string): ReadFile {
@@ -258,8 +262,14 @@
     },
   );
   if (isDamaged) throw createCorruptError(name, wholeBytes);
-  checkHeader(values[0] as FileHeader | undefined, name, owner);
-  return { records: values.slice(1), wholeBytes, tornBytes: restBytes };
+  const header = values[0] as FileHeader | undefined;
+  checkHeader(header, name, owner);
+  return {
+    records: values.slice(1),
+    wholeBytes,
+    tornBytes: restBytes,
+    isFormer: header?.format !== FORMAT_VERSION,
+  };
 }
 
 function parsePayload(payload: Buffer): unknown {
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -8,6 +8,7 @@
 import type * as rpc from "../rpc/mod.ts";
 import * as protocol from "./protocol.ts";
 import type * as usageBooks from "./usage_book.ts";
+import * as steadyTimes from "./_steady_time.ts";
 import * as usageTallies from "./usage_tally.ts";
 import * as usageWindows from "./usage_window.ts";
 
@@ -50,6 +51,7 @@
  */
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
+  readonly #time: steadyTimes.SteadyTime;
   readonly #totals = new usageTallies.UsageTotals();
   #isBusy = false;
   #isStopped = false;
@@ -58,6 +60,7 @@
 
   constructor(options: UsageReporterOptions) {
     this.#options = options;
+    this.#time = new steadyTimes.SteadyTime(options.clock);
     options.server.add(
       protocol.METHODS.tell,
       (request: protocol.TellRequest) => this.#take(request),
@@ -123,11 +126,12 @@
   }
 
   async #closeDue(): Promise<void> {
-    const { clock, duty, book, times, log } = this.#options;
+    const { duty, book, times, log } = this.#options;
+    const wallMs = this.#time.getWallMs();
     if (duty.getReignMs() < COLLECT_MS) return;
     const due = usageWindows.listDueWindows(
       book.getLastClosed(),
-      clock.getWallMs(),
+      wallMs,
       times,
     );
     for (const window of due) {
