--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -128,6 +128,21 @@
   }
 }
 
+/** A request that can't be written: its port, path or a header is no such. */
+class RefusedExchange implements Exchange {
+  #isCancelled = false;
+
+  constructor(message: string, listener: ExchangeListener) {
+    queueMicrotask(() => {
+      if (!this.#isCancelled) listener.onFail(message, false);
+    });
+  }
+
+  cancel(): void {
+    this.#isCancelled = true;
+  }
+}
+
 function createHeaders(
   options: httpRequests.HttpRequest,
 ): Readonly<Record<string, string>> {
@@ -149,5 +164,9 @@
   options: httpRequests.HttpRequest,
   listener: ExchangeListener,
 ): Exchange {
-  return new ExchangeRun(options, listener);
+  try {
+    return new ExchangeRun(options, listener);
+  } catch (error) {
+    return new RefusedExchange((error as Error).message, listener);
+  }
 }
--- a/src/item_run/item_run_test.ts
+++ b/src/item_run/item_run_test.ts
@@ -110,6 +110,25 @@
     chai.expect(shown).to.deep.equal([3]);
   });
 
+  for (const version of ["four", "-1", "3.5", ""]) {
+    it(`ends a run whose version reads "${version}", and believes nothing of it`, async () => {
+      // A faulty engine's stream named the version "four": it was noted as not a
+      // number, passed every check of age, and stood in the result as null.
+      script = (_request, response) => {
+        writeEvents(response, ["id: 1\ndata: a", `version: ${version}`]);
+        response.write("\n\nid: 2\ndata: b\n\n");
+        response.end();
+      };
+      const progress = new textProgresses.TextProgress();
+      const shown: number[] = [];
+      const listener = { onVersion: (told: number) => shown.push(told) };
+      const end = await run(progress, listener);
+      chai.expect(end.kind).to.equal("broken");
+      chai.expect(shown).to.deep.equal([3]);
+      chai.expect(progress.listVersions()).to.deep.equal([3]);
+    });
+  }
+
   it("takes a whole text with every version that made an event of it", async () => {
     script = (_request, response) => {
       writeEvents(response, ["id: 1\ndata: a", "version: 4\nid: 2\ndata: b"]);
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -140,7 +140,8 @@
     const isVersion = error.type === "unknown-field" &&
       error.field === this.#options.dialect.versionField;
     if (!isVersion) return this.#stop("the stream can't be read");
-    this.#version = Number(error.value);
+    // A number of no characters would be 0.
+    this.#version = error.value === "" ? Number.NaN : Number(error.value);
     this.#checkVersion(this.#version);
   }
 
@@ -148,6 +149,9 @@
   #checkVersion(version: number): void {
     const { minimumVersion, isSingleVersion, progress, onVersion } =
       this.#options;
+    if (!Number.isSafeInteger(version) || version < 0) {
+      return this.#stop("a weight version can't be read");
+    }
     onVersion(version);
     if (version < minimumVersion) {
       return this.#stop(`version ${version} is older than ${minimumVersion}`);
