Product's own engines: a later start keeps no prompt parts and no orders; one wrong entry loses no box list

Cause: an engine that was back between two polls kept its record: its cache events, counted from 1 again, were asked for after the last number of before, and an order to the former start held the later one busy until its timeout. One entry of the box list that can't be read left the whole list unread.

Change: engines may say born; with another one the table forgets prompt parts, event numbers and suspicion, and the leader what it ordered. Entries are read one by one; each fault is logged once and counted (box_list.unread). By id alone there: requests in flight (each is taken back by its own end), roles and claims (the operator's and callers' wish, not the engine's state), box list (one entry an id).

The stand-ins say born; 1 in 100 of an engine's reports, and four entries of the box list, name no server. The demo has an engine and a plain server start again under their ids at once; its judge already counts what ran twice or was lost.

--- a/src/control/leader_duties.ts
+++ b/src/control/leader_duties.ts
@@ -27,9 +27,14 @@
 }
 
 /** What the leader remembers of orders to one engine. */
+/** Entries of a box list whose faults are noted at most. */
+const MAX_UNREAD = 16;
+
 interface OrderMemory {
   readonly isUnderWay: boolean;
   readonly notBeforeMs: number;
+  /** Start of the engine that the order went to. */
+  readonly born: number | undefined;
 }
 
 /**
@@ -40,7 +45,12 @@
   readonly #options: LeaderDutiesOptions;
   readonly #boxList: boxList.BoxListClient;
   readonly #weightStore: weightStore.WeightStoreClient;
+  /** The last order to each engine, by its id. */
   #orders: ReadonlyMap<string, OrderMemory> = new Map();
+  /** Start that each engine told last. */
+  readonly #born = new Map<string, number | undefined>();
+  /** Faults of entries in the box list as it was last read. */
+  #unread: ReadonlySet<string> = new Set();
   #isStopped = false;
 
   constructor(options: LeaderDutiesOptions) {
@@ -91,7 +101,22 @@
       });
       return;
     }
-    this.#options.service.getSession()?.setServers(read.value);
+    this.#noteUnread(read.value.unread);
+    this.#options.service.getSession()?.setServers(read.value.servers);
+  }
+
+  /** Logs each fault once for as long as the list bears it. */
+  #noteUnread(unread: readonly boxList.UnreadEntry[]): void {
+    const { log, metrics: sink } = this.#options;
+    const faults = new Set<string>();
+    for (const { id, field } of unread.slice(0, MAX_UNREAD)) {
+      const fault = `${id} ${field}`;
+      faults.add(fault);
+      if (this.#unread.has(fault)) continue;
+      sink.count("box_list.unread");
+      log.write("warn", "box_list.entry_unread", { server: id, field });
+    }
+    this.#unread = faults;
   }
 
   async #readWeightStore(): Promise<void> {
@@ -150,7 +175,7 @@
   ): Promise<weightRollouts.EngineView | undefined> {
     const report = await engines.readReport(server);
     if (report.kind === "failure") return undefined;
-    const memory = this.#orders.get(server.id);
+    const memory = this.#findMemory(server.id, report.value.born);
     return {
       id: server.id,
       models: new Map(Object.entries(report.value.models)),
@@ -176,7 +201,8 @@
     const session = service.getSession();
     const leftMs = service.getAuthorityUntilMs() - clock.getMonotonicMs();
     if (session === undefined || leftMs < ORDER_MARGIN_MS) return;
-    this.#noteOrder(server.id, { isUnderWay: true, notBeforeMs: 0 });
+    const born = this.#born.get(server.id);
+    this.#noteOrder(server.id, { isUnderWay: true, notBeforeMs: 0, born });
     sink.count("order.sent");
     const done = await engines.sendOrder(server, {
       action: order.action,
@@ -185,7 +211,9 @@
     });
     const isDone = done.kind === "ok";
     const notBeforeMs = isDone ? 0 : clock.getMonotonicMs() + ORDER_RETRY_MS;
-    this.#noteOrder(server.id, { isUnderWay: false, notBeforeMs });
+    if (this.#born.get(server.id) === born) {
+      this.#noteOrder(server.id, { isUnderWay: false, notBeforeMs, born });
+    }
     log.write(isDone ? "info" : "warn", "order.ended", {
       engine: server.id,
       ...order.action,
@@ -194,6 +222,13 @@
     });
   }
 
+  /** An order to a former start of an engine counts for nothing. */
+  #findMemory(id: string, born: number | undefined): OrderMemory | undefined {
+    this.#born.set(id, born);
+    const memory = this.#orders.get(id);
+    return memory?.born === born ? memory : undefined;
+  }
+
   #noteOrder(id: string, memory: OrderMemory): void {
     this.#orders = new Map([...this.#orders, [id, memory] as const]);
   }
--- a/src/engine/engine_client.ts
+++ b/src/engine/engine_client.ts
@@ -4,6 +4,8 @@
 import * as results from "../results/mod.ts";
 
 const statusSchema = z.object({
+  /** When it started, in Unix ms; absent where each start has its own id. */
+  born: z.number().int().min(0).optional(),
   /** Weight version loaded, by model. */
   models: z.record(z.string(), z.number().int()).default({}),
   active: z.number().int(),
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -6,6 +6,7 @@
   | "caller.failures"
   | "caller.ms"
   | "caller.retries"
+  | "box_list.unread"
   | "order.sent"
   | "sample.bound"
   | "sample.discarded";
--- a/src/routing/server_table.ts
+++ b/src/routing/server_table.ts
@@ -195,8 +195,14 @@
       });
       return;
     }
+    const isSame = record.report === undefined ||
+      record.report.born === read.value.born;
+    // A later start keeps no prompt parts, and counts its events anew.
+    if (!isSame) this.#prefixes.removeServer(server.id);
     this.#records.set(server.id, {
       ...record,
+      cacheSequence: isSame ? record.cacheSequence : 0,
+      suspectUntilMs: isSame ? record.suspectUntilMs : 0,
       report: read.value,
       models: new Map(Object.entries(read.value.models)),
       inFlightAtReport: record.inFlight,
--- /dev/null
+++ b/src/routing/server_table_test.ts
@@ -0,0 +1,123 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as chai from "chai";
+import type * as backends from "../backend_server/mod.ts";
+import * as clocks from "../clock/mod.ts";
+import type * as control from "../control/mod.ts";
+import * as engines from "../engine/mod.ts";
+import * as serverTables from "./server_table.ts";
+
+const POLL_MS = 100;
+/** Turns of 1 ms in which a poll must be over. */
+const MAX_TURNS = 500;
+
+/** An engine that keeps prompt parts, and forgets them when it starts again. */
+class FakeEngine {
+  born = 1_000;
+  prefixes: string[] = [];
+  polls = 0;
+  readonly server = http.createServer((request, response) => {
+    if (request.url?.startsWith("/v1/cache-events") === true) {
+      const query = new URLSearchParams(request.url.split("?")[1]);
+      const after = Number(query.get("after"));
+      const events = this.prefixes.map((prefix, index) => ({
+        sequence: index + 1,
+        kind: "stored",
+        prefix,
+      }));
+      response.end(JSON.stringify({ events: events.slice(after) }));
+      this.polls += 1;
+      return;
+    }
+    response.end(JSON.stringify({
+      born: this.born,
+      models: { m: 1 },
+      active: 0,
+      queued: 0,
+      slots: 4,
+    }));
+  });
+}
+
+describe("server table", () => {
+  const pair = [new FakeEngine(), new FakeEngine()];
+  const [first] = pair;
+
+  before(async () => {
+    for (const { server } of pair) {
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+    }
+  });
+
+  after(() => {
+    for (const { server } of pair) {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+
+  it("counts on no prompt part of an engine that started again", async () => {
+    // An engine crashed and was back between two polls. Its events, counted from
+    // 1 again, were asked for after the 3 of before, so that requests went on to
+    // it for parts that it no longer kept, and its new ones were never seen.
+    const clock = new clocks.FakeClock();
+    const servers = pair.map(({ server }, index): backends.BackendServer => ({
+      id: `e-${index}`,
+      service: "lm",
+      kind: "language",
+      address: "127.0.0.1",
+      port: (server.address() as net.AddressInfo).port,
+      failureDomain: "d",
+      state: "live",
+      checksFence: false,
+    }));
+    const table = new serverTables.ServerTable({
+      clock,
+      client: {
+        getView: () => ({ membership: { servers } }),
+      } as unknown as control.ControlClient,
+      pollMs: POLL_MS,
+      seed: 1,
+    });
+
+    async function poll(): Promise<void> {
+      const before = pair.map(({ polls }) => polls);
+      clock.extendBy(POLL_MS);
+      for (let turn = 0; turn < MAX_TURNS; turn += 1) {
+        await new Promise((resolve) => setTimeout(resolve, 1));
+        if (pair.every(({ polls }, at) => polls > before[at]!)) break;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+
+    /** Whether the first engine is chosen for a prompt, asked once for each. */
+    function isAtFirst(prompt: string): boolean {
+      const need = {
+        service: "lm",
+        model: "m",
+        use: "caller",
+        minVersion: 0,
+        excluded: new Set<string>(),
+      } as const;
+      return table.choosePrompt(need, prompt)?.id === "e-0";
+    }
+
+    const old = ["old 1", "old 2", "old 3"];
+    first!.prefixes = old.map(engines.hashPrefix);
+    table.start();
+    await poll();
+    chai.expect(isAtFirst("old 1")).to.equal(true);
+    first!.born = 2_000;
+    first!.prefixes = [engines.hashPrefix("new 1")];
+    await poll();
+    chai.expect(isAtFirst("new 1")).to.equal(true);
+    const fresh = Array.from({ length: 6 }, (_, index) => `new ${index + 2}`);
+    first!.prefixes = [...first!.prefixes, ...fresh.map(engines.hashPrefix)];
+    await poll();
+    for (const prompt of fresh) chai.expect(isAtFirst(prompt)).to.equal(true);
+    table.stop();
+    clock.extendBy(POLL_MS);
+  });
+});
--- a/tools/demo/fault_plan.ts
+++ b/tools/demo/fault_plan.ts
@@ -5,6 +5,8 @@
 import * as sleeps from "../stand_ins/sleep.ts";
 
 const ROLE_TIMEOUT_MS = 3_000;
+/** Index of servers that start again, which seeds what they do by chance. */
+const RESTARTED_INDEX = 2;
 
 /** What the plan works on. */
 export interface FaultPlanOptions {
@@ -39,8 +41,13 @@
       .servers[9] as cascades.DeployedServer;
     const planned = this.#options.deployment.options
       .boxes[6] as cascades.DeployedBox;
+    const plain = this.#options.deployment.options.servers.find((server) =>
+      server.kind === "plain" && server.id !== leaving.id
+    ) as cascades.DeployedServer;
     await this.#sleepUntil(startMs + 6_000);
     this.#killEngine(engine);
+    await this.#sleepUntil(startMs + 7_500);
+    await this.#restartServer(plain);
     await this.#sleepUntil(startMs + 9_000);
     await this.#setRole(
       this.#options.deployment.options.servers[7] as cascades.DeployedServer,
@@ -51,8 +58,10 @@
     const stopped = this.#stopBox(planned);
     await this.#sleepUntil(startMs + 24_000);
     this.#options.tell(`engine ${engine.id} is started again`);
-    this.#options.deployment.startServer(engine, 2);
+    this.#options.deployment.startServer(engine, RESTARTED_INDEX);
     const killed = await this.#killLeader();
+    await this.#sleepUntil(startMs + 27_000);
+    await this.#restartServer(engine);
     await this.#sleepUntil(startMs + 32_000);
     this.#startWithoutDisk(killed);
     await this.#sleepUntil(startMs + 38_000);
@@ -67,6 +76,15 @@
     this.#options.deployment.get(engine.id).kill("SIGKILL");
   }
 
+  /** It crashes and starts again under its id, between two looks of the boxes. */
+  async #restartServer(server: cascades.DeployedServer): Promise<void> {
+    this.#options.tell(`server ${server.id} crashes and starts again at once`);
+    const child = this.#options.deployment.get(server.id);
+    child.kill("SIGKILL");
+    await child.ended;
+    this.#options.deployment.startServer(server, RESTARTED_INDEX);
+  }
+
   /** The box's disk was lost: it comes back as a new replica. */
   #startWithoutDisk(box: string): void {
     this.#options.tell(`entry box ${box} lost its disk`);
--- a/tools/deployment/deployment.ts
+++ b/tools/deployment/deployment.ts
@@ -30,6 +30,8 @@
 
 const BINARY = "dist/hoistscale";
 const REPORT_LAG_MS = 200;
+/** Share of engines' reports that can't be read. */
+const WRONG_REPORTS = 0.01;
 const CACHED_PROMPTS = 64;
 const BOX_LIST_LAG_MS = 500;
 
@@ -118,6 +120,7 @@
       storeUrl: getUrl(cascades.WEIGHT_STORE_ADDRESS),
       checksFence: server.checksFence,
       reportLagMs: REPORT_LAG_MS,
+      wrongReports: WRONG_REPORTS,
     };
     this.#startStandIn(server.id, "run_engine", settings);
   }
--- a/tools/stand_ins/run_engine.ts
+++ b/tools/stand_ins/run_engine.ts
@@ -16,6 +16,8 @@
   readonly swapMs: number;
   /** Share of swaps that fail. */
   readonly failedSwaps: number;
+  /** Share of the load reports that can't be read. */
+  readonly wrongReports: number;
   /** Age of the load reports, in ms. */
   readonly reportLagMs: number;
 }
@@ -26,6 +28,7 @@
   readonly #ledger: ledgers.LedgerWriter;
   readonly #core: engineCores.EngineCore;
   readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
+  readonly #born = Date.now();
   #report: object;
   #fence = 0;
 
@@ -34,14 +37,22 @@
     this.#ledger = new ledgers.LedgerWriter(settings.ledgerFile);
     this.#core = new engineCores.EngineCore(settings, this.#ledger);
     this.#random = generator.xoroshiro128plus(settings.index);
-    this.#report = this.#core.describe();
+    this.#report = this.#describe();
+  }
+
+  /** What it says of itself; now and then what no reader can use. */
+  #describe(): object {
+    const report = { ...this.#core.describe(), born: this.#born };
+    const isSound = distribution.uniformFloat64(this.#random) >=
+      this.#settings.wrongReports;
+    return isSound ? report : { ...report, slots: "many" };
   }
 
   async start(): Promise<void> {
     const { address, port, reportLagMs } = this.#settings;
     this.#core.start();
     setInterval(() => {
-      this.#report = this.#core.describe();
+      this.#report = this.#describe();
     }, reportLagMs);
     await jsonServers.startServer(
       address,
--- a/tools/stand_ins/run_plain_server.ts
+++ b/tools/stand_ins/run_plain_server.ts
@@ -19,6 +19,7 @@
 class PlainServerProcess {
   readonly #settings: PlainServerSettings;
   readonly #ledger: ledgers.LedgerWriter;
+  readonly #born = Date.now();
   #active = 0;
 
   constructor(settings: PlainServerSettings) {
@@ -38,6 +39,7 @@
   async #answer(request: jsonServers.StandInRequest): Promise<void> {
     if (request.path === "/v1/status") {
       return jsonServers.answerJson(request.response, 200, {
+        born: this.#born,
         active: this.#active,
         queued: 0,
         slots: this.#settings.slots,
--- a/tools/stand_ins/run_platform.ts
+++ b/tools/stand_ins/run_platform.ts
@@ -33,6 +33,14 @@
   readonly state: "live" | "leaving";
 }
 
+/** Entries that name no server to use. */
+const WRONG_ENTRIES = [
+  { id: "w-1", service: "sommelier-lm", state: "live" },
+  { id: "w-2", state: "resting", kind: 5 },
+  "w-3",
+  null,
+];
+
 /** Tells servers late; `POST /boxes/ID` with a state changes one. */
 async function runBoxList(
   settings: Extract<PlatformSettings, { kind: "boxList" }>,
@@ -44,8 +52,9 @@
     settings.port,
     ({ method, path, json, response }) => {
       if (method === "GET") {
+        // Other writers' entries stand beside those of servers.
         return jsonServers.answerJson(response, 200, {
-          servers: told,
+          servers: [...told, ...WRONG_ENTRIES],
         });
       }
       const id = path.split("/").at(-1);
