Pass over a server at whose address another one answered

Change: a 421 to a run, a request or an order proves that the start is not at that address; it is passed over until a newer heartbeat of its own.

Seen failing on the code before: server_start_test "asks no server again at whose address another one answered" (asked at each turn); the registry's two tests are of a method that was not there.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -259,6 +259,9 @@
         if (task.countImpossible()) return this.#finisher.giveUp(task);
         break;
       case "notRun":
+        if (end.isOther) this.#options.servers.markAbsent(engine);
+        this.#options.engines.avoid(engine.lifetime);
+        break;
       case "broken":
         this.#options.engines.avoid(engine.lifetime);
         break;
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -75,8 +75,14 @@
   const head = options.dialect.parseAnswerHead(headers);
   if (head.isNotRun || status === OTHER_SERVER_STATUS) {
     const reason = `the server refused with ${status}`;
-    const isBusy = status !== OTHER_SERVER_STATUS;
-    return { kind: "notRun", reason, isBusy, load: head.load };
+    const isOther = status === OTHER_SERVER_STATUS;
+    return {
+      kind: "notRun",
+      reason,
+      isBusy: !isOther,
+      isOther,
+      load: head.load,
+    };
   }
   if (head.receipt === undefined && status < FIRST_ERROR_STATUS) {
     return { kind: "broken", reason: "the answer has no receipt" };
--- a/src/forwarding/_watched_attempt.ts
+++ b/src/forwarding/_watched_attempt.ts
@@ -14,7 +14,7 @@
  * @returns What became of it.
  */
 export async function sendWatched(
-  servers: Pick<registry.ServerRegistry, "watch">,
+  servers: Pick<registry.ServerRegistry, "watch" | "markAbsent">,
   options: attempts.AttemptOptions,
   sendAttempt: typeof attempts.sendAttempt = attempts.sendAttempt,
 ): Promise<jobs.AttemptOutcome> {
@@ -25,6 +25,9 @@
   });
   const outcome = await sendAttempt(options);
   endWatch();
+  if (outcome.kind === "notRun" && outcome.isOther === true) {
+    servers.markAbsent(options.server);
+  }
   if (!isReplaced || outcome.kind !== "broken") return outcome;
   return { ...outcome, reason: STARTED_AGAIN };
 }
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -68,6 +68,8 @@
     readonly reason: string;
     /** Whether the server itself refused, as it does when it is full. */
     readonly isBusy: boolean;
+    /** Whether another server than the one that was meant answered. */
+    readonly isOther?: boolean;
     /** Load that the server told with its refusal. */
     readonly load?: dialects.ServerLoad | undefined;
   }
--- a/src/forwarding/server_start_test.ts
+++ b/src/forwarding/server_start_test.ts
@@ -117,6 +117,12 @@
     chai.expect(seen).to.deep.equal(["s0"]);
   });
 
+  it("asks no server again at whose address another one answered", async () => {
+    scripts = [fixtures.answer(421), fixtures.answer(200)];
+    for (let turn = 0; turn < 3; turn += 1) await send();
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s1", "s1"]);
+  });
+
   it("takes an answer that was whole before the later start was known", async () => {
     scripts = [fixtures.answer(200)];
     const outcome = await send();
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -48,7 +48,12 @@
   /** The engine answered that no attempt can succeed. */
   | { readonly kind: "impossible" }
   /** The engine did not take it. */
-  | { readonly kind: "notRun"; readonly reason: string }
+  | {
+    readonly kind: "notRun";
+    readonly reason: string;
+    /** Whether another server than the engine answered at its address. */
+    readonly isOther: boolean;
+  }
   /** The stream broke off; a further run may go on from there. */
   | { readonly kind: "broken"; readonly reason: string };
 
@@ -128,11 +133,20 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine answered ${this.#status}`;
-    this.#settle({ kind: this.#isNotRun ? "notRun" : "broken", reason });
+    const isOther = this.#status === OTHER_SERVER_STATUS;
+    this.#settle(
+      this.#isNotRun
+        ? { kind: "notRun", reason, isOther }
+        : { kind: "broken", reason },
+    );
   }
 
   onFail(message: string, isSent: boolean): void {
-    this.#settle({ kind: isSent ? "broken" : "notRun", reason: message });
+    this.#settle(
+      isSent
+        ? { kind: "broken", reason: message }
+        : { kind: "notRun", reason: message, isOther: false },
+    );
   }
 
   /** A field that event streams do not define may tell a new version. */
--- a/src/registry/registry_test.ts
+++ b/src/registry/registry_test.ts
@@ -71,6 +71,30 @@
     chai.expect(servers.get("i-1")?.phase).to.equal("gone");
   });
 
+  it("passes over a server at whose address another one answered, until it is heard", () => {
+    // After a restart of all boxes the stores' leader asked an engine that had
+    // crashed 13 s before for its state. The server that had its address by then
+    // answered, so the engine was held for ready: 15 runs and 5 orders went there
+    // and were refused with 421 over 3 s, and a step came 2 s late.
+    servers.merge(report({ sequence: 5 }));
+    servers.merge(report({ id: "i-2" }));
+    servers.markAbsent(servers.get("i-1")!);
+    const listed = servers.listReady("lm").map((item) => item.id);
+    chai.expect(listed).to.deep.equal(["i-2"]);
+    servers.merge(report({ sequence: 5 }));
+    chai.expect(servers.listReady("lm")).to.have.length(1);
+    servers.merge(report({ sequence: 6 }));
+    chai.expect(servers.listReady("lm")).to.have.length(2);
+  });
+
+  it("holds no later start for absent for what a former one met", () => {
+    servers.merge(report({ born: 1 }));
+    const former = servers.get("i-1")!;
+    servers.merge(report({ born: 2 }));
+    servers.markAbsent(former);
+    chai.expect(servers.listReady("lm")).to.have.length(1);
+  });
+
   it("passes over a silent server, unless there is no other", () => {
     servers.merge(report({}));
     clock.extendBy(3 * HEARTBEAT_MS);
--- a/src/registry/server_registry.ts
+++ b/src/registry/server_registry.ts
@@ -16,6 +16,8 @@
 interface KnownServer {
   readonly server: registeredServers.RegisteredServer;
   readonly heardAtMs: number;
+  /** Whether another server answered at its address since. */
+  readonly isAbsent: boolean;
 }
 
 /** Backend servers as their heartbeats tell, wherever these arrived. */
@@ -87,9 +89,27 @@
     this.#servers.set(report.id, {
       server: registeredServers.registerServer(report),
       heardAtMs: this.#clock.getMonotonicMs(),
+      isAbsent: false,
     });
   }
 
+  /**
+   * Notes that another server answered at the address of a start: it is passed
+   * over until it is heard of again.
+   *
+   * @param lifetime Key of the start; one that is not the latest is ignored.
+   */
+  markAbsent(
+    { id, lifetime }: Pick<
+      registeredServers.RegisteredServer,
+      "id" | "lifetime"
+    >,
+  ): void {
+    const known = this.#servers.get(id);
+    if (known?.server.lifetime !== lifetime) return;
+    this.#servers.set(id, { ...known, isAbsent: true });
+  }
+
   /**
    * Notes that a server has gone, even one that was never heard of. A notice
    * that names no start is of the one that is known.
@@ -158,9 +178,9 @@
   ): readonly registeredServers.RegisteredServer[] {
     const sinceMs = this.#clock.getMonotonicMs() - withinMs;
     return [...this.#servers.values()]
-      .filter(({ server, heardAtMs }) =>
+      .filter(({ server, heardAtMs, isAbsent }) =>
         server.service === service && server.phase === "ready" &&
-        heardAtMs >= sinceMs
+        heardAtMs >= sinceMs && !isAbsent
       )
       .map(({ server }) => server);
   }
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -7,13 +7,19 @@
 const CONNECT_MS = 250;
 const TAKEN_STATUS = 202;
 const HELD_STATUS = 200;
+const OTHER_SERVER_STATUS = 421;
 
 /** What an engine said to an order. */
 export type OrderOutcome =
   | { readonly kind: "taken" }
   /** The engine holds the version already. */
   | { readonly kind: "held" }
-  | { readonly kind: "refused"; readonly status: number }
+  | {
+    readonly kind: "refused";
+    readonly status: number;
+    /** Whether another server than the engine answered at its address. */
+    readonly isOther: boolean;
+  }
   /** A later start of the engine answered; it was given no order. */
   | { readonly kind: "reborn"; readonly born: number }
   /** It may be taken now or later. */
@@ -50,7 +56,11 @@
     case HELD_STATUS:
       return { kind: "held" };
     default:
-      return { kind: "refused", status: sent.head.status };
+      return {
+        kind: "refused",
+        status: sent.head.status,
+        isOther: sent.head.status === OTHER_SERVER_STATUS,
+      };
   }
 }
 
--- a/src/weight_orders/weight_orders.ts
+++ b/src/weight_orders/weight_orders.ts
@@ -194,6 +194,7 @@
         return false;
       case "refused":
         this.#orders.delete(engine.lifetime);
+        if (outcome.isOther) this.#options.servers.markAbsent(engine);
         await clocks.sleep(clock, REFUSED_MS);
         return false;
       case "reborn":
