Pass an answer without a length on without one

Servers that give no length (garble unframed) crashed midway; the end of the connection ended the answer, and the box passed the part on with its length, so the caller took it for the whole.

Ruled out: sending such a request to another server. Where servers give no length as a habit, each request that may run twice would run twice.

Change: ServerAnswer.isFramed; an answer of unknown length goes to its caller ended by the connection, as its server sent it. A caller learns no more than the box knew.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -22,6 +22,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string | Buffer;
+  /** Whether the end of the connection ends it, as nobody knows its length. */
+  readonly endsWithConnection?: boolean;
 }
 
 /** A call of a server, an operator or a trainer to the control address. */
--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -48,6 +48,14 @@
 ): void {
   if (response.headersSent || response.destroyed) return;
   const body = Buffer.from(answer.body);
+  if (answer.endsWithConnection === true) {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(answer.status, {
+      ...answer.headers,
+      "connection": "close",
+    });
+    return void response.end(body);
+  }
   response.writeHead(answer.status, {
     ...answer.headers,
     "content-length": String(body.length),
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -262,8 +262,13 @@
   ): dialects.RawAnswer | undefined {
     switch (outcome.kind) {
       case "answered": {
-        const { status, headers, body } = outcome.answer;
-        return { status, headers: plainHeaders.toPlainHeaders(headers), body };
+        const { status, headers, body, isFramed } = outcome.answer;
+        return {
+          status,
+          headers: plainHeaders.toPlainHeaders(headers),
+          body,
+          endsWithConnection: !isFramed,
+        };
       }
       case "notRun":
         return this.#refuse(
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -87,6 +87,9 @@
   if (head.receipt === undefined && status < FIRST_ERROR_STATUS) {
     return { kind: "broken", reason: "the answer has no receipt" };
   }
-  const answer = { server: options.server.id, status, headers, head, body };
+  const { id: server } = options.server;
+  const isFramed = headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+  const answer = { server, status, headers, head, body, isFramed };
   return { kind: "answered", answer };
 }
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -40,6 +40,11 @@
   readonly headers: dialects.HeaderMap;
   readonly head: dialects.AnswerHead;
   readonly body: Buffer;
+  /**
+   * Whether its length was told. Where it was not, the end of the connection
+   * ended it, and a server that crashed midway ends it as well.
+   */
+  readonly isFramed: boolean;
 }
 
 /** What became of a job. */
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -105,6 +105,22 @@
     chai.expect(seen).to.deep.equal(["s0"]);
   });
 
+  it("tells whether a server gave the length of its answer", async () => {
+    scripts = [(request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { id: "job", receipt: "r", connection: "close" });
+      response.end("body");
+      request.resume();
+    }];
+    const unframed = await send();
+    if (unframed.kind !== "answered") throw new Error(unframed.kind);
+    chai.expect(unframed.answer.isFramed).to.equal(false);
+    scripts = [fixtures.answer(200)];
+    const framed = await send();
+    if (framed.kind !== "answered") throw new Error(framed.kind);
+    chai.expect(framed.answer.isFramed).to.equal(true);
+  });
+
   const broken: Readonly<Record<string, fixtures.Script>> = {
     "an answer to another request": fixtures.answer(200, { id: "other" }),
     "an answer without receipt": (_request, response) => {
