--- a/src/replica_group/leader_caller_test.ts
+++ b/src/replica_group/leader_caller_test.ts
@@ -155,6 +155,20 @@
     chai.expect(asked.slice(0, 4)).to.deep.equal(["s3", "s1", "s3", "s3"]);
   });
 
+  // A replica that is no longer fed named the leader that it had followed, and each
+  // ask that it steered counted as a turn: of four replicas the one that led was
+  // passed over at each round, and a call failed though a leader was there.
+  it("asks each replica in turn though one names a leader that is gone", async () => {
+    for (const [stale, former, real] of [[1, 3, 2], [0, 3, 1], [1, 0, 2]]) {
+      replicas = ["s0", "s1", "s2", "s3"];
+      named = { [`s${stale}`]: `s${former}` };
+      leader = `s${real}`;
+      asked = [];
+      const answer = await callOnce(createCaller());
+      chai.expect(answer, asked.slice(0, 9).join(" ")).to.equal(leader);
+    }
+  });
+
   it("tells of a call without a leader what each replica said last, once", async () => {
     replicas = ["s0", "s1", "s2"];
     leader = "none";
