Ask each replica in turn; follow no leader that has fallen silent

Cause: each ask counted as a turn of the round, also where a name had steered it, and a replica that does not vote named the leader it had heard last for ever. Together they passed over the replica that led, at each round. Change: only asks of the round count; a replica that does not vote drops its leader when an election would be due. Two tests of the round named the old order of asks (s3 twice, s2 or s0 passed over); they name the new one, as strictly. Before: s2 leads, noLeader. After: s2 is found at the fourth ask.

--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -96,9 +96,7 @@
 ): replicaStates.Transition {
   if (state.role.kind !== "leader") {
     if (nowMs < state.electionAtMs) return { state, effects: [] };
-    if (!replicaStates.isVoter(state)) {
-      return { state: elections.resetElection(state, nowMs), effects: [] };
-    }
+    if (!replicaStates.isVoter(state)) return leaveLeader(state, nowMs);
     return elections.startPreVote(state, nowMs);
   }
   const graceMs = state.config.electionTimeoutMs;
@@ -106,16 +104,24 @@
   if (
     !isNew && nowMs >= authorities.getAuthorityUntilMs(state, nowMs) + graceMs
   ) {
-    const follower: replicaStates.ReplicaState = {
-      ...state,
-      role: { kind: "follower" },
-    };
-    return { state: elections.resetElection(follower, nowMs), effects: [] };
+    return leaveLeader(state, nowMs);
   }
   if (nowMs < state.role.heartbeatAtMs) return { state, effects: [] };
   return replications.sendAppends(state, nowMs);
 }
 
+/** Follows nobody: a leader named after it fell silent steers callers to it. */
+function leaveLeader(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const follower: replicaStates.ReplicaState = {
+    ...state,
+    role: { kind: "follower" },
+  };
+  return { state: elections.resetElection(follower, nowMs), effects: [] };
+}
+
 function stepMessage(
   state: replicaStates.ReplicaState,
   from: string,
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -62,6 +62,7 @@
   #leader: string | undefined;
   /** Replica that was asked last and did not take the call. */
   #doubted: string | undefined;
+  /** Turns of the round; asks that a name steered are none. */
   #turn = 0;
 
   constructor(options: LeaderCallerOptions) {
@@ -121,15 +122,17 @@
     if (id === undefined) {
       return results.createFailure("noLeader", "Cannot find any replica");
     }
+    const isTurn = id === this.#findTurn();
     try {
       const client = this.#options.getClient(id);
       const reply = await client.call<T | NotDone>(method, params, timeoutMs);
       if (reply.kind === "notLeader") {
-        this.#noteLeader(id, (reply as notLeaders.NotLeader).leader);
+        const { leader } = reply as notLeaders.NotLeader;
+        this.#noteLeader(id, leader, isTurn);
       } else this.#leader = id;
       return results.createOk(reply);
     } catch (error) {
-      this.#noteLeader(id, undefined);
+      this.#noteLeader(id, undefined, isTurn);
       return { kind: "failure", failure: results.toFailure(error) };
     }
   }
@@ -144,12 +147,21 @@
     if (this.#leader !== undefined) return this.#leader;
     const told = this.#options.findLeader();
     if (told !== undefined && told !== this.#doubted) return told;
+    return this.#findTurn();
+  }
+
+  /** The replica whose turn it is in the round of all. */
+  #findTurn(): string | undefined {
     const ids = this.#options.listReplicas();
     return ids[this.#turn % Math.max(1, ids.length)];
   }
 
-  #noteLeader(asked: string, told: string | undefined): void {
-    this.#turn += 1;
+  #noteLeader(
+    asked: string,
+    told: string | undefined,
+    isTurn: boolean,
+  ): void {
+    if (isTurn) this.#turn += 1;
     this.#doubted = asked;
     this.#leader = told === asked ? undefined : told;
   }
