--- a/src/replica_group/found_schedules_fixture_test.ts
+++ b/src/replica_group/found_schedules_fixture_test.ts
@@ -164,4 +164,42 @@
       },
     },
   },
+  {
+    name:
+      "a voter is gone after a restart, and all lose power 2.6 s later, quiet",
+    schedule: {
+      load: "quiet",
+      leaseMs: 3_000,
+      syncMs: 3,
+      entries: 200,
+      commandsPerS: 10,
+      entryMs: 0,
+      snapshotEntries: 100,
+      faults: [{
+        afterMs: 2_821,
+        fault: { kind: "restart", target: "leader", startMs: 3_216 },
+      }, {
+        afterMs: 4_331,
+        fault: { kind: "clock", target: "spare", byMs: 5_321 },
+      }, {
+        afterMs: 673,
+        fault: { kind: "gone", target: "lost", startMs: 300 },
+      }, {
+        afterMs: 1_880,
+        fault: { kind: "cut", target: "lost", ms: 4_181, direction: "both" },
+      }, {
+        afterMs: 698,
+        fault: {
+          kind: "powerOfAll",
+          startMs: [300, 600, 300, 300, 3_696],
+          keptWrites: 1,
+        },
+      }],
+      last: {
+        kind: "diskAndPowerOfAll",
+        target: "follower",
+        startMs: [300, 300, 300, 300, 300],
+      },
+    },
+  },
 ];
