--- /dev/null
+++ b/tools/soak/day_plan_test.ts
@@ -0,0 +1,28 @@
+import * as chai from "chai";
+import * as dayPlans from "./day_plan.ts";
+
+const SEEDS = Array.from({ length: 200 }, (_, index) => index);
+
+describe("plans of a soak's days", () => {
+  it("are the same for the same seed", () => {
+    for (const seed of SEEDS) {
+      chai.expect(dayPlans.createPlan(seed)).to.deep.equal(
+        dayPlans.createPlan(seed),
+      );
+    }
+    const texts = SEEDS.map((seed) =>
+      JSON.stringify(dayPlans.createPlan(seed))
+    );
+    chai.expect(new Set(texts).size).to.equal(SEEDS.length);
+  });
+
+  it("end with the power of all boxes lost, and lose it once", () => {
+    for (const seed of SEEDS) {
+      const kinds = dayPlans.createPlan(seed).map(({ fault }) => fault.kind);
+      chai.expect(kinds.at(-1)).to.equal("loseAll");
+      chai.expect(kinds.filter((kind) => kind === "loseAll").length).to.equal(
+        1,
+      );
+    }
+  });
+});
--- a/tools/soak/day_run.ts
+++ b/tools/soak/day_run.ts
@@ -8,8 +8,6 @@
 const STOP_MS = 8_000;
 const RETIRE_MS = 20_000;
 const CONFIGURATION_MS = 20_000;
-/** Longest part of the time to start that a process may wait for its turn. */
-const ALL_STARTS = 1;
 
 /** What a run of a day needs. */
 export interface DayRunOptions {
@@ -100,10 +98,11 @@
     const box = this.#choose(store);
     if (!fleet.isRunning(box)) return;
     tell(`${box.name} is killed and starts again`);
+    this.#extendCatchUp(downMs + catchUpMs);
     await fleet.kill(box);
     await sleeps.sleep(downMs);
-    fleet.start(box);
-    this.#nextLossMs = Date.now() + catchUpMs;
+    // It may have been emptied and removed meanwhile.
+    if (fleet.listStores().includes(box)) fleet.start(box);
   }
 
   async #stopShortly(
@@ -113,10 +112,10 @@
     const box = this.#choose(store);
     if (!fleet.isRunning(box)) return;
     tell(`${box.name} stands still for ${pauseMs} ms`);
+    this.#extendCatchUp(pauseMs + catchUpMs);
     fleet.keepStill(box);
     await sleeps.sleep(pauseMs);
-    fleet.resume(box);
-    this.#nextLossMs = Math.max(this.#nextLossMs, Date.now() + catchUpMs);
+    if (fleet.listStores().includes(box)) fleet.resume(box);
   }
 
   async #swapStore(
@@ -184,7 +183,7 @@
     await sleeps.sleep(downMs);
     this.#restartMs = Date.now();
     const boxes = fleet.listBoxes();
-    const pauseMs = startSpreadMs / (boxes.length * ALL_STARTS);
+    const pauseMs = startSpreadMs / boxes.length;
     for (const other of boxes) {
       fleet.start(other);
       await sleeps.sleep(pauseMs);
@@ -201,11 +200,16 @@
     }
   }
 
+  /** No disk is lost while another box is away, nor soon after. */
+  #extendCatchUp(delayMs: number): void {
+    this.#nextLossMs = Math.max(this.#nextLossMs, Date.now() + delayMs);
+  }
+
   #noteEmpty(box: layouts.SoakBox): void {
     const startMs = Date.now();
     this.emptyStarts.push({ box, startMs });
     this.#diskSinceMs.set(box.name, startMs);
-    this.#nextLossMs = startMs + this.#options.catchUpMs;
+    this.#extendCatchUp(this.#options.catchUpMs);
   }
 
   #choose(choice: dayPlans.StoreChoice): layouts.SoakBox {
