--- a/tools/soak/day_plan.ts
+++ b/tools/soak/day_plan.ts
@@ -25,6 +25,13 @@
     readonly store: StoreChoice;
     readonly downMs: number;
   }
+  /** A store is killed while a snapshot is sent to it, and starts again. */
+  | {
+    readonly kind: "restartInTransfer";
+    readonly store: StoreChoice;
+    readonly afterMs: number;
+    readonly downMs: number;
+  }
   /** A store stands still. */
   | {
     readonly kind: "pause";
--- a/tools/soak/day_run.ts
+++ b/tools/soak/day_run.ts
@@ -8,6 +8,9 @@
 const STOP_MS = 8_000;
 const RETIRE_MS = 20_000;
 const CONFIGURATION_MS = 20_000;
+/** Longest wait for a snapshot to be sent, in ms. */
+const TRANSFER_MS = 15_000;
+const POLL_MS = 20;
 
 /** What a run of a day needs. */
 export interface DayRunOptions {
@@ -63,6 +66,8 @@
         return await this.#wipeDisk(fault);
       case "restart":
         return await this.#restart(fault);
+      case "restartInTransfer":
+        return await this.#restartInTransfer(fault);
       case "pause":
         return await this.#stopShortly(fault);
       case "replace":
@@ -105,6 +110,26 @@
     if (fleet.listStores().includes(box)) fleet.start(box);
   }
 
+  async #restartInTransfer(
+    fault: Extract<dayPlans.Fault, { kind: "restartInTransfer" }>,
+  ): Promise<void> {
+    const { fleet, watch, tell } = this.#options;
+    const box = this.#choose(fault.store);
+    const sinceMs = Date.now();
+    while (!watch.hasTransfer(fleet.listStores(), box, sinceMs)) {
+      if (Date.now() > sinceMs + TRANSFER_MS) {
+        return tell(`no snapshot is sent to ${box.name}`);
+      }
+      await sleeps.sleep(POLL_MS);
+    }
+    await sleeps.sleep(fault.afterMs);
+    const store: dayPlans.StoreChoice = {
+      kind: "index",
+      index: fleet.listStores().indexOf(box),
+    };
+    await this.#restart({ kind: "restart", store, downMs: fault.downMs });
+  }
+
   async #stopShortly(
     { store, pauseMs }: Extract<dayPlans.Fault, { kind: "pause" }>,
   ): Promise<void> {
@@ -258,6 +283,7 @@
     case "loseAll":
       return true;
     case "restart":
+    case "restartInTransfer":
     case "pause":
     case "addStore":
     case "rollEntries":
--- a/tools/soak/store_watch.ts
+++ b/tools/soak/store_watch.ts
@@ -62,6 +62,20 @@
       .find((line) => line.event === "replica.admitted");
   }
 
+  /** Whether a snapshot began to be sent to a box since a time. */
+  hasTransfer(
+    boxes: readonly layouts.SoakBox[],
+    to: layouts.SoakBox,
+    sinceMs: number,
+  ): boolean {
+    return boxes.some((box) =>
+      this.listLines(box, sinceMs).some((line) =>
+        line.event === "replica.snapshotSent" &&
+        line.fields.get("to") === to.address
+      )
+    );
+  }
+
   #findLast(
     box: layouts.SoakBox,
     event: string,
