--- a/tools/soak/day_run.ts
+++ b/tools/soak/day_run.ts
@@ -8,8 +8,9 @@
 const STOP_MS = 8_000;
 const RETIRE_MS = 20_000;
 const CONFIGURATION_MS = 20_000;
-/** Longest part of the time to start that a process may wait for its turn. */
-const ALL_STARTS = 1;
+/** Longest wait for a snapshot to be sent, in ms. */
+const TRANSFER_MS = 15_000;
+const POLL_MS = 20;
 
 /** What a run of a day needs. */
 export interface DayRunOptions {
@@ -65,6 +66,8 @@
         return await this.#wipeDisk(fault);
       case "restart":
         return await this.#restart(fault);
+      case "restartInTransfer":
+        return await this.#restartInTransfer(fault);
       case "pause":
         return await this.#stopShortly(fault);
       case "replace":
@@ -100,10 +103,31 @@
     const box = this.#choose(store);
     if (!fleet.isRunning(box)) return;
     tell(`${box.name} is killed and starts again`);
+    this.#extendCatchUp(downMs + catchUpMs);
     await fleet.kill(box);
     await sleeps.sleep(downMs);
-    fleet.start(box);
-    this.#nextLossMs = Date.now() + catchUpMs;
+    // It may have been emptied and removed meanwhile.
+    if (fleet.listStores().includes(box)) fleet.start(box);
+  }
+
+  async #restartInTransfer(
+    fault: Extract<dayPlans.Fault, { kind: "restartInTransfer" }>,
+  ): Promise<void> {
+    const { fleet, watch, tell } = this.#options;
+    const box = this.#choose(fault.store);
+    const sinceMs = Date.now();
+    while (!watch.hasTransfer(fleet.listStores(), box, sinceMs)) {
+      if (Date.now() > sinceMs + TRANSFER_MS) {
+        return tell(`no snapshot is sent to ${box.name}`);
+      }
+      await sleeps.sleep(POLL_MS);
+    }
+    await sleeps.sleep(fault.afterMs);
+    const store: dayPlans.StoreChoice = {
+      kind: "index",
+      index: fleet.listStores().indexOf(box),
+    };
+    await this.#restart({ kind: "restart", store, downMs: fault.downMs });
   }
 
   async #stopShortly(
@@ -113,10 +137,10 @@
     const box = this.#choose(store);
     if (!fleet.isRunning(box)) return;
     tell(`${box.name} stands still for ${pauseMs} ms`);
+    this.#extendCatchUp(pauseMs + catchUpMs);
     fleet.keepStill(box);
     await sleeps.sleep(pauseMs);
-    fleet.resume(box);
-    this.#nextLossMs = Math.max(this.#nextLossMs, Date.now() + catchUpMs);
+    if (fleet.listStores().includes(box)) fleet.resume(box);
   }
 
   async #swapStore(
@@ -184,7 +208,7 @@
     await sleeps.sleep(downMs);
     this.#restartMs = Date.now();
     const boxes = fleet.listBoxes();
-    const pauseMs = startSpreadMs / (boxes.length * ALL_STARTS);
+    const pauseMs = startSpreadMs / boxes.length;
     for (const other of boxes) {
       fleet.start(other);
       await sleeps.sleep(pauseMs);
@@ -201,11 +225,16 @@
     }
   }
 
+  /** No disk is lost while another box is away, nor soon after. */
+  #extendCatchUp(delayMs: number): void {
+    this.#nextLossMs = Math.max(this.#nextLossMs, Date.now() + delayMs);
+  }
+
   #noteEmpty(box: layouts.SoakBox): void {
     const startMs = Date.now();
     this.emptyStarts.push({ box, startMs });
     this.#diskSinceMs.set(box.name, startMs);
-    this.#nextLossMs = startMs + this.#options.catchUpMs;
+    this.#extendCatchUp(this.#options.catchUpMs);
   }
 
   #choose(choice: dayPlans.StoreChoice): layouts.SoakBox {
@@ -254,6 +283,7 @@
     case "loseAll":
       return true;
     case "restart":
+    case "restartInTransfer":
     case "pause":
     case "addStore":
     case "rollEntries":
