--- a/src/control/leader_duties.ts
+++ b/src/control/leader_duties.ts
@@ -26,10 +26,10 @@
   readonly service: controlServices.ControlService;
 }
 
-/** What the leader remembers of orders to one engine. */
 /** Entries of a box list whose faults are noted at most. */
 const MAX_UNREAD = 16;
 
+/** What the leader remembers of orders to one engine. */
 interface OrderMemory {
   readonly isUnderWay: boolean;
   readonly notBeforeMs: number;
--- a/src/registry/server_registry.ts
+++ b/src/registry/server_registry.ts
@@ -31,7 +31,6 @@
   readonly #servers = new Map<string, KnownServer>();
   /** Told when a start is replaced, by its key. */
   readonly #watchers = new Map<lifetimes.LifetimeKey, Set<() => void>>();
-
   readonly #onReplaced: (former: registeredServers.RegisteredServer) => void;
 
   /**
@@ -96,8 +95,7 @@
   /**
    * Notes that another server answered at the address of a start: it is passed
    * over until it is heard of again.
-   *
-   * @param lifetime Key of the start; one that is not the latest is ignored.
+   * A start that is not the latest of its id is ignored.
    */
   markAbsent(
     { id, lifetime }: Pick<
