--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -40,6 +40,11 @@
   readonly headers: dialects.HeaderMap;
   readonly head: dialects.AnswerHead;
   readonly body: Buffer;
+  /**
+   * Whether its length was told. Where it was not, the end of the connection
+   * ended it, and a server that crashed midway ends it as well.
+   */
+  readonly isFramed: boolean;
 }
 
 /** What became of a job. */
@@ -68,6 +73,8 @@
     readonly reason: string;
     /** Whether the server itself refused, as it does when it is full. */
     readonly isBusy: boolean;
+    /** Whether another server than the one that was meant answered. */
+    readonly isOther?: boolean;
     /** Load that the server told with its refusal. */
     readonly load?: dialects.ServerLoad | undefined;
   }
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -48,7 +48,12 @@
   /** The engine answered that no attempt can succeed. */
   | { readonly kind: "impossible" }
   /** The engine did not take it. */
-  | { readonly kind: "notRun"; readonly reason: string }
+  | {
+    readonly kind: "notRun";
+    readonly reason: string;
+    /** Whether another server than the engine answered at its address. */
+    readonly isOther: boolean;
+  }
   /** The stream broke off; a further run may go on from there. */
   | { readonly kind: "broken"; readonly reason: string };
 
@@ -128,11 +133,20 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine answered ${this.#status}`;
-    this.#settle({ kind: this.#isNotRun ? "notRun" : "broken", reason });
+    const isOther = this.#status === OTHER_SERVER_STATUS;
+    this.#settle(
+      this.#isNotRun
+        ? { kind: "notRun", reason, isOther }
+        : { kind: "broken", reason },
+    );
   }
 
   onFail(message: string, isSent: boolean): void {
-    this.#settle({ kind: isSent ? "broken" : "notRun", reason: message });
+    this.#settle(
+      isSent
+        ? { kind: "broken", reason: message }
+        : { kind: "notRun", reason: message, isOther: false },
+    );
   }
 
   /** A field that event streams do not define may tell a new version. */
@@ -140,7 +154,8 @@
     const isVersion = error.type === "unknown-field" &&
       error.field === this.#options.dialect.versionField;
     if (!isVersion) return this.#stop("the stream can't be read");
-    this.#version = Number(error.value);
+    // A number of no characters would be 0.
+    this.#version = error.value === "" ? Number.NaN : Number(error.value);
     this.#checkVersion(this.#version);
   }
 
@@ -148,6 +163,9 @@
   #checkVersion(version: number): void {
     const { minimumVersion, isSingleVersion, progress, onVersion } =
       this.#options;
+    if (!Number.isSafeInteger(version) || version < 0) {
+      return this.#stop("a weight version can't be read");
+    }
     onVersion(version);
     if (version < minimumVersion) {
       return this.#stop(`version ${version} is older than ${minimumVersion}`);
--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -3,13 +3,11 @@
 import * as path from "node:path";
 import * as results from "../results/mod.ts";
 import * as readRecords from "./_read_records.ts";
-import * as records from "./record.ts";
+import * as encodings from "./_encode_records.ts";
 
 const FORMAT_VERSION = 3;
 /** Format before, in which each record of a write stands by itself. */
 const SINGLE_RECORDS_VERSION = 2;
-/** Bytes of a snapshot that are written at a time. */
-const WRITE_BYTES = 512 * 1024;
 /** A snapshot that is being written; nothing reads it before its rename. */
 const DRAFT_NAME = "snapshot.draft";
 
@@ -48,10 +46,6 @@
   return Math.max(0, ...generations);
 }
 
-function toBytes(value: unknown): Buffer {
-  return records.encodeRecord(Buffer.from(JSON.stringify(value)));
-}
-
 function syncFolder(folder: string): void {
   const descriptor = fs.openSync(folder, "r");
   fs.fsyncSync(descriptor);
@@ -98,8 +92,13 @@
     const read = readLog(name, owner);
     const snapshot = readSnapshot(folder, generation);
     if (read.tornBytes > 0) cutTail(name, read.wholeBytes);
+    // A process of the former version must not pass over what comes in this one.
+    if (read.isFormer) createFile(name, owner, read.records);
     syncFolder(folder);
     const file = await fsPromises.open(name, "a");
+    // A write whose process ended before its sync is read like any other; vouched
+    // for again and then lost with the power, it would never be sent anew.
+    await file.datasync();
     const log = new DurableLog(folder, owner, generation, file);
     return {
       log,
@@ -113,21 +112,24 @@
    *
    * All records of a write stand under one checksum: pages of an unsynced write
    * reach the disk in any order, and a whole record after a lost one would look
-   * like damage of what was confirmed, after which a box never starts again.
+   * like damage of what was confirmed, after which a box never starts again. Each
+   * write is synced before the next, so that at most one is torn.
    *
    * @throws The error of the file system.
    */
   async append(records: readonly unknown[]): Promise<void> {
-    if (records.length === 0) return;
-    const bytes = toBytes(records);
+    let wholeBytes = this.#wholeBytes;
     try {
-      await this.#file.appendFile(bytes);
-      await this.#file.datasync();
+      for (const bytes of encodings.collectWrites(records)) {
+        await this.#file.appendFile(bytes);
+        await this.#file.datasync();
+        wholeBytes += bytes.length;
+      }
     } catch (error) {
       await this.#file.truncate(this.#wholeBytes);
       throw error;
     }
-    this.#wholeBytes += bytes.length;
+    this.#wholeBytes = wholeBytes;
   }
 
   /**
@@ -156,7 +158,7 @@
     const file = await fsPromises.open(name, "w");
     try {
       const first: SnapshotHeader = { head, parts: parts.length };
-      for (const bytes of collectBytes([first, ...parts])) {
+      for (const bytes of encodings.collectBytes([first, ...parts])) {
         await file.appendFile(bytes);
       }
       await file.datasync();
@@ -206,22 +208,6 @@
   readonly parts: number;
 }
 
-/** Encodes values and gathers them, so that few writes are needed. */
-function* collectBytes(values: readonly unknown[]): Generator<Buffer> {
-  let gathered: Buffer[] = [];
-  let size = 0;
-  for (const value of values) {
-    const bytes = toBytes(value);
-    gathered.push(bytes);
-    size += bytes.length;
-    if (size < WRITE_BYTES) continue;
-    yield Buffer.concat(gathered);
-    gathered = [];
-    size = 0;
-  }
-  if (size > 0) yield Buffer.concat(gathered);
-}
-
 /** Writes a log file whole or not at all. */
 function createFile(
   name: string,
@@ -230,7 +216,7 @@
 ): void {
   const header: FileHeader = { format: FORMAT_VERSION, owner };
   const descriptor = fs.openSync(`${name}.tmp`, "w");
-  for (const bytes of collectBytes([header, ...records])) {
+  for (const bytes of encodings.collectBytes([header, ...records])) {
     fs.writeFileSync(descriptor, bytes);
   }
   fs.fsyncSync(descriptor);
@@ -261,6 +247,8 @@
   readonly records: readonly unknown[];
   readonly wholeBytes: number;
   readonly tornBytes: number;
+  /** Whether the file has the format before. */
+  readonly isFormer: boolean;
 }
 
 function readLog(name: string, owner: string): ReadFile {
@@ -274,8 +262,14 @@
     },
   );
   if (isDamaged) throw createCorruptError(name, wholeBytes);
-  checkHeader(values[0] as FileHeader | undefined, name, owner);
-  return { records: values.slice(1), wholeBytes, tornBytes: restBytes };
+  const header = values[0] as FileHeader | undefined;
+  checkHeader(header, name, owner);
+  return {
+    records: values.slice(1),
+    wholeBytes,
+    tornBytes: restBytes,
+    isFormer: header?.format !== FORMAT_VERSION,
+  };
 }
 
 function parsePayload(payload: Buffer): unknown {
