Failing test: a box whose clock is behind refuses all servers

The class of the incident, looked for in the new lifetimes of servers: a box's time of day was trusted more than the starts that all others know.

--- a/src/registry/registry_test.ts
+++ b/src/registry/registry_test.ts
@@ -234,6 +234,20 @@
       chai.expect(find({ born: 170_000 })).to.equal("start");
     });
 
+    // A box whose time of day had been set back by some minutes refused the reports
+    // and the notices of leaving of all servers that had started since then.
+    it("takes known starts and new servers though this box's clock is behind", () => {
+      const behind = { ...CHECK, wallMs: -300_000 };
+      chai.expect(find({ born: 1_000 }, behind)).to.equal(undefined);
+      const unheard = { ...behind, known: undefined };
+      chai.expect(checkReport.findRefusal(report({ born: 1_000 }), unheard))
+        .to.equal(undefined);
+      const days = 86_400_000;
+      chai.expect(
+        checkReport.findRefusal(report({ born: days }), unheard)?.reason,
+      ).to.equal("start");
+    });
+
     it("refuses a service that is not configured, or not that of the start", () => {
       chai.expect(find({ service: "none" })).to.equal("service");
       const check = { ...CHECK, isService: () => true };
