Judge a server's start by what is known before this box's clock

Cause: each report whose start lies over 60 s ahead of the box's time of day was refused, that of a known start too, and notices of leaving with it: a box whose clock was set back by minutes had no servers. Change: the known start is taken whatever the clock says; one of an id that nobody heard of up to 30 minutes ahead, as it hides no other; a later one of a known id up to 60 s.

--- a/src/fleet_daemon/control_calls.ts
+++ b/src/fleet_daemon/control_calls.ts
@@ -123,7 +123,8 @@
   #takeLeave(lifetime: registry.Lifetime): dialects.RawAnswer {
     const { servers, link, log, dialect, clock } = this.#options;
     const { id, born } = lifetime;
-    if (!registry.isPlausibleStart(lifetime, clock.getWallMs())) {
+    const known = servers.get(id);
+    if (!registry.isPlausibleStart(lifetime, known, clock.getWallMs())) {
       return this.#refuseReport({ server: id, reason: "start", field: "born" });
     }
     const server = servers.markGone(lifetime);
--- a/src/registry/check_report.ts
+++ b/src/registry/check_report.ts
@@ -26,7 +26,7 @@
 ): refusedReports.ReportRefusal | undefined {
   const { known, wallMs, isService } = check;
   const { id: server } = report;
-  if (!lifetimes.isPlausibleStart(report, wallMs)) {
+  if (!lifetimes.isPlausibleStart(report, known, wallMs)) {
     return { server, reason: "start", field: "born" };
   }
   if (!isService(report.service)) {
--- a/src/registry/lifetime.ts
+++ b/src/registry/lifetime.ts
@@ -21,6 +21,8 @@
  * ahead would hide every true one until then.
  */
 const MAX_AHEAD_MS = 60_000;
+/** The same for an id that hides no other start, in ms. */
+const MAX_AHEAD_UNKNOWN_MS = 1_800_000;
 
 /**
  * Says which of two starts of one server came first. A start that tells its
@@ -52,15 +54,24 @@
 }
 
 /**
- * Tells whether a start can be true by a box's own clock.
+ * Tells whether a start can be true by a box's own clock. The start that is known
+ * is: a box whose clock was set back by minutes would refuse all servers
+ * else. One that would replace a known start must fit the clock closely, one of an
+ * id that nobody heard of only roughly.
  *
  * @param lifetime What a server says of its start.
+ * @param known The latest start known under the same id, if any.
  * @param wallMs Wall time of the box, in ms.
  * @returns Whether to take it.
  */
 export function isPlausibleStart(
-  { born }: Pick<Lifetime, "born">,
+  lifetime: Pick<Lifetime, "born">,
+  known: Pick<Lifetime, "born"> | undefined,
   wallMs: number,
 ): boolean {
-  return born === undefined || born <= wallMs + MAX_AHEAD_MS;
+  const { born } = lifetime;
+  if (born === undefined) return true;
+  if (known === undefined) return born <= wallMs + MAX_AHEAD_UNKNOWN_MS;
+  const isKnown = compareLifetimes(lifetime, known) === "same";
+  return isKnown || born <= wallMs + MAX_AHEAD_MS;
 }
