--- a/src/consensus/_log_budget.ts
+++ b/src/consensus/_log_budget.ts
@@ -9,8 +9,7 @@
 const SNAPSHOT_BYTES = 24 * 1024 * 1024;
 /** Bytes of entries that stay in memory beside a snapshot, for those that lag. */
 const KEPT_BYTES = 8 * 1024 * 1024;
-
-/** The same while a replica is fed that needs them. */
+/** Bytes that stay while a follower needs the entries. */
 const FED_BYTES = 32 * 1024 * 1024;
 
 /** Says when a log is cut, and where: by its entries or by their bytes. */
@@ -31,11 +30,12 @@
   }
 
   /**
-   * Tells whether a snapshot is due; counts bytes anew from then on.
+   * Claims a snapshot where one is due; bytes are counted anew from then on.
    *
    * @param applied Entries that were applied since the last snapshot.
+   * @returns Whether one is due.
    */
-  take(applied: number): boolean {
+  claimSnapshot(applied: number): boolean {
     const isDue = applied >= this.#snapshotEntries ||
       (applied > 0 && this.#appliedBytes >= SNAPSHOT_BYTES);
     if (isDue) this.#appliedBytes = 0;
--- a/src/consensus/_log_cutter.ts
+++ b/src/consensus/_log_cutter.ts
@@ -45,7 +45,7 @@
     log: replicaLogs.ReplicaLog,
   ): void {
     const count = applied.getIndex() - this.#snapshotIndex;
-    if (this.#drafts.isBusy() || !this.#budget.take(count)) return;
+    if (this.#drafts.isBusy() || !this.#budget.claimSnapshot(count)) return;
     this.#drafts.start(applied.createSnapshot(log));
   }
 
