Take commands again after a handover that found no successor

Cause: a leader that is to be emptied asks at each look, and each ask held back commands for half a second. Before: held back for most of the time. After: a quarter; retire_leader_test holds.

--- a/src/consensus/_handover.ts
+++ b/src/consensus/_handover.ts
@@ -5,6 +5,8 @@
 
 /** Longest time in which nothing is proposed for a successor's sake, in ms. */
 const HANDOVER_MS = 500;
+/** Time after that in which commands are taken again, at least, in ms. */
+const SERVING_MS = 1_500;
 
 /**
  * Holds back commands for a while, so that some follower gets every entry. Under load
@@ -17,7 +19,8 @@
 ): replicaStates.ReplicaState {
   const { role } = state;
   if (role.kind !== "leader") return state;
-  if (replicaStates.isHandingOver(state, nowMs)) return state;
+  const { handoverUntilMs = Number.NEGATIVE_INFINITY } = role;
+  if (nowMs < handoverUntilMs + SERVING_MS) return state;
   return { ...state, role: { ...role, handoverUntilMs: nowMs + HANDOVER_MS } };
 }
 
