Name the work of a broken try in the log, and whether its server hung up

Cause: lines of a broken try could not tell copies of one request, nor a server that closed the connection from one that stayed silent. Change: forward.retry and item.runEnded say work= (a digest of account, method, host, path and body) and closed=. What a try tells the loads is a module of its own. No decision changes.

--- a/src/caller/_forward.ts
+++ b/src/caller/_forward.ts
@@ -66,6 +66,7 @@
   return {
     kind: "broken",
     message: "it answered another request",
+    isClosed: false,
     head: outcome.head,
   };
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -284,6 +284,8 @@
       server: engine.id,
       outcome: end.kind,
       reason: "reason" in end ? end.reason : undefined,
+      closed: end.kind === "broken" ? end.isClosed : undefined,
+      work: end.kind === "broken" ? task.getWork() : undefined,
       events: task.progress.countEvents(),
     });
   }
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -1,3 +1,4 @@
+import * as crashGuards from "../crash_guard/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as itemRuns from "../item_run/mod.ts";
 import type * as chooseEngine from "./choose_engine.ts";
@@ -83,6 +84,17 @@
     return this.item.model ?? this.submission.model;
   }
 
+  /** Digest of its work, the same in each submission that brings it. */
+  getWork(): crashGuards.WorkDigest {
+    return crashGuards.computeWorkDigest({
+      sender: this.submission.sender,
+      method: "POST",
+      host: this.submission.terms.host,
+      target: this.item.path,
+      body: Buffer.from(this.item.body, "base64"),
+    });
+  }
+
   /** What it asks of an engine. */
   getNeed(): chooseEngine.EngineNeed {
     return {
--- a/src/engine/stream_completion.ts
+++ b/src/engine/stream_completion.ts
@@ -77,7 +77,7 @@
     this.#resolve({ kind: "broken", message });
   }
 
-  onFail(message: string, isSent: boolean): void {
+  onFail({ message, isSent }: httpClient.ExchangeFailure): void {
     const kind = isSent ? "broken" : "notSent";
     this.#resolve({ kind, message });
   }
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -49,7 +49,11 @@
     case "notSent":
       return { kind: "notRun", reason: outcome.message, isBusy: false };
     case "broken":
-      return { kind: "broken", reason: outcome.message };
+      return {
+        kind: "broken",
+        reason: outcome.message,
+        isClosed: outcome.isClosed,
+      };
     case "answered":
       return judgeAnswer(options, outcome.head, outcome.body);
   }
@@ -85,7 +89,8 @@
     };
   }
   if (head.receipt === undefined && status < FIRST_ERROR_STATUS) {
-    return { kind: "broken", reason: "the answer has no receipt" };
+    const reason = "the answer has no receipt";
+    return { kind: "broken", reason, isClosed: false };
   }
   const { id: server } = options.server;
   const isFramed = headers["content-length"] !== undefined ||
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -1,10 +1,12 @@
 import type * as clocks from "../clock/mod.ts";
+import * as crashGuards from "../crash_guard/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as chooseServer from "./choose_server.ts";
 import type * as jobs from "./forward_job.ts";
 import type * as forwarderOptions from "./forwarder_options.ts";
 import * as limitWait from "./_limit_wait.ts";
+import * as noteOutcome from "./_note_outcome.ts";
 import type * as serviceLines from "./_service_line.ts";
 import * as watchedAttempts from "./_watched_attempt.ts";
 
@@ -43,6 +45,7 @@
   #isSettled = false;
   #reason = "no server is ready";
   #errorAnswer: jobs.ServerAnswer | undefined;
+  #work: crashGuards.WorkDigest | undefined;
   #cancelDeadline: clocks.CancelTimer = () => {};
   #cancelHedge: clocks.CancelTimer = () => {};
   #leaveLine: () => void = () => {};
@@ -142,65 +145,28 @@
       cancellation,
     }, sendAttempt);
     const tookMs = clock.getMonotonicMs() - startMs;
-    this.#noteEnd(outcome, server, tookMs);
+    noteOutcome.noteEnd(loads, server.lifetime, {
+      outcome,
+      tookMs,
+      isWanted: !this.#isSettled,
+    });
     this.#running.delete(cancellation);
     this.#noteBegun(outcome, startMs);
-    if (this.#isSettled) this.#noteTold(outcome, server);
-    else this.#take(outcome, server);
+    noteOutcome.noteTold(loads, server.lifetime, outcome);
+    if (!this.#isSettled) this.#take(outcome, server);
     if (outcome.kind === "answered") this.#line.noteFreed();
   }
 
-  /** Tells the loads what this try says of its server. */
-  #noteEnd(
-    outcome: jobs.AttemptOutcome,
-    server: registry.RegisteredServer,
-    tookMs: number,
-  ): void {
-    const { loads } = this.#options;
-    switch (outcome.kind) {
-      case "answered":
-        loads.end(server.lifetime, tookMs);
-        loads.noteOutcome(
-          server.lifetime,
-          outcome.answer.status < FIRST_ERROR_STATUS,
-        );
-        return;
-      case "notRun":
-        loads.end(server.lifetime, undefined);
-        loads.noteOutcome(server.lifetime, false);
-        return;
-      case "broken":
-        // A try that was cancelled because another one answered first, or
-        // because its caller left, says nothing of the server's soundness.
-        loads.endUnanswered(server.lifetime, tookMs);
-        if (!this.#isSettled) loads.noteOutcome(server.lifetime, false);
-        return;
-    }
-  }
-
   /** The run that was answered counts, else the first that may have been. */
   #noteBegun(outcome: jobs.AttemptOutcome, startMs: number): void {
     if (outcome.kind === "answered") this.#begunAtMs = startMs;
     if (outcome.kind === "broken") this.#begunAtMs ??= startMs;
   }
 
-  /** Notes the load that a server told, with an answer or a refusal. */
-  #noteTold(
-    outcome: jobs.AttemptOutcome,
-    server: registry.RegisteredServer,
-  ): void {
-    if (outcome.kind === "broken") return;
-    const load = outcome.kind === "answered"
-      ? outcome.answer.head.load
-      : outcome.load;
-    if (load !== undefined) this.#options.loads.note(server.lifetime, load);
-  }
-
   #take(
     outcome: jobs.AttemptOutcome,
     server: registry.RegisteredServer,
   ): void {
-    this.#noteTold(outcome, server);
     switch (outcome.kind) {
       case "answered":
         return this.#takeAnswer(outcome.answer);
@@ -209,11 +175,11 @@
         this.#refused.add(server.lifetime);
         this.#sawBusy ||= outcome.isBusy;
         if (outcome.isBusy) this.#options.loads.noteFull(server.lifetime);
-        return this.#retryAfter(server, outcome.reason);
+        return this.#retryAfter(server, outcome);
       case "broken":
         this.#mayHaveRun = true;
         this.#options.loads.avoid(server.lifetime);
-        return this.#retryAfter(server, outcome.reason);
+        return this.#retryAfter(server, outcome);
     }
   }
 
@@ -228,21 +194,40 @@
     this.#tryAnother();
   }
 
-  #retryAfter(server: registry.RegisteredServer, reason: string): void {
-    this.#reason = reason;
+  #retryAfter(
+    server: registry.RegisteredServer,
+    outcome: Exclude<jobs.AttemptOutcome, { readonly kind: "answered" }>,
+  ): void {
+    this.#reason = outcome.reason;
     this.#options.log.write("info", "forward.retry", {
       request: this.#job.requestId,
       server: server.id,
       service: this.#job.service,
       sent: this.#sent,
       refusals: this.#refused.size,
-      reason,
+      reason: outcome.reason,
+      closed: outcome.kind === "broken" ? outcome.isClosed : undefined,
+      work: outcome.kind === "broken" ? this.#getWork() : undefined,
     });
     const mustStop = this.#mayHaveRun && !this.#job.isRepeatable;
     if (mustStop) return this.#giveUp();
     this.#tryAnother();
   }
 
+  /** Digest of the work; computed where it is asked for, as most is not. */
+  #getWork(): crashGuards.WorkDigest {
+    const { sender, method, target, headers, body } = this.#job;
+    const host = String(headers["host"] ?? "");
+    this.#work ??= crashGuards.computeWorkDigest({
+      sender,
+      method,
+      host,
+      target,
+      body,
+    });
+    return this.#work;
+  }
+
   #tryAnother(): void {
     if (this.#running.size === 0) return this.#tryNext();
     if (this.#canTry()) this.#tryNext();
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -78,4 +78,9 @@
     /** Load that the server told with its refusal. */
     readonly load?: dialects.ServerLoad | undefined;
   }
-  | { readonly kind: "broken"; readonly reason: string };
+  | {
+    readonly kind: "broken";
+    readonly reason: string;
+    /** Whether the server closed or reset the connection in its midst. */
+    readonly isClosed: boolean;
+  };
--- a/src/http_client/http_request.ts
+++ b/src/http_client/http_request.ts
@@ -43,5 +43,7 @@
   | {
     readonly kind: "broken";
     readonly message: string;
+    /** Whether the server closed or reset the connection in its midst. */
+    readonly isClosed: boolean;
     readonly head?: HttpHead;
   };
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -12,10 +12,25 @@
   onData(chunk: Buffer): void;
   /** The answer is whole. */
   onEnd(): void;
-  /** No whole answer will come; `isSent` tells whether it may have run. */
-  onFail(message: string, isSent: boolean): void;
+  /** No whole answer will come. */
+  onFail(failure: ExchangeFailure): void;
 }
 
+/** Why no whole answer will come. */
+export interface ExchangeFailure {
+  readonly message: string;
+  /** Whether the request may have run. */
+  readonly isSent: boolean;
+  /** Whether the server closed or reset the connection in its midst. */
+  readonly isClosed: boolean;
+}
+
+/** Errors of a connection that its other side closed or reset. */
+const CLOSED_CODES: ReadonlySet<string | undefined> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+]);
+
 /** A request that is under way. */
 export interface Exchange {
   /** Gives the request up; the listener hears nothing more. */
@@ -69,7 +84,7 @@
       "socket",
       (socket) => this.#watchSocket(socket, connectMs),
     );
-    this.#request.on("error", (error) => this.#fail(error.message));
+    this.#request.on("error", (error) => this.#failWith(error));
     this.#request.on("response", (answer) => this.#read(answer));
     this.#cancellation?.add(this.#onCancel);
     if (this.#cancellation?.isCancelled() === true) this.#onCancel();
@@ -99,25 +114,30 @@
     answer.on("data", (chunk: Buffer) => {
       if (!this.#isSettled) this.#listener.onData(chunk);
     });
-    answer.on("error", (error) => this.#fail(error.message));
+    answer.on("error", (error) => this.#failWith(error));
     answer.on("close", () => {
-      if (!answer.complete) this.#fail("the answer ended early");
+      if (!answer.complete) this.#fail("the answer ended early", true);
     });
     answer.on("end", () => this.#finish(answer.complete));
   }
 
   #finish(isComplete: boolean): void {
     if (this.#isSettled) return;
-    if (!isComplete) return this.#fail("the answer ended early");
+    if (!isComplete) return this.#fail("the answer ended early", true);
     this.#settle();
     this.#listener.onEnd();
   }
 
-  #fail(message: string): void {
+  #failWith(error: NodeJS.ErrnoException): void {
+    this.#fail(error.message, CLOSED_CODES.has(error.code));
+  }
+
+  #fail(message: string, isClosed = false): void {
     if (this.#isSettled) return;
     this.#settle();
     this.#request.destroy();
-    this.#listener.onFail(message, this.#isSent);
+    const isSent = this.#isSent;
+    this.#listener.onFail({ message, isSent, isClosed: isClosed && isSent });
   }
 
   #settle(): void {
@@ -134,7 +154,8 @@
 
   constructor(message: string, listener: ExchangeListener) {
     queueMicrotask(() => {
-      if (!this.#isCancelled) listener.onFail(message, false);
+      if (this.#isCancelled) return;
+      listener.onFail({ message, isSent: false, isClosed: false });
     });
   }
 
--- a/src/http_client/send_request.ts
+++ b/src/http_client/send_request.ts
@@ -25,18 +25,19 @@
         size += chunk.length;
         if (size <= limit) return;
         exchange.cancel();
-        resolve({ kind: "broken", message: "the answer is too large" });
+        const message = "the answer is too large";
+        resolve({ kind: "broken", message, isClosed: false });
       },
       onEnd() {
         if (head === undefined) return;
         resolve({ kind: "answered", head, body: Buffer.concat(chunks) });
       },
-      onFail(message, isSent) {
+      onFail({ message, isSent, isClosed }) {
         if (!isSent) return resolve({ kind: "notSent", message });
         resolve(
           head === undefined
-            ? { kind: "broken", message }
-            : { kind: "broken", message, head },
+            ? { kind: "broken", message, isClosed }
+            : { kind: "broken", message, isClosed, head },
         );
       },
     });
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -55,7 +55,12 @@
     readonly isOther: boolean;
   }
   /** The stream broke off; a further run may go on from there. */
-  | { readonly kind: "broken"; readonly reason: string };
+  | {
+    readonly kind: "broken";
+    readonly reason: string;
+    /** Whether the engine closed or reset the connection in its midst. */
+    readonly isClosed: boolean;
+  };
 
 /** Follows the stream of one run. */
 class ItemStream implements httpClient.ExchangeListener {
@@ -137,14 +142,14 @@
     this.#settle(
       this.#isNotRun
         ? { kind: "notRun", reason, isOther }
-        : { kind: "broken", reason },
+        : { kind: "broken", reason, isClosed: false },
     );
   }
 
-  onFail(message: string, isSent: boolean): void {
+  onFail({ message, isSent, isClosed }: httpClient.ExchangeFailure): void {
     this.#settle(
       isSent
-        ? { kind: "broken", reason: message }
+        ? { kind: "broken", reason: message, isClosed }
         : { kind: "notRun", reason: message, isOther: false },
     );
   }
@@ -204,7 +209,7 @@
 
   #stop(reason: string): void {
     this.#exchange?.cancel();
-    this.#settle({ kind: "broken", reason });
+    this.#settle({ kind: "broken", reason, isClosed: false });
   }
 
   #settle(end: RunEnd): void {
--- a/tools/stand_ins/run_callers.ts
+++ b/tools/stand_ins/run_callers.ts
@@ -232,7 +232,7 @@
             : readRefusal(JSON.parse(refusal), call);
           resolve();
         },
-        onFail(_message, isSent) {
+        onFail({ isSent }) {
           answer = { ...FAILED_TRY, outcome: isSent ? "broken" : "notSent" };
           resolve();
         },
