--- /dev/null
+++ b/src/crash_guard/crash_guard.ts
@@ -0,0 +1,217 @@
+import type * as clocks from "../clock/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import * as registry from "../registry/mod.ts";
+import type * as httpClient from "../http_client/mod.ts";
+import type * as protocol from "./protocol.ts";
+
+/** Characters of a path that a record shows to operators. */
+const SHOWN_CHARACTERS = 120;
+/** Between two looks for records that are too old, in ms. */
+const FORGET_MS = 10_000;
+
+/** A piece of work, and what operators are told of it. */
+export interface WorkName {
+  readonly digest: crashRecords.WorkDigest;
+  /** Request or item that carried it. */
+  readonly carrier: string;
+  /** Client account; empty where none sent it. */
+  readonly account: string;
+  readonly service: string;
+  /** Path with its query. */
+  readonly target: string;
+}
+
+/** What became of a question for a grant. */
+export type GrantAnswer =
+  | Exclude<protocol.GrantReply, { readonly kind: "notLeader" }>["kind"]
+  /** No leader answered in time. */
+  | "unanswered";
+
+/** What the crash guard needs. */
+export interface CrashGuardOptions {
+  readonly clock: clocks.Clock;
+  readonly log: logs.Log;
+  readonly metrics: Pick<metrics.FleetMetrics, "countCrash">;
+  readonly table: crashRecords.CrashTable;
+  readonly servers: Pick<registry.ServerRegistry, "markAbsent">;
+  /** Tells whether something listens at an address. */
+  readonly findPortState: typeof httpClient.findPortState;
+  /** Tells the other boxes. */
+  readonly publish: (record: crashRecords.CrashRecord) => void;
+  /** Asks the leader of the stores. */
+  readonly askGrant: (
+    request: protocol.GrantRequest,
+  ) => Promise<protocol.GrantReply | undefined>;
+  /** Tells the leader of the stores, for as long as it takes. */
+  readonly endGrant: (end: protocol.GrantEnd) => void;
+}
+
+/** What a box knows of work under which servers end. */
+export class CrashGuard {
+  readonly #options: CrashGuardOptions;
+  #forgotAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: CrashGuardOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Judges a piece of work.
+   *
+   * @param getDigest Computes its digest; not called while nothing is known
+   * against any work, so that this costs nothing then.
+   */
+  judge(
+    getDigest: () => crashRecords.WorkDigest,
+  ): crashRecords.WorkVerdict {
+    const { clock, table } = this.#options;
+    const nowMs = clock.getWallMs();
+    this.#forget();
+    const record = table.isEmpty() ? undefined : table.get(getDigest());
+    const sinceMs = Math.max(0, nowMs - (record?.notedAtMs ?? nowMs));
+    return crashRecords.judgeWork(record, sinceMs);
+  }
+
+  /**
+   * Notes that a server closed the connection in the midst of a run. A process
+   * that ended listens no more; one that only closed or reset a connection does.
+   */
+  async noteClosed(
+    server: registry.RegisteredServer,
+    name: WorkName,
+  ): Promise<void> {
+    const { findPortState } = this.#options;
+    const state = await findPortState(server.address, server.port);
+    if (state === "refused") this.noteEnded(server, name);
+  }
+
+  /** Notes that a server ended while it ran a piece of work. */
+  noteEnded(server: registry.RegisteredServer, name: WorkName): void {
+    const { clock, log, metrics, table, publish } = this.#options;
+    const nowMs = clock.getWallMs();
+    const isNews = table.merge({
+      digest: name.digest,
+      account: name.account,
+      service: name.service,
+      target: name.target.slice(0, SHOWN_CHARACTERS),
+      ended: [server.lifetime],
+      cleared: [],
+      notedAtMs: nowMs,
+    }, nowMs);
+    this.#options.servers.markAbsent(server);
+    const record = table.get(name.digest);
+    if (!isNews || record === undefined) return;
+    metrics.countCrash("noted");
+    log.write("warn", "crash.noted", {
+      ...describeName(name),
+      server: server.id,
+      ended: crashRecords.countEnded(record),
+    });
+    publish(record);
+  }
+
+  /** Notes that a run of a piece of work ended and its server went on. */
+  noteServed(name: WorkName): void {
+    const { clock, log, metrics, table, publish } = this.#options;
+    const known = table.get(name.digest);
+    if (known === undefined || crashRecords.countEnded(known) === 0) return;
+    const cleared = { ...known, cleared: known.ended };
+    table.merge(cleared, clock.getWallMs());
+    metrics.countCrash("cleared");
+    log.write("info", "crash.cleared", {
+      ...describeName(name),
+      ended: crashRecords.countEnded(known),
+    });
+    publish(table.get(name.digest) ?? cleared);
+  }
+
+  /**
+   * Takes what another box or the stores' log knows.
+   *
+   * @returns Whether this box did not know it.
+   */
+  learn(record: crashRecords.CrashRecord): boolean {
+    const { clock, log, metrics, table } = this.#options;
+    const before = table.get(record.digest);
+    if (!table.merge(record, clock.getWallMs())) return false;
+    this.#markAbsent(record, before);
+    const after = table.get(record.digest);
+    metrics.countCrash("learned");
+    log.write("info", "crash.learned", {
+      work: record.digest,
+      ended: crashRecords.countEnded(after),
+      before: crashRecords.countEnded(before),
+      ageMs: clock.getWallMs() - record.notedAtMs,
+    });
+    return true;
+  }
+
+  /** Servers that ended elsewhere are passed over here too. */
+  #markAbsent(
+    record: crashRecords.CrashRecord,
+    before: crashRecords.CrashRecord | undefined,
+  ): void {
+    for (const lifetime of record.ended) {
+      if (before?.ended.includes(lifetime)) continue;
+      const id = registry.getServerId(lifetime);
+      this.#options.servers.markAbsent({ id, lifetime });
+    }
+  }
+
+  /**
+   * Asks the leader of the stores for one run more.
+   *
+   * @param digest Work under which servers ended.
+   * @param run Names the run.
+   */
+  async askGrant(
+    digest: crashRecords.WorkDigest,
+    run: string,
+  ): Promise<GrantAnswer> {
+    const { table, askGrant, metrics } = this.#options;
+    const record = table.get(digest);
+    if (record === undefined) return "granted";
+    const reply = await askGrant({ record, run });
+    if (reply === undefined || reply.kind === "notLeader") return "unanswered";
+    if (reply.kind === "barred") this.learn(reply.record);
+    metrics.countCrash(reply.kind);
+    return reply.kind;
+  }
+
+  /** Tells the leader that a granted run has ended, with what is known now. */
+  endGrant(digest: crashRecords.WorkDigest, run: string): void {
+    const record = this.#options.table.get(digest);
+    this.#options.endGrant({ digest, run, record });
+  }
+
+  /** Counts and logs a request that is answered without being sent. */
+  noteHeldBack(name: WorkName, ended: number, returnMs: number): void {
+    this.#options.metrics.countCrash("heldBack");
+    this.#options.log.write("info", "crash.heldBack", {
+      ...describeName(name),
+      ended,
+      returnMs: Math.round(returnMs),
+    });
+  }
+
+  #forget(): void {
+    const { clock, table } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs - this.#forgotAtMs < FORGET_MS) return;
+    this.#forgotAtMs = nowMs;
+    table.forget(clock.getWallMs());
+  }
+}
+
+function describeName(name: WorkName): Readonly<Record<string, string>> {
+  const { digest, carrier, account, service, target } = name;
+  return {
+    work: digest,
+    request: carrier,
+    account,
+    service,
+    target: target.slice(0, SHOWN_CHARACTERS),
+  };
+}
--- a/src/crash_guard/mod.ts
+++ b/src/crash_guard/mod.ts
@@ -1,11 +1,17 @@
 /**
- * Which work ends the servers that run it, and what becomes of it then.
+ * Finds out which work ends the servers that run it, tells the fleet, and bounds
+ * how many more it may end.
  *
  * @example
  * ```ts
  * import * as crashGuards from "../crash_guard/mod.ts";
- * const digest = crashGuards.computeWorkDigest(work);
+ * const guard = new crashGuards.CrashGuard(options);
+ * guard.judge(() => digest); // { kind: "free" }
  * ```
  * @module
  */
-export * from "./work_digest.ts";
+export * from "./crash_guard.ts";
+export * from "./crash_keeper.ts";
+export * from "./create_grant_calls.ts";
+export * from "./grant_desk.ts";
+export * from "./protocol.ts";
--- /dev/null
+++ b/src/crash_record/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Which work servers ended under, and what may become of it.
+ *
+ * @example
+ * ```ts
+ * import * as crashRecords from "../crash_record/mod.ts";
+ * const table = new crashRecords.CrashTable();
+ * crashRecords.judgeWork(table.get(digest), 0); // { kind: "free" }
+ * ```
+ * @module
+ */
+export * from "./crash_record.ts";
+export * from "./crash_table.ts";
+export * from "./judge_work.ts";
+export * from "./work_digest.ts";
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,6 +10,7 @@
 import type * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as engineTables from "./engine_table.ts";
+import * as itemCrashes from "./item_crashes.ts";
 import * as itemFinishers from "./item_finisher.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as lengthEstimates from "./length_estimates.ts";
@@ -47,6 +48,7 @@
   readonly machine: submissions.SubmissionMachine;
   readonly engines: engineTables.EngineTable;
   readonly forwarder: forwarding.Forwarder;
+  readonly crashGuard: itemCrashes.ItemCrashesOptions["crashGuard"];
   readonly draw: () => number;
 }
 
@@ -58,6 +60,7 @@
   readonly #keeper: textKeepers.TextKeeper;
   readonly #mover: runMovers.RunMover;
   readonly #tasks: taskTables.TaskTable;
+  readonly #crashes: itemCrashes.ItemCrashes;
   /** Since when this box leads without authority, in monotonic ms. */
   #unsureSinceMs: number | undefined;
   #isUpdateDue = false;
@@ -69,6 +72,7 @@
       options.machine,
       options.clock,
     );
+    this.#crashes = new itemCrashes.ItemCrashes(options);
     this.#finisher = new itemFinishers.ItemFinisher(options);
     this.#keeper = new textKeepers.TextKeeper(options.group);
     this.#mover = new runMovers.RunMover({
@@ -146,7 +150,8 @@
     const round = new placementRounds.PlacementRound(this.#options);
     const waiting = tasks.filter((task) =>
       task.phase === "waiting" &&
-      round.hasPlace(task.submission.terms.service)
+      round.hasPlace(task.submission.terms.service) &&
+      this.#crashes.canRun(task)
     );
     const moved = waiting.filter((task) => task.target !== undefined);
     const others = waiting.filter((task) => task.target === undefined);
@@ -165,6 +170,7 @@
   ): Promise<void> {
     const { engines, servers, dialect, clock, metrics } = this.#options;
     const { submission, item, progress, cancellation } = task;
+    const madeBefore = progress.countMade();
     const runCancellation = new csp.Cancellation();
     task.beginRun({
       engine: engine.lifetime,
@@ -174,7 +180,10 @@
     cancellation.add(() => runCancellation.cancel());
     const endWatch = servers.watch(
       engine.lifetime,
-      () => this.#endLostRun(task, engine, runCancellation),
+      () => {
+        this.#crashes.noteLost(task, engine, madeBefore);
+        this.#endLostRun(task, engine, runCancellation);
+      },
     );
     engines.begin(engine.lifetime);
     const model = task.getModel() ?? "";
@@ -204,6 +213,7 @@
     engines.end(engine.lifetime);
     task.run = undefined;
     metrics.countItemRun(end.kind);
+    await this.#crashes.noteEnd(task, engine, { end, madeBefore });
     if (!task.isWanted()) return;
     if (isCutShort(end) && runCancellation.isCancelled()) {
       // This box moved the run, maybe before it was connected.
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -8,6 +8,7 @@
 import type * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
 import * as submissions from "../submission/mod.ts";
@@ -129,6 +130,7 @@
       machine,
       engines,
       forwarder: {} as forwarding.Forwarder,
+      crashGuard: guardFixtures.createCrashGuard(clock),
       draw: () => 0,
     });
     const isRunning = new Promise<void>((resolve) => {
--- a/src/dispatch/item_finisher.ts
+++ b/src/dispatch/item_finisher.ts
@@ -8,6 +8,8 @@
 
 /** Pause before a scoring call is repeated, in ms. */
 const SCORE_RETRY_MS = 60;
+/** Longest pause of a scoring call that is held back, in ms. */
+const MAX_SCORE_PAUSE_MS = 1_000;
 
 /** What an item finisher needs. */
 export interface ItemFinisherOptions
@@ -52,7 +54,12 @@
           });
           break;
       }
-      await clocks.sleep(this.#options.clock, SCORE_RETRY_MS);
+      const returnMs = "returnMs" in outcome ? outcome.returnMs ?? 0 : 0;
+      const pauseMs = Math.min(returnMs, MAX_SCORE_PAUSE_MS);
+      await clocks.sleep(
+        this.#options.clock,
+        Math.max(SCORE_RETRY_MS, pauseMs),
+      );
     }
   }
 
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -1,4 +1,5 @@
-import * as crashGuards from "../crash_guard/mod.ts";
+import type * as crashGuards from "../crash_guard/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as itemRuns from "../item_run/mod.ts";
 import type * as chooseEngine from "./choose_engine.ts";
@@ -33,6 +34,8 @@
   run: TaskRun | undefined;
   /** Engine that the next run should go to, where a move planned it. */
   target: registry.LifetimeKey | undefined;
+  #work: crashRecords.WorkDigest | undefined;
+  #isHeldBack = false;
   #runs = 0;
   #failures = 0;
   #impossible = 0;
@@ -85,14 +88,34 @@
   }
 
   /** Digest of its work, the same in each submission that brings it. */
-  getWork(): crashGuards.WorkDigest {
-    return crashGuards.computeWorkDigest({
+  getWork(): crashRecords.WorkDigest {
+    this.#work ??= crashRecords.computeWorkDigest({
       sender: this.submission.sender,
       method: "POST",
       host: this.submission.terms.host,
       target: this.item.path,
       body: Buffer.from(this.item.body, "base64"),
     });
+    return this.#work;
+  }
+
+  /** Names its work for operators. */
+  getName(): crashGuards.WorkName {
+    const { sender, terms } = this.submission;
+    return {
+      digest: this.getWork(),
+      carrier: this.item.id,
+      account: sender.kind === "account" ? sender.name : "",
+      service: terms.service,
+      target: this.item.path,
+    };
+  }
+
+  /** Notes that it is held back; true the first time. */
+  markHeldBack(): boolean {
+    const isFirst = !this.#isHeldBack;
+    this.#isHeldBack = true;
+    return isFirst;
   }
 
   /** What it asks of an engine. */
--- a/src/dispatch/score_item.ts
+++ b/src/dispatch/score_item.ts
@@ -17,7 +17,12 @@
   /** The scorer answered that this attempt failed. */
   | { readonly kind: "failed"; readonly attempts: number }
   /** No answer; the call can be repeated. */
-  | { readonly kind: "unanswered"; readonly reason: string };
+  | {
+    readonly kind: "unanswered";
+    readonly reason: string;
+    /** When to try again at the earliest, in ms from now. */
+    readonly returnMs?: number;
+  };
 
 const FIRST_OTHER_STATUS = 300;
 const FAILED_STATUS = 500;
@@ -66,7 +71,8 @@
   });
   if (outcome.kind !== "answered") {
     const reason = "reason" in outcome ? outcome.reason : outcome.kind;
-    return { kind: "unanswered", reason };
+    if (outcome.kind !== "heldBack") return { kind: "unanswered", reason };
+    return { kind: "unanswered", reason, returnMs: outcome.returnMs };
   }
   const { status, head } = outcome.answer;
   if (status < FIRST_OTHER_STATUS && head.receipt !== undefined) {
--- a/src/fleet/_relay.ts
+++ b/src/fleet/_relay.ts
@@ -1,4 +1,5 @@
 import * as clocks from "../clock/mod.ts";
+import type * as crashRecords from "../crash_record/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as boxRecords from "./box_record.ts";
 import type * as news from "./news.ts";
@@ -128,6 +129,12 @@
     else this.#flush();
   }
 
+  /** Passes on at once that servers ended under a piece of work. */
+  addCrash(record: crashRecords.CrashRecord): void {
+    if (this.#isStopped) return;
+    this.#tellTargets({ ...this.#options.createNews(), crashes: [record] });
+  }
+
   #flush(): void {
     if (this.#isStopped) return;
     if (this.#boxes.size === 0 && this.#servers.size === 0) return;
--- a/src/fleet/_sync_desk.ts
+++ b/src/fleet/_sync_desk.ts
@@ -1,3 +1,4 @@
+import type * as crashRecords from "../crash_record/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxDirectories from "./box_directory.ts";
@@ -10,6 +11,7 @@
   readonly directory: boxDirectories.BoxDirectory;
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly crashTable: crashRecords.CrashTable;
   readonly getOwn: () => boxRecords.BoxRecord;
 }
 
@@ -23,23 +25,27 @@
 
   /** Creates the request for the named records, or for all that differs. */
   createRequest(ids?: readonly string[]): news.SyncRequest {
-    const { configuration, getOwn } = this.#options;
+    const { configuration, getOwn, crashTable } = this.#options;
     return {
       record: getOwn(),
       wanted: ids === undefined
         ? { kind: "differing", digest: this.#computeDigest() }
         : { kind: "named", ids },
       configurationVersion: configuration.getVersion(),
+      crashes: crashTable.describeContent(),
     };
   }
 
   /** Answers with what the asker lacks; nothing where it knows the same. */
   answer(request: news.SyncRequest): news.SyncReply {
-    const { configuration } = this.#options;
+    const { configuration, crashTable } = this.#options;
     const isNewer = configuration.getVersion() > request.configurationVersion;
+    const knowsCrashes = request.crashes === undefined ||
+      request.crashes === crashTable.describeContent();
     return {
       ...this.#listWanted(request),
       configuration: isNewer ? configuration.getStored() : undefined,
+      ...(knowsCrashes ? {} : { crashes: crashTable.list() }),
     };
   }
 
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -1,4 +1,5 @@
 import * as clocks from "../clock/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
@@ -92,6 +93,7 @@
   readonly directory: boxDirectories.BoxDirectory;
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly link: fleetLinks.FleetLink;
+  readonly crashTable = new crashRecords.CrashTable();
   isLeaving = false;
 
   constructor(
@@ -115,6 +117,8 @@
       directory: this.directory,
       servers: this.servers,
       configuration: this.configuration,
+      crashTable: this.crashTable,
+      learnCrash: (record) => this.crashTable.merge(record, clock.getWallMs()),
       peers: { get: (to) => fleet.getPeer(to, id) },
       server: {
         add: (method, handler) => methods.set(method, handler as Handler),
--- a/src/fleet/fleet_link.ts
+++ b/src/fleet/fleet_link.ts
@@ -1,10 +1,13 @@
 import * as clocks from "../clock/mod.ts";
+import type * as crashRecords from "../crash_record/mod.ts";
 import type * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxDirectories from "./box_directory.ts";
 import * as boxRecords from "./box_record.ts";
+import * as configurationNews from "./_configuration_news.ts";
+import * as crashNews from "./_crash_news.ts";
 import * as news from "./news.ts";
 import * as relays from "./_relay.ts";
 import * as syncDesks from "./_sync_desk.ts";
@@ -18,13 +21,12 @@
  * that chose this box have it by then, and only the others fetch it.
  */
 const BRIEF_MS = 150;
-/** Longest wait for a configuration that another box holds, in ms. */
-const CALL_MS = 1_000;
 /** Silence after which another core box is chosen to relay, in ms. */
 const RELAY_SILENCE_MS = 1_200;
 
 /** What a fleet link needs. */
-export interface FleetLinkOptions {
+export interface FleetLinkOptions
+  extends Omit<crashNews.CrashNewsOptions, "onLearned"> {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
   readonly directory: boxDirectories.BoxDirectory;
@@ -51,8 +53,9 @@
   readonly #serverRefreshes = new Map<string, news.ServerRefresh>();
   #own: boxRecords.BoxRecord;
   readonly #sync: syncLoops.SyncLoop;
+  readonly #configuration: configurationNews.ConfigurationNews;
+  readonly #crashes: crashNews.CrashNews;
   #isStopped = false;
-  #isFetching = false;
 
   constructor(options: FleetLinkOptions) {
     this.#options = options;
@@ -73,6 +76,16 @@
       listCore: () => this.#listCore(),
       tell: (id, message) => this.#tell(id, message),
     });
+    this.#configuration = new configurationNews.ConfigurationNews({
+      ...options,
+      onTaken: () => this.publishConfiguration(),
+    });
+    this.#crashes = new crashNews.CrashNews({
+      ...options,
+      onLearned: (record) => {
+        if (this.#own.isCore) this.#relay.addCrash(record);
+      },
+    });
     const desk = new syncDesks.SyncDesk({
       ...options,
       getOwn: () => this.#own,
@@ -125,6 +138,11 @@
     this.#spread({ ...this.#createNews(), servers: [server] });
   }
 
+  /** Tells the others at once that servers ended under a piece of work. */
+  publishCrash(record: crashRecords.CrashRecord): void {
+    this.#spread({ ...this.#createNews(), crashes: [record] });
+  }
+
   /** Passes on that a server still runs as it did. */
   refreshServer(server: registry.ServerReport): void {
     const refresh = news.createServerRefresh(server);
@@ -227,7 +245,10 @@
   #takeReply(reply: news.SyncReply, from: string): void {
     for (const box of reply.boxes) this.#mergeBox(box);
     for (const server of reply.servers) this.#mergeServer(server, from);
-    this.#offerConfiguration(reply.configuration);
+    this.#configuration.offer(reply.configuration);
+    const untold = this.#crashes.compare(reply.crashes);
+    if (untold.length === 0) return;
+    this.#tell(from, { ...this.#createNews(), crashes: untold });
   }
 
   #receive(message: news.News): void {
@@ -244,8 +265,9 @@
     if (unknown.length > 0) {
       this.#sync.fetch(from, unknown.map((item) => item.id));
     }
-    this.#offerConfiguration(message.configuration);
-    this.#fetchIfBehind(message);
+    this.#crashes.take(message.crashes);
+    this.#configuration.offer(message.configuration);
+    this.#configuration.fetchIfBehind(message);
   }
 
   #mergeBox(box: boxRecords.BoxRecord): void {
@@ -309,30 +331,4 @@
     }
     return true;
   }
-
-  #offerConfiguration(
-    stored: trafficConfig.StoredConfiguration | undefined,
-  ): void {
-    if (stored === undefined) return;
-    if (this.#options.configuration.offer(stored)) this.publishConfiguration();
-  }
-
-  /** Asks the sender for the configuration when it holds a newer one. */
-  #fetchIfBehind(message: news.News): void {
-    const { configuration, peers, log } = this.#options;
-    const isBehind = message.configurationVersion > configuration.getVersion();
-    if (!isBehind || this.#isFetching) return;
-    this.#isFetching = true;
-    peers.get(message.from).call<Pick<news.SyncReply, "configuration">>(
-      news.METHODS.readConfiguration,
-      {},
-      CALL_MS,
-    ).then((reply) => this.#offerConfiguration(reply.configuration))
-      .catch((error: Error) =>
-        log.write("warn", "configuration.unread", { message: error.message })
-      )
-      .finally(() => {
-        this.#isFetching = false;
-      });
-  }
 }
--- a/src/fleet/news.ts
+++ b/src/fleet/news.ts
@@ -1,3 +1,4 @@
+import type * as crashRecords from "../crash_record/mod.ts";
 import * as registry from "../registry/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import * as boxRecords from "./box_record.ts";
@@ -37,6 +38,8 @@
   readonly configurationVersion: number;
   /** The configuration itself, where it is new. */
   readonly configuration: trafficConfig.StoredConfiguration | undefined;
+  /** Work under which servers ended; undefined from a version before. */
+  readonly crashes?: readonly crashRecords.CrashRecord[];
 }
 
 /** Records that one box asks another for. */
@@ -52,6 +55,8 @@
   readonly wanted: WantedRecords;
   /** Version of the configuration that the asker holds; 0 for none. */
   readonly configurationVersion: number;
+  /** Description of the work under which servers ended, as the asker knows it. */
+  readonly crashes?: string;
 }
 
 /** What a box knows and the asker does not. */
@@ -60,6 +65,8 @@
   readonly servers: readonly registry.ServerReport[];
   /** Undefined where the asker's is as new. */
   readonly configuration: trafficConfig.StoredConfiguration | undefined;
+  /** Undefined where the asker knows the same. */
+  readonly crashes?: readonly crashRecords.CrashRecord[];
 }
 
 /**
--- a/src/fleet_daemon/box_parts.ts
+++ b/src/fleet_daemon/box_parts.ts
@@ -1,4 +1,6 @@
 import * as clocks from "../clock/mod.ts";
+import * as crashGuards from "../crash_guard/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import type * as fleetSettings from "../fleet_settings/mod.ts";
@@ -42,6 +44,9 @@
   readonly isService: (name: string) => boolean;
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly link: fleet.FleetLink;
+  /** Work under which servers ended, as this box knows it. */
+  readonly crashTable: crashRecords.CrashTable;
+  readonly crashGuard: crashGuards.CrashGuard;
   readonly forwarder: forwarding.Forwarder;
   readonly phase: BoxPhase;
   readonly draw: () => number;
@@ -82,27 +87,52 @@
       ({ address, port }) => httpClient.closeIdle(address, port),
     ),
     configuration,
+    crashTable: new crashRecords.CrashTable(),
     phase: { isReady: false, isLeaving: false, ledTerm: 0 },
     draw: Math.random,
   };
+  const link: fleet.FleetLink = createLink(
+    shared,
+    (record) => crashGuard.learn(record),
+  );
+  const crashGuard = createCrashGuard(shared, link);
   const forwarder = new forwarding.Forwarder({
     ...shared,
+    crashGuard,
     loads: new forwarding.ServerLoads(clock),
     failureDomain: settings.box.failureDomain,
     weighsLoad: true,
   });
-  const link = createLink(shared);
-  return { ...shared, forwarder, link };
+  return { ...shared, crashGuard, forwarder, link };
+}
+
+/** The parts that know nothing of the fleet's news. */
+type LocalParts = Omit<BoxParts, "link" | "crashGuard" | "forwarder">;
+
+function createCrashGuard(
+  parts: LocalParts,
+  link: fleet.FleetLink,
+): crashGuards.CrashGuard {
+  const stores = createLeaderCaller(parts, isStoreBox);
+  return new crashGuards.CrashGuard({
+    ...parts,
+    table: parts.crashTable,
+    findPortState: httpClient.findPortState,
+    publish: (record) => link.publishCrash(record),
+    ...crashGuards.createGrantCalls(stores),
+  });
 }
 
 function createLink(
-  parts: Omit<BoxParts, "link" | "forwarder">,
+  parts: LocalParts,
+  learnCrash: (record: crashRecords.CrashRecord) => boolean,
 ): fleet.FleetLink {
   const { settings, phase, clock } = parts;
   const { box, roles, listen, seeds, dataFolder } = settings;
   const startedAtMs = clock.getWallMs();
   return new fleet.FleetLink({
     ...parts,
+    learnCrash,
     seeds: seeds.map((seed) => seed.address),
     describeSelf: () => ({
       id: box.address,
@@ -125,7 +155,7 @@
 
 /** Makes a caller of the leader among the boxes of a kind. */
 export function createLeaderCaller(
-  parts: BoxParts,
+  parts: Pick<BoxParts, "clock" | "log" | "directory" | "peers">,
   isMember: (box: fleet.BoxRecord) => boolean,
 ): replicaGroups.LeaderCaller {
   const { clock, log, directory, peers } = parts;
--- a/src/fleet_daemon/caller_calls.ts
+++ b/src/fleet_daemon/caller_calls.ts
@@ -252,7 +252,7 @@
       server: outcome.kind === "answered" ? outcome.answer.server : undefined,
       status: outcome.kind === "answered" ? outcome.answer.status : undefined,
       waitedMs: outcome.kind === "notRun" ? outcome.waitedMs : undefined,
-      returnMs: outcome.kind === "notRun" ? outcome.returnMs : undefined,
+      returnMs: "returnMs" in outcome ? outcome.returnMs : undefined,
       tookMs: Math.round(tookMs),
     });
   }
@@ -276,6 +276,12 @@
           `Cannot serve: ${outcome.reason}`,
           { retryAfterMs: outcome.returnMs },
         );
+      case "heldBack":
+        return this.#refuse(
+          "workHeldBack",
+          `Cannot serve: ${outcome.reason}`,
+          { retryAfterMs: outcome.returnMs },
+        );
       case "failed":
         return this.#refuse(
           "backendFailed",
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -1,4 +1,5 @@
 import * as capacity from "../capacity/mod.ts";
+import * as crashGuards from "../crash_guard/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import * as duties from "../duty/mod.ts";
@@ -24,6 +25,7 @@
   readonly #capacity: capacity.CapacityOrders | undefined;
   readonly #orders: weightOrders.WeightOrders;
   readonly #knownEngines: weightOrders.KnownEngines;
+  readonly #crashKeeper: crashGuards.CrashKeeper;
   readonly #parts: boxParts.BoxParts;
   readonly #machine: submissions.SubmissionMachine;
   readonly #ages: submissions.SubmissionAges;
@@ -33,7 +35,7 @@
   constructor(parts: boxParts.BoxParts, dataFolder: string) {
     this.#parts = parts;
     this.#ages = new submissions.SubmissionAges(parts.clock);
-    const { settings, clock, directory } = parts;
+    const { settings, clock } = parts;
     const changed = new csp.Signal();
     const machine = new submissions.SubmissionMachine(() => {
       changed.notify();
@@ -78,14 +80,24 @@
       ...shared,
       onFound: () => this.#dispatcher.wake(),
     });
+    this.#crashKeeper = this.#createCrashKeeper();
+    this.#createSubmissionService(changed, wanted);
+  }
+
+  /** Has the submissions answered for, while this store leads or may read. */
+  #createSubmissionService(changed: csp.Signal, wanted: number): void {
+    const { settings, directory } = this.#parts;
+    const machine = this.#machine;
     const barrier = new replicaGroups.ReadBarrier({
-      ...shared,
+      ...this.#parts,
       name: "stores",
-      replica: group,
+      replica: this.#group,
       changed,
     });
     new submissions.SubmissionService({
-      ...shared,
+      ...this.#parts,
+      group: this.#group,
+      machine,
       id: settings.box.address,
       barrier,
       getFailureDomain: (id) => directory.get(id)?.failureDomain,
@@ -101,6 +113,22 @@
     });
   }
 
+  #createCrashKeeper(): crashGuards.CrashKeeper {
+    const { link, crashTable, crashGuard } = this.#parts;
+    const shared = {
+      ...this.#parts,
+      group: this.#group,
+      machine: this.#machine,
+      table: crashTable,
+    };
+    return new crashGuards.CrashKeeper({
+      ...shared,
+      guard: crashGuard,
+      desk: new crashGuards.GrantDesk(shared),
+      publish: (record) => link.publishCrash(record),
+    });
+  }
+
   #createUsageReporter(): usages.UsageReporter | undefined {
     const { settings } = this.#parts;
     const times = dutySettings.getUsageTimes(settings);
@@ -141,6 +169,7 @@
     this.#capacity?.start();
     this.#orders.start();
     this.#knownEngines.start();
+    this.#crashKeeper.start();
     this.#runForget();
   }
 
@@ -181,6 +210,7 @@
     this.#capacity?.stop();
     this.#orders.stop();
     this.#knownEngines.stop();
+    this.#crashKeeper.stop();
     await this.#group.stop();
   }
 }
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -1,12 +1,12 @@
 import type * as clocks from "../clock/mod.ts";
-import * as crashGuards from "../crash_guard/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as chooseServer from "./choose_server.ts";
 import type * as jobs from "./forward_job.ts";
 import type * as forwarderOptions from "./forwarder_options.ts";
-import * as limitWait from "./_limit_wait.ts";
+import * as jobWorks from "./_job_work.ts";
 import * as noteOutcome from "./_note_outcome.ts";
+import * as placeWaits from "./_place_wait.ts";
 import type * as serviceLines from "./_service_line.ts";
 import * as watchedAttempts from "./_watched_attempt.ts";
 
@@ -23,6 +23,8 @@
   readonly #options: forwarderOptions.ForwarderOptions;
   readonly #line: serviceLines.ServiceLine;
   readonly #job: jobs.ForwardJob;
+  readonly #work: jobWorks.JobWork;
+  readonly #wait: placeWaits.PlaceWait;
   readonly #resolve: (outcome: jobs.ForwardOutcome) => void;
   readonly #tried = new Set<registry.LifetimeKey>();
   readonly #refused = new Set<registry.LifetimeKey>();
@@ -35,17 +37,14 @@
   #sawBusy = false;
   /** Whether its turn came after a wait. */
   #hasTurn = false;
-  /** When it began to wait for a place, in monotonic ms. */
-  #waitingSinceMs: number | undefined;
-  /** When it must have got a place, in monotonic ms. */
-  #giveUpAtMs = 0;
   #mayHaveRun = false;
   /** When the run that counts was sent, in monotonic ms. */
   #begunAtMs: number | undefined;
   #isSettled = false;
   #reason = "no server is ready";
   #errorAnswer: jobs.ServerAnswer | undefined;
-  #work: crashGuards.WorkDigest | undefined;
+  /** Whether a grant is being asked for. */
+  #isAsking = false;
   #cancelDeadline: clocks.CancelTimer = () => {};
   #cancelHedge: clocks.CancelTimer = () => {};
   #leaveLine: () => void = () => {};
@@ -59,6 +58,8 @@
     this.#options = options;
     this.#line = line;
     this.#job = job;
+    this.#work = new jobWorks.JobWork(options, job);
+    this.#wait = new placeWaits.PlaceWait(options, job);
     this.#resolve = resolve;
   }
 
@@ -97,10 +98,57 @@
     });
   }
 
+  /**
+   * Sends the job on, unless servers ended under its work. Such work goes to one
+   * server at a time, and to none once three have ended: sent on as if new, it
+   * ended ten and more, and left its service without any server.
+   */
   #tryNext(): void {
     if (this.#isSettled) return;
+    const verdict = this.#work.judge();
+    switch (verdict.kind) {
+      case "free":
+        return this.#tryServer();
+      case "suspect":
+        if (this.#running.size === 0) void this.#tryGranted();
+        return;
+      case "heldBack":
+        return this.#holdBack(verdict);
+    }
+  }
+
+  async #tryGranted(): Promise<void> {
+    if (this.#isAsking) return;
+    this.#isAsking = true;
+    this.#cancelHedge();
+    const answer = await this.#work.askGrant();
+    this.#isAsking = false;
+    if (this.#isSettled) return this.#work.endGrant();
+    if (answer.kind === "heldBack") return this.#holdBack(answer);
+    this.#tryServer();
+  }
+
+  /** Answers at once that the work is sent nowhere. */
+  #holdBack({ ended, returnMs }: jobWorks.HeldBack): void {
+    if (this.#running.size > 0) return;
+    this.#work.noteHeldBack(ended, returnMs);
+    const reason = `${ended} servers ended while they ran it`;
+    if (this.#errorAnswer !== undefined) {
+      return this.#settle({ kind: "answered", answer: this.#errorAnswer });
+    }
+    this.#settle(
+      this.#mayHaveRun
+        ? { kind: "failed", reason }
+        : { kind: "heldBack", reason, returnMs },
+    );
+  }
+
+  #tryServer(): void {
     const server = this.#canTry() ? this.#choose() : undefined;
-    if (server === undefined) return this.#giveUp();
+    if (server === undefined) {
+      this.#work.endGrant();
+      return this.#giveUp();
+    }
     this.#sent += 1;
     this.#tried.add(server.lifetime);
     this.#scheduleHedge();
@@ -110,7 +158,7 @@
   /** Asks a second server when the first is silent for long. */
   #scheduleHedge(): void {
     this.#cancelHedge();
-    if (!this.#job.isRepeatable) return;
+    if (!this.#job.isRepeatable || this.#work.judge().kind !== "free") return;
     this.#cancelHedge = this.#options.clock.startTimer(
       this.#job.hedgeMs,
       () => {
@@ -150,6 +198,8 @@
       tookMs,
       isWanted: !this.#isSettled,
     });
+    await this.#work.noteEnd(outcome, server);
+    this.#work.endGrant();
     this.#running.delete(cancellation);
     this.#noteBegun(outcome, startMs);
     noteOutcome.noteTold(loads, server.lifetime, outcome);
@@ -207,27 +257,13 @@
       refusals: this.#refused.size,
       reason: outcome.reason,
       closed: outcome.kind === "broken" ? outcome.isClosed : undefined,
-      work: outcome.kind === "broken" ? this.#getWork() : undefined,
+      work: outcome.kind === "broken" ? this.#work.getDigest() : undefined,
     });
     const mustStop = this.#mayHaveRun && !this.#job.isRepeatable;
     if (mustStop) return this.#giveUp();
     this.#tryAnother();
   }
 
-  /** Digest of the work; computed where it is asked for, as most is not. */
-  #getWork(): crashGuards.WorkDigest {
-    const { sender, method, target, headers, body } = this.#job;
-    const host = String(headers["host"] ?? "");
-    this.#work ??= crashGuards.computeWorkDigest({
-      sender,
-      method,
-      host,
-      target,
-      body,
-    });
-    return this.#work;
-  }
-
   #tryAnother(): void {
     if (this.#running.size === 0) return this.#tryNext();
     if (this.#canTry()) this.#tryNext();
@@ -244,25 +280,17 @@
     }
     if (!this.#options.weighsLoad) return this.#refuse(PLAIN_RETURN_MS);
     if (this.#sawBusy) return this.#waitForPlace();
-    if (!this.#hasFullServer()) return this.#refuse(this.#line.refuse());
+    if (!this.#wait.hasFullServer()) return this.#refuse(this.#line.refuse());
     this.#reason = "every server refused others as full just now";
     this.#waitForPlace();
   }
 
-  /** Whether servers of the service run, and were full just now. */
-  #hasFullServer(): boolean {
-    const { servers, loads } = this.#options;
-    return servers.listReady(this.#job.service).some((server) =>
-      loads.isFull(server.lifetime)
-    );
-  }
-
   /** Waits for a place after all servers refused. */
   #waitForPlace(): void {
     const { priority, targetAtMs } = this.#job;
-    this.#beginWait();
+    const giveUpAtMs = this.#wait.begin();
     this.#leaveLine = this.#line.enter(
-      { priority, targetAtMs, giveUpAtMs: this.#giveUpAtMs },
+      { priority, targetAtMs, giveUpAtMs },
       {
         onTurn: () => {
           this.#hasTurn = true;
@@ -275,25 +303,12 @@
     );
   }
 
-  #beginWait(): void {
-    if (this.#waitingSinceMs !== undefined) return;
-    const nowMs = this.#options.clock.getMonotonicMs();
-    this.#waitingSinceMs = nowMs;
-    this.#giveUpAtMs = limitWait.limitWait(this.#job, nowMs, () => {
-      const { servers, loads } = this.#options;
-      return servers.listReady(this.#job.service)
-        .map((server) => loads.getMeanMs(server.lifetime));
-    });
-  }
-
   #refuse(returnMs: number): void {
-    const nowMs = this.#options.clock.getMonotonicMs();
-    const waitedMs = Math.round(nowMs - (this.#waitingSinceMs ?? nowMs));
     this.#settle({
       kind: "notRun",
       reason: this.#reason,
       returnMs,
-      waitedMs,
+      waitedMs: this.#wait.getWaitedMs(),
     });
   }
 
@@ -309,6 +324,7 @@
     this.#cancelDeadline();
     this.#cancelHedge();
     this.#leaveLine();
+    this.#work.endGrant();
     this.#job.cancellation.remove(this.#onAbandon);
     this.#tellBegun();
     for (const cancellation of this.#running.keys()) cancellation.cancel();
--- /dev/null
+++ b/src/forwarding/_job_work.ts
@@ -0,0 +1,147 @@
+import * as clocks from "../clock/mod.ts";
+import type * as crashGuards from "../crash_guard/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import type * as registry from "../registry/mod.ts";
+import type * as jobs from "./forward_job.ts";
+
+/** Pause before a grant is asked for again while others run, in ms. */
+const BUSY_RETRY_MS = 40;
+/** Servers after which a run without the leader's grant is none too many. */
+const ENDED_WITHOUT_GRANT = 1;
+
+/** When to come back while the same work is tried for others, in ms. */
+const BUSY_RETURN_MS = 500;
+
+/** Why work is not sent on. */
+export type HeldBack = Extract<
+  crashRecords.WorkVerdict,
+  { readonly kind: "heldBack" }
+>;
+
+const GRANTED = { kind: "granted" } as const;
+
+/** What a job's work needs. */
+export interface JobWorkOptions {
+  readonly clock: clocks.Clock;
+  readonly crashGuard: Pick<
+    crashGuards.CrashGuard,
+    | "judge"
+    | "noteClosed"
+    | "noteEnded"
+    | "noteServed"
+    | "noteHeldBack"
+    | "askGrant"
+    | "endGrant"
+  >;
+}
+
+/** The work that a job carries, which may be one that ends servers. */
+export class JobWork {
+  readonly #options: JobWorkOptions;
+  readonly #job: jobs.ForwardJob;
+  #digest: crashRecords.WorkDigest | undefined;
+  /** Name of the granted run under way, if any. */
+  #grant: string | undefined;
+  #grants = 0;
+
+  constructor(options: JobWorkOptions, job: jobs.ForwardJob) {
+    this.#options = options;
+    this.#job = job;
+  }
+
+  judge(): crashRecords.WorkVerdict {
+    return this.#options.crashGuard.judge(() => this.getDigest());
+  }
+
+  /** Digest of the work; computed where it is asked for, as most is not. */
+  getDigest(): crashRecords.WorkDigest {
+    const { sender, method, target, headers, body } = this.#job;
+    const host = String(headers["host"] ?? "");
+    this.#digest ??= crashRecords.computeWorkDigest({
+      sender,
+      method,
+      host,
+      target,
+      body,
+    });
+    return this.#digest;
+  }
+
+  /**
+   * Asks for one run more, again while others run and an answer would still be
+   * in time.
+   *
+   * @returns Whether it may be sent. Without a leader the first retry may, as a
+   * caller whose server ended by chance must not wait for an election.
+   */
+  async askGrant(): Promise<typeof GRANTED | HeldBack> {
+    const { clock, crashGuard } = this.#options;
+    for (;;) {
+      const verdict = this.judge();
+      if (verdict.kind === "free") return GRANTED;
+      if (verdict.kind === "heldBack") return verdict;
+      this.#grants += 1;
+      const run = `${this.#job.requestId} ${this.#grants}`;
+      const answer = await crashGuard.askGrant(this.getDigest(), run);
+      switch (answer) {
+        case "granted":
+          this.#grant = run;
+          return GRANTED;
+        case "unanswered":
+          if (verdict.ended <= ENDED_WITHOUT_GRANT) return GRANTED;
+          break;
+        case "barred":
+        case "busy":
+          break;
+      }
+      if (this.#isLate()) {
+        const { ended } = verdict;
+        return { kind: "heldBack", ended, returnMs: BUSY_RETURN_MS };
+      }
+      await clocks.sleep(clock, BUSY_RETRY_MS);
+    }
+  }
+
+  #isLate(): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return nowMs + BUSY_RETRY_MS >= this.#job.targetAtMs ||
+      this.#job.cancellation.isCancelled();
+  }
+
+  /** Ends the granted run, if there is one. */
+  endGrant(): void {
+    if (this.#grant === undefined) return;
+    this.#options.crashGuard.endGrant(this.getDigest(), this.#grant);
+    this.#grant = undefined;
+  }
+
+  /** Notes how a try ended, before the next one is chosen. */
+  async noteEnd(
+    outcome: jobs.AttemptOutcome,
+    server: registry.RegisteredServer,
+  ): Promise<void> {
+    const { crashGuard } = this.#options;
+    if (outcome.kind === "broken" && outcome.isEnded === true) {
+      crashGuard.noteEnded(server, this.#getName());
+    } else if (outcome.kind === "broken" && outcome.isClosed) {
+      await crashGuard.noteClosed(server, this.#getName());
+    } else if (outcome.kind === "answered" && this.judge().kind !== "free") {
+      crashGuard.noteServed(this.#getName());
+    }
+  }
+
+  noteHeldBack(ended: number, returnMs: number): void {
+    this.#options.crashGuard.noteHeldBack(this.#getName(), ended, returnMs);
+  }
+
+  #getName(): crashGuards.WorkName {
+    const { requestId, sender, service, target } = this.#job;
+    return {
+      digest: this.getDigest(),
+      carrier: requestId,
+      account: sender.kind === "account" ? sender.name : "",
+      service,
+      target,
+    };
+  }
+}
--- a/src/forwarding/_watched_attempt.ts
+++ b/src/forwarding/_watched_attempt.ts
@@ -29,5 +29,5 @@
     servers.markAbsent(options.server);
   }
   if (!isReplaced || outcome.kind !== "broken") return outcome;
-  return { ...outcome, reason: STARTED_AGAIN };
+  return { ...outcome, reason: STARTED_AGAIN, isEnded: true };
 }
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -59,6 +59,13 @@
     /** How long it waited for a place, in ms. */
     readonly waitedMs: number;
   }
+  /** It was not sent, as servers ended while they ran the same work. */
+  | {
+    readonly kind: "heldBack";
+    readonly reason: string;
+    /** When its caller should come back, in ms. */
+    readonly returnMs: number;
+  }
   /** It may have run, but no whole answer came. */
   | { readonly kind: "failed"; readonly reason: string }
   /** The deadline passed; it may have run where it was sent. */
@@ -83,4 +90,6 @@
     readonly reason: string;
     /** Whether the server closed or reset the connection in its midst. */
     readonly isClosed: boolean;
+    /** Whether its lifetime is known to have ended. */
+    readonly isEnded?: boolean;
   };
--- a/src/forwarding/forwarder_options.ts
+++ b/src/forwarding/forwarder_options.ts
@@ -1,13 +1,12 @@
-import type * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as attempts from "./_attempt.ts";
+import type * as jobWorks from "./_job_work.ts";
 import type * as serverLoads from "./server_loads.ts";
 
 /** What a forwarder needs. */
-export interface ForwarderOptions {
-  readonly clock: clocks.Clock;
+export interface ForwarderOptions extends jobWorks.JobWorkOptions {
   readonly log: logs.Log;
   readonly servers: registry.ServerRegistry;
   readonly loads: serverLoads.ServerLoads;
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -5,6 +5,7 @@
 import * as csp from "../csp/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as jobs from "./forward_job.ts";
 import * as forwarders from "./forwarder.ts";
@@ -68,6 +69,7 @@
   ): Promise<jobs.ForwardOutcome> {
     const forwarder = new forwarders.Forwarder({
       clock,
+      crashGuard: guardFixtures.createCrashGuard(clock),
       log: new logs.Log("box", "error", () => {}),
       servers: known,
       loads,
--- a/src/forwarding/server_start_test.ts
+++ b/src/forwarding/server_start_test.ts
@@ -6,6 +6,7 @@
 import * as httpClient from "../http_client/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as jobs from "./forward_job.ts";
 import * as forwarders from "./forwarder.ts";
@@ -61,6 +62,7 @@
   ): Promise<jobs.ForwardOutcome> {
     const forwarder = new forwarders.Forwarder({
       clock,
+      crashGuard: guardFixtures.createCrashGuard(clock),
       log: new logs.Log("box", "error", () => {}),
       servers: known,
       loads,
--- a/src/http_client/mod.ts
+++ b/src/http_client/mod.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export { closeIdle } from "./_agent.ts";
+export * from "./find_port_state.ts";
 export * from "./http_request.ts";
 export * from "./open_exchange.ts";
 export * from "./send_json.ts";
--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -32,6 +32,7 @@
   readonly #claims: prometheus.Counter<"outcome">;
   readonly #unreported: prometheus.Gauge<string>;
   readonly #capacityOrders: prometheus.Counter<"outcome">;
+  readonly #crashes: prometheus.Counter<"event">;
   readonly #logLost: prometheus.Gauge<string>;
   #server: http.Server | undefined;
 
@@ -91,6 +92,12 @@
       labelNames: ["outcome"],
       registers,
     });
+    this.#crashes = new prometheus.Counter({
+      name: "hoistscale_crashing_work_total",
+      help: "What was noted, granted and held back of work that ends servers",
+      labelNames: ["event"],
+      registers,
+    });
     this.#logLost = new prometheus.Gauge({
       name: "hoistscale_log_lines_lost",
       help: "Log lines dropped because the output was not read",
@@ -135,6 +142,10 @@
     this.#capacityOrders.inc({ outcome });
   }
 
+  countCrash(event: string): void {
+    this.#crashes.inc({ event });
+  }
+
   setLogLost(lines: number): void {
     this.#logLost.set(lines);
   }
--- a/src/registry/lifetime.ts
+++ b/src/registry/lifetime.ts
@@ -53,6 +53,17 @@
   return born === undefined ? id : `${id} ${born}`;
 }
 
+/**
+ * Gives the id of the server that a key is of.
+ *
+ * @param lifetime Key of one of its starts.
+ * @returns Its id.
+ */
+export function getServerId(lifetime: LifetimeKey): string {
+  const [id = lifetime] = lifetime.split(" ");
+  return id;
+}
+
 /**
  * Tells whether a start can be true by a box's own clock. The start that is known
  * is: a box whose clock was set back by minutes would refuse all servers
--- a/src/results/result_code.ts
+++ b/src/results/result_code.ts
@@ -164,6 +164,12 @@
     "This replica does not lead",
     "Ask the leader",
   ),
+  workHeldBack: createEntry(
+    2008,
+    503,
+    "Backend servers ended while they ran this request; it is held back",
+    "Mend the request, or see docs/OPERATIONS.md, `crash.noted`",
+  ),
   backendFailed: createEntry(
     3001,
     502,
--- a/src/submission/saved_parts.ts
+++ b/src/submission/saved_parts.ts
@@ -1,4 +1,5 @@
 import type * as capacityBooks from "../capacity/capacity_book.ts";
+import type * as crashRecords from "../crash_record/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as usageBooks from "../usage/usage_book.ts";
 import type * as submissions from "./submission.ts";
@@ -28,6 +29,8 @@
     readonly engines: readonly registry.ServerReport[];
     readonly usage: usageBooks.SavedUsage;
     readonly capacity: capacityBooks.SavedCapacity;
+    /** Undefined in what a version before wrote. */
+    readonly crashes: readonly crashRecords.CrashRecord[] | undefined;
   }
   | { readonly kind: "record"; readonly record: SavedRecord }
   | {
--- a/src/submission/submission_command.ts
+++ b/src/submission/submission_command.ts
@@ -1,5 +1,6 @@
 import type * as capacityBooks from "../capacity/capacity_book.ts";
 import type * as accounts from "../client_account/mod.ts";
+import type * as crashRecords from "../crash_record/mod.ts";
 import type * as dutyHolders from "../duty/duty_holder.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as usageBooks from "../usage/usage_book.ts";
@@ -46,6 +47,13 @@
     /** Ids; one leader proposes, from a registry with one start for each. */
     readonly gone: readonly string[];
   }
+  /** Notes which work servers ended under. */
+  | {
+    readonly kind: "keepCrashes";
+    readonly records: readonly crashRecords.CrashRecord[];
+    /** Wall time of the proposal, in ms; older records go by it. */
+    readonly nowMs: number;
+  }
   | {
     readonly kind: "endSubmission";
     readonly id: string;
--- a/src/submission/submission_machine.ts
+++ b/src/submission/submission_machine.ts
@@ -1,6 +1,7 @@
 import type * as consensus from "../consensus/mod.ts";
 import * as capacityBooks from "../capacity/capacity_book.ts";
 import type * as accounts from "../client_account/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
 import * as registry from "../registry/mod.ts";
 import * as usageBooks from "../usage/usage_book.ts";
 import * as canSee from "./can_see.ts";
@@ -43,6 +44,7 @@
   readonly #onChange: () => void;
   readonly #usage = new usageBooks.UsageBook();
   readonly #capacity = new capacityBooks.CapacityBook();
+  readonly #crashes = new crashRecords.CrashTable();
   #records = new Map<string, MutableRecord>();
   #versions = new Map<string, number>();
   #retiring = new Set<string>();
@@ -81,6 +83,11 @@
     return this.#usage;
   }
 
+  /** What is agreed on about work that ends servers. */
+  getCrashes(): crashRecords.CrashTable {
+    return this.#crashes;
+  }
+
   /** Engines that ran when a leader last looked. */
   listEngines(): readonly registry.ServerReport[] {
     return [...this.#engines.values()];
@@ -131,6 +138,7 @@
       engines: this.listEngines(),
       usage: this.#usage.save(),
       capacity: this.#capacity.save(),
+      crashes: this.#crashes.list(),
     };
     return [state, ...this.listAll().flatMap(savedParts.cutRecord)];
   }
@@ -146,6 +154,7 @@
           this.#holder = part.holder;
           this.#usage.restore(part.usage);
           this.#capacity.restore(part.capacity);
+          this.#crashes.restore(part.crashes ?? []);
           this.#engines = new Map(
             part.engines.map((engine) => [engine.id, engine]),
           );
@@ -194,6 +203,12 @@
         for (const id of command.gone) this.#engines.delete(id);
         for (const engine of command.added) this.#keepEngine(engine);
         return KNOWN;
+      case "keepCrashes":
+        this.#crashes.forget(command.nowMs);
+        for (const record of command.records) {
+          this.#crashes.merge(record, command.nowMs);
+        }
+        return KNOWN;
       case "closeUsageWindow":
       case "noteUsageReported":
         this.#usage.apply(command);
