Give each run of suspected work a server of its own; tests of the guard

Change: the leader's grant names the server, and gives each server one such run at a time. Choice of servers for a job is a module of its own.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -25,9 +25,9 @@
 
 /** What became of a question for a grant. */
 export type GrantAnswer =
-  | Exclude<protocol.GrantReply, { readonly kind: "notLeader" }>["kind"]
+  | Exclude<protocol.GrantReply, { readonly kind: "notLeader" }>
   /** No leader answered in time. */
-  | "unanswered";
+  | { readonly kind: "unanswered" };
 
 /** What the crash guard needs. */
 export interface CrashGuardOptions {
@@ -165,25 +165,30 @@
    *
    * @param digest Work under which servers ended.
    * @param run Names the run.
+   * @param servers Servers that may run it, best first.
    */
   async askGrant(
     digest: crashRecords.WorkDigest,
     run: string,
+    servers: readonly registry.LifetimeKey[],
   ): Promise<GrantAnswer> {
     const { table, askGrant, metrics } = this.#options;
     const record = table.get(digest);
-    if (record === undefined) return "granted";
-    const reply = await askGrant({ record, run });
-    if (reply === undefined || reply.kind === "notLeader") return "unanswered";
+    const reply = record === undefined
+      ? undefined
+      : await askGrant({ record, run, servers });
+    if (reply === undefined || reply.kind === "notLeader") {
+      return { kind: "unanswered" };
+    }
     if (reply.kind === "barred") this.learn(reply.record);
     metrics.countCrash(reply.kind);
-    return reply.kind;
+    return reply;
   }
 
   /** Tells the leader that a granted run has ended, with what is known now. */
   endGrant(digest: crashRecords.WorkDigest, run: string): void {
     const record = this.#options.table.get(digest);
-    this.#options.endGrant({ digest, run, record });
+    this.#options.endGrant({ run, record });
   }
 
   /** Counts and logs a request that is answered without being sent. */
--- /dev/null
+++ b/src/crash_guard/crash_guard_test.ts
@@ -0,0 +1,109 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
+import type * as httpClient from "../http_client/mod.ts";
+import * as registry from "../registry/mod.ts";
+import type * as crashGuards from "./crash_guard.ts";
+
+const NAME: crashGuards.WorkName = {
+  digest: "d",
+  carrier: "request-1",
+  account: "north",
+  service: "app",
+  target: "/x",
+};
+
+describe("the guard against work that ends servers", () => {
+  const clock = new clocks.FakeClock(1_000);
+  let table = new crashRecords.CrashTable();
+  let servers = new registry.ServerRegistry(clock, 1_000_000);
+  let published: crashRecords.CrashRecord[] = [];
+  let portState: httpClient.PortState = "refused";
+  let guard = guardFixtures.createCrashGuard(clock);
+  const [first, second] = ["i-1", "i-2"].map((id) =>
+    registry.registerServer(
+      serverFixtures.createServer(id, { service: "app" }),
+    )
+  );
+
+  beforeEach(() => {
+    table = new crashRecords.CrashTable();
+    servers = new registry.ServerRegistry(clock, 1_000_000);
+    published = [];
+    portState = "refused";
+    guard = guardFixtures.createCrashGuard(clock, {
+      table,
+      servers,
+      publish: (record) => published.push(record),
+      findPortState: () => Promise.resolve(portState),
+    });
+    for (const server of [first, second]) servers.merge(server!);
+  });
+
+  function judge(): crashRecords.WorkVerdict["kind"] {
+    return guard.judge(() => "d").kind;
+  }
+
+  it("tells the fleet of a server that ended, and passes it over", async () => {
+    await guard.noteClosed(first!, NAME);
+    chai.expect(judge()).to.equal("suspect");
+    chai.expect(published.map(({ ended }) => ended)).to.deep.equal([["i-1"]]);
+    chai.expect(servers.listReady("app").map(({ id }) => id)).to.deep.equal([
+      "i-2",
+    ]);
+  });
+
+  for (const state of ["open", "silent"] as const) {
+    it(`holds nothing against work whose server's port is ${state}`, async () => {
+      portState = state;
+      await guard.noteClosed(first!, NAME);
+      chai.expect(judge()).to.equal("free");
+      chai.expect(published).to.deep.equal([]);
+      chai.expect(servers.listReady("app").length).to.equal(2);
+    });
+  }
+
+  it("counts a server once, however many runs it had of the work", async () => {
+    await guard.noteClosed(first!, NAME);
+    await guard.noteClosed(first!, { ...NAME, carrier: "request-2" });
+    chai.expect(crashRecords.countEnded(table.get("d"))).to.equal(1);
+    chai.expect(published.length).to.equal(1);
+  });
+
+  it("clears work whose run ended well, and tells the fleet", () => {
+    guard.noteEnded(first!, NAME);
+    guard.noteServed(NAME);
+    chai.expect(judge()).to.equal("free");
+    chai.expect(published.at(-1)?.cleared).to.deep.equal(["i-1"]);
+    guard.noteEnded(second!, NAME);
+    chai.expect(judge()).to.equal("suspect");
+  });
+
+  it("passes over a server that ended at another box", () => {
+    const { digest, account, service, target } = NAME;
+    const record = { digest, account, service, target };
+    chai.expect(guard.learn({
+      ...record,
+      ended: ["i-1"],
+      cleared: [],
+      notedAtMs: 1_000,
+    })).to.equal(true);
+    chai.expect(servers.listReady("app").map(({ id }) => id)).to.deep.equal([
+      "i-2",
+    ]);
+  });
+
+  it("computes no digest while nothing is known against any work", () => {
+    guard.judge(() => {
+      throw new Error("a digest was computed");
+    });
+    guard.noteEnded(first!, NAME);
+    chai.expect(() =>
+      guard.judge(() => {
+        throw new Error("a digest was computed");
+      })
+    ).to.throw();
+  });
+});
--- a/src/crash_guard/grant_desk.ts
+++ b/src/crash_guard/grant_desk.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../clock/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as protocol from "./protocol.ts";
@@ -25,17 +26,25 @@
   >;
 }
 
+/** A run that was granted. */
+interface GrantedRun {
+  readonly digest: crashRecords.WorkDigest;
+  readonly server: registry.LifetimeKey;
+  /** Until when it counts, in monotonic ms. */
+  readonly untilMs: number;
+}
+
 /**
  * Grants runs of work under which servers ended, while this store leads. Copies
  * that come to several boxes at once so end no more servers in sum than one.
+ *
+ * A server has one such run at a time: work that ran beside what ended its server
+ * would lose the next one to it as well, and could not be told from it.
  */
 export class GrantDesk {
   readonly #options: GrantDeskOptions;
-  /** Runs under way and until when they count, in monotonic ms. */
-  readonly #grants = new Map<
-    crashRecords.WorkDigest,
-    Map<string, number>
-  >();
+  /** Runs under way by their names, oldest first. */
+  readonly #grants = new Map<string, GrantedRun>();
   #term = 0;
   #termSinceMs = 0;
 
@@ -59,49 +68,53 @@
     const { digest } = request.record;
     table.merge(request.record, clock.getWallMs());
     const record = table.get(digest) ?? request.record;
-    const reply = this.#decide(record);
-    if (reply.kind === "granted") this.#grant(digest, request.run);
+    const reply = this.#decide(record, request.servers);
+    if (reply.kind === "granted") {
+      const untilMs = clock.getMonotonicMs() + GRANT_MS;
+      this.#grants.set(request.run, { digest, server: reply.server, untilMs });
+    }
     this.#options.log.write("info", "crash.grant", {
       work: digest,
       run: request.run,
       ended: crashRecords.countEnded(record),
-      underWay: this.#countGrants(digest),
+      underWay: this.#listRuns().length,
       outcome: reply.kind,
+      server: reply.kind === "granted" ? reply.server : undefined,
     });
     return reply;
   }
 
-  #decide(record: crashRecords.CrashRecord): protocol.GrantReply {
+  #decide(
+    record: crashRecords.CrashRecord,
+    servers: readonly registry.LifetimeKey[],
+  ): protocol.GrantReply {
     const left = crashRecords.MAX_ENDED - crashRecords.countEnded(record);
     if (left <= 0) return { kind: "barred", record };
-    if (left <= this.#countGrants(record.digest)) return { kind: "busy" };
+    const runs = this.#listRuns();
+    const own = runs.filter(({ digest }) => digest === record.digest);
+    if (left <= own.length) return { kind: "busy" };
     const reignMs = this.#options.clock.getMonotonicMs() - this.#termSinceMs;
     if (left === 1 && reignMs < UNSURE_MS) return { kind: "busy" };
-    return { kind: "granted" };
-  }
-
-  #grant(digest: crashRecords.WorkDigest, run: string): void {
-    const runs = this.#grants.get(digest) ?? new Map<string, number>();
-    runs.set(run, this.#options.clock.getMonotonicMs() + GRANT_MS);
-    this.#grants.set(digest, runs);
+    const taken = new Set(runs.map(({ server }) => server));
+    const server = servers.find((candidate) => !taken.has(candidate));
+    return server === undefined
+      ? { kind: "busy" }
+      : { kind: "granted", server };
   }
 
-  #countGrants(digest: crashRecords.WorkDigest): number {
-    const runs = this.#grants.get(digest);
-    if (runs === undefined) return 0;
+  #listRuns(): readonly GrantedRun[] {
     const nowMs = this.#options.clock.getMonotonicMs();
-    for (const [run, untilMs] of runs) {
-      if (untilMs <= nowMs) runs.delete(run);
+    for (const [run, { untilMs }] of this.#grants) {
+      if (untilMs <= nowMs) this.#grants.delete(run);
     }
-    if (runs.size === 0) this.#grants.delete(digest);
-    return runs.size;
+    return [...this.#grants.values()];
   }
 
-  #end({ digest, run, record }: protocol.GrantEnd): protocol.GrantEndReply {
+  #end({ run, record }: protocol.GrantEnd): protocol.GrantEndReply {
     const { group, table, clock } = this.#options;
     if (!group.hasAuthority()) return group.createNotLeader();
     if (record !== undefined) table.merge(record, clock.getWallMs());
-    this.#grants.get(digest)?.delete(run);
+    this.#grants.delete(run);
     return { kind: "done" };
   }
 
--- /dev/null
+++ b/src/crash_guard/grant_desk_test.ts
@@ -0,0 +1,135 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import * as logs from "../log/mod.ts";
+import * as grantDesks from "./grant_desk.ts";
+import * as protocol from "./protocol.ts";
+
+const SERVERS = ["s-1", "s-2", "s-3", "s-4"];
+
+type Handler = (params: unknown) => unknown;
+
+function createRecord(
+  ended: readonly string[],
+  cleared: readonly string[] = [],
+): crashRecords.CrashRecord {
+  return {
+    digest: "d",
+    account: "",
+    service: "app",
+    target: "/x",
+    ended,
+    cleared,
+    notedAtMs: 0,
+  };
+}
+
+// Three copies of work that ends servers came to three boxes within some ms. Each
+// box knew of one server that had ended, and each sent its copy on.
+describe("grants of runs of work that ends servers", () => {
+  let clock = new clocks.FakeClock(1_000);
+  let methods = new Map<string, Handler>();
+  let table = new crashRecords.CrashTable();
+  let term = 1;
+  let hasAuthority = true;
+  let desk: grantDesks.GrantDesk;
+
+  beforeEach(() => {
+    clock = new clocks.FakeClock(1_000);
+    methods = new Map();
+    table = new crashRecords.CrashTable();
+    term = 1;
+    hasAuthority = true;
+    desk = new grantDesks.GrantDesk({
+      clock,
+      log: new logs.Log("box", "error", () => {}),
+      server: {
+        add: (method, handler) => methods.set(method, handler as Handler),
+      },
+      table,
+      group: {
+        hasAuthority: () => hasAuthority,
+        getTerm: () => term,
+        createNotLeader: () => ({ kind: "notLeader", leader: undefined }),
+      },
+    });
+    desk.followTerm();
+    clock.extendBy(10_000);
+  });
+
+  function askFor(
+    record: crashRecords.CrashRecord,
+    run: string,
+    servers: readonly string[],
+  ): protocol.GrantReply {
+    const request: protocol.GrantRequest = { record, run, servers };
+    const reply = methods.get(protocol.METHODS.askGrant)?.(request);
+    return reply as protocol.GrantReply;
+  }
+
+  function ask(run: string, ended: readonly string[]): string {
+    return askFor(createRecord(ended), run, SERVERS).kind;
+  }
+
+  function end(run: string, record: crashRecords.CrashRecord): void {
+    const request: protocol.GrantEnd = { run, record };
+    methods.get(protocol.METHODS.endGrant)?.(request);
+  }
+
+  it("grants as many runs at once as servers may still end", () => {
+    chai.expect(ask("r1", ["i-1"])).to.equal("granted");
+    chai.expect(ask("r2", ["i-1"])).to.equal("granted");
+    chai.expect(ask("r3", ["i-1"])).to.equal("busy");
+  });
+
+  it("counts what ended meanwhile, whoever asks and whatever it knows", () => {
+    chai.expect(ask("r1", ["i-1"])).to.equal("granted");
+    end("r1", createRecord(["i-1", "i-2"]));
+    chai.expect(ask("r2", ["i-1"])).to.equal("granted");
+    chai.expect(ask("r3", ["i-1"])).to.equal("busy");
+    end("r2", createRecord(["i-1", "i-2", "i-3"]));
+    chai.expect(ask("r4", ["i-1"])).to.equal("barred");
+  });
+
+  it("frees work again that ended well", () => {
+    chai.expect(ask("r1", ["i-1", "i-2"])).to.equal("granted");
+    end("r1", createRecord(["i-1", "i-2"], ["i-1", "i-2"]));
+    for (const run of ["r2", "r3", "r4"]) {
+      chai.expect(ask(run, ["i-1"])).to.equal("granted");
+    }
+  });
+
+  it("waits no longer than its time for a run whose box is gone", () => {
+    chai.expect(ask("r1", ["i-1", "i-2"])).to.equal("granted");
+    chai.expect(ask("r2", ["i-1", "i-2"])).to.equal("busy");
+    clock.extendBy(10_001);
+    chai.expect(ask("r2", ["i-1", "i-2"])).to.equal("granted");
+  });
+
+  it("grants no last run early in a reign, as the leader before may have", () => {
+    chai.expect(ask("r1", ["i-1", "i-2"])).to.equal("granted");
+    term = 2;
+    desk.followTerm();
+    chai.expect(ask("r2", ["i-1", "i-2"])).to.equal("busy");
+    clock.extendBy(2_501);
+    chai.expect(ask("r2", ["i-1", "i-2"])).to.equal("granted");
+  });
+
+  it("gives each run a server of its own, as one may end what runs beside it", () => {
+    const other = { ...createRecord(["i-1"]), digest: "e" };
+    chai.expect(askFor(createRecord(["i-1"]), "r1", ["s-1", "s-2"])).to.deep
+      .equal({ kind: "granted", server: "s-1" });
+    chai.expect(askFor(other, "r2", ["s-1", "s-2"])).to.deep.equal({
+      kind: "granted",
+      server: "s-2",
+    });
+    chai.expect(askFor(other, "r3", ["s-1", "s-2"]).kind).to.equal("busy");
+    end("r1", createRecord(["i-1", "i-2"]));
+    chai.expect(askFor(other, "r3", ["s-1", "s-2"]).kind).to.equal("granted");
+  });
+
+  it("grants nothing while another store may lead", () => {
+    hasAuthority = false;
+    chai.expect(ask("r1", ["i-1"])).to.equal("notLeader");
+  });
+});
--- a/src/crash_guard/protocol.ts
+++ b/src/crash_guard/protocol.ts
@@ -1,4 +1,5 @@
 import type * as crashRecords from "../crash_record/mod.ts";
+import type * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 
 /** Names of the calls to the leader of the stores. */
@@ -12,11 +13,12 @@
   readonly record: crashRecords.CrashRecord;
   /** Names the run, another one each time. */
   readonly run: string;
+  /** Servers that may run it, best first. */
+  readonly servers: readonly registry.LifetimeKey[];
 }
 
 /** Says that a run has ended, and what is known of its work then. */
 export interface GrantEnd {
-  readonly digest: crashRecords.WorkDigest;
   readonly run: string;
   /** Told with the end, as the leader may hear of it later by the news. */
   readonly record: crashRecords.CrashRecord | undefined;
@@ -25,8 +27,8 @@
 /** The leader's answer. */
 export type GrantReply =
   | replicaGroups.NotLeader
-  | { readonly kind: "granted" }
-  /** As many runs are under way as servers may still end. */
+  | { readonly kind: "granted"; readonly server: registry.LifetimeKey }
+  /** As many runs are under way as servers may still end, or at all servers. */
   | { readonly kind: "busy" }
   /** As many servers ended as may; what the leader knows of it. */
   | { readonly kind: "barred"; readonly record: crashRecords.CrashRecord };
--- a/src/crash_record/crash_record.ts
+++ b/src/crash_record/crash_record.ts
@@ -48,13 +48,15 @@
   left: CrashRecord,
   right: CrashRecord,
 ): CrashRecord {
+  // The last ones by name stay, cleared or not: a choice that is the same in any
+  // order of merges. By what is cleared, a mark that was dropped would be lost,
+  // and its server counted again.
+  const ended = joinSorted(left.ended, right.ended).slice(-MAX_LIFETIMES);
   const cleared = joinSorted(left.cleared, right.cleared);
-  const ended = joinSorted(left.ended, right.ended);
-  const kept = limitLifetimes(ended, cleared);
   return {
     ...left,
-    ended: kept,
-    cleared: cleared.filter((lifetime) => kept.includes(lifetime)),
+    ended,
+    cleared: cleared.filter((lifetime) => ended.includes(lifetime)),
     notedAtMs: Math.max(left.notedAtMs, right.notedAtMs),
   };
 }
@@ -76,16 +78,3 @@
 ): readonly string[] {
   return [...new Set([...left, ...right])].toSorted();
 }
-
-/** Leaves out cleared ones first, always the same ones. */
-function limitLifetimes(
-  ended: readonly string[],
-  cleared: readonly string[],
-): readonly string[] {
-  const surplus = ended.length - MAX_LIFETIMES;
-  if (surplus <= 0) return ended;
-  const open = ended.filter((lifetime) => !cleared.includes(lifetime));
-  const others = ended.filter((lifetime) => cleared.includes(lifetime));
-  const kept = [...others.slice(surplus), ...open].slice(0, MAX_LIFETIMES);
-  return kept.toSorted();
-}
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -1,12 +1,12 @@
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import type * as registry from "../registry/mod.ts";
-import * as chooseServer from "./choose_server.ts";
 import type * as jobs from "./forward_job.ts";
 import type * as forwarderOptions from "./forwarder_options.ts";
 import * as jobWorks from "./_job_work.ts";
 import * as noteOutcome from "./_note_outcome.ts";
 import * as placeWaits from "./_place_wait.ts";
+import * as serverPickers from "./_server_picker.ts";
 import type * as serviceLines from "./_service_line.ts";
 import * as watchedAttempts from "./_watched_attempt.ts";
 
@@ -26,8 +26,7 @@
   readonly #work: jobWorks.JobWork;
   readonly #wait: placeWaits.PlaceWait;
   readonly #resolve: (outcome: jobs.ForwardOutcome) => void;
-  readonly #tried = new Set<registry.LifetimeKey>();
-  readonly #refused = new Set<registry.LifetimeKey>();
+  readonly #picker: serverPickers.ServerPicker;
   /** Attempts under way, and when they were sent, in monotonic ms. */
   readonly #running = new Map<csp.Cancellation, number>();
   readonly #onAbandon = () => this.#settle({ kind: "abandoned" });
@@ -35,8 +34,6 @@
   #maxRefusals = MAX_REFUSALS;
   /** Whether a server that runs refused it; one that is gone frees no place. */
   #sawBusy = false;
-  /** Whether its turn came after a wait. */
-  #hasTurn = false;
   #mayHaveRun = false;
   /** When the run that counts was sent, in monotonic ms. */
   #begunAtMs: number | undefined;
@@ -59,6 +56,7 @@
     this.#line = line;
     this.#job = job;
     this.#work = new jobWorks.JobWork(options, job);
+    this.#picker = new serverPickers.ServerPicker(options, job.service);
     this.#wait = new placeWaits.PlaceWait(options, job);
     this.#resolve = resolve;
   }
@@ -82,20 +80,7 @@
 
   #canTry(): boolean {
     return this.#sent < this.#job.attempts &&
-      this.#refused.size < this.#maxRefusals;
-  }
-
-  #choose(): registry.RegisteredServer | undefined {
-    const { servers, loads, failureDomain, draw } = this.#options;
-    return chooseServer.chooseServer({
-      servers: servers.listReady(this.#job.service),
-      loads,
-      tried: this.#tried,
-      refused: this.#refused,
-      avoidsFull: this.#options.weighsLoad && !this.#hasTurn,
-      failureDomain,
-      draw,
-    });
+      this.#picker.countRefusals() < this.#maxRefusals;
   }
 
   /**
@@ -110,8 +95,9 @@
       case "free":
         return this.#tryServer();
       case "suspect":
-        if (this.#running.size === 0) void this.#tryGranted();
-        return;
+        if (this.#running.size > 0) return;
+        if (!this.#canTry()) return this.#giveUp();
+        return void this.#tryGranted();
       case "heldBack":
         return this.#holdBack(verdict);
     }
@@ -121,11 +107,11 @@
     if (this.#isAsking) return;
     this.#isAsking = true;
     this.#cancelHedge();
-    const answer = await this.#work.askGrant();
+    const answer = await this.#work.askGrant(() => this.#picker.list());
     this.#isAsking = false;
     if (this.#isSettled) return this.#work.endGrant();
     if (answer.kind === "heldBack") return this.#holdBack(answer);
-    this.#tryServer();
+    this.#tryServer(answer.server);
   }
 
   /** Answers at once that the work is sent nowhere. */
@@ -143,14 +129,15 @@
     );
   }
 
-  #tryServer(): void {
-    const server = this.#canTry() ? this.#choose() : undefined;
+  /** @param chosen Server that it must be; undefined for the best one. */
+  #tryServer(chosen?: registry.LifetimeKey): void {
+    const server = this.#canTry() ? this.#picker.pick(chosen) : undefined;
     if (server === undefined) {
       this.#work.endGrant();
       return this.#giveUp();
     }
     this.#sent += 1;
-    this.#tried.add(server.lifetime);
+    this.#picker.markTried(server);
     this.#scheduleHedge();
     void this.#runAttempt(server);
   }
@@ -173,7 +160,7 @@
    */
   #canHedge(): boolean {
     const { loads, weighsLoad } = this.#options;
-    const server = this.#choose();
+    const server = this.#picker.pick();
     if (server === undefined) return false;
     return !weighsLoad || loads.hasPlace(server);
   }
@@ -222,7 +209,7 @@
         return this.#takeAnswer(outcome.answer);
       case "notRun":
         this.#sent -= 1;
-        this.#refused.add(server.lifetime);
+        this.#picker.markRefused(server);
         this.#sawBusy ||= outcome.isBusy;
         if (outcome.isBusy) this.#options.loads.noteFull(server.lifetime);
         return this.#retryAfter(server, outcome);
@@ -254,7 +241,7 @@
       server: server.id,
       service: this.#job.service,
       sent: this.#sent,
-      refusals: this.#refused.size,
+      refusals: this.#picker.countRefusals(),
       reason: outcome.reason,
       closed: outcome.kind === "broken" ? outcome.isClosed : undefined,
       work: outcome.kind === "broken" ? this.#work.getDigest() : undefined,
@@ -293,8 +280,7 @@
       { priority, targetAtMs, giveUpAtMs },
       {
         onTurn: () => {
-          this.#hasTurn = true;
-          this.#refused.clear();
+          this.#picker.beginTurn();
           this.#maxRefusals = MAX_REFUSALS_A_TURN;
           this.#tryNext();
         },
--- a/src/forwarding/_job_work.ts
+++ b/src/forwarding/_job_work.ts
@@ -18,7 +18,14 @@
   { readonly kind: "heldBack" }
 >;
 
-const GRANTED = { kind: "granted" } as const;
+/** Says that work may be sent on. */
+export interface SentOn {
+  readonly kind: "sentOn";
+  /** Server that the leader chose; undefined where any will do. */
+  readonly server: registry.LifetimeKey | undefined;
+}
+
+const TO_ANY: SentOn = { kind: "sentOn", server: undefined };
 
 /** What a job's work needs. */
 export interface JobWorkOptions {
@@ -71,24 +78,31 @@
    * Asks for one run more, again while others run and an answer would still be
    * in time.
    *
-   * @returns Whether it may be sent. Without a leader the first retry may, as a
+   * @param listServers Servers that may run it, best first.
+   * @returns Whether it may be sent, and where to. Without a leader the first retry may, as a
    * caller whose server ended by chance must not wait for an election.
    */
-  async askGrant(): Promise<typeof GRANTED | HeldBack> {
+  async askGrant(
+    listServers: () => readonly registry.LifetimeKey[],
+  ): Promise<SentOn | HeldBack> {
     const { clock, crashGuard } = this.#options;
     for (;;) {
       const verdict = this.judge();
-      if (verdict.kind === "free") return GRANTED;
+      if (verdict.kind === "free") return TO_ANY;
       if (verdict.kind === "heldBack") return verdict;
       this.#grants += 1;
       const run = `${this.#job.requestId} ${this.#grants}`;
-      const answer = await crashGuard.askGrant(this.getDigest(), run);
-      switch (answer) {
+      const answer = await crashGuard.askGrant(
+        this.getDigest(),
+        run,
+        listServers(),
+      );
+      switch (answer.kind) {
         case "granted":
           this.#grant = run;
-          return GRANTED;
+          return { kind: "sentOn", server: answer.server };
         case "unanswered":
-          if (verdict.ended <= ENDED_WITHOUT_GRANT) return GRANTED;
+          if (verdict.ended <= ENDED_WITHOUT_GRANT) return TO_ANY;
           break;
         case "barred":
         case "busy":
--- /dev/null
+++ b/src/forwarding/_server_picker.ts
@@ -0,0 +1,68 @@
+import type * as registry from "../registry/mod.ts";
+import * as chooseServer from "./choose_server.ts";
+import type * as forwarderOptions from "./forwarder_options.ts";
+
+/** Picks servers for one job, and remembers those that had or refused it. */
+export class ServerPicker {
+  readonly #options: forwarderOptions.ForwarderOptions;
+  readonly #service: string;
+  readonly #tried = new Set<registry.LifetimeKey>();
+  readonly #refused = new Set<registry.LifetimeKey>();
+  /** Whether the job's turn came after a wait. */
+  #hasTurn = false;
+
+  constructor(
+    options: forwarderOptions.ForwarderOptions,
+    service: string,
+  ) {
+    this.#options = options;
+    this.#service = service;
+  }
+
+  /**
+   * Picks a server.
+   *
+   * @param chosen The one that it must be; undefined for the best one.
+   * @returns The server, or undefined when there is none.
+   */
+  pick(chosen?: registry.LifetimeKey): registry.RegisteredServer | undefined {
+    const choice = this.#createChoice();
+    if (chosen === undefined) return chooseServer.chooseServer(choice);
+    return choice.servers.find(({ lifetime }) => lifetime === chosen);
+  }
+
+  /** Servers that may have the job next, best first. */
+  list(): readonly registry.LifetimeKey[] {
+    return chooseServer.chooseServers(this.#createChoice())
+      .map(({ lifetime }) => lifetime);
+  }
+
+  markTried(server: registry.RegisteredServer): void {
+    this.#tried.add(server.lifetime);
+  }
+
+  markRefused(server: registry.RegisteredServer): void {
+    this.#refused.add(server.lifetime);
+  }
+
+  countRefusals(): number {
+    return this.#refused.size;
+  }
+
+  /** Begins anew with all servers, as the job's turn has come. */
+  beginTurn(): void {
+    this.#hasTurn = true;
+    this.#refused.clear();
+  }
+
+  #createChoice(): chooseServer.ServerChoice {
+    const { servers, weighsLoad } = this.#options;
+    return {
+      ...this.#options,
+      servers: servers.listReady(this.#service),
+      tried: this.#tried,
+      refused: this.#refused,
+      avoidsFull: weighsLoad && !this.#hasTurn,
+    };
+  }
+}
--- a/src/forwarding/choose_server.ts
+++ b/src/forwarding/choose_server.ts
@@ -50,3 +50,28 @@
   }
   return best;
 }
+
+/** Servers that are named at most; more are hardly taken at once. */
+const MAX_CHOSEN = 8;
+
+/**
+ * Names the servers that should answer, best first; of those that had the
+ * request already one at most, where there is no other.
+ *
+ * @param choice The servers and what is known of them.
+ * @returns Some of them; none when there is none.
+ */
+export function chooseServers(
+  choice: ServerChoice,
+): readonly registry.RegisteredServer[] {
+  const refused = new Set(choice.refused);
+  const chosen: registry.RegisteredServer[] = [];
+  while (chosen.length < MAX_CHOSEN) {
+    const server = chooseServer({ ...choice, refused });
+    if (server === undefined) break;
+    if (choice.tried.has(server.lifetime) && chosen.length > 0) break;
+    chosen.push(server);
+    refused.add(server.lifetime);
+  }
+  return chosen;
+}
--- /dev/null
+++ b/src/forwarding/crashing_work_test.ts
@@ -0,0 +1,222 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import type * as crashGuards from "../crash_guard/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import * as csp from "../csp/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
+import * as logs from "../log/mod.ts";
+import * as registry from "../registry/mod.ts";
+import type * as jobs from "./forward_job.ts";
+import * as forwarders from "./forwarder.ts";
+import * as fixtures from "./server_fixture_test.ts";
+import * as serverLoads from "./server_loads.ts";
+
+const BAD = "bad";
+const SERVERS = 5;
+
+describe("forwarding of work under which servers end", () => {
+  const clock = new clocks.SystemClock();
+  let servers: http.Server[] = [];
+  let seen: string[] = [];
+  let known = new registry.ServerRegistry(clock, 60_000);
+  let table = new crashRecords.CrashTable();
+  let loads = new serverLoads.ServerLoads(clock);
+  /** Whether a server that breaks off bad work ends, or only resets it. */
+  let endsServers = true;
+
+  beforeEach(async () => {
+    seen = [];
+    endsServers = true;
+    known = new registry.ServerRegistry(clock, 60_000);
+    table = new crashRecords.CrashTable();
+    loads = new serverLoads.ServerLoads(clock);
+    servers = [];
+    for (let index = 0; index < SERVERS; index += 1) await startServer(index);
+  });
+
+  afterEach(() => {
+    for (const server of servers) endServer(server);
+  });
+
+  async function startServer(index: number): Promise<void> {
+    const server = http.createServer((request, response) => {
+      seen.push(`s${index}`);
+      const chunks: Buffer[] = [];
+      request.on("data", (chunk: Buffer) => chunks.push(chunk));
+      request.on("end", () => {
+        const body = Buffer.concat(chunks).toString();
+        if (body !== BAD) return fixtures.answer(200)(request, response);
+        if (endsServers) endServer(server);
+        else request.socket.destroy();
+      });
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    known.merge(serverFixtures.createServer(`s${index}`, {
+      service: "app",
+      port: (server.address() as net.AddressInfo).port,
+      slots: 4,
+      // The servers are chosen in their order.
+      coldMs: index * 100,
+    }));
+  }
+
+  function endServer(server: http.Server): void {
+    server.close();
+    server.closeAllConnections();
+  }
+
+  function send(
+    body: string,
+    changes: Partial<jobs.ForwardJob> = {},
+    guardChanges: Partial<crashGuards.CrashGuardOptions> = {},
+  ): Promise<jobs.ForwardOutcome> {
+    const forwarder = new forwarders.Forwarder({
+      clock,
+      crashGuard: guardFixtures.createCrashGuard(clock, {
+        table,
+        servers: known,
+        ...guardChanges,
+      }),
+      log: new logs.Log("box", "error", () => {}),
+      servers: known,
+      loads,
+      dialect: fixtures.DIALECT,
+      failureDomain: "d",
+      draw: () => 0,
+      weighsLoad: true,
+    });
+    return forwarder.send({
+      requestId: "job",
+      sender: { kind: "unasked" },
+      service: "app",
+      method: "POST",
+      target: "/x",
+      headers: { host: "a.example" },
+      body: Buffer.from(body),
+      priority: 0,
+      targetAtMs: clock.getMonotonicMs() + 1_000,
+      deadlineAtMs: clock.getMonotonicMs() + 5_000,
+      attempts: 2,
+      isRepeatable: true,
+      retriesErrors: true,
+      hedgeMs: 30_000,
+      cancellation: new csp.Cancellation(),
+      ...changes,
+    });
+  }
+
+  /** Lets the pause after the second server pass, as a box would see it. */
+  function makePauseOver(): void {
+    const records = table.list().map((record) => ({
+      ...record,
+      notedAtMs: record.notedAtMs - 10_000,
+    }));
+    table.restore(records);
+  }
+
+  it("stops after two servers, and sends nothing while it pauses", async () => {
+    const first = await send(BAD);
+    chai.expect(first.kind).to.equal("failed");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+    const second = await send(BAD);
+    if (second.kind !== "heldBack") throw new Error(second.kind);
+    chai.expect(second.returnMs).to.be.within(1, 5_000);
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+
+  it("sends it to a third server after the pause, and to no fourth", async () => {
+    await send(BAD);
+    makePauseOver();
+    chai.expect((await send(BAD)).kind).to.equal("failed");
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+    makePauseOver();
+    chai.expect((await send(BAD)).kind).to.equal("heldBack");
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+  });
+
+  it("answers other work meanwhile, by servers that live", async () => {
+    await send(BAD);
+    const outcome = await send("good");
+    chai.expect(outcome.kind).to.equal("answered");
+    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+  });
+
+  it("asks no second server beside a silent one", async () => {
+    await send(BAD, { attempts: 1 });
+    let release: (() => void) | undefined;
+    const held = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    const [, second] = servers;
+    second?.removeAllListeners("request");
+    second?.on("request", (request, response) => {
+      seen.push("s1");
+      request.resume();
+      void held.then(() => fixtures.answer(200)(request, response));
+    });
+    setTimeout(() => release?.(), 60);
+    const outcome = await send(BAD, { hedgeMs: 1 });
+    chai.expect(outcome.kind).to.equal("answered");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+
+  it("holds nothing against work whose connections are reset", async () => {
+    endsServers = false;
+    for (let turn = 0; turn < 4; turn += 1) {
+      chai.expect((await send(BAD)).kind).to.equal("failed");
+    }
+    chai.expect(seen.length).to.equal(8);
+    chai.expect(table.isEmpty()).to.equal(true);
+  });
+
+  it("frees work that a server ran to its end", async () => {
+    const [first] = servers;
+    first?.removeAllListeners("request");
+    first?.on("request", () => first === undefined || endServer(first));
+    chai.expect((await send("good")).kind).to.equal("answered");
+    const [record] = table.list();
+    chai.expect(record?.ended).to.deep.equal(["s0"]);
+    chai.expect(crashRecords.countEnded(record)).to.equal(0);
+  });
+
+  it("says that the work may have run where it was sent before", async () => {
+    const outcome = await send(BAD);
+    if (outcome.kind !== "failed") throw new Error(outcome.kind);
+    chai.expect(outcome.reason).to.contain("servers ended");
+  });
+
+  it("waits while others run the same work, and goes on once it is freed", async () => {
+    await send(BAD, { attempts: 1 });
+    let asked = 0;
+    const outcome = await send("bad", { attempts: 1 }, {
+      askGrant: () => {
+        asked += 1;
+        const [record] = table.list();
+        if (asked === 2 && record !== undefined) {
+          table.merge({ ...record, cleared: record.ended }, clock.getWallMs());
+        }
+        return Promise.resolve({ kind: "busy" });
+      },
+    });
+    chai.expect(asked).to.equal(2);
+    chai.expect(outcome.kind).to.equal("failed");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+
+  it("retries once where no leader answers, as the server may have ended by chance", async () => {
+    const unanswered = { askGrant: () => Promise.resolve(undefined) };
+    chai.expect((await send(BAD, {}, unanswered)).kind).to.equal("failed");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+    makePauseOver();
+    const targetAtMs = clock.getMonotonicMs();
+    const last = await send(BAD, { targetAtMs }, unanswered);
+    chai.expect(last.kind).to.equal("heldBack");
+    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+  });
+});
