Failing test: a leader that was suspended holds itself for the leader

Whole groups on a fake clock, where a process's monotonic clock stands while its machine is suspended: after 3 s another store leads, and the suspended one still has authority.

--- a/src/clock/fake_clock.ts
+++ b/src/clock/fake_clock.ts
@@ -9,6 +9,8 @@
 /** A clock that moves only when told to, for tests. */
 export class FakeClock implements clocks.Clock {
   #nowMs: number;
+  /** How far the wall clock is ahead of the monotonic one. */
+  #wallAheadMs = 0;
   #sequence = 0;
   #timers: readonly PendingTimer[] = [];
 
@@ -18,7 +20,7 @@
   }
 
   getWallMs(): number {
-    return this.#nowMs;
+    return this.#nowMs + this.#wallAheadMs;
   }
 
   getMonotonicMs(): number {
@@ -38,6 +40,19 @@
     };
   }
 
+  /**
+   * Lets time pass while the machine is suspended: the monotonic clock stands,
+   * and so do its timers.
+   */
+  suspend(forMs: number): void {
+    this.#wallAheadMs += forMs;
+  }
+
+  /** Sets the wall clock by so much. */
+  stepWall(byMs: number): void {
+    this.#wallAheadMs += byMs;
+  }
+
   /** Moves time forward by `byMs`, running due timers in order. */
   extendBy(byMs: number): void {
     const endMs = this.#nowMs + byMs;
--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -13,4 +13,5 @@
 export * from "./fake_clock.ts";
 export * from "./gathered_call.ts";
 export * from "./sleep.ts";
+export * from "./suspension_watch.ts";
 export * from "./system_clock.ts";
--- /dev/null
+++ b/src/clock/suspension_watch.ts
@@ -0,0 +1,48 @@
+import type * as clocks from "./clock.ts";
+
+/**
+ * How much further the time of day may have come than the monotonic clock, in ms,
+ * without a sign that the machine was suspended: both are read one after the other.
+ */
+const TOLERANCE_MS = 50;
+/** How fast a time of day that is being corrected may gain on it, as a share. */
+const MAX_SLEW = 0.001;
+
+/**
+ * Finds out whether the machine may have been suspended: its monotonic clock
+ * stands meanwhile, and its time of day goes on. A time of day that was set
+ * forward looks the same, so this serves to end what this process promised to
+ * others, and never to take what others promised for ended.
+ */
+export class SuspensionWatch {
+  readonly #clock: Pick<clocks.Clock, "getWallMs" | "getMonotonicMs">;
+  /** Time of day less monotonic time, as far as it was followed, in ms. */
+  #offsetMs: number;
+  #lookedAtMs: number;
+  #wokeAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(clock: Pick<clocks.Clock, "getWallMs" | "getMonotonicMs">) {
+    this.#clock = clock;
+    this.#lookedAtMs = clock.getMonotonicMs();
+    this.#offsetMs = clock.getWallMs() - this.#lookedAtMs;
+  }
+
+  /**
+   * Looks at both clocks.
+   *
+   * @returns Monotonic ms before which the machine may have been suspended; what
+   * was timed before may be older than it seems. Negative infinity for never.
+   */
+  getWokeAtMs(): number {
+    const nowMs = this.#clock.getMonotonicMs();
+    const offsetMs = this.#clock.getWallMs() - nowMs;
+    const slewMs = (nowMs - this.#lookedAtMs) * MAX_SLEW;
+    const gainedMs = offsetMs - this.#offsetMs;
+    this.#lookedAtMs = nowMs;
+    if (gainedMs > TOLERANCE_MS) {
+      this.#wokeAtMs = nowMs;
+      this.#offsetMs = offsetMs;
+    } else this.#offsetMs += Math.min(gainedMs, slewMs);
+    return this.#wokeAtMs;
+  }
+}
--- a/src/replica_group/simulated_process_test.ts
+++ b/src/replica_group/simulated_process_test.ts
@@ -18,6 +18,9 @@
   #busyUntilMs = 0;
   #isWaking = false;
   #isStopped = false;
+  /** Since when its machine is suspended, and how long it was before, in ms. */
+  #suspendedAtMs: number | undefined;
+  #lostMs = 0;
   #isEnded = false;
 
   /** @param getWallOffsetMs How far the wall clock of the box is ahead, in ms. */
@@ -30,19 +33,26 @@
     return Math.round(this.#clock.getWallMs() + this.#wallOffsetMs());
   }
 
+  /** Stands while the machine is suspended, unlike the wall clock. */
   getMonotonicMs(): number {
-    return this.#clock.getMonotonicMs();
+    const trueMs = this.#clock.getMonotonicMs();
+    return Math.min(trueMs, this.#suspendedAtMs ?? trueMs) - this.#lostMs;
   }
 
   startTimer(delayMs: number, action: () => void): clocks.CancelTimer {
     let isCancelled = false;
-    const cancel = this.#clock.startTimer(
-      Math.ceil(delayMs),
-      () =>
-        this.add(0, () => {
-          if (!isCancelled) action();
-        }),
-    );
+    let cancel: clocks.CancelTimer = () => {};
+    const dueMs = this.getMonotonicMs() + delayMs;
+    const arm = (): void => {
+      const leftMs = Math.ceil(dueMs - this.getMonotonicMs());
+      cancel = this.#clock.startTimer(leftMs, () => this.add(0, ring));
+    };
+    const ring = (): void => {
+      if (isCancelled) return;
+      if (this.getMonotonicMs() < dueMs) arm();
+      else action();
+    };
+    arm();
     return () => {
       isCancelled = true;
       cancel();
@@ -72,6 +82,19 @@
     this.#runTasks();
   }
 
+  /** Suspends its machine, until it is woken. */
+  suspend(): void {
+    this.stop();
+    this.#suspendedAtMs = this.#clock.getMonotonicMs();
+  }
+
+  wake(): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    this.#lostMs += nowMs - (this.#suspendedAtMs ?? nowMs);
+    this.#suspendedAtMs = undefined;
+    this.resume();
+  }
+
   isStopped(): boolean {
     return this.#isStopped;
   }
