Let work that lost one server share the next one where none is free

Cause, by reading: where many servers end at once, as with a failure domain, there is more such work than servers; each run had a server to itself, so good work would have waited until its target and been refused. Change: after 80 ms work that lost one server may run beside other such work. Busy answers to grants are told at debug only. Tests: grant_desk_test, crashing_work_test of forwarding.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -164,19 +164,17 @@
    * Asks the leader of the stores for one run more.
    *
    * @param digest Work under which servers ended.
-   * @param run Names the run.
-   * @param servers Servers that may run it, best first.
+   * @param question What else the leader needs to know.
    */
   async askGrant(
     digest: crashRecords.WorkDigest,
-    run: string,
-    servers: readonly registry.LifetimeKey[],
+    question: Omit<protocol.GrantRequest, "record">,
   ): Promise<GrantAnswer> {
     const { table, askGrant, metrics } = this.#options;
     const record = table.get(digest);
     const reply = record === undefined
       ? undefined
-      : await askGrant({ record, run, servers });
+      : await askGrant({ ...question, record });
     if (reply === undefined || reply.kind === "notLeader") {
       return { kind: "unanswered" };
     }
--- a/src/crash_guard/grant_desk.ts
+++ b/src/crash_guard/grant_desk.ts
@@ -68,12 +68,13 @@
     const { digest } = request.record;
     table.merge(request.record, clock.getWallMs());
     const record = table.get(digest) ?? request.record;
-    const reply = this.#decide(record, request.servers);
+    const reply = this.#decide(record, request);
     if (reply.kind === "granted") {
       const untilMs = clock.getMonotonicMs() + GRANT_MS;
       this.#grants.set(request.run, { digest, server: reply.server, untilMs });
     }
-    this.#options.log.write("info", "crash.grant", {
+    const level = reply.kind === "busy" ? "debug" : "info";
+    this.#options.log.write(level, "crash.grant", {
       work: digest,
       run: request.run,
       ended: crashRecords.countEnded(record),
@@ -86,7 +87,7 @@
 
   #decide(
     record: crashRecords.CrashRecord,
-    servers: readonly registry.LifetimeKey[],
+    { servers, mayShare }: protocol.GrantRequest,
   ): protocol.GrantReply {
     const left = crashRecords.MAX_ENDED - crashRecords.countEnded(record);
     if (left <= 0) return { kind: "barred", record };
@@ -96,7 +97,8 @@
     const reignMs = this.#options.clock.getMonotonicMs() - this.#termSinceMs;
     if (left === 1 && reignMs < UNSURE_MS) return { kind: "busy" };
     const taken = new Set(runs.map(({ server }) => server));
-    const server = servers.find((candidate) => !taken.has(candidate));
+    const server = servers.find((candidate) => !taken.has(candidate)) ??
+      (mayShare ? servers[0] : undefined);
     return server === undefined
       ? { kind: "busy" }
       : { kind: "granted", server };
--- a/src/crash_guard/grant_desk_test.ts
+++ b/src/crash_guard/grant_desk_test.ts
@@ -61,8 +61,9 @@
     record: crashRecords.CrashRecord,
     run: string,
     servers: readonly string[],
+    mayShare = false,
   ): protocol.GrantReply {
-    const request: protocol.GrantRequest = { record, run, servers };
+    const request: protocol.GrantRequest = { record, run, servers, mayShare };
     const reply = methods.get(protocol.METHODS.askGrant)?.(request);
     return reply as protocol.GrantReply;
   }
@@ -124,6 +125,10 @@
       server: "s-2",
     });
     chai.expect(askFor(other, "r3", ["s-1", "s-2"]).kind).to.equal("busy");
+    chai.expect(askFor(other, "r4", ["s-1", "s-2"], true).kind).to.equal(
+      "granted",
+    );
+    end("r4", createRecord(["i-1"]));
     end("r1", createRecord(["i-1", "i-2"]));
     chai.expect(askFor(other, "r3", ["s-1", "s-2"]).kind).to.equal("granted");
   });
--- a/src/crash_guard/protocol.ts
+++ b/src/crash_guard/protocol.ts
@@ -15,6 +15,8 @@
   readonly run: string;
   /** Servers that may run it, best first. */
   readonly servers: readonly registry.LifetimeKey[];
+  /** Whether it may run beside another such run where no server is free of one. */
+  readonly mayShare: boolean;
 }
 
 /** Says that a run has ended, and what is known of its work then. */
--- a/src/forwarding/_job_work.ts
+++ b/src/forwarding/_job_work.ts
@@ -9,6 +9,12 @@
 /** Servers after which a run without the leader's grant is none too many. */
 const ENDED_WITHOUT_GRANT = 1;
 
+/**
+ * Time after which work that lost one server may run beside other such work, in
+ * ms. Where many servers end at once, as with a failure domain, there is more such
+ * work than servers, and nearly all of it lost its server by chance.
+ */
+const SHARE_AFTER_MS = 80;
 /** When to come back while the same work is tried for others, in ms. */
 const BUSY_RETURN_MS = 500;
 
@@ -86,17 +92,19 @@
     listServers: () => readonly registry.LifetimeKey[],
   ): Promise<SentOn | HeldBack> {
     const { clock, crashGuard } = this.#options;
+    const sinceMs = clock.getMonotonicMs();
     for (;;) {
       const verdict = this.judge();
       if (verdict.kind === "free") return TO_ANY;
       if (verdict.kind === "heldBack") return verdict;
       this.#grants += 1;
       const run = `${this.#job.requestId} ${this.#grants}`;
-      const answer = await crashGuard.askGrant(
-        this.getDigest(),
+      const answer = await crashGuard.askGrant(this.getDigest(), {
         run,
-        listServers(),
-      );
+        servers: listServers(),
+        mayShare: verdict.ended <= ENDED_WITHOUT_GRANT &&
+          clock.getMonotonicMs() - sinceMs >= SHARE_AFTER_MS,
+      });
       switch (answer.kind) {
         case "granted":
           this.#grant = run;
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -209,6 +209,21 @@
     chai.expect(seen).to.deep.equal(["s0", "s1"]);
   });
 
+  it("answers in time work that lost a server by chance, where no server is free of such work", async () => {
+    const [first] = servers;
+    first?.removeAllListeners("request");
+    first?.on("request", () => first === undefined || endServer(first));
+    const outcome = await send("good", {}, {
+      askGrant: ({ servers: [server = ""], mayShare }) =>
+        Promise.resolve(
+          mayShare ? { kind: "granted", server } : { kind: "busy" },
+        ),
+    });
+    chai.expect(outcome.kind).to.equal("answered");
+    // The server that ended tells nothing of what it saw.
+    chai.expect(seen).to.deep.equal(["s1"]);
+  });
+
   it("retries once where no leader answers, as the server may have ended by chance", async () => {
     const unanswered = { askGrant: () => Promise.resolve(undefined) };
     chai.expect((await send(BAD, {}, unanswered)).kind).to.equal("failed");
