--- /dev/null
+++ b/src/dispatch/item_crashes_test.ts
@@ -0,0 +1,104 @@
+import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as crashRecords from "../crash_record/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
+import type * as itemRuns from "../item_run/mod.ts";
+import * as itemFixtures from "../submission/item_fixture_test.ts";
+import type * as submissions from "../submission/mod.ts";
+import * as itemCrashes from "./item_crashes.ts";
+import * as itemTasks from "./item_task.ts";
+import * as stepProgresses from "./step_progress.ts";
+
+const BROKEN: itemRuns.RunEnd = {
+  kind: "broken",
+  reason: "socket hang up",
+  isClosed: true,
+};
+
+function createTask(): itemTasks.ItemTask {
+  const item = itemFixtures.createItem("item");
+  const submission: submissions.Submission = {
+    id: "s",
+    model: "m",
+    step: 0,
+    minimumVersion: 1,
+    desired: undefined,
+    items: [item],
+    sender: { kind: "unasked" },
+    acceptedAtMs: 0,
+    terms: {
+      host: "h",
+      service: "lm",
+      attempts: 3,
+      keepMs: 1_000,
+      targetCompletionMs: 100,
+      isSingleVersion: false,
+    },
+  };
+  const step = new stepProgresses.StepProgress(submission, new Set());
+  return new itemTasks.ItemTask(submission, item, step, 0);
+}
+
+// An item whose engine ended under it went on to the next engine, whatever became
+// of it there: nothing counted the engines, until its submission ended.
+describe("items under which engines end", () => {
+  const clock = new clocks.FakeClock(1_000);
+  let task = createTask();
+  let crashes = new itemCrashes.ItemCrashes({
+    crashGuard: guardFixtures.createCrashGuard(clock),
+  });
+
+  beforeEach(() => {
+    task = createTask();
+    crashes = new itemCrashes.ItemCrashes({
+      crashGuard: guardFixtures.createCrashGuard(clock, {
+        table: new crashRecords.CrashTable(),
+        findPortState: () => Promise.resolve("refused"),
+      }),
+    });
+  });
+
+  function endRun(
+    engine: string,
+    end: itemRuns.RunEnd,
+    madeBefore = task.progress.countMade(),
+  ): Promise<void> {
+    const server = serverFixtures.createServer(engine);
+    return crashes.noteEnd(task, server, { end, madeBefore });
+  }
+
+  it("run at no fourth engine", async () => {
+    for (const engine of ["i-1", "i-2"]) await endRun(engine, BROKEN);
+    chai.expect(crashes.canRun(task)).to.equal(true);
+    await endRun("i-3", BROKEN);
+    chai.expect(crashes.canRun(task)).to.equal(false);
+  });
+
+  it("count an engine that started again in their midst", () => {
+    for (const engine of ["i-1", "i-2", "i-3"]) {
+      crashes.noteLost(task, serverFixtures.createServer(engine), 0);
+    }
+    chai.expect(crashes.canRun(task)).to.equal(false);
+  });
+
+  it("go on while their runs bring events", async () => {
+    for (const engine of ["i-1", "i-2", "i-3", "i-4"]) {
+      const madeBefore = task.progress.countMade();
+      const id = madeBefore + 1;
+      task.progress.add({ id, data: "x", version: 1 });
+      await endRun(engine, BROKEN, madeBefore);
+    }
+    chai.expect(crashes.canRun(task)).to.equal(true);
+  });
+
+  it("are cleared once a run ends well, and blamed for no reset", async () => {
+    for (const engine of ["i-1", "i-2"]) await endRun(engine, BROKEN);
+    await endRun("i-3", { kind: "finished" });
+    await endRun("i-4", BROKEN);
+    for (let turn = 0; turn < 4; turn += 1) {
+      await endRun("i-5", { ...BROKEN, isClosed: false });
+    }
+    chai.expect(crashes.canRun(task)).to.equal(true);
+  });
+});
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -4,7 +4,6 @@
 import * as clocks from "../clock/mod.ts";
 import type * as crashGuards from "../crash_guard/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
-import * as csp from "../csp/mod.ts";
 import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as logs from "../log/mod.ts";
@@ -91,24 +90,14 @@
       draw: () => 0,
       weighsLoad: true,
     });
-    return forwarder.send({
-      requestId: "job",
-      sender: { kind: "unasked" },
-      service: "app",
-      method: "POST",
-      target: "/x",
+    return forwarder.send(fixtures.createJob(clock, {
       headers: { host: "a.example" },
       body: Buffer.from(body),
-      priority: 0,
       targetAtMs: clock.getMonotonicMs() + 1_000,
       deadlineAtMs: clock.getMonotonicMs() + 5_000,
       attempts: 2,
-      isRepeatable: true,
-      retriesErrors: true,
-      hedgeMs: 30_000,
-      cancellation: new csp.Cancellation(),
       ...changes,
-    });
+    }));
   }
 
   /** Lets the pause after the second server pass, as a box would see it. */
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -1,14 +1,8 @@
-import * as http from "node:http";
-import type * as net from "node:net";
+import type * as http from "node:http";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
-import * as logs from "../log/mod.ts";
-import * as registry from "../registry/mod.ts";
-import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
-import type * as jobs from "./forward_job.ts";
-import * as forwarders from "./forwarder.ts";
 import * as fixtures from "./server_fixture_test.ts";
 import * as serverLoads from "./server_loads.ts";
 
@@ -24,101 +18,34 @@
 const REFUSE = fixtures.answer(503, { "not-run": "1" });
 
 describe("forwarding", () => {
-  const clock = new clocks.SystemClock();
-  let scripts: fixtures.Script[] = [];
-  let seen: string[] = [];
-  let servers: http.Server[] = [];
-  let known = new registry.ServerRegistry(clock, 60_000);
+  const backends = new fixtures.ScriptedServers();
+  const { clock } = backends;
 
-  beforeEach(async () => {
-    seen = [];
-    scripts = [];
-    known = new registry.ServerRegistry(clock, 60_000);
-    servers = [0, 1, 2].map((index) =>
-      http.createServer((request, response) => {
-        seen.push(`s${index}`);
-        request.resume();
-        request.on("end", () => scripts[index]?.(request, response));
-      })
-    );
-    for (const [index, server] of servers.entries()) {
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
-      );
-      known.merge(serverFixtures.createServer(`s${index}`, {
-        service: "app",
-        port: (server.address() as net.AddressInfo).port,
-        slots: 4,
-        // The first server is always the first choice, then the second.
-        coldMs: index * 100,
-      }));
-    }
-  });
-
-  afterEach(() => {
-    for (const server of servers) {
-      server.closeAllConnections();
-      server.close();
-    }
-  });
+  beforeEach(() => backends.start());
 
-  function send(
-    changes: Partial<jobs.ForwardJob> = {},
-    loads = new serverLoads.ServerLoads(clock),
-    weighsLoad = false,
-  ): Promise<jobs.ForwardOutcome> {
-    const forwarder = new forwarders.Forwarder({
-      clock,
-      crashGuard: guardFixtures.createCrashGuard(clock),
-      log: new logs.Log("box", "error", () => {}),
-      servers: known,
-      loads,
-      dialect: fixtures.DIALECT,
-      failureDomain: "d",
-      draw: () => 0,
-      weighsLoad,
-    });
-    return forwarder.send({
-      requestId: "job",
-      sender: { kind: "unasked" },
-      service: "app",
-      method: "POST",
-      target: "/x",
-      headers: {},
-      body: Buffer.from("question"),
-      priority: 0,
-      targetAtMs: clock.getMonotonicMs() + 30_000,
-      deadlineAtMs: clock.getMonotonicMs() + 30_000,
-      attempts: 3,
-      isRepeatable: true,
-      retriesErrors: true,
-      hedgeMs: 30_000,
-      cancellation: new csp.Cancellation(),
-      ...changes,
-    });
-  }
+  afterEach(() => backends.stop());
 
   it("gives a whole answer unchanged", async () => {
-    scripts = [fixtures.answer(200, { extra: "kept" })];
-    const outcome = await send();
+    backends.scripts = [fixtures.answer(200, { extra: "kept" })];
+    const outcome = await backends.send();
     if (outcome.kind !== "answered") throw new Error(outcome.kind);
     chai.expect(outcome.answer.body.toString()).to.equal("body");
     chai.expect(outcome.answer.headers["extra"]).to.equal("kept");
-    chai.expect(seen).to.deep.equal(["s0"]);
+    chai.expect(backends.seen).to.deep.equal(["s0"]);
   });
 
   it("tells whether a server gave the length of its answer", async () => {
-    scripts = [(request, response) => {
+    backends.scripts = [(request, response) => {
       response.useChunkedEncodingByDefault = false;
       response.writeHead(200, { id: "job", receipt: "r", connection: "close" });
       response.end("body");
       request.resume();
     }];
-    const unframed = await send();
+    const unframed = await backends.send();
     if (unframed.kind !== "answered") throw new Error(unframed.kind);
     chai.expect(unframed.answer.isFramed).to.equal(false);
-    scripts = [fixtures.answer(200)];
-    const framed = await send();
+    backends.scripts = [fixtures.answer(200)];
+    const framed = await backends.send();
     if (framed.kind !== "answered") throw new Error(framed.kind);
     chai.expect(framed.answer.isFramed).to.equal(true);
   });
@@ -137,84 +64,88 @@
   };
   for (const [name, script] of Object.entries(broken)) {
     it(`asks another server after ${name}, if it may run twice`, async () => {
-      scripts = [script, fixtures.answer(200)];
-      const outcome = await send();
+      backends.scripts = [script, fixtures.answer(200)];
+      const outcome = await backends.send();
       chai.expect(outcome.kind).to.equal("answered");
-      chai.expect(seen).to.deep.equal(["s0", "s1"]);
+      chai.expect(backends.seen).to.deep.equal(["s0", "s1"]);
     });
 
     it(`never runs a request twice that may not, after ${name}`, async () => {
-      scripts = [script, fixtures.answer(200)];
-      const outcome = await send({ isRepeatable: false });
+      backends.scripts = [script, fixtures.answer(200)];
+      const outcome = await backends.send({ isRepeatable: false });
       chai.expect(outcome.kind).to.equal("failed");
-      chai.expect(seen).to.deep.equal(["s0"]);
+      chai.expect(backends.seen).to.deep.equal(["s0"]);
     });
   }
 
   it("takes a refusal elsewhere, also of a request that may run only once", async () => {
-    scripts = [REFUSE, REFUSE, fixtures.answer(200)];
-    const outcome = await send({ isRepeatable: false, attempts: 1 });
+    backends.scripts = [REFUSE, REFUSE, fixtures.answer(200)];
+    const outcome = await backends.send({ isRepeatable: false, attempts: 1 });
     chai.expect(outcome.kind).to.equal("answered");
-    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+    chai.expect(backends.seen).to.deep.equal(["s0", "s1", "s2"]);
   });
 
   it("says that nothing ran once every server refused, asking each once", async () => {
-    scripts = [REFUSE, REFUSE, REFUSE];
-    chai.expect((await send()).kind).to.equal("notRun");
-    chai.expect(seen).to.deep.equal(["s0", "s1", "s2"]);
+    backends.scripts = [REFUSE, REFUSE, REFUSE];
+    chai.expect((await backends.send()).kind).to.equal("notRun");
+    chai.expect(backends.seen).to.deep.equal(["s0", "s1", "s2"]);
   });
 
   it("does not say that nothing ran where one server may have run it", async () => {
-    scripts = [answerCutShort, REFUSE, REFUSE];
-    chai.expect((await send()).kind).to.equal("failed");
+    backends.scripts = [answerCutShort, REFUSE, REFUSE];
+    chai.expect((await backends.send()).kind).to.equal("failed");
   });
 
   it("goes to no more servers than it may", async () => {
-    scripts = [answerCutShort, answerCutShort, fixtures.answer(200)];
-    chai.expect((await send({ attempts: 2 })).kind).to.equal("failed");
-    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+    backends.scripts = [answerCutShort, answerCutShort, fixtures.answer(200)];
+    chai.expect((await backends.send({ attempts: 2 })).kind).to.equal("failed");
+    chai.expect(backends.seen).to.deep.equal(["s0", "s1"]);
   });
 
   it("gives a server's own error when no other one does better", async () => {
-    scripts = [
+    backends.scripts = [
       fixtures.answer(500),
       fixtures.answer(500),
       fixtures.answer(500),
     ];
-    const outcome = await send({ attempts: 2 });
+    const outcome = await backends.send({ attempts: 2 });
     if (outcome.kind !== "answered") throw new Error(outcome.kind);
     chai.expect(outcome.answer.status).to.equal(500);
-    chai.expect(seen).to.deep.equal(["s0", "s1"]);
+    chai.expect(backends.seen).to.deep.equal(["s0", "s1"]);
   });
 
   it("asks a second server beside a silent one and cancels the first", async () => {
     const closed = new Promise((resolve) => {
-      scripts = [
+      backends.scripts = [
         (request) => request.socket.once("close", resolve),
         fixtures.answer(200),
       ];
     });
-    chai.expect((await send({ hedgeMs: 1 })).kind).to.equal("answered");
+    chai.expect((await backends.send({ hedgeMs: 1 })).kind).to.equal(
+      "answered",
+    );
     await closed;
   });
 
   it("asks no second server beside one, when it may run only once", async () => {
-    scripts = [(request, response) => {
+    backends.scripts = [(request, response) => {
       setTimeout(() => fixtures.answer(200)(request, response), 50);
     }, fixtures.answer(200)];
-    await send({ hedgeMs: 1, isRepeatable: false });
-    chai.expect(seen).to.deep.equal(["s0"]);
+    await backends.send({ hedgeMs: 1, isRepeatable: false });
+    chai.expect(backends.seen).to.deep.equal(["s0"]);
   });
 
   it("cancels the work once the caller has left", async () => {
     const cancellation = new csp.Cancellation();
     const closed = new Promise((resolve) => {
-      scripts = [(request) => {
+      backends.scripts = [(request) => {
         request.socket.once("close", resolve);
         cancellation.cancel();
       }];
     });
-    chai.expect((await send({ cancellation })).kind).to.equal("abandoned");
+    chai.expect((await backends.send({ cancellation })).kind).to.equal(
+      "abandoned",
+    );
     await closed;
   });
 
@@ -264,20 +195,21 @@
 
   it("goes to the sound server after the first one answered errors", async () => {
     const loads = new serverLoads.ServerLoads(clock);
-    scripts = [
+    backends.scripts = [
       fixtures.answer(500),
       fixtures.answer(200),
       fixtures.answer(200),
     ];
-    for (let turn = 0; turn < 6; turn += 1) await send({}, loads);
-    chai.expect(seen[0]).to.equal("s0");
-    chai.expect(seen.filter((id) => id === "s0").length).to.be.lessThan(6);
+    for (let turn = 0; turn < 6; turn += 1) await backends.send({}, loads);
+    chai.expect(backends.seen[0]).to.equal("s0");
+    chai.expect(backends.seen.filter((id) => id === "s0").length).to.be
+      .lessThan(6);
   });
 
   it("refuses at once, and says why, where its turn could only come too late", async () => {
     const loads = new serverLoads.ServerLoads(clock);
     for (const id of ["s0", "s1", "s2"]) loads.noteFull(id);
-    const outcome = await send(
+    const outcome = await backends.send(
       { targetAtMs: clock.getMonotonicMs() },
       loads,
       true,
@@ -285,7 +217,7 @@
     if (outcome.kind !== "notRun") throw new Error(outcome.kind);
     chai.expect(outcome.reason).to.contain("full");
     chai.expect(outcome.returnMs).to.be.greaterThan(0);
-    chai.expect(seen).to.deep.equal([]);
+    chai.expect(backends.seen).to.deep.equal([]);
   });
 
   it("waits for a place where all servers refuse, and is answered in its turn", async () => {
@@ -297,8 +229,8 @@
       refusals += 1;
       (refusals <= 6 ? REFUSE : fixtures.answer(200))(request, response);
     }
-    scripts = [refuseTwice, refuseTwice, refuseTwice];
-    const outcome = await send(
+    backends.scripts = [refuseTwice, refuseTwice, refuseTwice];
+    const outcome = await backends.send(
       {},
       new serverLoads.ServerLoads(clock),
       true,
@@ -308,13 +240,14 @@
   });
 
   it("ends at its deadline and says whether it was sent", async () => {
-    scripts = [() => {}];
+    backends.scripts = [() => {}];
     const nowMs = clock.getMonotonicMs();
-    chai.expect(await send({ deadlineAtMs: nowMs + 50 })).to.deep.equal({
-      kind: "expired",
-      wasSent: true,
-    });
-    const unknown = await send({ service: "none" });
+    chai.expect(await backends.send({ deadlineAtMs: nowMs + 50 })).to.deep
+      .equal({
+        kind: "expired",
+        wasSent: true,
+      });
+    const unknown = await backends.send({ service: "none" });
     chai.expect(unknown.kind).to.equal("notRun");
   });
 });
--- a/src/forwarding/server_fixture_test.ts
+++ b/src/forwarding/server_fixture_test.ts
@@ -1,5 +1,16 @@
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as clocks from "../clock/mod.ts";
+import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
+import * as guardFixtures from "../fixtures/create_crash_guard.ts";
+import * as serverFixtures from "../fixtures/create_server.ts";
+import * as logs from "../log/mod.ts";
+import * as registry from "../registry/mod.ts";
+import type * as jobs from "./forward_job.ts";
+import type * as forwarderOptions from "./forwarder_options.ts";
+import * as forwarders from "./forwarder.ts";
+import * as serverLoads from "./server_loads.ts";
 
 /** The parts of a dialect that forwarding uses. */
 export const DIALECT = {
@@ -33,3 +44,107 @@
     response.end("body");
   };
 }
+
+const LONG_MS = 30_000;
+const SERVERS = 3;
+
+/** Makes a job that has plenty of time and may be repeated. */
+export function createJob(
+  clock: clocks.Clock,
+  changes: Partial<jobs.ForwardJob> = {},
+): jobs.ForwardJob {
+  return {
+    requestId: "job",
+    sender: { kind: "unasked" },
+    service: "app",
+    method: "POST",
+    target: "/x",
+    headers: {},
+    body: Buffer.from("question"),
+    priority: 0,
+    targetAtMs: clock.getMonotonicMs() + LONG_MS,
+    deadlineAtMs: clock.getMonotonicMs() + LONG_MS,
+    attempts: 3,
+    isRepeatable: true,
+    retriesErrors: true,
+    hedgeMs: LONG_MS,
+    cancellation: new csp.Cancellation(),
+    ...changes,
+  };
+}
+
+/** Servers on loopback that do what their scripts say, chosen in their order. */
+export class ScriptedServers {
+  readonly clock = new clocks.SystemClock();
+  /** What each server does with a request; a test sets them. */
+  scripts: Script[] = [];
+  /** Names of the servers in the order in which they got requests. */
+  seen: string[] = [];
+  known = new registry.ServerRegistry(this.clock, 60_000);
+  servers: http.Server[] = [];
+
+  /** Starts new ones, with nothing known of any before. */
+  async start(): Promise<void> {
+    this.seen = [];
+    this.scripts = [];
+    this.known = new registry.ServerRegistry(this.clock, 60_000);
+    this.servers = Array.from(
+      { length: SERVERS },
+      (_, index) => this.#createServer(index),
+    );
+    for (const [index, server] of this.servers.entries()) {
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      this.known.merge(serverFixtures.createServer(`s${index}`, {
+        service: "app",
+        port: (server.address() as net.AddressInfo).port,
+        slots: 4,
+        // The first server is always the first choice, then the second.
+        coldMs: index * 100,
+      }));
+    }
+  }
+
+  stop(): void {
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+
+  /** Sends a job by a forwarder of its own. */
+  send(
+    changes: Partial<jobs.ForwardJob> = {},
+    loads = new serverLoads.ServerLoads(this.clock),
+    weighsLoad = false,
+  ): Promise<jobs.ForwardOutcome> {
+    const forwarder = this.createForwarder({ loads, weighsLoad });
+    return forwarder.send(createJob(this.clock, changes));
+  }
+
+  createForwarder(
+    changes: Partial<forwarderOptions.ForwarderOptions> = {},
+  ): forwarders.Forwarder {
+    return new forwarders.Forwarder({
+      clock: this.clock,
+      crashGuard: guardFixtures.createCrashGuard(this.clock),
+      log: new logs.Log("box", "error", () => {}),
+      servers: this.known,
+      loads: new serverLoads.ServerLoads(this.clock),
+      dialect: DIALECT,
+      failureDomain: "d",
+      draw: () => 0,
+      weighsLoad: false,
+      ...changes,
+    });
+  }
+
+  #createServer(index: number): http.Server {
+    return http.createServer((request, response) => {
+      this.seen.push(`s${index}`);
+      request.resume();
+      request.on("end", () => this.scripts[index]?.(request, response));
+    });
+  }
+}
