--- a/src/crash_guard/grant_desk_test.ts
+++ b/src/crash_guard/grant_desk_test.ts
@@ -84,6 +84,12 @@
     chai.expect(ask("r2", ["i-1"])).to.equal("granted");
   });
 
+  it("grants a run again whose first answer was lost", () => {
+    chai.expect(ask("r1", ["i-1"])).to.equal("granted");
+    chai.expect(ask("r1", ["i-1"])).to.equal("granted");
+    chai.expect(ask("r2", ["i-1"])).to.equal("busy");
+  });
+
   it("counts what ended meanwhile, whoever asks and whatever it knows", () => {
     chai.expect(ask("r1", ["i-1"])).to.equal("granted");
     end("r1", createRecord(["i-1", "i-2"]));
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -213,6 +213,22 @@
     chai.expect(seen).to.deep.equal(["s1"]);
   });
 
+  it("ends a run whose grant may have been lost on its way", async () => {
+    const runs: string[] = [];
+    await send(BAD, { attempts: 1 });
+    await send(BAD, { attempts: 1 }, {
+      askGrant: ({ run }) => {
+        runs.push(run);
+        return Promise.resolve(undefined);
+      },
+      endGrant: ({ run }) => {
+        runs.push(run);
+      },
+    });
+    chai.expect(runs.length).to.equal(2);
+    chai.expect(runs[0]).to.equal(runs[1]);
+  });
+
   it("retries once where no leader answers, as the server may have ended by chance", async () => {
     const unanswered = { askGrant: () => Promise.resolve(undefined) };
     chai.expect((await send(BAD, {}, unanswered)).kind).to.equal("failed");
