Grant a run again whose answer was lost, and end one that nobody waits for

Cause: a question for a grant is repeated where its answer is late; the second one met the grant of the first, was told busy, and the work waited up to 10 s. Change: a run that was granted is granted again; a box that got no answer says that its run has ended; runs have names that no two share. A server that the leader chose and that has gone meanwhile is replaced by the best one.

--- a/src/crash_guard/grant_desk.ts
+++ b/src/crash_guard/grant_desk.ts
@@ -87,11 +87,14 @@
 
   #decide(
     record: crashRecords.CrashRecord,
-    { servers, mayShare }: protocol.GrantRequest,
+    { run, servers, mayShare }: protocol.GrantRequest,
   ): protocol.GrantReply {
     const left = crashRecords.MAX_ENDED - crashRecords.countEnded(record);
     if (left <= 0) return { kind: "barred", record };
     const runs = this.#listRuns();
+    // The question is repeated where its answer was lost on the way.
+    const known = this.#grants.get(run);
+    if (known !== undefined) return { kind: "granted", server: known.server };
     // One after the other: runs that began before the first server had ended are
     // not known here, and end further ones.
     const isUnderWay = runs.some(({ digest }) => digest === record.digest);
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -129,7 +129,7 @@
     );
   }
 
-  /** @param chosen Server that it must be; undefined for the best one. */
+  /** @param chosen Server that it should be; undefined for the best one. */
   #tryServer(chosen?: registry.LifetimeKey): void {
     const server = this.#canTry() ? this.#picker.pick(chosen) : undefined;
     if (server === undefined) {
--- a/src/forwarding/_job_work.ts
+++ b/src/forwarding/_job_work.ts
@@ -1,3 +1,4 @@
+import * as crypto from "node:crypto";
 import * as clocks from "../clock/mod.ts";
 import type * as crashGuards from "../crash_guard/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
@@ -55,7 +56,6 @@
   #digest: crashRecords.WorkDigest | undefined;
   /** Name of the granted run under way, if any. */
   #grant: string | undefined;
-  #grants = 0;
 
   constructor(options: JobWorkOptions, job: jobs.ForwardJob) {
     this.#options = options;
@@ -102,8 +102,7 @@
       // Without a server the job waits or is given up as any other is.
       if (servers.length === 0) return TO_ANY;
       const isFirst = verdict.ended <= ENDED_WITHOUT_GRANT;
-      this.#grants += 1;
-      const run = `${this.#job.requestId} ${this.#grants}`;
+      const run = crypto.randomUUID();
       const answer = await crashGuard.askGrant(this.getDigest(), {
         run,
         servers,
@@ -115,6 +114,8 @@
           this.#grant = run;
           return { kind: "sentOn", server: answer.server };
         case "unanswered":
+          // It may have been granted all the same, and would hold others up.
+          crashGuard.endGrant(this.getDigest(), run);
           if (isFirst) return TO_ANY;
           break;
         case "barred":
--- a/src/forwarding/_server_picker.ts
+++ b/src/forwarding/_server_picker.ts
@@ -22,13 +22,16 @@
   /**
    * Picks a server.
    *
-   * @param chosen The one that it must be; undefined for the best one.
-   * @returns The server, or undefined when there is none.
+   * @param chosen The one that it should be; undefined for the best one.
+   * @returns The server, or another one where that has gone meanwhile, or
+   * undefined when there is none.
    */
   pick(chosen?: registry.LifetimeKey): registry.RegisteredServer | undefined {
     const choice = this.#createChoice();
-    if (chosen === undefined) return chooseServer.chooseServer(choice);
-    return choice.servers.find(({ lifetime }) => lifetime === chosen);
+    const found = chosen === undefined
+      ? undefined
+      : choice.servers.find(({ lifetime }) => lifetime === chosen);
+    return found ?? chooseServer.chooseServer(choice);
   }
 
   /** Servers that may have the job next, best first. */
