--- a/src/dispatch/dispatch_test.ts
+++ b/src/dispatch/dispatch_test.ts
@@ -3,16 +3,14 @@
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
-import * as itemFixtures from "../submission/item_fixture_test.ts";
-import type * as submissions from "../submission/mod.ts";
 import * as chooseEngine from "./choose_engine.ts";
 import * as engineTables from "./engine_table.ts";
-import * as itemTasks from "./item_task.ts";
+import type * as itemTasks from "./item_task.ts";
 import * as lengthEstimates from "./length_estimates.ts";
 import * as orderTasks from "./order_tasks.ts";
 import * as placementRounds from "./placement_round.ts";
 import * as runMovers from "./run_mover.ts";
-import * as stepProgresses from "./step_progress.ts";
+import * as taskFixtures from "./task_fixture_test.ts";
 import * as csp from "../csp/mod.ts";
 
 function createEngine(id: string, version = 1): registry.RegisteredServer {
@@ -22,35 +20,6 @@
   });
 }
 
-function createTask(
-  id: string,
-  changes: Partial<submissions.Submission> = {},
-  lengthHint?: number,
-): itemTasks.ItemTask {
-  const item = itemFixtures.createItem(id, { tokens: 10, lengthHint });
-  const submission: submissions.Submission = {
-    id: "s",
-    model: "m",
-    step: 0,
-    minimumVersion: 1,
-    desired: undefined,
-    items: [item],
-    sender: { kind: "unasked" },
-    acceptedAtMs: 0,
-    terms: {
-      host: "h",
-      service: "lm",
-      attempts: 2,
-      keepMs: 1,
-      targetCompletionMs: 100,
-      isSingleVersion: false,
-    },
-    ...changes,
-  };
-  const step = new stepProgresses.StepProgress(submission, new Set());
-  return new itemTasks.ItemTask(submission, item, step, 0);
-}
-
 describe("dispatch", () => {
   const clock = new clocks.FakeClock();
   const lengths = new lengthEstimates.LengthEstimates();
@@ -138,9 +107,9 @@
 
   it("starts items of one submission longest first, earlier due ones before later", () => {
     const tasks = [
-      createTask("late", { acceptedAtMs: 50 }, 10_000),
-      createTask("short", {}, 1_000),
-      createTask("long", {}, 10_000),
+      taskFixtures.createTask("late", { acceptedAtMs: 50 }, 10_000),
+      taskFixtures.createTask("short", {}, 1_000),
+      taskFixtures.createTask("long", {}, 10_000),
     ];
     chai.expect(order(tasks, 1)).to.deep.equal(["long", "late", "short"]);
     chai.expect(order(tasks, 0)).to.deep.equal(["short", "long", "late"]);
@@ -148,8 +117,8 @@
 
   it("starts long items of a later submission before short ones that can wait", () => {
     const tasks = [
-      createTask("early and short", { acceptedAtMs: 0 }, 500),
-      createTask("late and long", { acceptedAtMs: 4_000 }, 9_000),
+      taskFixtures.createTask("early and short", { acceptedAtMs: 0 }, 500),
+      taskFixtures.createTask("late and long", { acceptedAtMs: 4_000 }, 9_000),
     ];
     chai.expect(order(tasks, 40)).to.deep.equal([
       "late and long",
@@ -162,7 +131,7 @@
   });
 
   it("gives an item up after as many failures as its route allows", () => {
-    const task = createTask("a");
+    const task = taskFixtures.createTask("a");
     chai.expect([task.countFailure(), task.countFailure()]).to.deep.equal([
       false,
       true,
@@ -174,14 +143,14 @@
       { text: "old", versions: [1], lastId: undefined },
       { text: "part", versions: [2, 3], lastId: 4 },
     ];
-    const task = createTask("a", { minimumVersion: 2 });
+    const task = taskFixtures.createTask("a", { minimumVersion: 2 });
     task.restore(texts, false);
     chai.expect(task.progress.getLastId()).to.equal(4);
     chai.expect(task.progress.getKeptLastId()).to.equal(undefined);
-    const whole = createTask("a", { minimumVersion: 1 });
+    const whole = taskFixtures.createTask("a", { minimumVersion: 1 });
     whole.restore(texts, false);
     chai.expect(whole.phase).to.equal("scoring");
-    const none = createTask("a", { minimumVersion: 3 });
+    const none = taskFixtures.createTask("a", { minimumVersion: 3 });
     none.restore(texts, false);
     chai.expect(none.progress.countEvents()).to.equal(0);
   });
@@ -241,7 +210,7 @@
 
     function createRunning(engine: string, count: number) {
       return Array.from({ length: count }, (_, index) => {
-        const task = createTask(`${engine}${index}`);
+        const task = taskFixtures.createTask(`${engine}${index}`);
         task.run = {
           engine,
           cancellation: new csp.Cancellation(),
--- a/src/dispatch/item_crashes_test.ts
+++ b/src/dispatch/item_crashes_test.ts
@@ -4,11 +4,8 @@
 import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as itemRuns from "../item_run/mod.ts";
-import * as itemFixtures from "../submission/item_fixture_test.ts";
-import type * as submissions from "../submission/mod.ts";
 import * as itemCrashes from "./item_crashes.ts";
-import * as itemTasks from "./item_task.ts";
-import * as stepProgresses from "./step_progress.ts";
+import * as taskFixtures from "./task_fixture_test.ts";
 
 const BROKEN: itemRuns.RunEnd = {
   kind: "broken",
@@ -16,41 +13,17 @@
   isClosed: true,
 };
 
-function createTask(): itemTasks.ItemTask {
-  const item = itemFixtures.createItem("item");
-  const submission: submissions.Submission = {
-    id: "s",
-    model: "m",
-    step: 0,
-    minimumVersion: 1,
-    desired: undefined,
-    items: [item],
-    sender: { kind: "unasked" },
-    acceptedAtMs: 0,
-    terms: {
-      host: "h",
-      service: "lm",
-      attempts: 3,
-      keepMs: 1_000,
-      targetCompletionMs: 100,
-      isSingleVersion: false,
-    },
-  };
-  const step = new stepProgresses.StepProgress(submission, new Set());
-  return new itemTasks.ItemTask(submission, item, step, 0);
-}
-
 // An item whose engine ended under it went on to the next engine, whatever became
 // of it there: nothing counted the engines, until its submission ended.
 describe("items under which engines end", () => {
   const clock = new clocks.FakeClock(1_000);
-  let task = createTask();
+  let task = taskFixtures.createTask("item");
   let crashes = new itemCrashes.ItemCrashes({
     crashGuard: guardFixtures.createCrashGuard(clock),
   });
 
   beforeEach(() => {
-    task = createTask();
+    task = taskFixtures.createTask("item");
     crashes = new itemCrashes.ItemCrashes({
       crashGuard: guardFixtures.createCrashGuard(clock, {
         table: new crashRecords.CrashTable(),
