Take no pause between two readings of clocks for a suspension

Change: the monotonic clock is read before and after the time of day, and both orders have to agree. The test fails on the rule before (one clock read once).

--- a/src/clock/suspension_watch.ts
+++ b/src/clock/suspension_watch.ts
@@ -34,15 +34,20 @@
    * was timed before may be older than it seems. Negative infinity for never.
    */
   getWokeAtMs(): number {
+    // A process that gets no processor between two readings must not be taken for
+    // one whose machine was suspended: both orders of reading have to agree.
+    const beforeMs = this.#clock.getMonotonicMs();
+    const wallMs = this.#clock.getWallMs();
     const nowMs = this.#clock.getMonotonicMs();
-    const offsetMs = this.#clock.getWallMs() - nowMs;
+    const leastMs = wallMs - nowMs - this.#offsetMs;
+    const mostMs = wallMs - beforeMs - this.#offsetMs;
     const slewMs = (nowMs - this.#lookedAtMs) * MAX_SLEW;
-    const gainedMs = offsetMs - this.#offsetMs;
     this.#lookedAtMs = nowMs;
-    if (gainedMs > TOLERANCE_MS) {
+    if (leastMs > TOLERANCE_MS) {
       this.#wokeAtMs = nowMs;
-      this.#offsetMs = offsetMs;
-    } else this.#offsetMs += Math.min(gainedMs, slewMs);
+      this.#offsetMs += leastMs;
+    } else if (mostMs < 0) this.#offsetMs += mostMs;
+    else this.#offsetMs += Math.max(0, Math.min(leastMs, slewMs));
     return this.#wokeAtMs;
   }
 }
--- a/src/clock/suspension_watch_test.ts
+++ b/src/clock/suspension_watch_test.ts
@@ -35,6 +35,32 @@
     chai.expect(watch.getWokeAtMs()).to.equal(Number.NEGATIVE_INFINITY);
   });
 
+  it("takes no pause between two readings for a suspension", () => {
+    const fake = new fakeClocks.FakeClock(0);
+    let pauses: readonly number[] = [];
+    function wait(): void {
+      const [first = 0, ...rest] = pauses;
+      pauses = rest;
+      fake.extendBy(first);
+    }
+    const watch = new suspensionWatches.SuspensionWatch({
+      getMonotonicMs: () => {
+        wait();
+        return fake.getMonotonicMs();
+      },
+      getWallMs: () => {
+        wait();
+        return fake.getWallMs();
+      },
+    });
+    for (const turn of [[0, 90, 0], [0, 0, 90], [90, 0, 0], [0, 80, 80]]) {
+      pauses = turn;
+      chai.expect(watch.getWokeAtMs()).to.equal(Number.NEGATIVE_INFINITY);
+    }
+    fake.suspend(200);
+    chai.expect(watch.getWokeAtMs()).to.be.greaterThan(0);
+  });
+
   it("adds up short suspensions", () => {
     const clock = new fakeClocks.FakeClock(0);
     const watch = new suspensionWatches.SuspensionWatch(clock);
