Count each crash of a server, and select no crashed server on a late report

What callers saw: one piece of work crashed 4 and more servers where 3 are promised ("crash containment ... limits a crashing request to three crashes").

Cause: a report that a server sent before its crash reaches other boxes after the crash is known there, and made the server selectable again for 2.6 heartbeat intervals. The last granted run went to that address, where the restarted server listened; its crash was recorded under the former lifetime, which the record held already, so it was not counted and one more run was granted.

Change: after a crash a server is excluded for 3 s whatever reports arrive, the longest way of a report (refresh, relay, exchange); a 421 keeps its old rule. A run knows at its start whether the crash of its server is recorded already; if it is, a further crash there has a key of its own. Items of submissions do the same.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -35,7 +35,7 @@
   readonly log: logs.Log;
   readonly metrics: Pick<metrics.FleetMetrics, "countCrashEvent">;
   readonly table: crashRecords.CrashTable;
-  readonly servers: Pick<registry.ServerRegistry, "markUnavailable">;
+  readonly servers: Pick<registry.ServerRegistry, "markCrashed">;
   /** Checks whether a process listens on an address and port. */
   readonly findPortState: typeof httpClient.probePort;
   /** Sends a record to the other boxes. */
@@ -75,6 +75,23 @@
     return crashRecords.decideRun(record, sinceMs);
   }
 
+  /**
+   * Creates the key of the crash that a run may cause; called before the run.
+   *
+   * @param server The server that the run is sent to.
+   * @param computeDigest Computes the digest of the work; called only if the
+   * table has records.
+   * @returns The key.
+   */
+  createCrashKey(
+    server: Pick<registry.RegisteredServer, "lifetime">,
+    computeDigest: () => crashRecords.WorkDigest,
+  ): crashRecords.CrashKey {
+    const { table } = this.#options;
+    const record = table.isEmpty() ? undefined : table.get(computeDigest());
+    return crashRecords.createCrashKey(record, server.lifetime);
+  }
+
   /**
    * Records a crash if a server that closed its connection during a run no longer
    * listens on its port. Otherwise only the connection was lost.
@@ -82,14 +99,25 @@
   async recordConnectionLoss(
     server: registry.RegisteredServer,
     work: WorkDescription,
+    crash: crashRecords.CrashKey = server.lifetime,
   ): Promise<void> {
     const { findPortState } = this.#options;
     const state = await findPortState(server.address, server.port);
-    if (state === "refused") this.recordCrash(server, work);
+    if (state === "refused") this.recordCrash(server, work, crash);
   }
 
-  /** Records that a server crashed while it ran a piece of work. */
-  recordCrash(server: registry.RegisteredServer, work: WorkDescription): void {
+  /**
+   * Records that a server crashed while it ran a piece of work.
+   *
+   * @param server The server.
+   * @param work The work.
+   * @param crash Key of the crash, created before the run.
+   */
+  recordCrash(
+    server: registry.RegisteredServer,
+    work: WorkDescription,
+    crash: crashRecords.CrashKey = server.lifetime,
+  ): void {
     const { clock, log, metrics, table, publish } = this.#options;
     const nowMs = clock.getWallMs();
     const isNew = table.merge({
@@ -97,17 +125,18 @@
       account: work.account,
       service: work.service,
       target: work.target.slice(0, MAX_TARGET_LENGTH),
-      ended: [server.lifetime],
+      ended: [crash],
       cleared: [],
       notedAtMs: nowMs,
     }, nowMs);
-    this.#options.servers.markUnavailable(server);
+    this.#options.servers.markCrashed(server);
     const record = table.get(work.digest);
     if (!isNew || record === undefined) return;
     metrics.countCrashEvent("noted");
     log.write("warn", "crash.noted", {
       ...createLogFields(work),
       server: server.id,
+      crash,
       ended: crashRecords.countConsecutiveCrashes(record),
     });
     publish(record);
@@ -139,7 +168,7 @@
     const { clock, log, metrics, table } = this.#options;
     const before = table.get(record.digest);
     if (!table.merge(record, clock.getWallMs())) return false;
-    this.#markUnavailable(record, before);
+    this.#markCrashed(record, before);
     const after = table.get(record.digest);
     metrics.countCrashEvent("learned");
     log.write("info", "crash.learned", {
@@ -152,14 +181,15 @@
   }
 
   /** Excludes servers whose crash another box detected from selection. */
-  #markUnavailable(
+  #markCrashed(
     record: crashRecords.CrashRecord,
     before: crashRecords.CrashRecord | undefined,
   ): void {
-    for (const lifetime of record.ended) {
-      if (before?.ended.includes(lifetime)) continue;
+    for (const crash of record.ended) {
+      if (before?.ended.includes(crash)) continue;
+      const lifetime = crashRecords.getCrashedLifetime(crash);
       const id = registry.getServerId(lifetime);
-      this.#options.servers.markUnavailable({ id, lifetime });
+      this.#options.servers.markCrashed({ id, lifetime });
     }
   }
 
--- a/src/crash_guard/crash_guard_test.ts
+++ b/src/crash_guard/crash_guard_test.ts
@@ -77,6 +77,33 @@
     chai.expect(published.length).to.equal(1);
   });
 
+  it("counts a crash at the address of a server that had crashed before the run", () => {
+    guard.recordCrash(first!, WORK);
+    const crash = guard.createCrashKey(first!, () => "d");
+    for (let copy = 0; copy < 2; copy += 1) {
+      guard.recordCrash(first!, WORK, crash);
+    }
+    chai.expect(crashRecords.countConsecutiveCrashes(table.get("d"))).to.equal(
+      2,
+    );
+  });
+
+  it("excludes a crashed server again that another box saw crash twice", () => {
+    guard.recordCrash(first!, WORK);
+    const crash = guard.createCrashKey(first!, () => "d");
+    clock.advance(10_000);
+    servers.merge(serverFixtures.createServer("i-1", {
+      service: "app",
+      sequence: 1_000,
+    }));
+    chai.expect(servers.listReady("app")).to.have.length(2);
+    const [record] = table.list();
+    guard.mergeRemoteRecord({ ...record!, ended: ["i-1", crash] });
+    chai.expect(servers.listReady("app").map(({ id }) => id)).to.deep.equal([
+      "i-2",
+    ]);
+  });
+
   it("clears and publishes work that ran without a crash", () => {
     guard.recordCrash(first!, WORK);
     guard.recordSuccess(WORK);
--- a/src/crash_record/crash_record.ts
+++ b/src/crash_record/crash_record.ts
@@ -1,12 +1,20 @@
 import type * as registry from "../registry/mod.ts";
 import type * as workDigests from "./work_digest.ts";
 
-/** Most server lifetimes that a record keeps. */
-const MAX_LIFETIMES = 16;
+/** Most crashes that a record keeps. */
+const MAX_CRASHES = 16;
+/** Separates the lifetime in a crash key from its number; not part of an id. */
+const NUMBER_SEPARATOR = " #";
+
+/**
+ * Identifies one crash: the lifetime of the server, and a number if the server
+ * that listens at its address crashed again.
+ */
+export type CrashKey = string;
 
 /**
  * Servers that crashed while they ran one piece of work. The sets of ended and
- * cleared lifetimes only grow, so records of one digest merge in any order.
+ * cleared crashes only grow, so records of one digest merge in any order.
  */
 export interface CrashRecord {
   readonly digest: workDigests.WorkDigest;
@@ -15,10 +23,10 @@
   readonly service: string;
   /** Request path, truncated for display to operators. */
   readonly target: string;
-  /** Lifetimes of servers that crashed while they ran the work, sorted. */
-  readonly ended: readonly registry.LifetimeKey[];
+  /** Crashes of servers while they ran the work, sorted. */
+  readonly ended: readonly CrashKey[];
   /** Subset of `ended` that a later successful run cleared, sorted. */
-  readonly cleared: readonly registry.LifetimeKey[];
+  readonly cleared: readonly CrashKey[];
   /** Wall time of the latest crash on the box that detected it, in ms. */
   readonly notedAtMs: number;
 }
@@ -37,6 +45,39 @@
   return ended.filter((lifetime) => !cleared.includes(lifetime)).length;
 }
 
+/**
+ * Creates the key of the crash that a run may cause. Servers are known by late
+ * reports for some time after they crashed, and another one may listen at their
+ * address by then: a crash of a lifetime that had crashed before the run began is
+ * one of its successor, and counts by itself.
+ *
+ * @param record The record of the work when the run begins, if there is one.
+ * @param lifetime The lifetime that the run is sent to.
+ * @returns The key; equal for all runs that one crash ends.
+ */
+export function createCrashKey(
+  record: CrashRecord | undefined,
+  lifetime: registry.LifetimeKey,
+): CrashKey {
+  const ended = record?.ended ?? [];
+  let key: CrashKey = lifetime;
+  for (let number = 2; ended.includes(key); number += 1) {
+    key = `${lifetime}${NUMBER_SEPARATOR}${number}`;
+  }
+  return key;
+}
+
+/**
+ * Returns the lifetime that a run was sent to when the crash ended it.
+ *
+ * @param key The key of the crash.
+ * @returns The lifetime.
+ */
+export function getCrashedLifetime(key: CrashKey): registry.LifetimeKey {
+  const [lifetime = key] = key.split(NUMBER_SEPARATOR);
+  return lifetime;
+}
+
 /**
  * Merges two records of one piece of work. The operation is commutative,
  * associative and idempotent.
@@ -51,7 +92,7 @@
 ): CrashRecord {
   // Truncates by key alone so that merge order doesn't matter. Dropping cleared
   // lifetimes first could lose a cleared mark and count its server again.
-  const ended = mergeSorted(left.ended, right.ended).slice(-MAX_LIFETIMES);
+  const ended = mergeSorted(left.ended, right.ended).slice(-MAX_CRASHES);
   const cleared = mergeSorted(left.cleared, right.cleared);
   return {
     ...left,
--- a/src/crash_record/crash_record_test.ts
+++ b/src/crash_record/crash_record_test.ts
@@ -59,6 +59,27 @@
   });
 });
 
+describe("crash keys", () => {
+  it("equal the lifetime until the record holds it", () => {
+    const { createCrashKey } = crashRecords;
+    chai.expect(createCrashKey(undefined, "i-1 5")).to.equal("i-1 5");
+    chai.expect(createCrashKey(createRecord(["i-2"]), "i-1 5")).to.equal(
+      "i-1 5",
+    );
+  });
+
+  it("differ for each crash at the address of a crashed server", () => {
+    const keys: string[] = [];
+    for (let crash = 0; crash < 3; crash += 1) {
+      keys.push(crashRecords.createCrashKey(createRecord(keys), "i-1 5"));
+    }
+    chai.expect(new Set(keys).size).to.equal(3);
+    for (const key of keys) {
+      chai.expect(crashRecords.getCrashedLifetime(key)).to.equal("i-1 5");
+    }
+  });
+});
+
 describe("work digest", () => {
   const work: workDigests.Work = {
     sender: { kind: "unasked" },
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -181,7 +181,7 @@
   ): Promise<void> {
     const { engines, servers, dialect, clock, metrics } = this.#options;
     const { submission, item, progress, cancellation } = task;
-    const eventsBefore = progress.countGeneratedEvents();
+    const runStart = this.#crashTracker.startRun(task, engine);
     const runCancellation = new csp.Cancellation();
     task.startRun({
       engine: engine.lifetime,
@@ -192,7 +192,7 @@
     const stopWatching = servers.watch(
       engine.lifetime,
       () => {
-        this.#crashTracker.recordEngineRestart(task, engine, eventsBefore);
+        this.#crashTracker.recordEngineRestart(task, engine, runStart);
         this.#cancelLostRun(task, engine, runCancellation);
       },
     );
@@ -227,10 +227,7 @@
     engines.removeRun(engine.lifetime);
     task.run = undefined;
     metrics.countItemRun(end.kind);
-    await this.#crashTracker.recordRunEnd(task, engine, {
-      end,
-      eventsBefore,
-    });
+    await this.#crashTracker.recordRunEnd(task, engine, runStart, end);
     if (!task.isActive()) return;
     if (isInterrupted(end) && runCancellation.isCancelled()) {
       // The run was cancelled to move it, possibly before it had connected.
--- a/src/dispatch/item_crash_tracker.ts
+++ b/src/dispatch/item_crash_tracker.ts
@@ -9,6 +9,7 @@
   readonly crashGuard: Pick<
     crashGuards.CrashGuard,
     | "decideRun"
+    | "createCrashKey"
     | "recordConnectionLoss"
     | "recordCrash"
     | "recordSuccess"
@@ -16,11 +17,12 @@
   >;
 }
 
-/** The end of a run, with the progress before it. */
-export interface EndedRun {
-  readonly end: itemRuns.RunOutcome;
-  /** Number of the item's events before the run. */
+/** State of an item and its engine before a run. */
+export interface RunStart {
+  /** Number of the item's events. */
   readonly eventsBefore: number;
+  /** Key of the crash that the run may cause. */
+  readonly crash: crashRecords.CrashKey;
 }
 
 /**
@@ -54,11 +56,24 @@
     return !isBlocked;
   }
 
+  /** Returns the state before a run, for the records of its end. */
+  startRun(
+    task: itemTasks.ItemTask,
+    engine: registry.RegisteredServer,
+  ): RunStart {
+    const { crashGuard } = this.#options;
+    return {
+      eventsBefore: task.progress.countGeneratedEvents(),
+      crash: crashGuard.createCrashKey(engine, () => task.getWorkDigest()),
+    };
+  }
+
   /** Records whether the engine crashed during the run or survived it. */
   async recordRunEnd(
     task: itemTasks.ItemTask,
     engine: registry.RegisteredServer,
-    { end, eventsBefore }: EndedRun,
+    { eventsBefore, crash }: RunStart,
+    end: itemRuns.RunOutcome,
   ): Promise<void> {
     const { crashGuard } = this.#options;
     if (end.kind === "notRun") return;
@@ -70,6 +85,7 @@
         await crashGuard.recordConnectionLoss(
           engine,
           task.getWorkDescription(),
+          crash,
         );
       }
       return;
@@ -84,9 +100,10 @@
   recordEngineRestart(
     task: itemTasks.ItemTask,
     engine: registry.RegisteredServer,
-    eventsBefore: number,
+    { eventsBefore, crash }: RunStart,
   ): void {
     if (task.progress.countGeneratedEvents() > eventsBefore) return;
-    this.#options.crashGuard.recordCrash(engine, task.getWorkDescription());
+    const work = task.getWorkDescription();
+    this.#options.crashGuard.recordCrash(engine, work, crash);
   }
 }
--- a/src/dispatch/item_crash_tracker_test.ts
+++ b/src/dispatch/item_crash_tracker_test.ts
@@ -38,10 +38,8 @@
     eventsBefore = task.progress.countGeneratedEvents(),
   ): Promise<void> {
     const server = serverFixtures.createServer(engine);
-    return tracker.recordRunEnd(task, server, {
-      end,
-      eventsBefore,
-    });
+    const runStart = { ...tracker.startRun(task, server), eventsBefore };
+    return tracker.recordRunEnd(task, server, runStart, end);
   }
 
   it("allows no run after three crashed engines", async () => {
@@ -53,11 +51,20 @@
 
   it("counts an engine that restarted during a run", () => {
     for (const engine of ["i-1", "i-2", "i-3"]) {
-      tracker.recordEngineRestart(task, serverFixtures.createServer(engine), 0);
+      const server = serverFixtures.createServer(engine);
+      const runStart = { ...tracker.startRun(task, server), eventsBefore: 0 };
+      tracker.recordEngineRestart(task, server, runStart);
     }
     chai.expect(tracker.canRun(task)).to.equal(false);
   });
 
+  it("counts engines that restarted at the address of a crashed one", async () => {
+    for (let run = 0; run < 2; run += 1) await endRun("i-1", BROKEN);
+    chai.expect(tracker.canRun(task)).to.equal(true);
+    await endRun("i-1", BROKEN);
+    chai.expect(tracker.canRun(task)).to.equal(false);
+  });
+
   it("allows runs as long as they generate events", async () => {
     for (const engine of ["i-1", "i-2", "i-3", "i-4"]) {
       const eventsBefore = task.progress.countGeneratedEvents();
--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -41,6 +41,7 @@
   readonly crashGuard: Pick<
     crashGuards.CrashGuard,
     | "decideRun"
+    | "createCrashKey"
     | "recordConnectionLoss"
     | "recordCrash"
     | "recordSuccess"
@@ -147,16 +148,35 @@
     this.#grantedRun = undefined;
   }
 
-  /** Records a crash or a success of the work before the next attempt. */
+  /** Returns the key of the crash that an attempt at a server may cause. */
+  createCrashKey(server: registry.RegisteredServer): crashRecords.CrashKey {
+    return this.#options.crashGuard.createCrashKey(
+      server,
+      () => this.getDigest(),
+    );
+  }
+
+  /**
+   * Records a crash or a success of the work before the next attempt.
+   *
+   * @param outcome How the attempt ended.
+   * @param server The server that it was sent to.
+   * @param crash Key of its crash, created before the attempt.
+   */
   async recordAttempt(
     outcome: jobs.AttemptOutcome,
     server: registry.RegisteredServer,
+    crash: crashRecords.CrashKey,
   ): Promise<void> {
     const { crashGuard } = this.#options;
     if (outcome.kind === "broken" && outcome.isLifetimeEnded === true) {
-      crashGuard.recordCrash(server, this.#describeWork());
+      crashGuard.recordCrash(server, this.#describeWork(), crash);
     } else if (outcome.kind === "broken" && outcome.isClosed) {
-      await crashGuard.recordConnectionLoss(server, this.#describeWork());
+      await crashGuard.recordConnectionLoss(
+        server,
+        this.#describeWork(),
+        crash,
+      );
     } else if (
       outcome.kind === "answered" && this.getVerdict().kind !== "free"
     ) {
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -174,6 +174,7 @@
     const { clock, loads } = this.#options;
     const cancellation = new csp.Cancellation();
     const startMs = clock.getMonotonicMs();
+    const crash = this.#crashGuard.createCrashKey(server);
     this.#runningAttempts.set(cancellation, startMs);
     loads.recordStart(server.lifetime);
     const { servers, dialect, sendAttempt } = this.#options;
@@ -190,7 +191,7 @@
       durationMs,
       isJobPending: !this.#isSettled,
     });
-    await this.#crashGuard.recordAttempt(outcome, server);
+    await this.#crashGuard.recordAttempt(outcome, server, crash);
     this.#crashGuard.releaseGrant();
     this.#runningAttempts.delete(cancellation);
     this.#recordStart(outcome, startMs);
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -131,6 +131,34 @@
     chai.expect(receivedBy).to.deep.equal(["s0", "s1", "s2"]);
   });
 
+  it("limits crashes of a server that restarts at its address while its former lifetime is listed", async () => {
+    let crashCount = 0;
+    const [first] = servers;
+    const { port } = first?.address() as net.AddressInfo;
+    first?.removeAllListeners("request");
+    first?.on("request", () => {
+      crashCount += 1;
+      endServer(first);
+    });
+    for (const server of servers.slice(1)) endServer(server);
+    for (let index = 1; index < SERVER_COUNT; index += 1) {
+      serverRegistry.markGone({ id: `s${index}`, born: undefined });
+    }
+    for (let round = 0; round < 5; round += 1) {
+      // The box still selects the crashed server, as on a late report.
+      await send(CRASHING, { maxAttempts: 1 }, {
+        servers: { markCrashed: () => {} },
+      });
+      if (first?.listening === false) {
+        await new Promise<void>((resolve) =>
+          first.listen(port, "127.0.0.1", resolve)
+        );
+      }
+      expirePause();
+    }
+    chai.expect(crashCount).to.equal(3);
+  });
+
   it("answers other work from the remaining servers", async () => {
     await send(CRASHING);
     const outcome = await send("good");
--- a/src/registry/registry_test.ts
+++ b/src/registry/registry_test.ts
@@ -85,6 +85,36 @@
     chai.expect(servers.listReady("lm")).to.have.length(2);
   });
 
+  it("does not select a crashed server again on a report sent before the crash", () => {
+    // Guards against sending more work to the address of a crashed server, where
+    // a restarted one may listen under a new id.
+    servers.merge(report({ sequence: 5 }));
+    servers.merge(report({ id: "i-2" }));
+    servers.markCrashed(servers.get("i-1")!);
+    for (const sequence of [6, 7]) {
+      clock.advance(HEARTBEAT_MS);
+      servers.merge(report({ sequence }));
+      chai.expect(servers.listReady("lm").map((item) => item.id)).to.deep
+        .equal(["i-2"]);
+    }
+  });
+
+  it("selects a server again that keeps reporting after a presumed crash", () => {
+    servers.merge(report({ sequence: 5 }));
+    servers.markCrashed(servers.get("i-1")!);
+    clock.advance(3 * HEARTBEAT_MS);
+    chai.expect(servers.listReady("lm")).to.have.length(0);
+    servers.merge(report({ sequence: 6 }));
+    chai.expect(servers.listReady("lm")).to.have.length(1);
+  });
+
+  it("selects a later lifetime of a crashed server at once", () => {
+    servers.merge(report({ born: 1 }));
+    servers.markCrashed(servers.get("i-1")!);
+    servers.merge(report({ born: 2, sequence: 0 }));
+    chai.expect(servers.listReady("lm")).to.have.length(1);
+  });
+
   it("does not mark a later lifetime unavailable for a former one", () => {
     servers.merge(report({ born: 1 }));
     const former = servers.get("i-1")!;
--- a/src/registry/server_registry.ts
+++ b/src/registry/server_registry.ts
@@ -10,16 +10,31 @@
 /** Longest silence, in ms, of a server used when all servers are silent. */
 const FALLBACK_SILENCE_MS = 20_000;
 
+/**
+ * Time after a crash in which reports that the server sent before it may still
+ * arrive through other boxes, in ms.
+ */
+const LATE_REPORT_MS = 3_000;
+
 /** Effect of merging a report. */
 export type MergeOutcome = "old" | "refreshed" | "changed";
 
 interface KnownServer {
   readonly server: registeredServers.RegisteredServer;
   readonly lastReportMs: number;
-  /** Whether the server was found unreachable since its last report. */
-  readonly isUnavailable: boolean;
+  /**
+   * Monotonic time from which a report makes an excluded server selectable again,
+   * in ms; undefined if it is selectable.
+   */
+  readonly excludedUntilMs: number | undefined;
 }
 
+/** The server and lifetime to exclude from selection. */
+export type ExcludedServer = Pick<
+  registeredServers.RegisteredServer,
+  "id" | "lifetime"
+>;
+
 /** Registry of backend servers, merged from heartbeats that reached any box. */
 export class ServerRegistry {
   readonly #clock: clocks.Clock;
@@ -75,34 +90,57 @@
     const isNews = server.sequence > known.sequence ||
       server.phase !== known.phase;
     if (!isNews) return "old";
-    this.#set(server);
+    this.#set(server, this.#servers.get(report.id)?.excludedUntilMs);
     const before = registeredServers.createContentKey(known);
     return registeredServers.createContentKey(server) === before
       ? "refreshed"
       : "changed";
   }
 
-  #set(report: registeredServers.ServerReport): void {
+  /** @param excludedUntilMs Exclusion of the lifetime so far, if any. */
+  #set(
+    report: registeredServers.ServerReport,
+    excludedUntilMs?: number,
+  ): void {
+    const nowMs = this.#clock.getMonotonicMs();
+    const isExcluded = excludedUntilMs !== undefined && nowMs < excludedUntilMs;
     this.#servers.set(report.id, {
       server: registeredServers.createRegisteredServer(report),
-      lastReportMs: this.#clock.getMonotonicMs(),
-      isUnavailable: false,
+      lastReportMs: nowMs,
+      excludedUntilMs: isExcluded ? excludedUntilMs : undefined,
     });
   }
 
   /**
-   * Excludes a server from selection until its next report, after it crashed or
-   * another server answered at its address. Ignores former lifetimes.
+   * Excludes a server from selection until its next report, after another server
+   * answered at its address. Ignores former lifetimes.
    */
-  markUnavailable(
-    { id, lifetime }: Pick<
-      registeredServers.RegisteredServer,
-      "id" | "lifetime"
-    >,
+  markUnavailable(server: ExcludedServer): void {
+    this.#setExclusion(server, this.#clock.getMonotonicMs());
+  }
+
+  /**
+   * Excludes a server from selection after it crashed. Reports that it sent
+   * before are still under way and don't end the exclusion. Ignores former
+   * lifetimes.
+   */
+  markCrashed(server: ExcludedServer): void {
+    this.#setExclusion(server, this.#clock.getMonotonicMs() + LATE_REPORT_MS);
+  }
+
+  #setExclusion(
+    { id, lifetime }: ExcludedServer,
+    excludedUntilMs: number,
   ): void {
     const known = this.#servers.get(id);
     if (known?.server.lifetime !== lifetime) return;
-    this.#servers.set(id, { ...known, isUnavailable: true });
+    this.#servers.set(id, {
+      ...known,
+      excludedUntilMs: Math.max(
+        excludedUntilMs,
+        known.excludedUntilMs ?? excludedUntilMs,
+      ),
+    });
   }
 
   /**
@@ -172,9 +210,9 @@
   ): readonly registeredServers.RegisteredServer[] {
     const sinceMs = this.#clock.getMonotonicMs() - withinMs;
     return [...this.#servers.values()]
-      .filter(({ server, lastReportMs: heardAtMs, isUnavailable: isAbsent }) =>
+      .filter(({ server, lastReportMs, excludedUntilMs }) =>
         server.service === service && server.phase === "ready" &&
-        heardAtMs >= sinceMs && !isAbsent
+        lastReportMs >= sinceMs && excludedUntilMs === undefined
       )
       .map(({ server }) => server);
   }
