Keep normal work away from the work that crashes its server, without a grant too

Cause: a good and a crashing request ran on the same server; its crash makes both suspect. The leader granted them different servers, but its replies came after the 200 ms that a box waits. Both boxes then ran theirs without a grant, at the server each found best: the same one. It crashed too, so the good request had two crashes, paused for 5 s, and its caller's second try was refused.

Ruled out: two runs that met on a port (addresses of their own); a restarted server's refused port (crash.noted names the server that ran both).

Change: a box asks again for up to half of the time left to the latency target (the leader repeats a grant whose reply was lost; 200 ms as before where less is left). Work that runs without a grant goes to a server assigned by its rank among the works that share its crash, which boxes agree on without a message. The same fault in grants: runs that share servers all went to the first one while others had fewer; they are spread. crash.ungranted tells such a run.

Failed before, on: "sends works that one crash made suspect to different servers without a leader" (one server for three), "leaves the leader half of the time ..." and GrantService "spreads runs that share servers".

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -40,9 +40,13 @@
   readonly findPortState: typeof httpClient.probePort;
   /** Sends a record to the other boxes. */
   readonly publish: (record: crashRecords.CrashRecord) => void;
-  /** Asks the store boxes' leader for a grant; undefined if none replies. */
+  /**
+   * Asks the store boxes' leader for a grant, with retries for `timeoutMs`;
+   * undefined if none replies.
+   */
   readonly askGrant: (
     request: protocol.GrantRequest,
+    timeoutMs: number,
   ) => Promise<protocol.GrantReply | undefined>;
   /** Reports the end of a granted run to the store boxes' leader. */
   readonly endGrant: (end: protocol.GrantEnd) => void;
@@ -198,17 +202,19 @@
    *
    * @param digest Digest of the work.
    * @param request The request without the crash record.
+   * @param timeoutMs Time in which the leader may reply, in ms.
    * @returns The leader's reply, or `unanswered`.
    */
   async askGrant(
     digest: crashRecords.WorkDigest,
     request: Omit<protocol.GrantRequest, "record">,
+    timeoutMs: number,
   ): Promise<GrantResult> {
     const { table, askGrant, metrics } = this.#options;
     const record = table.get(digest);
     const reply = record === undefined
       ? undefined
-      : await askGrant({ ...request, record });
+      : await askGrant({ ...request, record }, timeoutMs);
     if (reply === undefined || reply.kind === "notLeader") {
       return { kind: "unanswered" };
     }
@@ -217,6 +223,32 @@
     return reply;
   }
 
+  /**
+   * Chooses the server of a run of suspect work for which no grant could be had,
+   * apart from other work that shares its crashes.
+   *
+   * @param work The work.
+   * @param servers Candidate servers, best first.
+   * @returns The server, or undefined if any may be used.
+   */
+  assignServer(
+    work: WorkDescription,
+    servers: readonly registry.LifetimeKey[],
+  ): registry.LifetimeKey | undefined {
+    const { table, log } = this.#options;
+    const record = table.get(work.digest);
+    const server = record === undefined
+      ? undefined
+      : crashRecords.assignServer(table.list(), record, servers);
+    log.write("info", "crash.ungranted", {
+      ...createLogFields(work),
+      ended: crashRecords.countConsecutiveCrashes(record),
+      candidates: servers.length,
+      server,
+    });
+    return server;
+  }
+
   /** Reports the end of a granted run to the leader, with the current record. */
   endGrant(digest: crashRecords.WorkDigest, run: string): void {
     const record = this.#options.table.get(digest);
--- a/src/crash_guard/create_grant_client.ts
+++ b/src/crash_guard/create_grant_client.ts
@@ -2,8 +2,8 @@
 import type * as crashGuards from "./crash_guard.ts";
 import * as protocol from "./protocol.ts";
 
-/** Timeouts of asking for a grant; short, as the client waits meanwhile. */
-const ASK_CALL_TIMES: replicaGroups.CallTimeouts = { totalMs: 200, tryMs: 100 };
+/** Timeout of one attempt to ask for a grant, in ms; the caller waits meanwhile. */
+const ASK_ATTEMPT_MS = 100;
 /** Timeouts of reporting the end of a run. */
 const END_CALL_TIMES: replicaGroups.CallTimeouts = {
   totalMs: 2_000,
@@ -20,11 +20,11 @@
   leaderCaller: Pick<replicaGroups.LeaderCaller, "call">,
 ): Pick<crashGuards.CrashGuardOptions, "askGrant" | "endGrant"> {
   return {
-    askGrant: async (request) => {
+    askGrant: async (request, timeoutMs) => {
       const reply = await leaderCaller.call<protocol.GrantReply>(
         protocol.METHODS.askGrant,
         request,
-        ASK_CALL_TIMES,
+        { totalMs: timeoutMs, tryMs: ASK_ATTEMPT_MS },
       );
       return reply.kind === "ok" ? reply.value : undefined;
     },
--- a/src/crash_guard/grant_service.ts
+++ b/src/crash_guard/grant_service.ts
@@ -108,12 +108,12 @@
     if (remaining === 1 && termAgeMs < NEW_LEADER_DELAY_MS) {
       return { kind: "busy" };
     }
-    const busyServers = new Set(runs.map(({ server }) => server));
-    const server = servers.find((candidate) => !busyServers.has(candidate)) ??
-      (mayShare ? servers[0] : undefined);
-    return server === undefined
-      ? { kind: "busy" }
-      : { kind: "granted", server };
+    const [server] = servers.toSorted((a, b) =>
+      countRuns(runs, a) - countRuns(runs, b)
+    );
+    if (server === undefined) return { kind: "busy" };
+    const isFree = countRuns(runs, server) === 0;
+    return isFree || mayShare ? { kind: "granted", server } : { kind: "busy" };
   }
 
   #listActiveRuns(): readonly GrantedRun[] {
@@ -142,3 +142,10 @@
     this.#grants.clear();
   }
 }
+
+function countRuns(
+  runs: readonly GrantedRun[],
+  server: registry.LifetimeKey,
+): number {
+  return runs.filter((run) => run.server === server).length;
+}
--- a/src/crash_guard/grant_service_test.ts
+++ b/src/crash_guard/grant_service_test.ts
@@ -142,6 +142,17 @@
     chai.expect(askGrant(third, "r3", ["s-1", "s-2"]).kind).to.equal("granted");
   });
 
+  it("spreads runs that share servers", () => {
+    // Guards against all of them at the server of the run that crashes it.
+    const servers = ["s-1", "s-2", "s-3"];
+    const granted = Array.from({ length: 6 }, (_, index) => {
+      const record = { ...createRecord(["i-1"]), digest: `d${index}` };
+      const reply = askGrant(record, `r${index}`, servers, true);
+      return reply.kind === "granted" ? reply.server : reply.kind;
+    });
+    chai.expect(granted).to.deep.equal([...servers, ...servers]);
+  });
+
   it("grants nothing while another store box may lead", () => {
     hasAuthority = false;
     chai.expect(getReplyKind("r1", ["i-1"])).to.equal("notLeader");
--- a/src/crash_record/crash_record.ts
+++ b/src/crash_record/crash_record.ts
@@ -32,17 +32,29 @@
 }
 
 /**
- * Counts the servers that the work crashed since its last successful run.
+ * Lists the crashes under the work since its last successful run.
  *
  * @param record The record of the work, or undefined if there is none.
- * @returns The number of servers.
+ * @returns The crashes, sorted.
+ */
+export function listConsecutiveCrashes(
+  record: CrashRecord | undefined,
+): readonly CrashKey[] {
+  if (record === undefined) return [];
+  const { ended, cleared } = record;
+  return ended.filter((crash) => !cleared.includes(crash));
+}
+
+/**
+ * Counts the crashes under the work since its last successful run.
+ *
+ * @param record The record of the work, or undefined if there is none.
+ * @returns The number of crashes.
  */
 export function countConsecutiveCrashes(
   record: CrashRecord | undefined,
 ): number {
-  if (record === undefined) return 0;
-  const { ended, cleared } = record;
-  return ended.filter((lifetime) => !cleared.includes(lifetime)).length;
+  return listConsecutiveCrashes(record).length;
 }
 
 /**
--- a/src/crash_record/mod.ts
+++ b/src/crash_record/mod.ts
@@ -9,6 +9,7 @@
  * ```
  * @module
  */
+export * from "./assign_server.ts";
 export * from "./crash_record.ts";
 export * from "./crash_table.ts";
 export * from "./decide_run.ts";
--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -17,6 +17,10 @@
  * little of it caused a crash.
  */
 const SHARE_AFTER_MS = 80;
+/** Least time in which the leader may reply to a grant request, in ms. */
+const MIN_ASK_MS = 200;
+/** Part of the time left to the latency target in which the leader may reply. */
+const ASK_TIME_FRACTION = 0.5;
 /** Retry delay of the caller while the same work runs elsewhere, in ms. */
 const BUSY_RETRY_AFTER_MS = 500;
 
@@ -29,7 +33,7 @@
 /** Permission to send the work. */
 export interface Permitted {
   readonly kind: "permitted";
-  /** Server chosen by the leader; undefined if any server may be used. */
+  /** Server to send to; undefined if any may be used. */
   readonly server: registry.LifetimeKey | undefined;
 }
 
@@ -47,6 +51,7 @@
     | "recordSuccess"
     | "recordHeldBack"
     | "askGrant"
+    | "assignServer"
     | "endGrant"
   >;
 }
@@ -111,7 +116,7 @@
         servers,
         mayShare: mayRunWithoutGrant &&
           clock.getMonotonicMs() - startedAtMs >= SHARE_AFTER_MS,
-      });
+      }, this.#computeAskTimeoutMs());
       switch (answer.kind) {
         case "granted":
           this.#grantedRun = run;
@@ -119,14 +124,14 @@
         case "unanswered":
           // The leader may have granted the run and lost only the reply.
           crashGuard.endGrant(this.getDigest(), run);
-          if (mayRunWithoutGrant) return ANY_SERVER;
+          if (mayRunWithoutGrant) return this.#decideWithoutGrant(servers);
           break;
         case "barred":
         case "busy":
           break;
       }
       if (this.#isTargetNear()) {
-        if (mayRunWithoutGrant) return ANY_SERVER;
+        if (mayRunWithoutGrant) return this.#decideWithoutGrant(servers);
         const { ended } = verdict;
         return { kind: "heldBack", ended, returnMs: BUSY_RETRY_AFTER_MS };
       }
@@ -134,6 +139,22 @@
     }
   }
 
+  /**
+   * Returns how long to wait for the leader's reply, in ms. A lost or late reply
+   * is asked for again, while enough time is left to run the work in time.
+   */
+  #computeAskTimeoutMs(): number {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const remainingMs = this.#job.targetAtMs - nowMs;
+    return Math.max(MIN_ASK_MS, remainingMs * ASK_TIME_FRACTION);
+  }
+
+  #decideWithoutGrant(servers: readonly registry.LifetimeKey[]): Permitted {
+    const { crashGuard } = this.#options;
+    const server = crashGuard.assignServer(this.#describeWork(), servers);
+    return { kind: "permitted", server };
+  }
+
   /** Whether the next retry would miss the target, or the job was cancelled. */
   #isTargetNear(): boolean {
     const nowMs = this.#options.clock.getMonotonicMs();
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -243,6 +243,53 @@
     chai.expect(receivedBy).to.deep.equal(["s1"]);
   });
 
+  it("sends works that one crash made suspect to different servers without a leader", async () => {
+    // Guards against normal work that is held back because it runs twice beside
+    // work that crashes its servers.
+    const [first] = servers;
+    const bodies = ["one", "two", "three"];
+    const waiting: (() => void)[] = [];
+    const unanswered: Partial<crashGuards.CrashGuardOptions> = {
+      askGrant: () =>
+        new Promise((resolve) => {
+          waiting.push(() => resolve(undefined));
+          if (waiting.length < bodies.length) return;
+          for (const release of waiting) release();
+        }),
+    };
+    let arrived = 0;
+    first?.removeAllListeners("request");
+    first?.on("request", () => {
+      arrived += 1;
+      if (arrived === bodies.length) endServer(first);
+    });
+    const outcomes = await Promise.all(
+      bodies.map((body) => send(body, {}, unanswered)),
+    );
+    chai.expect(outcomes.map(({ kind }) => kind)).to.deep.equal(
+      bodies.map(() => "answered"),
+    );
+    chai.expect(new Set(receivedBy).size).to.equal(bodies.length);
+  });
+
+  it("leaves the leader half of the time to the latency target to reply", async () => {
+    await send(CRASHING, { maxAttempts: 1 });
+    const timeouts: number[] = [];
+    for (const leftMs of [1_000, 0]) {
+      const targetAtMs = clock.getMonotonicMs() + leftMs;
+      await send(CRASHING, { targetAtMs, maxAttempts: 1 }, {
+        askGrant: (_request, timeoutMs) => {
+          timeouts.push(timeoutMs);
+          return Promise.resolve(undefined);
+        },
+      });
+      expirePause();
+    }
+    const [early = 0, late] = timeouts;
+    chai.expect(early).to.be.within(200, 500);
+    chai.expect(late).to.equal(200);
+  });
+
   it("releases a grant whose reply may have been lost", async () => {
     const runs: string[] = [];
     await send(CRASHING, { maxAttempts: 1 });
