Let a new leader count the crashes that its log holds before it grants a run

What callers saw: after a restart of all boxes a piece of work that had crashed three servers crashed one or two more ("keeps the limit after a restart of all boxes").

Cause, in part: a leader with authority has applied its log, but granted runs by its box's table, to which the log's records are copied each 100 ms. A grant fell in between.

Change: the decision merges the box's, the asking box's and the log's record. Failed before, on: GrantService "counts crashes that only the replicated log holds" (granted).

--- a/src/crash_guard/grant_service.ts
+++ b/src/crash_guard/grant_service.ts
@@ -4,6 +4,7 @@
 import type * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import type * as submissions from "../submission/mod.ts";
 import * as protocol from "./protocol.ts";
 
 /** Time until a grant expires whose box reports no end of the run, in ms. */
@@ -19,7 +20,10 @@
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
   readonly server: rpc.MethodRegistry;
+  /** Records known to this box. */
   readonly table: crashRecords.CrashTable;
+  /** State machine of the replicated log, which keeps records. */
+  readonly machine: Pick<submissions.SubmissionStateMachine, "getCrashes">;
   readonly group: Pick<
     replicaGroups.ReplicaGroup,
     "hasAuthority" | "getTerm" | "createNotLeader"
@@ -62,12 +66,11 @@
   }
 
   #handleAsk(request: protocol.GrantRequest): protocol.GrantReply {
-    const { group, table, clock } = this.#options;
+    const { group, clock } = this.#options;
     if (!group.hasAuthority()) return group.createNotLeader();
     this.updateTerm();
     const { digest } = request.record;
-    table.merge(request.record, clock.getWallMs());
-    const record = table.get(digest) ?? request.record;
+    const record = this.#mergeRecord(request.record);
     const reply = this.#decide(record, request);
     if (reply.kind === "granted") {
       const expiresAtMs = clock.getMonotonicMs() + GRANT_TIMEOUT_MS;
@@ -89,6 +92,22 @@
     return reply;
   }
 
+  /**
+   * Merges a box's record with those of this box and of the replicated log, which
+   * a new leader has applied before it has copied them to its table.
+   *
+   * @param record The record of the asking box.
+   * @returns All that is known of the work.
+   */
+  #mergeRecord(record: crashRecords.CrashRecord): crashRecords.CrashRecord {
+    const { table, machine, clock } = this.#options;
+    const nowMs = clock.getWallMs();
+    const kept = machine.getCrashes().get(record.digest);
+    if (kept !== undefined) table.merge(kept, nowMs);
+    table.merge(record, nowMs);
+    return table.get(record.digest) ?? record;
+  }
+
   #decide(
     record: crashRecords.CrashRecord,
     { run, servers, mayShare }: protocol.GrantRequest,
--- a/src/crash_guard/grant_service_test.ts
+++ b/src/crash_guard/grant_service_test.ts
@@ -30,6 +30,7 @@
   let clock = new clocks.FakeClock(1_000);
   let methods = new Map<string, Handler>();
   let table = new crashRecords.CrashTable();
+  let replicated = new crashRecords.CrashTable();
   let term = 1;
   let hasAuthority = true;
   let service: grantServices.GrantService;
@@ -38,6 +39,7 @@
     clock = new clocks.FakeClock(1_000);
     methods = new Map();
     table = new crashRecords.CrashTable();
+    replicated = new crashRecords.CrashTable();
     term = 1;
     hasAuthority = true;
     service = new grantServices.GrantService({
@@ -47,6 +49,7 @@
         add: (method, handler) => methods.set(method, handler as Handler),
       },
       table,
+      machine: { getCrashes: () => replicated },
       group: {
         hasAuthority: () => hasAuthority,
         getTerm: () => term,
@@ -153,6 +156,13 @@
     chai.expect(granted).to.deep.equal([...servers, ...servers]);
   });
 
+  it("counts crashes that only the replicated log holds", () => {
+    // Guards against a grant by a leader that has just been elected, as after a
+    // restart of all boxes.
+    replicated.merge(createRecord(["i-1", "i-2", "i-3"]), clock.getWallMs());
+    chai.expect(getReplyKind("r1", ["i-4"])).to.equal("barred");
+  });
+
   it("grants nothing while another store box may lead", () => {
     hasAuthority = false;
     chai.expect(getReplyKind("r1", ["i-1"])).to.equal("notLeader");
