Hold work at a box that has just started until it knows of earlier crashes

What callers saw: after a restart of all boxes a piece of work that had crashed three servers crashed a fourth and a fifth ("keeps the limit after a restart of all boxes").

Cause: boxes served as soon as a configuration was in force, while the crash records came only once the stores had elected a leader and applied their log.

Change: a store reads the records from its disk when it opens the log, committed or not (they only restrict work), and says in the exchanges between boxes that it holds them; a box that has heard so says the same. Until then a box holds its requests, for 2 s after its start at most: without any store they run. A box that starts in a running fleet hears it in its first exchange. Older builds say nothing; beside them the 2 s bind.

Weighed: refusing until then (callers with one retry lose the request); not telling that the box is ready (address queries fail for all); waiting for the leader (an election more than the disk needs).

--- a/src/consensus/_open_replica.ts
+++ b/src/consensus/_open_replica.ts
@@ -32,6 +32,7 @@
   const saved = savedRecords.rebuildReplica(snapshot, [...records, ...initial]);
   const nowMs = clock.getMonotonicMs();
   const state = stepReplica.createReplica(config, saved, nowMs);
+  options.onLogRead?.(state.log.entries.map(({ command }) => command));
   options.onNotice?.(describeOpened(state, loaded.tornBytes));
   return { log, state };
 }
--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -122,6 +122,47 @@
     fs.rmSync(testFolder, { recursive: true, force: true });
   });
 
+  it("hands over the commands that follow the snapshot when it is opened", async () => {
+    const testFolder = fs.mkdtempSync(
+      path.join(os.tmpdir(), "hoistscale-read-"),
+    );
+    await initializeDataFolder.initializeDataFolder({
+      folder: testFolder,
+      owner: "a",
+      wallMs: 5,
+      voters: ["a"],
+    });
+    const first = new listStateMachines.ListStateMachine();
+    const driver = await openDriver(first, testFolder);
+    for (const command of ["one", "two"]) {
+      await proposeWithRetry(driver, command);
+    }
+    await driver.stop();
+    const read: unknown[] = [];
+    const second = new listStateMachines.ListStateMachine();
+    const { log } = await openReplicas.openReplica({
+      config: {
+        id: "a",
+        voters: ["a"],
+        electionTimeoutMs: 50,
+        heartbeatMs: 10,
+        maxBatchEntries: 8,
+        seed: 1,
+      },
+      clock: new clocks.FakeClock(),
+      dataFolder: testFolder,
+      stateMachine: second,
+      snapshotEntries: 16,
+      send: () => {},
+      onLogRead: (commands) => read.push(...commands),
+      onFatal: () => {},
+    });
+    await log.close();
+    chai.expect(read.filter((command) => typeof command === "string")).to.deep
+      .equal(["one", "two"]);
+    fs.rmSync(testFolder, { recursive: true, force: true });
+  });
+
   it("reports a missing leader without any event", async () => {
     const testFolder = fs.mkdtempSync(
       path.join(os.tmpdir(), "hoistscale-alone-"),
--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -5,6 +5,7 @@
 import * as registry from "../registry/mod.ts";
 import type * as httpClient from "../http_client/mod.ts";
 import type * as protocol from "./protocol.ts";
+import type * as recordSyncs from "./record_sync.ts";
 
 /** Most characters of a request path that are recorded and logged. */
 const MAX_TARGET_LENGTH = 120;
@@ -35,6 +36,7 @@
   readonly log: logs.Log;
   readonly metrics: Pick<metrics.FleetMetrics, "countCrashEvent">;
   readonly table: crashRecords.CrashTable;
+  readonly recordSync: recordSyncs.RecordSync;
   readonly servers: Pick<registry.ServerRegistry, "markCrashed">;
   /** Checks whether a process listens on an address and port. */
   readonly findPortState: typeof httpClient.probePort;
@@ -61,6 +63,16 @@
     this.#options = options;
   }
 
+  /** Whether work must wait for the records that the store boxes keep. */
+  isAwaitingRecords(): boolean {
+    return this.#options.recordSync.isAwaited();
+  }
+
+  /** Waits for these records, for a limited time after the start of the box. */
+  awaitRecords(): Promise<void> {
+    return this.#options.recordSync.awaitRecords();
+  }
+
   /**
    * Decides whether a piece of work may run.
    *
--- a/src/crash_guard/crash_replicator.ts
+++ b/src/crash_guard/crash_replicator.ts
@@ -4,6 +4,7 @@
 import type * as submissions from "../submission/mod.ts";
 import type * as crashGuards from "./crash_guard.ts";
 import type * as grantServices from "./grant_service.ts";
+import type * as recordSyncs from "./record_sync.ts";
 
 /** Interval between comparisons with the replicated records, in ms. */
 const POLL_INTERVAL_MS = 100;
@@ -15,12 +16,15 @@
   readonly clock: clocks.Clock;
   readonly group: Pick<
     replicaGroups.ReplicaGroup,
-    "hasAuthority" | "propose"
+    | "hasAuthority"
+    | "propose"
+    | "getAppliedIndex"
   >;
   readonly machine: submissions.SubmissionStateMachine;
   readonly guard: Pick<crashGuards.CrashGuard, "mergeRemoteRecord">;
   readonly grants: Pick<grantServices.GrantService, "updateTerm">;
   readonly table: crashRecords.CrashTable;
+  readonly recordSync: recordSyncs.RecordSync;
   /** Sends a record to the other boxes. */
   readonly publish: (record: crashRecords.CrashRecord) => void;
 }
@@ -42,10 +46,31 @@
   /** Synchronizes immediately, then at a fixed interval until `stop` is called. */
   start(): void {
     if (this.#isStopped) return;
-    this.#options.grants.updateTerm();
+    const { group, grants, recordSync, clock } = this.#options;
+    grants.updateTerm();
     this.#mergeReplicated();
+    if (group.getAppliedIndex() > 0) recordSync.complete();
     void this.#proposeChanges();
-    this.#options.clock.startTimer(POLL_INTERVAL_MS, () => this.start());
+    clock.startTimer(POLL_INTERVAL_MS, () => this.start());
+  }
+
+  /**
+   * Merges and publishes the records in a log that was read from the disk and
+   * waits for a leader to commit it. Records only restrict work, so one that was
+   * never committed does no harm.
+   */
+  mergeUncommitted(commands: readonly unknown[]): void {
+    for (const command of commands) {
+      if (isKeepCrashes(command)) this.#mergeAll(command.records);
+    }
+    if (commands.length > 0) this.#options.recordSync.complete();
+  }
+
+  #mergeAll(records: readonly crashRecords.CrashRecord[]): void {
+    const { guard, publish } = this.#options;
+    for (const record of records) {
+      if (guard.mergeRemoteRecord(record)) publish(record);
+    }
   }
 
   stop(): void {
@@ -54,13 +79,10 @@
 
   /** Merges and publishes records that the replicated log delivered. */
   #mergeReplicated(): void {
-    const { machine, guard, publish } = this.#options;
-    const replicated = machine.getCrashes();
+    const replicated = this.#options.machine.getCrashes();
     if (replicated.getContentHash() === this.#mergedHash) return;
     this.#mergedHash = replicated.getContentHash();
-    for (const record of replicated.list()) {
-      if (guard.mergeRemoteRecord(record)) publish(record);
-    }
+    this.#mergeAll(replicated.list());
   }
 
   /** Proposes records that the replicated log does not have, while leading. */
@@ -84,3 +106,14 @@
     this.#isProposing = false;
   }
 }
+
+type KeepCrashes = Extract<
+  submissions.SubmissionCommand,
+  { readonly kind: "keepCrashes" }
+>;
+
+/** Whether a command of the store group's log records crashes. */
+function isKeepCrashes(command: unknown): command is KeepCrashes {
+  return (command as submissions.SubmissionCommand | null)?.kind ===
+    "keepCrashes";
+}
--- a/src/crash_guard/mod.ts
+++ b/src/crash_guard/mod.ts
@@ -15,3 +15,4 @@
 export * from "./create_grant_client.ts";
 export * from "./grant_service.ts";
 export * from "./protocol.ts";
+export * from "./record_sync.ts";
--- a/src/fleet/_crash_sync.ts
+++ b/src/fleet/_crash_sync.ts
@@ -1,14 +1,28 @@
+import type * as protocol from "./protocol.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 
+/** Tells whether a box holds the crash records that the store boxes keep. */
+export interface RecordSync {
+  isComplete(): boolean;
+  complete(): void;
+}
+
 /** Dependencies of a crash sync. */
 export interface CrashSyncOptions {
   readonly crashTable: crashRecords.CrashTable;
+  readonly recordSync: RecordSync;
   /** Merges a record from another box; returns whether it added anything. */
   readonly learnCrash: (record: crashRecords.CrashRecord) => boolean;
   /** Called for each record that added something. */
   readonly onLearned: (record: crashRecords.CrashRecord) => void;
 }
 
+/** The part of a message that is about crash records. */
+type CrashNews = Pick<
+  protocol.GossipMessage,
+  "crashes" | "completesCrashes"
+>;
+
 const NO_RECORDS: readonly crashRecords.CrashRecord[] = [];
 
 /**
@@ -22,28 +36,33 @@
     this.#options = options;
   }
 
-  /** Merges records; undefined if the sender runs a version without them. */
-  merge(records: readonly crashRecords.CrashRecord[] = NO_RECORDS): void {
-    const { learnCrash, onLearned } = this.#options;
-    for (const record of records) {
+  /** Merges the records of a message. */
+  merge({ crashes = NO_RECORDS, completesCrashes }: CrashNews): void {
+    const { learnCrash, onLearned, recordSync } = this.#options;
+    for (const record of crashes) {
       if (learnCrash(record)) onLearned(record);
     }
+    if (completesCrashes === true) recordSync.complete();
   }
 
   /**
-   * Merges all records of another box.
+   * Merges the records in a peer's reply.
    *
-   * @param peerRecords Its records; undefined if both boxes had the same.
-   * @returns The records that the other box lacks or holds in another version.
+   * @param reply The reply; without records if both boxes have the same.
+   * @returns What the peer lacks, for a message to it; undefined if nothing.
    */
   reconcile(
-    peerRecords: readonly crashRecords.CrashRecord[] | undefined,
-  ): readonly crashRecords.CrashRecord[] {
-    if (peerRecords === undefined) return NO_RECORDS;
-    this.merge(peerRecords);
-    const peerKeys = new Set(peerRecords.map(crashRecords.createRecordKey));
-    return this.#options.crashTable.list().filter((record) =>
+    { crashes, knowsCrashes }: protocol.SyncReply,
+  ): CrashNews | undefined {
+    const { crashTable, recordSync } = this.#options;
+    this.merge({ crashes, completesCrashes: knowsCrashes });
+    if (crashes === undefined) return undefined;
+    const peerKeys = new Set(crashes.map(crashRecords.createRecordKey));
+    const missing = crashTable.list().filter((record) =>
       !peerKeys.has(crashRecords.createRecordKey(record))
     );
+    const completesCrashes = knowsCrashes === false && recordSync.isComplete();
+    if (missing.length === 0 && !completesCrashes) return undefined;
+    return { crashes: missing, completesCrashes };
   }
 }
--- a/src/fleet/_sync_service.ts
+++ b/src/fleet/_sync_service.ts
@@ -3,6 +3,7 @@
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxDirectories from "./box_directory.ts";
 import type * as boxRecords from "./box_record.ts";
+import type * as crashSyncs from "./_crash_sync.ts";
 import * as stateDigest from "./_state_digest.ts";
 import type * as protocol from "./protocol.ts";
 
@@ -12,6 +13,7 @@
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly crashTable: crashRecords.CrashTable;
+  readonly recordSync: crashSyncs.RecordSync;
   readonly getOwnRecord: () => boxRecords.BoxRecord;
 }
 
@@ -25,7 +27,8 @@
 
   /** Creates a request for the given records; for all if the digests differ. */
   createRequest(ids?: readonly string[]): protocol.SyncRequest {
-    const { configuration, getOwnRecord, crashTable } = this.#options;
+    const { configuration, getOwnRecord, crashTable, recordSync } =
+      this.#options;
     return {
       record: getOwnRecord(),
       wanted: ids === undefined
@@ -33,6 +36,7 @@
         : { kind: "named", ids },
       configurationVersion: configuration.getVersion(),
       crashes: crashTable.getContentHash(),
+      knowsCrashes: recordSync.isComplete(),
     };
   }
 
@@ -41,14 +45,16 @@
    * version or key in the request, are left empty.
    */
   handleRequest(request: protocol.SyncRequest): protocol.SyncReply {
-    const { configuration, crashTable } = this.#options;
+    const { configuration, crashTable, recordSync } = this.#options;
     const isNewer = configuration.getVersion() > request.configurationVersion;
     const hasSameCrashes = request.crashes === undefined ||
       request.crashes === crashTable.getContentHash();
+    if (hasSameCrashes && request.knowsCrashes === true) recordSync.complete();
     return {
       ...this.#listRequested(request),
       configuration: isNewer ? configuration.getStored() : undefined,
       ...(hasSameCrashes ? {} : { crashes: crashTable.list() }),
+      knowsCrashes: recordSync.isComplete(),
     };
   }
 
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -1,4 +1,5 @@
 import * as clocks from "../clock/mod.ts";
+import * as crashGuards from "../crash_guard/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as registry from "../registry/mod.ts";
@@ -96,6 +97,7 @@
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly gossip: fleetGossips.FleetGossip;
   readonly crashTable = new crashRecords.CrashTable();
+  readonly recordSync: crashGuards.RecordSync;
   isLeaving = false;
 
   constructor(
@@ -107,6 +109,7 @@
     const { clock } = fleet;
     const log = new logs.Log(id, "error", () => {});
     const startedAtMs = clock.getWallMs();
+    this.recordSync = new crashGuards.RecordSync(clock);
     this.servers = new registry.ServerRegistry(clock, HEARTBEAT_MS);
     this.directory = new boxDirectories.BoxDirectory(clock);
     this.configuration = new trafficConfig.ConfigurationHolder(
@@ -120,6 +123,7 @@
       servers: this.servers,
       configuration: this.configuration,
       crashTable: this.crashTable,
+      recordSync: this.recordSync,
       learnCrash: (record) => this.crashTable.merge(record, clock.getWallMs()),
       peers: { get: (to) => fleet.getPeer(to, id) },
       server: {
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -250,9 +250,9 @@
     for (const box of reply.boxes) this.#mergeBox(box);
     for (const server of reply.servers) this.#mergeServer(server, from);
     this.#configurationSync.offer(reply.configuration);
-    const missing = this.#crashSync.reconcile(reply.crashes);
-    if (missing.length === 0) return;
-    this.#send(from, { ...this.#createMessage(), crashes: missing });
+    const crashNews = this.#crashSync.reconcile(reply);
+    if (crashNews === undefined) return;
+    this.#send(from, { ...this.#createMessage(), ...crashNews });
   }
 
   #handleMessage(message: protocol.GossipMessage): void {
@@ -269,7 +269,7 @@
     if (outdated.length > 0) {
       this.#syncLoop.fetch(from, outdated.map((item) => item.id));
     }
-    this.#crashSync.merge(message.crashes);
+    this.#crashSync.merge(message);
     this.#configurationSync.offer(message.configuration);
     this.#configurationSync.fetchIfOutdated(message);
   }
--- a/src/fleet/fleet_gossip_test.ts
+++ b/src/fleet/fleet_gossip_test.ts
@@ -203,6 +203,42 @@
     }
   });
 
+  it("tells all boxes the crash records of a store box after a restart of the fleet", async () => {
+    // Guards against boxes that send work again which crashed servers before.
+    const store = fleet.start("s1", false);
+    await fleet.advanceBy(1_000);
+    const boxes = [...fleet.boxes.values()];
+    for (const box of boxes) {
+      chai.expect(box.recordSync.isComplete()).to.equal(false);
+    }
+    store.crashTable.merge({
+      digest: "d",
+      account: "",
+      service: "s",
+      target: "/x",
+      ended: ["i-1"],
+      cleared: [],
+      notedAtMs: fleet.clock.getWallMs(),
+    }, fleet.clock.getWallMs());
+    store.recordSync.complete();
+    for (let passed = 0; passed < 2_000; passed += 100) {
+      await fleet.advanceBy(100);
+      for (const box of boxes) {
+        const { recordSync, crashTable } = box;
+        chai.expect(recordSync.isComplete() && crashTable.isEmpty()).to.equal(
+          false,
+        );
+      }
+    }
+    for (const { recordSync } of boxes) {
+      chai.expect(recordSync.isComplete()).to.equal(true);
+    }
+    const late = fleet.start("p9", false);
+    await fleet.advanceBy(600);
+    chai.expect(late.recordSync.isComplete()).to.equal(true);
+    chai.expect(late.crashTable.list().length).to.equal(1);
+  });
+
   it("keeps a box alive at a core box that it can't reach, through the other core boxes", async () => {
     const plain = fleet.boxes.get("p1");
     const core = fleet.boxes.get("c2");
--- a/src/fleet/protocol.ts
+++ b/src/fleet/protocol.ts
@@ -44,6 +44,11 @@
   readonly configuration: trafficConfig.StoredConfiguration | undefined;
   /** Work during which servers crashed; undefined from older versions. */
   readonly crashes?: readonly crashRecords.CrashRecord[];
+  /**
+   * Whether the receiver holds, with `crashes`, all records that the store boxes
+   * keep; undefined if the sender can't tell.
+   */
+  readonly completesCrashes?: boolean;
 }
 
 /** Selects the records of a sync request. */
@@ -66,6 +71,11 @@
    * versions, which get none in reply.
    */
   readonly crashes?: string;
+  /**
+   * Whether the requester holds all records that the store boxes keep; undefined
+   * from older versions.
+   */
+  readonly knowsCrashes?: boolean;
 }
 
 /** Answer to a sync request. */
@@ -76,6 +86,11 @@
   readonly configuration: trafficConfig.StoredConfiguration | undefined;
   /** All crash records; undefined if the requester holds the same. */
   readonly crashes?: readonly crashRecords.CrashRecord[];
+  /**
+   * Whether the answering box holds all records that the store boxes keep;
+   * undefined from older versions.
+   */
+  readonly knowsCrashes?: boolean;
 }
 
 /**
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -51,6 +51,8 @@
   readonly link: fleet.FleetGossip;
   /** Records of work that crashed backend servers, as known to this box. */
   readonly crashTable: crashRecords.CrashTable;
+  /** Whether this box knows the records that the store boxes keep. */
+  readonly recordSync: crashGuards.RecordSync;
   readonly crashGuard: crashGuards.CrashGuard;
   readonly forwarder: forwarding.Forwarder;
   readonly status: BoxStatus;
@@ -94,6 +96,7 @@
     ),
     configuration,
     crashTable: new crashRecords.CrashTable(),
+    recordSync: new crashGuards.RecordSync(clock),
     status: { isReady: false, isLeaving: false, ledTerm: 0 },
     draw: Math.random,
   };
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -63,6 +63,7 @@
       stateMachine,
       canVote: boxComponents.isStoreBox,
       listRetiring: () => stateMachine.listRetiring(),
+      onLogRead: (commands) => this.#crashReplicator.mergeUncommitted(commands),
     });
     this.#group = group;
     this.#stateMachine = stateMachine;
--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -45,6 +45,8 @@
   readonly crashGuard: Pick<
     crashGuards.CrashGuard,
     | "decideRun"
+    | "isAwaitingRecords"
+    | "awaitRecords"
     | "createCrashKey"
     | "recordConnectionLoss"
     | "recordCrash"
@@ -69,6 +71,16 @@
     this.#job = job;
   }
 
+  /** Whether the work must wait until this box knows of earlier crashes. */
+  isAwaitingRecords(): boolean {
+    return this.#options.crashGuard.isAwaitingRecords();
+  }
+
+  /** Waits until this box knows of earlier crashes, or no longer waits. */
+  awaitRecords(): Promise<void> {
+    return this.#options.crashGuard.awaitRecords();
+  }
+
   /** Returns whether the work may be sent, by the crashes known to this box. */
   getVerdict(): crashRecords.RunDecision {
     return this.#options.crashGuard.decideRun(() => this.getDigest());
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -71,7 +71,8 @@
       Math.max(0, leftMs),
       () => this.#expire(),
     );
-    this.#tryNext();
+    if (!this.#crashGuard.isAwaitingRecords()) return this.#tryNext();
+    void this.#crashGuard.awaitRecords().then(() => this.#tryNext());
   }
 
   #expire(): void {
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -2,7 +2,7 @@
 import type * as net from "node:net";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
-import type * as crashGuards from "../crash_guard/mod.ts";
+import * as crashGuards from "../crash_guard/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
@@ -243,6 +243,19 @@
     chai.expect(receivedBy).to.deep.equal(["s1"]);
   });
 
+  it("holds work of a box that has just started until it knows of earlier crashes", async () => {
+    await send(CRASHING);
+    const records = table.list();
+    table.restore([]);
+    const recordSync = new crashGuards.RecordSync(clock);
+    const sending = send(CRASHING, {}, { recordSync });
+    await clocks.sleep(clock, 50);
+    table.restore(records);
+    recordSync.complete();
+    chai.expect((await sending).kind).to.equal("heldBack");
+    chai.expect(receivedBy).to.deep.equal(["s0", "s1"]);
+  });
+
   it("sends works that one crash made suspect to different servers without a leader", async () => {
     // Guards against normal work that is held back because it runs twice beside
     // work that crashes its servers.
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -62,6 +62,7 @@
   readonly canVote: (box: fleet.BoxRecord) => boolean;
   /** Lists the ids of boxes that are being retired. */
   readonly listRetiring: () => readonly string[];
+  readonly onLogRead?: consensus.LogReadHandler;
   /** Called after a failed write; the process must exit. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -215,16 +216,9 @@
   }
 
   #openDriver(): Promise<consensus.ReplicaDriver> {
-    const {
-      id,
-      clock,
-      dataFolder,
-      stateMachine,
-      snapshotEntries,
-      onFatal,
-      peers,
-    } = this.#options;
+    const { id, clock, peers } = this.#options;
     return consensus.ReplicaDriver.open({
+      ...this.#options,
       config: {
         id,
         voters: [],
@@ -233,14 +227,9 @@
         maxBatchEntries: MAX_BATCH_ENTRIES,
         seed: createElectionSeed.createElectionSeed(id, clock.getWallMs()),
       },
-      clock,
-      dataFolder,
-      stateMachine,
-      snapshotEntries,
       send: (to, message) =>
         peers.get(to).notify(this.#getMethod(), this.#wrapMessage(message)),
       onNotice: (notice) => this.#writeNotice(notice),
-      onFatal,
     });
   }
 
