Keep crash records on each store's disk, whether a leader commits them or not

Cause: at that load the stores had no leader for 30 s, so the second crash, which all boxes knew, was committed nowhere when all of them stopped.

Evidence: crash.noted ended=2 at 20:03.6, leader.unfound at each call from 20:05 to 20:30 with terms 15 to 28, after the restart crash.grant ended=1 from the log. Ruled out: the hold at the start (no run before the records came), the grant (it counted what the log held).

Change: a store writes the records it knows to a checked file in its data folder, atomically, when they change, and reads it when it opens its log. Records merge in any order and only restrict work, so they need no quorum.

--- a/src/crash_guard/crash_replicator.ts
+++ b/src/crash_guard/crash_replicator.ts
@@ -4,6 +4,7 @@
 import type * as submissions from "../submission/mod.ts";
 import type * as crashGuards from "./crash_guard.ts";
 import type * as grantServices from "./grant_service.ts";
+import type * as recordFiles from "./record_file.ts";
 import type * as recordSyncs from "./record_sync.ts";
 
 /** Interval between comparisons with the replicated records, in ms. */
@@ -25,6 +26,7 @@
   readonly grants: Pick<grantServices.GrantService, "updateTerm">;
   readonly table: crashRecords.CrashTable;
   readonly recordSync: recordSyncs.RecordSync;
+  readonly recordFile: Pick<recordFiles.RecordFile, "load" | "save">;
   /** Sends a record to the other boxes. */
   readonly publish: (record: crashRecords.CrashRecord) => void;
 }
@@ -46,20 +48,25 @@
   /** Synchronizes immediately, then at a fixed interval until `stop` is called. */
   start(): void {
     if (this.#isStopped) return;
-    const { group, grants, recordSync, clock } = this.#options;
+    const { group, grants, recordSync, recordFile, table, clock } =
+      this.#options;
     grants.updateTerm();
     this.#mergeReplicated();
     if (group.getAppliedIndex() > 0) recordSync.complete();
+    void recordFile.save(table);
     void this.#proposeChanges();
     clock.startTimer(POLL_INTERVAL_MS, () => this.start());
   }
 
   /**
-   * Merges and publishes the records in a log that was read from the disk and
-   * waits for a leader to commit it. Records only restrict work, so one that was
-   * never committed does no harm.
+   * Merges and publishes the records on this box's disk: its own, and those in a
+   * log that waits for a leader to commit it. Records only restrict work, so one
+   * that was never committed does no harm.
+   *
+   * @param commands The commands of the log.
    */
   mergeUncommitted(commands: readonly unknown[]): void {
+    this.#mergeAll(this.#options.recordFile.load());
     for (const command of commands) {
       if (isKeepCrashes(command)) this.#mergeAll(command.records);
     }
--- a/src/crash_guard/crash_replicator_test.ts
+++ b/src/crash_guard/crash_replicator_test.ts
@@ -23,6 +23,7 @@
   let recordSync = new recordSyncs.RecordSync(clock);
   let machine = new submissions.SubmissionStateMachine(() => {});
   let published: crashRecords.CrashRecord[] = [];
+  let saved: readonly crashRecords.CrashRecord[] = [];
   let appliedIndex = 0;
   let replicator: crashReplicators.CrashReplicator;
 
@@ -32,6 +33,7 @@
     recordSync = new recordSyncs.RecordSync(clock);
     machine = new submissions.SubmissionStateMachine(() => {});
     published = [];
+    saved = [];
     appliedIndex = 0;
     replicator = new crashReplicators.CrashReplicator({
       clock,
@@ -39,6 +41,13 @@
       recordSync,
       machine,
       guard: guardFixtures.createCrashGuard(clock, { table }),
+      recordFile: {
+        load: () => saved,
+        save: (changed) => {
+          saved = changed.list();
+          return Promise.resolve();
+        },
+      },
       grants: { updateTerm: () => {} },
       publish: (record) => published.push(record),
       group: {
@@ -66,6 +75,17 @@
     chai.expect(machine.getCrashes().isEmpty()).to.equal(true);
   });
 
+  it("keeps records that no leader has committed for the next process", () => {
+    table.merge(RECORD, clock.getWallMs());
+    replicator.start();
+    replicator.stop();
+    chai.expect(saved).to.deep.equal([RECORD]);
+    table.restore([]);
+    replicator.mergeUncommitted([]);
+    chai.expect(table.list()).to.deep.equal([RECORD]);
+    chai.expect(published).to.deep.equal([RECORD]);
+  });
+
   it("knows the records once it has applied the log, and not before", () => {
     replicator.mergeUncommitted([]);
     replicator.start();
--- a/src/crash_guard/mod.ts
+++ b/src/crash_guard/mod.ts
@@ -15,4 +15,5 @@
 export * from "./create_grant_client.ts";
 export * from "./grant_service.ts";
 export * from "./protocol.ts";
+export * from "./record_file.ts";
 export * from "./record_sync.ts";
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -88,7 +88,7 @@
       ...shared,
       onDiscovered: () => this.#dispatcher.wake(),
     });
-    this.#crashReplicator = this.#createCrashReplicator();
+    this.#crashReplicator = this.#createCrashReplicator(dataFolder);
     this.#createSubmissionService(changed, voterCount);
   }
 
@@ -121,8 +121,8 @@
     });
   }
 
-  #createCrashReplicator(): crashGuards.CrashReplicator {
-    const { link, crashTable, crashGuard } = this.#components;
+  #createCrashReplicator(dataFolder: string): crashGuards.CrashReplicator {
+    const { link, log, crashTable, crashGuard } = this.#components;
     const shared = {
       ...this.#components,
       group: this.#group,
@@ -132,6 +132,7 @@
     return new crashGuards.CrashReplicator({
       ...shared,
       guard: crashGuard,
+      recordFile: new crashGuards.RecordFile(dataFolder, log),
       grants: new crashGuards.GrantService(shared),
       publish: (record) => link.publishCrash(record),
     });
