--- a/src/step_schedule/plan_steps_test.ts
+++ b/src/step_schedule/plan_steps_test.ts
@@ -169,7 +169,14 @@
     chai.expect(planned.items.map(({ work }) => work)).to.deep.equal(
       ["a0", "b0"],
     );
-    chai.expect(planned.groupCounts.get("a")?.late ?? 1).to.equal(1);
+    chai.expect([...planned.groupCounts]).to.deep.equal([]);
+    const short = plan(steps, 0.01);
+    chai.expect(short.items.map(({ work, status }) => [work, status])).to.deep
+      .equal([["a0", "late"], ["b0", "late"]]);
+    chai.expect(Object.fromEntries(short.groupCounts)).to.deep.equal({
+      a: { inTime: 0, late: 1, spare: 0 },
+      b: { inTime: 0, late: 1, spare: 0 },
+    });
   });
 
   it("counts running items as demand but lists only waiting ones", () => {
