Give concurrent demos, benches and tests addresses of their own

Cause: all demos listen on 127.0.1.x to 127.0.4.x, so two at once serve each other's clients and read each other's ledgers' halves.

Evidence: two demos started 8 s apart (load 108): 24 of 24 processes of the second one end with EADDRINUSE, the first reports failedRequests 82, falseNotRun 1, workAfterLeave 223, cutOffByPlannedStop 17 and "did not take its role".

--- a/src/control/suspended_box_test.ts
+++ b/src/control/suspended_box_test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
+import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as logs from "../log/mod.ts";
 import * as rpc from "../rpc/mod.ts";
 import type * as settings from "../settings/mod.ts";
@@ -7,9 +8,7 @@
 import * as protocols from "./protocol.ts";
 
 const PORT = 18_490;
-/** Number of distinct loopback addresses for runs in parallel. */
-const MAX_PARALLEL_RUNS = 200;
-const ADDRESS = `127.${1 + process.pid % MAX_PARALLEL_RUNS}.31.1`;
+const ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.31.1`;
 const LEASE_MS = 60_000;
 const POLL_INTERVAL_MS = 5;
 
--- a/src/daemon/one_box_test.ts
+++ b/src/daemon/one_box_test.ts
@@ -6,6 +6,7 @@
 import * as consensus from "../consensus/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as settings from "../settings/mod.ts";
+import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as daemons from "./daemon.ts";
 
 /** Token of the client account `cascade`. */
@@ -56,9 +57,9 @@
   #servers: readonly http.Server[] = [];
   #daemon: daemons.Daemon | undefined;
 
-  /** @param network Third octet of the loopback addresses: 127.0.`network`.x. */
+  /** @param network Third octet of the loopback addresses. */
   constructor(network: number) {
-    this.#network = `127.0.${network}`;
+    this.#network = `${loopbackNetworks.LOOPBACK_NETWORK}.${network}`;
     this.address = `${this.#network}.1`;
     this.deadUrl = `http://${this.#network}.3:${PORT}`;
   }
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -2,10 +2,16 @@
 import * as stream from "node:stream";
 import * as chai from "chai";
 import * as framing from "./_framing.ts";
+import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as rpcClients from "./rpc_client.ts";
 import * as rpcServers from "./rpc_server.ts";
 
 const PORT = 39_471;
+const [FIRST_ADDRESS, SECOND_ADDRESS, PROXY_ADDRESS] = [
+  `${loopbackNetworks.LOOPBACK_NETWORK}.32.1`,
+  `${loopbackNetworks.LOOPBACK_NETWORK}.32.2`,
+  `${loopbackNetworks.LOOPBACK_NETWORK}.32.3`,
+] as const;
 /** Polls of 5 ms each in which a notification must arrive. */
 const MAX_POLLS = 1_000;
 
@@ -37,7 +43,7 @@
   }
 
   it("sends the same notification, short or long, to several boxes", async () => {
-    const addresses = ["127.0.0.1", "127.0.0.2"];
+    const addresses = [FIRST_ADDRESS, SECOND_ADDRESS];
     const received = await Promise.all(addresses.map(listen));
     for (const text of ["short", "long".repeat(2_000), "x".repeat(600_000)]) {
       const params = { text };
@@ -58,21 +64,21 @@
   });
 
   it("replaces a silent connection that carries only notifications", async () => {
-    const received = await listen("127.0.0.1");
+    const received = await listen(FIRST_ADDRESS);
     const sockets: net.Socket[] = [];
     // The first connection stays open and forwards nothing; later ones work.
     const proxy = net.createServer((socket) => {
       sockets.push(socket);
       if (sockets.length === 1) return void socket.resume();
-      const upstream = net.connect(PORT, "127.0.0.1");
+      const upstream = net.connect(PORT, FIRST_ADDRESS);
       sockets.push(upstream);
       socket.pipe(upstream).pipe(socket);
     });
     await new Promise<void>((resolve) =>
-      proxy.listen(PORT, "127.0.0.3", resolve)
+      proxy.listen(PORT, PROXY_ADDRESS, resolve)
     );
     const client = new rpcClients.RpcClient(
-      { address: "127.0.0.3", port: PORT },
+      { address: PROXY_ADDRESS, port: PORT },
       20,
     );
     clients.push(client);
--- a/tools/demo/verify_ledgers_test.ts
+++ b/tools/demo/verify_ledgers_test.ts
@@ -4,6 +4,7 @@
 import * as path from "node:path";
 import * as backendServers from "../../src/backend_server/mod.ts";
 import * as csp from "../../src/csp/mod.ts";
+import * as loopbackNetworks from "../../src/fixtures/loopback_network.ts";
 import * as engines from "../../src/engine/mod.ts";
 import * as steps from "../../src/rollout_step/mod.ts";
 import * as engineCores from "../stand_ins/engine_core.ts";
@@ -13,7 +14,7 @@
 
 const LENGTHS = { median: 6, sigma: 0.3 };
 const OPTIONS = { lengths: LENGTHS, sampleTokens: 32, completionTokens: 32 };
-const ADDRESS = "127.0.5.1";
+const ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.33.1`;
 const PORT = 8190;
 
 /** Generates one sample on an engine and verifies it against its ledger. */
--- a/tools/deployment/topology.ts
+++ b/tools/deployment/topology.ts
@@ -1,3 +1,4 @@
+import * as loopbackNetworks from "../../src/fixtures/loopback_network.ts";
 import type * as runPlatforms from "../stand_ins/run_platform.ts";
 import type * as addressBooks from "../stand_ins/address_book.ts";
 
@@ -32,11 +33,11 @@
 export const PLATFORM_PORT = 8095;
 
 /** Loopback address of the box list. */
-export const BOX_LIST_ADDRESS = "127.0.4.1";
+export const BOX_LIST_ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.4.1`;
 /** Loopback address of the weight store. */
-export const WEIGHT_STORE_ADDRESS = "127.0.4.2";
+export const WEIGHT_STORE_ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.4.2`;
 /** Loopback address of the scorer. */
-export const SCORER_ADDRESS = "127.0.4.3";
+export const SCORER_ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.4.3`;
 
 const FAILURE_DOMAINS = [
   "port-louis",
@@ -63,7 +64,7 @@
 ): readonly DeployedBox[] {
   return Array.from({ length: count }, (_, index) => ({
     box: `box-${index + 1}`,
-    address: `127.0.1.${index + 1}`,
+    address: `${loopbackNetworks.LOOPBACK_NETWORK}.1.${index + 1}`,
     port: CALLER_PORT,
     failureDomain: getFailureDomain(index),
     hasState: index < replicaCount,
@@ -80,7 +81,7 @@
     id: `${service}-${index + 1}`,
     service,
     kind,
-    address: `127.0.${network}.${index + 1}`,
+    address: `${loopbackNetworks.LOOPBACK_NETWORK}.${network}.${index + 1}`,
     port: SERVER_PORT,
     failureDomain: getFailureDomain(index),
     state: "live",
--- a/tools/soak/soak_trainer.ts
+++ b/tools/soak/soak_trainer.ts
@@ -19,7 +19,6 @@
   readonly items: number;
   /** Digest of each result by position; a result must never change. */
   readonly digests: string[];
-  isEnded: boolean;
 }
 
 /** Outcome of reading the results of all accepted submissions again. */
@@ -45,9 +44,12 @@
   return crypto.createHash("sha1").update(JSON.stringify(value)).digest("hex");
 }
 
+/** Client of the entry boxes, as far as a trainer needs it. */
+type TrainerClient = Pick<clients.SoakClient, "send" | "sendUntil">;
+
 /** Sends submissions, reads their results, ends them and records digests. */
 export class SoakTrainer {
-  readonly #client: clients.SoakClient;
+  readonly #client: TrainerClient;
   readonly #load: TrainerLoad;
   readonly #submissions: AcceptedSubmission[] = [];
   readonly #faults: string[] = [];
@@ -55,7 +57,7 @@
   #nextStep = 0;
   #isStopped = false;
 
-  constructor(client: clients.SoakClient, load: TrainerLoad) {
+  constructor(client: TrainerClient, load: TrainerLoad) {
     this.#client = client;
     this.#load = load;
     this.#body = Buffer.from(
@@ -114,7 +116,6 @@
       id,
       items: groups * itemsPerGroup,
       digests: [],
-      isEnded: false,
     };
     this.#submissions.push(submission);
     await this.#readResults(submission);
@@ -130,20 +131,32 @@
         submission.digests.length,
       );
       for (const result of page?.results ?? []) {
-        submission.digests.push(computeDigest(result));
+        this.#recordResult(submission, computeDigest(result));
       }
       if (submission.digests.length >= desiredResults) return;
       await sleeps.sleep(READ_INTERVAL_MS);
     }
   }
 
+  /** Records a result; reports one that was listed before or is one too many. */
+  #recordResult(submission: AcceptedSubmission, digest: string): void {
+    const { id, items, digests } = submission;
+    const index = digests.length;
+    if (digests.includes(digest)) {
+      this.#faults.push(`${id}: result ${index} was listed before`);
+    }
+    if (index >= items) {
+      this.#faults.push(`${id}: result ${index} of ${items} items`);
+    }
+    digests.push(digest);
+  }
+
   async #endSubmission(submission: AcceptedSubmission): Promise<void> {
-    const answer = await this.#client.sendUntil(
+    await this.#client.sendUntil(
       { kind: "caller", method: "DELETE", path: `/lots/${submission.id}` },
       Date.now() + REQUEST_TIMEOUT_MS,
       [OK],
     );
-    submission.isEnded = answer !== undefined;
   }
 
   async #readPage(id: string, after: number): Promise<ResultPage | undefined> {
