--- a/tools/bench/bench_control.ts
+++ b/tools/bench/bench_control.ts
@@ -4,7 +4,7 @@
 import type * as deployments from "../deployment/deployment.ts";
 import * as controlDeployments from "./control_deployment.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
-import * as ledgerVerification from "../demo/verify_ledgers.ts";
+import * as quantiles from "../demo/quantiles.ts";
 import * as processUsages from "./process_usage.ts";
 import * as sleeps from "../stand_ins/sleep.ts";
 
@@ -242,7 +242,7 @@
       readonly frozenMs: number;
     },
   ): Promise<void> {
-    const inForceMs = ledgerVerification.computeQuantiles(
+    const inForceMs = quantiles.computeQuantiles(
       this.#accepted.slice(0, CHANGES).map((accepted) => accepted.tookMs),
     );
     const audit = await this.#sendRequest(
--- a/tools/bench/bench_rolling.ts
+++ b/tools/bench/bench_rolling.ts
@@ -1,6 +1,7 @@
 import * as httpClient from "../../src/http_client/mod.ts";
 import * as topologies from "../deployment/topology.ts";
 import * as deployments from "../deployment/deployment.ts";
+import * as quantiles from "../demo/quantiles.ts";
 import * as ledgerVerification from "../demo/verify_ledgers.ts";
 import type * as callerRuns from "../stand_ins/run_callers.ts";
 import * as ledgers from "../stand_ins/ledger.ts";
@@ -163,7 +164,7 @@
       ).length;
     const latencyMs = Object.fromEntries(OPERATIONS.map((operation) => [
       operation,
-      ledgerVerification.computeQuantiles(
+      quantiles.computeQuantiles(
         calls.filter((call) => call.operation === operation).map(getLatencyMs),
       ),
     ]));
--- a/tools/bench/bench_slopes.ts
+++ b/tools/bench/bench_slopes.ts
@@ -3,7 +3,7 @@
 import type * as deployments from "../deployment/deployment.ts";
 import * as controlDeployments from "./control_deployment.ts";
 import * as linkRelays from "../deployment/link_relay.ts";
-import * as ledgerVerification from "../demo/verify_ledgers.ts";
+import * as quantiles from "../demo/quantiles.ts";
 import * as processUsages from "./process_usage.ts";
 import * as sleeps from "../stand_ins/sleep.ts";
 
@@ -117,7 +117,7 @@
     const bytesPerChange =
       (this.#getRelayedBytes() - changeBytes - idleBytesDuringChanges) /
       CHANGES;
-    const inForce = ledgerVerification.computeQuantiles(tookMs);
+    const inForce = quantiles.computeQuantiles(tookMs);
     return {
       boxes: this.#boxes.length,
       leaderCpu: trimFigure(idle.get(leader) ?? 0),
--- a/tools/demo/run_demo.ts
+++ b/tools/demo/run_demo.ts
@@ -15,6 +15,7 @@
 import * as demoReports from "./demo_report.ts";
 import * as demoSettings from "./demo_settings.ts";
 import * as faultPlans from "./fault_plan.ts";
+import * as quantiles from "./quantiles.ts";
 import * as ledgerVerification from "./verify_ledgers.ts";
 import * as sleeps from "../stand_ins/sleep.ts";
 
@@ -282,7 +283,7 @@
       sampleTokens: demoSettings.SAMPLE_TOKENS,
       completionTokens: demoSettings.COMPLETION_TOKENS,
     });
-    const inForce = ledgerVerification.computeQuantiles(this.#inForceMs);
+    const inForce = quantiles.computeQuantiles(this.#inForceMs);
     return demoReports.reportResult({
       ...verdict,
       configChanges: this.#inForceMs.length,
