--- a/src/crash_guard/crash_replicator_test.ts
+++ b/src/crash_guard/crash_replicator_test.ts
@@ -20,7 +20,7 @@
 describe("CrashReplicator", () => {
   let clock = new clocks.FakeClock(2_000);
   let table = new crashRecords.CrashTable();
-  let recordSync = new recordSyncs.RecordSync(clock);
+  let recordSync = new recordSyncs.RecordSync(clock, { write: () => {} });
   let machine = new submissions.SubmissionStateMachine(() => {});
   let published: crashRecords.CrashRecord[] = [];
   let saved: readonly crashRecords.CrashRecord[] = [];
@@ -30,7 +30,7 @@
   beforeEach(() => {
     clock = new clocks.FakeClock(2_000);
     table = new crashRecords.CrashTable();
-    recordSync = new recordSyncs.RecordSync(clock);
+    recordSync = new recordSyncs.RecordSync(clock, { write: () => {} });
     machine = new submissions.SubmissionStateMachine(() => {});
     published = [];
     saved = [];
--- a/src/crash_guard/record_sync.ts
+++ b/src/crash_guard/record_sync.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
+import type * as logs from "../log/mod.ts";
 
 /**
  * Time after the start in which a box waits for the records, in ms. Work is run
@@ -14,19 +15,25 @@
  */
 export class RecordSync {
   readonly #clock: clocks.Clock;
-  readonly #endsAtMs: number;
+  readonly #log: Pick<logs.Log, "write">;
+  readonly #startedAtMs: number;
   readonly #completed = new csp.Signal();
   #isComplete = false;
 
-  constructor(clock: clocks.Clock) {
+  constructor(clock: clocks.Clock, log: Pick<logs.Log, "write">) {
     this.#clock = clock;
-    this.#endsAtMs = clock.getMonotonicMs() + START_TIMEOUT_MS;
+    this.#log = log;
+    this.#startedAtMs = clock.getMonotonicMs();
   }
 
   /** Notes that the box holds the records of a store box. */
   complete(): void {
     if (this.#isComplete) return;
     this.#isComplete = true;
+    this.#log.write("info", "crash.recordsKnown", {
+      afterMs: Math.round(this.#clock.getMonotonicMs() - this.#startedAtMs),
+      wasAwaited: this.#getRemainingMs() > 0,
+    });
     this.#completed.notify();
   }
 
@@ -37,13 +44,17 @@
 
   /** Whether work must wait for the records. */
   isAwaited(): boolean {
-    return !this.#isComplete && this.#clock.getMonotonicMs() < this.#endsAtMs;
+    return !this.#isComplete && this.#getRemainingMs() > 0;
   }
 
   /** Waits for the records, at most until the time to wait for them is over. */
   async awaitRecords(): Promise<void> {
-    const remainingMs = this.#endsAtMs - this.#clock.getMonotonicMs();
     if (!this.isAwaited()) return;
-    await this.#completed.wait(this.#clock, remainingMs);
+    await this.#completed.wait(this.#clock, this.#getRemainingMs());
+  }
+
+  #getRemainingMs(): number {
+    const endsAtMs = this.#startedAtMs + START_TIMEOUT_MS;
+    return endsAtMs - this.#clock.getMonotonicMs();
   }
 }
--- a/src/crash_guard/record_sync_test.ts
+++ b/src/crash_guard/record_sync_test.ts
@@ -4,11 +4,11 @@
 
 describe("RecordSync", () => {
   let clock = new clocks.FakeClock(1_000);
-  let sync = new recordSyncs.RecordSync(clock);
+  let sync = new recordSyncs.RecordSync(clock, { write: () => {} });
 
   beforeEach(() => {
     clock = new clocks.FakeClock(1_000);
-    sync = new recordSyncs.RecordSync(clock);
+    sync = new recordSyncs.RecordSync(clock, { write: () => {} });
   });
 
   it("makes work wait until the records are known", async () => {
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -109,7 +109,7 @@
     const { clock } = fleet;
     const log = new logs.Log(id, "error", () => {});
     const startedAtMs = clock.getWallMs();
-    this.recordSync = new crashGuards.RecordSync(clock);
+    this.recordSync = new crashGuards.RecordSync(clock, { write: () => {} });
     this.servers = new registry.ServerRegistry(clock, HEARTBEAT_MS);
     this.directory = new boxDirectories.BoxDirectory(clock);
     this.configuration = new trafficConfig.ConfigurationHolder(
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -96,7 +96,7 @@
     ),
     configuration,
     crashTable: new crashRecords.CrashTable(),
-    recordSync: new crashGuards.RecordSync(clock),
+    recordSync: new crashGuards.RecordSync(clock, log),
     status: { isReady: false, isLeaving: false, ledTerm: 0 },
     draw: Math.random,
   };
--- a/src/forwarding/crashing_work_test.ts
+++ b/src/forwarding/crashing_work_test.ts
@@ -247,7 +247,7 @@
     await send(CRASHING);
     const records = table.list();
     table.restore([]);
-    const recordSync = new crashGuards.RecordSync(clock);
+    const recordSync = new crashGuards.RecordSync(clock, { write: () => {} });
     const sending = send(CRASHING, {}, { recordSync });
     await clocks.sleep(clock, 50);
     table.restore(records);
