Wait for the crash records' file when a store stops, and never begin a folder with it

Found in the reading of the change: a save in progress could end after the stop, and beside a data folder that was never opened (a store still waiting for the fleet's founding) the file would make the folder look used, so that the next start would not found it. Test: "writes nothing before the data folder was opened". The gossip's view of the records' state has a name of its own.

--- a/src/crash_guard/crash_replicator.ts
+++ b/src/crash_guard/crash_replicator.ts
@@ -39,6 +39,8 @@
   readonly #options: CrashReplicatorOptions;
   #mergedHash = "";
   #isProposing = false;
+  /** Whether the replica has opened its data folder. */
+  #isStarted = false;
   #isStopped = false;
 
   constructor(options: CrashReplicatorOptions) {
@@ -48,6 +50,7 @@
   /** Synchronizes immediately, then at a fixed interval until `stop` is called. */
   start(): void {
     if (this.#isStopped) return;
+    this.#isStarted = true;
     const { group, grants, recordSync, recordFile, table, clock } =
       this.#options;
     grants.updateTerm();
@@ -80,8 +83,14 @@
     }
   }
 
-  stop(): void {
+  /**
+   * Stops; resolves once the records are on the disk, or couldn't be written. A
+   * data folder that was never opened stays empty, so that it is initialized.
+   */
+  async stop(): Promise<void> {
     this.#isStopped = true;
+    if (!this.#isStarted) return;
+    await this.#options.recordFile.save(this.#options.table);
   }
 
   /** Merges and publishes records that the replicated log delivered. */
--- a/src/crash_guard/crash_replicator_test.ts
+++ b/src/crash_guard/crash_replicator_test.ts
@@ -86,6 +86,12 @@
     chai.expect(published).to.deep.equal([RECORD]);
   });
 
+  it("writes nothing before the data folder was opened", async () => {
+    table.merge(RECORD, clock.getWallMs());
+    await replicator.stop();
+    chai.expect(saved).to.deep.equal([]);
+  });
+
   it("knows the records once it has applied the log, and not before", () => {
     replicator.mergeUncommitted([]);
     replicator.start();
--- a/src/crash_guard/record_file.ts
+++ b/src/crash_guard/record_file.ts
@@ -17,6 +17,8 @@
   /** Hash of the records that the file holds. */
   #savedHash = "";
   #isSaving = false;
+  /** The save in progress, or the last one. */
+  #lastSave: Promise<void> = Promise.resolve();
   /** Whether the last save failed; only the first of several is logged. */
   #isFailing = false;
 
@@ -41,13 +43,21 @@
   }
 
   /**
-   * Replaces the file if the table has changed since the last save. A failed save
-   * is logged and repeated by the next call.
+   * Replaces the file if the table has changed since the last save, unless a save
+   * is in progress. A failed save is logged and repeated by the next call.
+   *
+   * @returns Resolves after the save in progress, if any; never rejects.
    */
-  async save(table: crashRecords.CrashTable): Promise<void> {
+  save(table: crashRecords.CrashTable): Promise<void> {
+    if (!this.#isSaving && table.getContentHash() !== this.#savedHash) {
+      this.#isSaving = true;
+      this.#lastSave = this.#updateFile(table);
+    }
+    return this.#lastSave;
+  }
+
+  async #updateFile(table: crashRecords.CrashTable): Promise<void> {
     const hash = table.getContentHash();
-    if (this.#isSaving || hash === this.#savedHash) return;
-    this.#isSaving = true;
     try {
       await this.#write(JSON.stringify(table.list()));
       this.#savedHash = hash;
--- a/src/fleet/_crash_sync.ts
+++ b/src/fleet/_crash_sync.ts
@@ -1,8 +1,8 @@
 import type * as protocol from "./protocol.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 
-/** Tells whether a box holds the crash records that the store boxes keep. */
-export interface RecordSync {
+/** State of a box: whether it holds the crash records that the stores keep. */
+export interface CrashSyncState {
   isComplete(): boolean;
   complete(): void;
 }
@@ -10,7 +10,7 @@
 /** Dependencies of a crash sync. */
 export interface CrashSyncOptions {
   readonly crashTable: crashRecords.CrashTable;
-  readonly recordSync: RecordSync;
+  readonly recordSync: CrashSyncState;
   /** Merges a record from another box; returns whether it added anything. */
   readonly learnCrash: (record: crashRecords.CrashRecord) => boolean;
   /** Called for each record that added something. */
--- a/src/fleet/_sync_service.ts
+++ b/src/fleet/_sync_service.ts
@@ -13,7 +13,7 @@
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly crashTable: crashRecords.CrashTable;
-  readonly recordSync: crashSyncs.RecordSync;
+  readonly recordSync: crashSyncs.CrashSyncState;
   readonly getOwnRecord: () => boxRecords.BoxRecord;
 }
 
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -225,7 +225,7 @@
     this.#autoscaler?.stop();
     this.#weightOrders.stop();
     this.#engineTracker.stop();
-    this.#crashReplicator.stop();
+    await this.#crashReplicator.stop();
     await this.#group.stop();
   }
 }
