Let suspect work wait for a server of its own while its target leaves time

Cause: a crash made three works suspect, two servers were left. The third could share one 80 ms after it had asked, whatever time it had; at this load the run that crashes its server takes longer than that, and it shared that one.

Evidence (log lines kept): crash.grant to i-1-1 and i-0-1, the third 92 and 130 ms later at the first one's server; "i-1-1 CRASHED" 26 ms after it; crash.noted ended=2 for both; 700 ms of its target were left.

Change: work with one crash shares a server after half of the time left to its latency target, as it waits for the leader's reply; 80 ms at least, as before where the target is near. Failed before: job_crash_guard_test "shares no server before half of the time to the latency target" (90 ms instead of 500).

--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -12,15 +12,19 @@
 const MAX_ENDED_WITHOUT_GRANT = 1;
 
 /**
- * Time after which work with one crash may share a server with other such work,
- * in ms. When a failure domain is lost there is more such work than servers, and
- * little of it caused a crash.
+ * Least time after which work with one crash may share a server with other such
+ * work, in ms. When a failure domain is lost there is more such work than servers,
+ * and little of it caused a crash.
  */
-const SHARE_AFTER_MS = 80;
+const MIN_SHARE_AFTER_MS = 80;
 /** Least time in which the leader may reply to a grant request, in ms. */
 const MIN_ASK_MS = 200;
-/** Part of the time left to the latency target in which the leader may reply. */
-const ASK_TIME_FRACTION = 0.5;
+/**
+ * Part of the time left to the latency target that work spends on having a server
+ * to itself: on the leader's reply, and before it shares one. The rest is for its
+ * run.
+ */
+const GRANT_TIME_FRACTION = 0.5;
 /** Retry delay of the caller while the same work runs elsewhere, in ms. */
 const BUSY_RETRY_AFTER_MS = 500;
 
@@ -113,7 +117,8 @@
     listServers: () => readonly registry.LifetimeKey[],
   ): Promise<Permitted | HeldBack> {
     const { clock, crashGuard } = this.#options;
-    const startedAtMs = clock.getMonotonicMs();
+    const shareAtMs = clock.getMonotonicMs() +
+      this.#computeGrantTimeMs(MIN_SHARE_AFTER_MS);
     for (;;) {
       const verdict = this.getVerdict();
       if (verdict.kind === "free") return ANY_SERVER;
@@ -126,9 +131,8 @@
       const answer = await crashGuard.askGrant(this.getDigest(), {
         run,
         servers,
-        mayShare: mayRunWithoutGrant &&
-          clock.getMonotonicMs() - startedAtMs >= SHARE_AFTER_MS,
-      }, this.#computeAskTimeoutMs());
+        mayShare: mayRunWithoutGrant && clock.getMonotonicMs() >= shareAtMs,
+      }, this.#computeGrantTimeMs(MIN_ASK_MS));
       switch (answer.kind) {
         case "granted":
           this.#grantedRun = run;
@@ -151,14 +155,11 @@
     }
   }
 
-  /**
-   * Returns how long to wait for the leader's reply, in ms. A lost or late reply
-   * is asked for again, while enough time is left to run the work in time.
-   */
-  #computeAskTimeoutMs(): number {
+  /** Returns how long to wait from now on for a server without other work, in ms. */
+  #computeGrantTimeMs(minMs: number): number {
     const nowMs = this.#options.clock.getMonotonicMs();
     const remainingMs = this.#job.targetAtMs - nowMs;
-    return Math.max(MIN_ASK_MS, remainingMs * ASK_TIME_FRACTION);
+    return Math.max(minMs, remainingMs * GRANT_TIME_FRACTION);
   }
 
   #decideWithoutGrant(servers: readonly registry.LifetimeKey[]): Permitted {
