Log and measure how late, by which way and from where a configuration came

What was missing to tell the hypotheses of the incident apart: the age of a version when it came into force and the way that it took, how long a newer one had been known, a message of another box that could not be handled (the RPC server dropped such errors without a line), and pauses of the process. Logic unchanged: a configuration also carries the time at which an entry box took it, which older builds pass on and don't read.

--- a/src/fleet/_configuration_sync.ts
+++ b/src/fleet/_configuration_sync.ts
@@ -25,10 +25,13 @@
   }
 
   /** Puts a received configuration in force if it is newer than the current one. */
-  offer(stored: trafficConfig.StoredConfiguration | undefined): void {
+  offer(
+    stored: trafficConfig.StoredConfiguration | undefined,
+    source: trafficConfig.ConfigurationSource,
+  ): void {
     if (stored === undefined) return;
     const { configuration, onUpdated } = this.#options;
-    if (configuration.update(stored)) onUpdated();
+    if (configuration.update(stored, source)) onUpdated();
   }
 
   /**
@@ -40,6 +43,7 @@
     message: Pick<protocol.GossipMessage, "from" | "configurationVersion">,
   ): void {
     const { configuration, peers, log } = this.#options;
+    configuration.observeVersion(message.configurationVersion);
     const isOutdated =
       message.configurationVersion > configuration.getVersion();
     if (!isOutdated || this.#isFetching) return;
@@ -48,9 +52,13 @@
       protocol.METHODS.readConfiguration,
       {},
       CALL_TIMEOUT_MS,
-    ).then((reply) => this.offer(reply.configuration))
+    ).then((reply) => this.offer(reply.configuration, "fetch"))
       .catch((error: Error) =>
-        log.write("warn", "configuration.unread", { message: error.message })
+        log.write("warn", "configuration.unread", {
+          from: message.from,
+          version: message.configurationVersion,
+          message: error.message,
+        })
       )
       .finally(() => {
         this.#isFetching = false;
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -2,6 +2,7 @@
 import * as crashGuards from "../crash_guard/mod.ts";
 import * as crashRecords from "../crash_record/mod.ts";
 import * as logs from "../log/mod.ts";
+import * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as results from "../results/mod.ts";
@@ -112,10 +113,12 @@
     this.recordSync = new crashGuards.RecordSync(clock, { write: () => {} });
     this.servers = new registry.ServerRegistry(clock, HEARTBEAT_MS);
     this.directory = new boxDirectories.BoxDirectory(clock);
-    this.configuration = new trafficConfig.ConfigurationHolder(
-      () => results.createOk({ routes: [] } as never),
+    this.configuration = new trafficConfig.ConfigurationHolder({
+      clock,
       log,
-    );
+      metrics: new metrics.FleetMetrics().configuration,
+      parse: () => results.createOk({ routes: [] } as never),
+    });
     this.gossip = new fleetGossips.FleetGossip({
       clock,
       log,
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -249,7 +249,7 @@
   #handleReply(reply: protocol.SyncReply, from: string): void {
     for (const box of reply.boxes) this.#mergeBox(box);
     for (const server of reply.servers) this.#mergeServer(server, from);
-    this.#configurationSync.offer(reply.configuration);
+    this.#configurationSync.offer(reply.configuration, "sync");
     const crashNews = this.#crashSync.reconcile(reply);
     if (crashNews === undefined) return;
     this.#send(from, { ...this.#createMessage(), ...crashNews });
@@ -270,7 +270,7 @@
       this.#syncLoop.fetch(from, outdated.map((item) => item.id));
     }
     this.#crashSync.merge(message);
-    this.#configurationSync.offer(message.configuration);
+    this.#configurationSync.offer(message.configuration, "push");
     this.#configurationSync.fetchIfOutdated(message);
   }
 
--- a/src/fleet/fleet_gossip_test.ts
+++ b/src/fleet/fleet_gossip_test.ts
@@ -169,7 +169,7 @@
   it("answers a sync request with nothing when both boxes hold the same state", async () => {
     const first = fleet.boxes.get("c1");
     first?.handleHeartbeat(fixtures.createReport("s-1", 1));
-    first?.configuration.update({ version: 7, text: "seven" });
+    first?.configuration.update({ version: 7, text: "seven" }, "log");
     first?.gossip.publishConfiguration();
     await fleet.advanceBy(1_000);
     const requester = fleet.boxes.get("p1");
@@ -193,7 +193,7 @@
 
   it("distributes a configuration to every box, including one that starts later", async () => {
     const first = fleet.boxes.get("c1");
-    first?.configuration.update({ version: 7, text: "seven" });
+    first?.configuration.update({ version: 7, text: "seven" }, "log");
     first?.gossip.publishConfiguration();
     await fleet.advanceBy(200);
     fleet.start("p3", false);
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -70,10 +70,12 @@
     (line) => lines.add(line),
   );
   const boxMetrics = new metrics.FleetMetrics();
-  const configuration = new trafficConfig.ConfigurationHolder(
-    dialect.parseConfiguration,
+  const configuration = new trafficConfig.ConfigurationHolder({
+    clock,
     log,
-  );
+    metrics: boxMetrics.configuration,
+    parse: dialect.parseConfiguration,
+  });
   const shared = {
     ...context,
     clock,
@@ -86,7 +88,9 @@
     }),
     isService: (name: string) =>
       configuration.get()?.services.has(name) ?? true,
-    server: new rpc.RpcServer(),
+    server: new rpc.RpcServer((method, error) =>
+      reportFailedMessage({ log, metrics: boxMetrics }, method, error)
+    ),
     peers: new fleet.PeerPool(settings.listen.peerPort),
     directory: new fleet.BoxDirectory(clock),
     servers: new registry.ServerRegistry(
@@ -115,6 +119,17 @@
   return { ...shared, crashGuard, forwarder, link };
 }
 
+/** Reports a message of another box whose handler threw an error. */
+function reportFailedMessage(
+  { log, metrics: boxMetrics }: Pick<BoxComponents, "log" | "metrics">,
+  method: string,
+  error: unknown,
+): void {
+  boxMetrics.process.countFailedMessage(method);
+  const { stack, message } = error as Error;
+  log.write("error", "message.failed", { method, message: stack ?? message });
+}
+
 /** Components that do not depend on the gossip link. */
 type LocalComponents = Omit<BoxComponents, "link" | "crashGuard" | "forwarder">;
 
--- a/src/fleet_daemon/control_handler.ts
+++ b/src/fleet_daemon/control_handler.ts
@@ -143,8 +143,10 @@
   async #putConfiguration(
     stored: trafficConfig.StoredConfiguration,
   ): Promise<dialects.RawAnswer> {
-    const { core, dialect, log } = this.#options;
-    const request: trafficConfig.PutRequest = { stored };
+    const { core, dialect, log, clock } = this.#options;
+    const request: trafficConfig.PutRequest = {
+      stored: { ...stored, acceptedAtMs: clock.getWallMs() },
+    };
     const reply = await core.call<trafficConfig.PutReply>(
       trafficConfig.METHODS.put,
       request,
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -179,7 +179,9 @@
       delayMs: 0,
       action: () => {
         const stored = stateMachine.getStored();
-        if (stored === undefined || !configuration.update(stored)) return;
+        if (stored === undefined || !configuration.update(stored, "log")) {
+          return;
+        }
         link.publishConfiguration();
       },
     });
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -5,6 +5,8 @@
 
 /** Interval between refreshes of the box's status, in ms. */
 const CHECK_INTERVAL_MS = 100;
+/** Delay of a refresh that is logged as a stall of the process, in ms. */
+const MIN_STALL_MS = 400;
 /** Part of the stop timeout reserved for closing the components, in ms. */
 const STOP_MARGIN_MS = 1_200;
 /** Time that a store box keeps serving after it has resigned, in ms. */
@@ -31,6 +33,8 @@
   readonly #store: storeBoxes.StoreBox | undefined;
   readonly #onEnd: (end: BoxEnd) => void;
   #isEnded = false;
+  /** Monotonic time at which the next refresh is due, in ms. */
+  #refreshDueMs = Number.POSITIVE_INFINITY;
 
   /** @param onEnd Called once, when the daemon has stopped or failed. */
   constructor(
@@ -122,7 +126,9 @@
     const { configuration, status, link, clock, log, lines, metrics } =
       this.#components;
     if (this.#isEnded) return;
-    metrics.setDroppedLogLines(lines.getDroppedCount());
+    this.#reportStall();
+    metrics.process.setDroppedLogLines(lines.getDroppedCount());
+    metrics.configuration.setBehindMs(configuration.getBehindMs());
     this.#entry?.applyLimits();
     if (!status.isReady && configuration.getVersion() > 0) {
       status.isReady = true;
@@ -130,9 +136,22 @@
       link.publishSelf();
     }
     this.#publishLeadership();
+    this.#refreshDueMs = clock.getMonotonicMs() + CHECK_INTERVAL_MS;
     clock.startTimer(CHECK_INTERVAL_MS, () => this.#refreshStatus());
   }
 
+  /** Reports that the process was not run for long before this refresh. */
+  #reportStall(): void {
+    const { clock, log, metrics, configuration } = this.#components;
+    const stalledMs = clock.getMonotonicMs() - this.#refreshDueMs;
+    if (stalledMs < MIN_STALL_MS) return;
+    metrics.process.addStalledMs(stalledMs);
+    log.write("warn", "process.stalled", {
+      stalledMs: Math.round(stalledMs),
+      configuration: configuration.getVersion(),
+    });
+  }
+
   /** Publishes the term when this box has become leader of its group. */
   #publishLeadership(): void {
     const { status, link } = this.#components;
--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -1,5 +1,7 @@
 import * as http from "node:http";
 import * as prometheus from "prom-client";
+import * as configurationMetrics from "./configuration_metrics.ts";
+import * as processMetrics from "./process_metrics.ts";
 import * as replicaMetrics from "./replica_metrics.ts";
 
 /** Upper bounds of the duration buckets, in ms. */
@@ -23,6 +25,11 @@
   readonly #registry = new prometheus.Registry();
   /** Metrics of the replica groups. */
   readonly replicas = new replicaMetrics.ReplicaMetrics(this.#registry);
+  /** Metrics of the configuration in force. */
+  readonly configuration = new configurationMetrics.ConfigurationMetrics(
+    this.#registry,
+  );
+  readonly process = new processMetrics.ProcessMetrics(this.#registry);
   readonly #requestMs: prometheus.Histogram<"route" | "outcome">;
   readonly #itemRuns: prometheus.Counter<"outcome">;
   readonly #itemMs: prometheus.Histogram<string>;
@@ -34,7 +41,6 @@
   readonly #unreportedUsageMs: prometheus.Gauge<string>;
   readonly #capacityOrders: prometheus.Counter<"outcome">;
   readonly #crashEvents: prometheus.Counter<"event">;
-  readonly #droppedLogLines: prometheus.Gauge<string>;
   #server: http.Server | undefined;
 
   constructor() {
@@ -100,11 +106,6 @@
       labelNames: ["event"],
       registers,
     });
-    this.#droppedLogLines = new prometheus.Gauge({
-      name: "hoistscale_log_lines_lost",
-      help: "Log lines dropped because the output was not read",
-      registers,
-    });
   }
 
   recordRequest(route: string, outcome: string, durationMs: number): void {
@@ -158,10 +159,6 @@
     this.#crashEvents.inc({ event });
   }
 
-  setDroppedLogLines(lines: number): void {
-    this.#droppedLogLines.set(lines);
-  }
-
   /** Lists the names of all metrics. */
   listMetricNames(): readonly string[] {
     return this.#registry.getMetricsAsArray().map((metric) => metric.name);
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -8,6 +8,8 @@
  * ```
  * @module
  */
+export * from "./configuration_metrics.ts";
 export * from "./metrics.ts";
 export * from "./fleet_metrics.ts";
+export * from "./process_metrics.ts";
 export * from "./replica_metrics.ts";
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -11,13 +11,22 @@
   add(method: string, handler: RpcHandler): void;
 }
 
+/** Called with the method and the error of a handler that threw. */
+export type HandlerErrorListener = (method: string, error: unknown) => void;
+
 /** Serves JSON-RPC calls of other boxes over TCP. */
 export class RpcServer implements MethodRegistry {
   readonly #server: net.Server;
   readonly #rpc = new jsonRpc.JSONRPCServer({ errorListener: () => {} });
+  readonly #onHandlerError: HandlerErrorListener;
   #sockets: ReadonlySet<net.Socket> = new Set();
 
-  constructor() {
+  /**
+   * @param onHandlerError Receives the errors of handlers; the sender of a
+   * notification learns of none.
+   */
+  constructor(onHandlerError: HandlerErrorListener = () => {}) {
+    this.#onHandlerError = onHandlerError;
     this.#server = net.createServer((socket) => this.#acceptSocket(socket));
     this.add(framing.PING_METHOD, () => true);
   }
@@ -25,10 +34,23 @@
   add(method: string, handler: RpcHandler): void {
     this.#rpc.addMethod(
       method,
-      handler as (params: unknown) => unknown as never,
+      (params: unknown) => this.#runHandler(method, handler, params),
     );
   }
 
+  async #runHandler(
+    method: string,
+    handler: RpcHandler,
+    params: unknown,
+  ): Promise<unknown> {
+    try {
+      return await handler(params as never);
+    } catch (error) {
+      this.#onHandlerError(method, error);
+      throw error;
+    }
+  }
+
   /** Listens on an address; rejects if that fails. */
   listen(address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
--- a/src/traffic_config/configuration.ts
+++ b/src/traffic_config/configuration.ts
@@ -99,4 +99,15 @@
   readonly version: number;
   /** Unmodified text from the operator. */
   readonly text: string;
+  /**
+   * Wall-clock time at which an entry box accepted it, in ms, for logs and
+   * metrics only; undefined from older builds.
+   */
+  readonly acceptedAtMs?: number;
 }
+
+/**
+ * How a configuration reached a box: by its own replica's log, pushed by a core
+ * box, fetched after another box named its version, or in a periodic exchange.
+ */
+export type ConfigurationSource = "log" | "push" | "fetch" | "sync";
--- a/src/traffic_config/configuration_holder.ts
+++ b/src/traffic_config/configuration_holder.ts
@@ -1,4 +1,6 @@
+import type * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
 import type * as results from "../results/mod.ts";
 import type * as configurations from "./configuration.ts";
 
@@ -7,43 +9,94 @@
   text: string,
 ) => results.Result<configurations.Configuration>;
 
+/** Dependencies of a `ConfigurationHolder`. */
+export interface ConfigurationHolderOptions {
+  readonly clock: clocks.Clock;
+  readonly log: Pick<logs.Log, "write">;
+  readonly metrics: metrics.ConfigurationMetrics;
+  readonly parse: ParseConfiguration;
+}
+
 /** Holds the configuration in force on this box; its version never decreases. */
 export class ConfigurationHolder {
-  readonly #parse: ParseConfiguration;
-  readonly #log: logs.Log;
+  readonly #options: ConfigurationHolderOptions;
   #stored: configurations.StoredConfiguration | undefined;
   #current: configurations.Configuration | undefined;
+  /** Highest version that another box was heard to have. */
+  #announcedVersion = 0;
+  /** Monotonic time since which a higher version is known, in ms. */
+  #behindSinceMs: number | undefined;
 
-  constructor(parse: ParseConfiguration, log: logs.Log) {
-    this.#parse = parse;
-    this.#log = log;
+  constructor(options: ConfigurationHolderOptions) {
+    this.#options = options;
   }
 
   /**
    * Puts a configuration in force if it is newer and its text can be parsed.
    *
+   * @param stored The configuration.
+   * @param source How it reached this box.
    * @returns Whether it was put in force.
    */
-  update(stored: configurations.StoredConfiguration): boolean {
+  update(
+    stored: configurations.StoredConfiguration,
+    source: configurations.ConfigurationSource,
+  ): boolean {
     if (stored.version <= this.getVersion()) return false;
-    const parsed = this.#parse(stored.text);
+    const { log, metrics, parse } = this.#options;
+    const parsed = parse(stored.text);
     if (parsed.kind === "failure") {
-      this.#log.write("error", "configuration.unreadable", {
+      metrics.countUnreadable();
+      log.write("error", "configuration.unreadable", {
         version: stored.version,
+        source,
         message: parsed.failure.message,
       });
       return false;
     }
-    this.#log.write("info", "configuration.inForce", {
-      version: stored.version,
-      before: this.getVersion(),
-      routes: parsed.value.routes.length,
-    });
+    this.#reportAdopted(stored, parsed.value, source);
     this.#stored = stored;
     this.#current = parsed.value;
+    if (stored.version >= this.#announcedVersion) {
+      this.#behindSinceMs = undefined;
+    }
     return true;
   }
 
+  #reportAdopted(
+    stored: configurations.StoredConfiguration,
+    { routes }: configurations.Configuration,
+    source: configurations.ConfigurationSource,
+  ): void {
+    const { log, metrics, clock } = this.#options;
+    const { version, acceptedAtMs } = stored;
+    const ageMs = acceptedAtMs === undefined
+      ? undefined
+      : Math.round(clock.getWallMs() - acceptedAtMs);
+    metrics.recordAdopted({ version, source, ageMs });
+    log.write("info", "configuration.inForce", {
+      version,
+      before: this.getVersion(),
+      routes: routes.length,
+      source,
+      ageMs,
+      behindMs: this.getBehindMs(),
+    });
+  }
+
+  /** Records the version that another box has in force. */
+  observeVersion(version: number): void {
+    this.#announcedVersion = Math.max(this.#announcedVersion, version);
+    if (this.#announcedVersion <= this.getVersion()) return;
+    this.#behindSinceMs ??= this.#options.clock.getMonotonicMs();
+  }
+
+  /** Time for which a higher version has been known, in ms; 0 for none. */
+  getBehindMs(): number {
+    if (this.#behindSinceMs === undefined) return 0;
+    return this.#options.clock.getMonotonicMs() - this.#behindSinceMs;
+  }
+
   /** Returns the version in force, or 0 before the first configuration. */
   getVersion(): number {
     return this.#stored?.version ?? 0;
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
-import * as logs from "../log/mod.ts";
+import * as clocks from "../clock/mod.ts";
+import * as metrics from "../metrics/mod.ts";
 import * as results from "../results/mod.ts";
 import * as checkConfiguration from "./check_configuration.ts";
 import type * as configurations from "./configuration.ts";
@@ -119,13 +120,21 @@
   });
 
   it("never puts a lower or equal version in force", () => {
-    const holder = new configurationHolders.ConfigurationHolder(
-      () => results.createOk(createConfiguration({})),
-      new logs.Log("box", "error", () => {}),
+    const holder = new configurationHolders.ConfigurationHolder({
+      clock: new clocks.FakeClock(),
+      log: { write: () => {} },
+      metrics: new metrics.FleetMetrics().configuration,
+      parse: () => results.createOk(createConfiguration({})),
+    });
+    chai.expect(holder.update({ version: 5, text: "five" }, "log")).to.equal(
+      true,
+    );
+    chai.expect(holder.update({ version: 5, text: "other" }, "push")).to.equal(
+      false,
+    );
+    chai.expect(holder.update({ version: 4, text: "four" }, "sync")).to.equal(
+      false,
     );
-    chai.expect(holder.update({ version: 5, text: "five" })).to.equal(true);
-    chai.expect(holder.update({ version: 5, text: "other" })).to.equal(false);
-    chai.expect(holder.update({ version: 4, text: "four" })).to.equal(false);
     chai.expect(holder.getStored()).to.deep.equal({ version: 5, text: "five" });
   });
 
