--- a/src/fleet/_relay.ts
+++ b/src/fleet/_relay.ts
@@ -3,6 +3,7 @@
 import type * as registry from "../registry/mod.ts";
 import type * as boxRecords from "./box_record.ts";
 import type * as protocol from "./protocol.ts";
+import * as refreshBatches from "./_refresh_batch.ts";
 
 /** Interval of refreshes relayed to subscribers, in ms. */
 const REFRESH_INTERVAL_MS = 250;
@@ -41,8 +42,8 @@
   readonly #options: RelayOptions;
   /** Expiry of each subscription in monotonic ms, by box id. */
   readonly #subscribers = new Map<string, number>();
-  readonly #subscriberRefreshes = new RefreshBatch();
-  readonly #coreRefreshes = new RefreshBatch();
+  readonly #subscriberRefreshes = new refreshBatches.RefreshBatch();
+  readonly #coreRefreshes = new refreshBatches.RefreshBatch();
   readonly #queuedBoxes = new Map<string, boxRecords.BoxRecord>();
   readonly #queuedServers = new Map<string, registry.ServerReport>();
   readonly #delayedFlush: clocks.CoalescedCall;
@@ -74,7 +75,10 @@
     clock.startTimer(REFRESH_INTERVAL_MS, () => this.start());
   }
 
-  #sendBatch(batch: RefreshBatch, targets: readonly string[]): void {
+  #sendBatch(
+    batch: refreshBatches.RefreshBatch,
+    targets: readonly string[],
+  ): void {
     const { createMessage, getOwnRefresh, send } = this.#options;
     const { boxRefreshes, serverRefreshes } = batch.drain();
     const message: protocol.GossipMessage = {
@@ -154,26 +158,3 @@
     for (const id of targets) send(id, message);
   }
 }
-
-/** The latest refresh of each box and server since the last drain. */
-class RefreshBatch {
-  readonly #boxes = new Map<string, protocol.BoxRefresh>();
-  readonly #servers = new Map<string, protocol.ServerRefresh>();
-
-  addBox(refresh: protocol.BoxRefresh): void {
-    this.#boxes.set(refresh.id, refresh);
-  }
-
-  addServer(refresh: protocol.ServerRefresh): void {
-    this.#servers.set(refresh.id, refresh);
-  }
-
-  /** Returns the collected refreshes and clears the batch. */
-  drain(): Pick<protocol.GossipMessage, "boxRefreshes" | "serverRefreshes"> {
-    const boxRefreshes = [...this.#boxes.values()];
-    const serverRefreshes = [...this.#servers.values()];
-    this.#boxes.clear();
-    this.#servers.clear();
-    return { boxRefreshes, serverRefreshes };
-  }
-}
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -27,8 +27,11 @@
   partitions: readonly (readonly string[])[] = [];
   /** Directed links that deliver nothing, as `FROM>TO`. */
   cutLinks: ReadonlySet<string> = new Set();
+  /** Boxes that answer no calls, which then time out. */
+  silentIds: ReadonlySet<string> = new Set();
   readonly boxes = new Map<string, FakeBox>();
   #deliveredCount = 0;
+  readonly #callCounts = new Map<string, number>();
 
   /** Starts a box with empty state. */
   start(id: string, isCore: boolean): FakeBox {
@@ -58,13 +61,23 @@
       notify: (method, params) => {
         if (this.#canReach(from, to)) this.#deliver(to, method, params);
       },
-      call: async (method, params) => {
+      call: async (method, params, timeoutMs) => {
+        if (this.silentIds.has(to)) await this.#awaitTimeout(to, timeoutMs);
         if (!this.#canReach(from, to)) throw new Error(`${to} is cut off`);
         return await this.#deliver(to, method, params);
       },
     };
   }
 
+  #awaitTimeout(id: string, timeoutMs: number): Promise<never> {
+    return new Promise((_, reject) =>
+      this.clock.startTimer(
+        timeoutMs,
+        () => reject(new Error(`${id} did not answer`)),
+      )
+    );
+  }
+
   #canReach(from: string, to: string): boolean {
     if (this.#stopped.has(to) || !this.#methods.has(to)) return false;
     if (this.cutLinks.has(`${from}>${to}`)) return false;
@@ -72,12 +85,18 @@
     return partition === undefined || partition.includes(to);
   }
 
+  /** Number of messages and calls of a method that were delivered so far. */
+  countCalls(method: string): number {
+    return this.#callCounts.get(method) ?? 0;
+  }
+
   #deliver(to: string, method: string, params: object) {
     const handler = this.#methods.get(to)?.get(method);
     if (this.#stopped.has(to) || handler === undefined) {
       throw new Error(`${to} is down`);
     }
     this.#deliveredCount += 1;
+    this.#callCounts.set(method, this.countCalls(method) + 1);
     const copy = JSON.parse(JSON.stringify(params));
     return JSON.parse(JSON.stringify(handler(copy) ?? null));
   }
@@ -100,6 +119,8 @@
   readonly crashTable = new crashRecords.CrashTable();
   readonly recordSync: crashGuards.RecordSync;
   isLeaving = false;
+  /** Configuration texts that this box can't parse. */
+  unreadableTexts: ReadonlySet<string> = new Set();
 
   constructor(
     fleet: FakeFleet,
@@ -117,7 +138,10 @@
       clock,
       log,
       metrics: new metrics.FleetMetrics().configuration,
-      parse: () => results.createOk({ routes: [] } as never),
+      parse: (text) =>
+        this.unreadableTexts.has(text)
+          ? results.createFailure("malformedBody", "Cannot read it")
+          : results.createOk({ routes: [] } as never),
     });
     this.gossip = new fleetGossips.FleetGossip({
       clock,
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -6,9 +6,11 @@
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxDirectories from "./box_directory.ts";
 import * as boxRecords from "./box_record.ts";
+import * as relayChoices from "./_choose_relay.ts";
 import * as configurationSyncs from "./_configuration_sync.ts";
 import * as crashSyncs from "./_crash_sync.ts";
 import * as protocol from "./protocol.ts";
+import * as refreshBatches from "./_refresh_batch.ts";
 import * as relays from "./_relay.ts";
 import * as syncServices from "./_sync_service.ts";
 import * as syncLoops from "./_sync_loop.ts";
@@ -21,8 +23,6 @@
  * Subscribers have received the configuration by then and do not fetch it.
  */
 const VERSION_DELAY_MS = 150;
-/** Silence after which another core box is chosen as the relay, in ms. */
-const RELAY_TIMEOUT_MS = 1_200;
 
 /** Dependencies of a fleet gossip instance. */
 export interface FleetGossipOptions
@@ -50,8 +50,8 @@
   readonly #id: string;
   readonly #relay: relays.Relay;
   readonly #versionAnnouncement: clocks.CoalescedCall;
-  /** On non-core boxes: refreshes to send with the next round, by server id. */
-  readonly #serverRefreshes = new Map<string, protocol.ServerRefresh>();
+  /** On non-core boxes: refreshes of servers to send with the next round. */
+  readonly #refreshes = new refreshBatches.RefreshBatch();
   #self: boxRecords.BoxRecord;
   readonly #syncLoop: syncLoops.SyncLoop;
   readonly #configurationSync: configurationSyncs.ConfigurationSync;
@@ -93,7 +93,8 @@
     });
     this.#syncLoop = new syncLoops.SyncLoop({
       ...options,
-      chooseRelay: () => this.#chooseRelay(),
+      chooseRelay: () =>
+        relayChoices.chooseRelay(options.directory, this.#self),
       listSourceIds: () => this.#listSourceIds(),
       createRequest: (ids) => syncService.createRequest(ids),
       onReply: (reply, from) => this.#handleReply(reply, from),
@@ -148,7 +149,7 @@
   refreshServer(server: registry.ServerReport): void {
     const refresh = protocol.createServerRefresh(server);
     if (this.#self.isCore) this.#relay.refreshServer(refresh);
-    else this.#serverRefreshes.set(server.id, refresh);
+    else this.#refreshes.addServer(refresh);
   }
 
   /** Sends the configuration to subscribers, and soon its version to all boxes. */
@@ -209,27 +210,18 @@
     for (const id of this.#listOtherIds()) this.#send(id, message);
   }
 
-  #chooseRelay(): string | undefined {
-    const { directory } = this.#options;
-    const candidates = directory.listAlive().filter((box) =>
-      box.isCore && !box.isLeaving && box.id !== this.#id &&
-      directory.getSilenceMs(box.id) < RELAY_TIMEOUT_MS
-    );
-    const sameDomain = candidates.find((box) =>
-      box.failureDomain === this.#self.failureDomain
-    );
-    return (sameDomain ?? candidates[0])?.id;
-  }
-
   #sendRefreshes(): void {
     if (this.#isStopped) return;
     this.#updateOwnRecord();
     const message: protocol.GossipMessage = {
       ...this.#createMessage(),
       boxRefreshes: [protocol.createBoxRefresh(this.#self)],
-      serverRefreshes: this.#drainServerRefreshes(),
+      serverRefreshes: this.#refreshes.drain().serverRefreshes,
     };
-    const relay = this.#chooseRelay();
+    const relay = relayChoices.chooseRelay(
+      this.#options.directory,
+      this.#self,
+    );
     const toRelay: protocol.GossipMessage = { ...message, wantsRelay: true };
     for (const coreId of this.#listCoreIds()) {
       this.#send(coreId, coreId === relay ? toRelay : message);
@@ -240,12 +232,6 @@
     );
   }
 
-  #drainServerRefreshes(): readonly protocol.ServerRefresh[] {
-    const refreshes = [...this.#serverRefreshes.values()];
-    this.#serverRefreshes.clear();
-    return refreshes;
-  }
-
   #handleReply(reply: protocol.SyncReply, from: string): void {
     for (const box of reply.boxes) this.#mergeBox(box);
     for (const server of reply.servers) this.#mergeServer(server, from);
