Tell a box of a newer version whenever it names an older one

Cause: what tells a box of a version is sent once, without an answer, and a relay counts as fresh by its heartbeats alone. A box whose relay is cut off from the core (the core counts as stable 4 s later) learned of a missed version only from its sync loop, every second round of which asks that same relay. Core boxes heard the box's old version each 500 ms and did nothing with it.

Change: a core box answers any message that names an older version with its own version; the box fetches it. No new kind of message, so older builds take part. Nothing is sent while all agree.

--- a/src/fleet/_configuration_sync.ts
+++ b/src/fleet/_configuration_sync.ts
@@ -34,6 +34,16 @@
     if (configuration.update(stored, source)) onUpdated();
   }
 
+  /** Whether the sender of a message has an older version than this box. */
+  isSenderOutdated(
+    { configurationVersion }: Pick<
+      protocol.GossipMessage,
+      "configurationVersion"
+    >,
+  ): boolean {
+    return configurationVersion < this.#options.configuration.getVersion();
+  }
+
   /**
    * Fetches the configuration from the sender of a message if that message
    * announces a newer version. At most one fetch runs at a time; a failed one is
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -258,6 +258,18 @@
     this.#crashSync.merge(message);
     this.#configurationSync.offer(message.configuration, "push");
     this.#configurationSync.fetchIfOutdated(message);
+    this.#notifyIfOutdated(message);
+  }
+
+  /**
+   * Tells the version of this core box to a sender that has an older one. Every
+   * box sends its refreshes to all core boxes, so a lost announcement is made up
+   * for within REFRESH_INTERVAL_MS, whichever relay the box has.
+   */
+  #notifyIfOutdated(message: protocol.GossipMessage): void {
+    if (!this.#self.isCore || this.#isStopped) return;
+    if (!this.#configurationSync.isSenderOutdated(message)) return;
+    this.#send(message.from, this.#createMessage());
   }
 
   #mergeBox(box: boxRecords.BoxRecord): void {
