--- a/src/fleet/configuration_sync_test.ts
+++ b/src/fleet/configuration_sync_test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as fixtures from "./fleet_fixture_test.ts";
+import * as protocol from "./protocol.ts";
 
 const CORE = ["c1", "c2", "c3"];
 const ALL = [...CORE, "p1"];
@@ -70,4 +71,21 @@
       await fleet.advanceBy(4_000);
     }
   });
+
+  it("fetches a version from another box when the first one does not answer", async () => {
+    const box = fleet.boxes.get("p1");
+    for (const id of CORE) {
+      fleet.boxes.get(id)?.configuration.update(NEXT, "log");
+    }
+    fleet.silentIds = new Set(["c2"]);
+    for (const from of ["c2", "c1", "c3"]) {
+      fleet.getPeer("p1", from).notify(
+        protocol.METHODS.news,
+        protocol.createGossipMessage(from, NEXT.version),
+      );
+    }
+    chai.expect(box?.configuration.getVersion()).to.equal(7);
+    await fleet.advanceBy(CATCH_UP_MS);
+    chai.expect(box?.configuration.getVersion()).to.equal(NEXT.version);
+  });
 });
--- a/src/traffic_config/configuration_holder.ts
+++ b/src/traffic_config/configuration_holder.ts
@@ -84,6 +84,11 @@
     });
   }
 
+  /** Whether a version is newer than the current one. */
+  canAdopt(version: number): boolean {
+    return version > this.getVersion();
+  }
+
   /** Records the version that another box has in force. */
   observeVersion(version: number): void {
     this.#announcedVersion = Math.max(this.#announcedVersion, version);
