--- a/src/fleet/configuration_sync_test.ts
+++ b/src/fleet/configuration_sync_test.ts
@@ -88,4 +88,17 @@
     await fleet.advanceBy(CATCH_UP_MS);
     chai.expect(box?.configuration.getVersion()).to.equal(NEXT.version);
   });
+
+  it("adopts the configuration of a message with a part that can't be merged", async () => {
+    // Another build may write records that this one does not understand.
+    const message = {
+      ...protocol.createGossipMessage("c2", NEXT.version),
+      boxes: [undefined as never],
+      configuration: NEXT,
+    };
+    chai.expect(() =>
+      fleet.getPeer("p1", "c2").notify(protocol.METHODS.news, message)
+    ).to.throw();
+    chai.expect(getVersion("p1")).to.equal(NEXT.version);
+  });
 });
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -232,17 +232,22 @@
     );
   }
 
+  /** Merges a sync reply; the configuration first, as a bad part ends the merge. */
   #handleReply(reply: protocol.SyncReply, from: string): void {
+    this.#configurationSync.offer(reply.configuration, "sync");
     for (const box of reply.boxes) this.#mergeBox(box);
     for (const server of reply.servers) this.#mergeServer(server, from);
-    this.#configurationSync.offer(reply.configuration, "sync");
     const crashNews = this.#crashSync.reconcile(reply);
     if (crashNews === undefined) return;
     this.#send(from, { ...this.#createMessage(), ...crashNews });
   }
 
+  /** Merges a message; the configuration first, as in a sync reply. */
   #handleMessage(message: protocol.GossipMessage): void {
     const { from } = message;
+    this.#configurationSync.offer(message.configuration, "push");
+    this.#configurationSync.fetchIfOutdated(message);
+    this.#notifyIfOutdated(message);
     if (message.wantsRelay) this.#relay.subscribe(from);
     for (const box of message.boxes) this.#mergeBox(box);
     for (const server of message.servers) this.#mergeServer(server, from);
@@ -256,9 +261,6 @@
       this.#syncLoop.fetch(from, outdated.map((item) => item.id));
     }
     this.#crashSync.merge(message);
-    this.#configurationSync.offer(message.configuration, "push");
-    this.#configurationSync.fetchIfOutdated(message);
-    this.#notifyIfOutdated(message);
   }
 
   /**
