--- a/src/fleet/configuration_sync_test.ts
+++ b/src/fleet/configuration_sync_test.ts
@@ -101,4 +101,20 @@
     ).to.throw();
     chai.expect(getVersion("p1")).to.equal(NEXT.version);
   });
+
+  it("does not fetch a version again that it can't parse", async () => {
+    const box = fleet.boxes.get("p1");
+    if (box === undefined) throw new Error("there is no box p1");
+    box.unreadableTexts = new Set([NEXT.text]);
+    const before = fleet.countCalls(protocol.METHODS.readConfiguration);
+    put("c1", NEXT);
+    await fleet.advanceBy(6_000);
+    chai.expect(getVersion("c3")).to.equal(NEXT.version);
+    chai.expect(getVersion("p1")).to.equal(7);
+    const calls = fleet.countCalls(protocol.METHODS.readConfiguration) - before;
+    chai.expect(calls).to.be.at.most(CORE.length);
+    put("c1", { version: 9, text: "nine" });
+    await fleet.advanceBy(CATCH_UP_MS);
+    chai.expect(getVersion("p1")).to.equal(9);
+  });
 });
--- a/src/traffic_config/configuration_holder.ts
+++ b/src/traffic_config/configuration_holder.ts
@@ -22,6 +22,8 @@
   readonly #options: ConfigurationHolderOptions;
   #stored: configurations.StoredConfiguration | undefined;
   #current: configurations.Configuration | undefined;
+  /** Highest version that this build can't parse. */
+  #unreadableVersion = 0;
   /** Highest version that another box was heard to have. */
   #announcedVersion = 0;
   /** Monotonic time since which a higher version is known, in ms. */
@@ -42,10 +44,11 @@
     stored: configurations.StoredConfiguration,
     source: configurations.ConfigurationSource,
   ): boolean {
-    if (stored.version <= this.getVersion()) return false;
+    if (!this.canAdopt(stored.version)) return false;
     const { log, metrics, parse } = this.#options;
     const parsed = parse(stored.text);
     if (parsed.kind === "failure") {
+      this.#unreadableVersion = stored.version;
       metrics.countUnreadable();
       log.write("error", "configuration.unreadable", {
         version: stored.version,
@@ -84,9 +87,9 @@
     });
   }
 
-  /** Whether a version is newer than the current one. */
+  /** Whether a version is newer than the current one and not known as unreadable. */
   canAdopt(version: number): boolean {
-    return version > this.getVersion();
+    return version > this.getVersion() && version > this.#unreadableVersion;
   }
 
   /** Records the version that another box has in force. */
