Put in force what any box has accepted, and check only what an operator sends

Each box parsed and checked again what the core had agreed on.

Class: an agreed change is judged again by each receiver. Now the box that takes the operator's call checks; all others decode only.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -194,7 +194,8 @@
 export interface Dialect {
   /** Name of the stream event field that announces a new weight version. */
   readonly versionField: string;
-  parseConfiguration: trafficConfig.ParseConfiguration;
+  /** Decodes a configuration that a box has accepted, without checking it again. */
+  decodeConfiguration: trafficConfig.DecodeConfiguration;
   parseControlCall(request: RawRequest, body: Buffer): ControlCall;
   parseCallerCall(request: RawRequest): CallerCall;
   parseRequestHead(headers: HeaderMap): RequestHead;
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -74,7 +74,7 @@
     clock,
     log,
     metrics: boxMetrics.configuration,
-    parse: dialect.parseConfiguration,
+    decode: dialect.decodeConfiguration,
   });
   const shared = {
     ...context,
--- a/src/metrics/configuration_metrics.ts
+++ b/src/metrics/configuration_metrics.ts
@@ -40,7 +40,7 @@
     });
     this.#unreadable = new prometheus.Counter({
       name: "hoistscale_configurations_unreadable_total",
-      help: "Received configurations that this version can't parse",
+      help: "Received configurations that this build can't decode",
       registers,
     });
   }
--- a/src/traffic_config/configuration_holder.ts
+++ b/src/traffic_config/configuration_holder.ts
@@ -4,8 +4,8 @@
 import type * as results from "../results/mod.ts";
 import type * as configurations from "./configuration.ts";
 
-/** Parses and checks the text of a configuration. */
-export type ParseConfiguration = (
+/** Decodes the text of an accepted configuration. */
+export type DecodeConfiguration = (
   text: string,
 ) => results.Result<configurations.Configuration>;
 
@@ -14,7 +14,7 @@
   readonly clock: clocks.Clock;
   readonly log: Pick<logs.Log, "write">;
   readonly metrics: metrics.ConfigurationMetrics;
-  readonly parse: ParseConfiguration;
+  readonly decode: DecodeConfiguration;
 }
 
 /** Holds the configuration in force on this box; its version never decreases. */
@@ -22,7 +22,7 @@
   readonly #options: ConfigurationHolderOptions;
   #stored: configurations.StoredConfiguration | undefined;
   #current: configurations.Configuration | undefined;
-  /** Highest version that this build can't parse. */
+  /** Highest version that this build can't decode. */
   #unreadableVersion = 0;
   /** Highest version that another box was heard to have. */
   #announcedVersion = 0;
@@ -34,7 +34,7 @@
   }
 
   /**
-   * Puts a configuration in force if it is newer and its text can be parsed.
+   * Puts a configuration in force if it is newer and its text can be decoded.
    *
    * @param stored The configuration.
    * @param source How it reached this box.
@@ -45,21 +45,21 @@
     source: configurations.ConfigurationSource,
   ): boolean {
     if (!this.canAdopt(stored.version)) return false;
-    const { log, metrics, parse } = this.#options;
-    const parsed = parse(stored.text);
-    if (parsed.kind === "failure") {
+    const { log, metrics, decode } = this.#options;
+    const decoded = decode(stored.text);
+    if (decoded.kind === "failure") {
       this.#unreadableVersion = stored.version;
       metrics.countUnreadable();
       log.write("error", "configuration.unreadable", {
         version: stored.version,
         source,
-        message: parsed.failure.message,
+        message: decoded.failure.message,
       });
       return false;
     }
-    this.#reportAdopted(stored, parsed.value, source);
+    this.#reportAdopted(stored, decoded.value, source);
     this.#stored = stored;
-    this.#current = parsed.value;
+    this.#current = decoded.value;
     if (stored.version >= this.#announcedVersion) {
       this.#behindSinceMs = undefined;
     }
