Report a sync reply that can't be merged instead of calling the box unreachable

What an operator saw: fleet.unreachable (debug) for a box that had answered; the error of the merge was swallowed with the errors of the call.

--- a/src/fleet/_sync_loop.ts
+++ b/src/fleet/_sync_loop.ts
@@ -85,16 +85,14 @@
   }
 
   async #syncWith(id: string, recordIds?: readonly string[]): Promise<boolean> {
-    const { peers, log, createRequest, onReply } = this.#options;
+    const { peers, log, createRequest } = this.#options;
+    let reply: protocol.SyncReply;
     try {
-      const client = peers.get(id);
-      const reply = await client.call<protocol.SyncReply>(
+      reply = await peers.get(id).call<protocol.SyncReply>(
         protocol.METHODS.sync,
         createRequest(recordIds),
         CALL_TIMEOUT_MS,
       );
-      onReply(reply, id);
-      return true;
     } catch (error) {
       log.write("debug", "fleet.unreachable", {
         peer: id,
@@ -102,5 +100,21 @@
       });
       return false;
     }
+    this.#handleReply(reply, id);
+    return true;
+  }
+
+  /** Passes a reply on; one that can't be merged does not end the loop. */
+  #handleReply(reply: protocol.SyncReply, from: string): void {
+    try {
+      this.#options.onReply(reply, from);
+    } catch (error) {
+      const { stack, message } = error as Error;
+      this.#options.log.write("error", "message.failed", {
+        method: protocol.METHODS.sync,
+        peer: from,
+        message: stack ?? message,
+      });
+    }
   }
 }
