Soak: change the configuration while faults are applied, and probe each entry box

The soak now replaces it each 0.6 s beside the faults, asks each entry box for the route of the version that is due (2.5 s after its ack, 6 s more while a box with a disk had a fault, 4 s after a fault of its own), for a route that is dropped, and for a read that is not older.

--- a/tools/soak/fault_injector.ts
+++ b/tools/soak/fault_injector.ts
@@ -207,13 +207,13 @@
     await Promise.all(this.#pendingFaults);
     await this.#awaitCatchUp();
     const { fleet, printProgress, operator, startSpreadMs } = this.#options;
-    const isAcknowledged = await operator.putConfiguration(
+    const version = await operator.putConfiguration(
       Date.now() + CONFIGURATION_TIMEOUT_MS,
     );
     const box = this.#selectStore(store);
     printProgress(
       `all boxes lose power, ${box.name} also its disk; configuration ${
-        isAcknowledged ? "acknowledged" : "not acknowledged"
+        version === undefined ? "not acknowledged" : "acknowledged"
       }`,
     );
     await fleet.killAll();
--- a/tools/soak/soak_client.ts
+++ b/tools/soak/soak_client.ts
@@ -33,8 +33,16 @@
   ): Promise<httpClient.JsonResponse | undefined> {
     const entry = this.#entries[this.#requestCount % this.#entries.length];
     this.#requestCount += 1;
+    return entry === undefined ? undefined : await this.sendTo(entry, request);
+  }
+
+  /** Sends a request to an entry box; undefined without a full answer. */
+  async sendTo(
+    entry: layouts.SoakBox,
+    request: EntryRequest,
+  ): Promise<httpClient.JsonResponse | undefined> {
     const answer = await httpClient.sendJson({
-      baseUrl: `http://${entry?.address}:${layouts.PORTS[request.kind]}`,
+      baseUrl: `http://${entry.address}:${layouts.PORTS[request.kind]}`,
       method: request.method,
       path: request.path,
       headers: { host: ROUTE_HOST, ...request.headers },
--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -32,6 +32,8 @@
   /** Processes whose exit was requested. */
   readonly #expectedExits = new WeakSet<children.Child>();
   readonly #unexpectedExits: string[] = [];
+  /** Wall-clock time of the last start, stop or suspension by box name, in ms. */
+  readonly #disturbedMs = new Map<string, number>();
   #startCount = 0;
   #isFirstStart = true;
 
@@ -63,7 +65,23 @@
     this.#isFirstStart = false;
   }
 
+  /** Returns when a box was last started, stopped, suspended or resumed, in ms. */
+  getDisturbedMs(box: layouts.SoakBox): number {
+    return this.#disturbedMs.get(box.name) ?? 0;
+  }
+
+  /** Returns when this last happened to any box with a disk, in ms. */
+  getCoreDisturbedMs(): number {
+    const disks = this.listBoxes().filter((box) => box.hasDisk);
+    return Math.max(...disks.map((box) => this.getDisturbedMs(box)));
+  }
+
+  #recordDisturbance(...boxes: readonly layouts.SoakBox[]): void {
+    for (const { name } of boxes) this.#disturbedMs.set(name, Date.now());
+  }
+
   start(box: layouts.SoakBox): void {
+    this.#recordDisturbance(box);
     const file = path.join(this.#options.folder, `${box.name}.yaml`);
     const dataFolder = this.#getDataFolder(box);
     if (box.hasDisk) fs.mkdirSync(dataFolder, { recursive: true });
@@ -107,17 +125,20 @@
   }
 
   async kill(box: layouts.SoakBox): Promise<void> {
+    this.#recordDisturbance(box);
     await this.#killProcesses([this.#getProcess(box)]);
   }
 
   /** Kills all boxes at once. */
   async killAll(): Promise<void> {
+    this.#recordDisturbance(...this.listBoxes());
     await this.#killProcesses([...this.#processes.values()]);
   }
 
   /** Stops a box with SIGTERM, and with SIGKILL after `graceMs`. */
   async stop(box: layouts.SoakBox, graceMs: number): Promise<void> {
     const child = this.#getProcess(box);
+    this.#recordDisturbance(box);
     this.#expectedExits.add(child);
     const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
     child.kill("SIGTERM");
@@ -127,12 +148,14 @@
 
   /** Suspends the process of a box, which simulates a stalled box. */
   suspend(box: layouts.SoakBox): void {
+    this.#recordDisturbance(box);
     this.#options.throttle.release(this.#getProcess(box));
     this.#getProcess(box).kill("SIGSTOP");
   }
 
   /** Resumes a suspended box and throttles it again. */
   resume(box: layouts.SoakBox): void {
+    this.#recordDisturbance(box);
     this.#getProcess(box).kill("SIGCONT");
     this.#options.throttle.limit(this.#getProcess(box));
   }
--- a/tools/soak/soak_operator.ts
+++ b/tools/soak/soak_operator.ts
@@ -1,7 +1,22 @@
 import * as standInServers from "./stand_in_servers.ts";
+import * as probePlans from "./probe_plan.ts";
 import * as clients from "./soak_client.ts";
 
 const OK = 200;
+/** Service of the probe routes; it has no servers. */
+const PROBE_SERVICE = "probe";
+
+function createProbeRoute(version: number): object {
+  return {
+    host: clients.ROUTE_HOST,
+    name: `probe-${version}`,
+    path_prefix: probePlans.createProbePrefix(version),
+    kind: "idempotent",
+    timeout_ms: 1_000,
+    target_latency_ms: 500,
+    service: PROBE_SERVICE,
+  };
+}
 
 function createConfiguration(version: number): object {
   const shared = { host: clients.ROUTE_HOST, attempts: 3 };
@@ -28,6 +43,7 @@
         keep_s: 90,
         service: standInServers.ENGINE_SERVICE,
       },
+      ...probePlans.listKeptVersions(version).map(createProbeRoute),
     ],
     services: [
       {
@@ -35,6 +51,7 @@
         engine: { models: [{ name: standInServers.MODEL }] },
       },
       { name: standInServers.SCORER_SERVICE },
+      { name: PROBE_SERVICE },
     ],
     limits: {
       header_bytes: 16_384,
@@ -54,20 +71,26 @@
     this.#client = client;
   }
 
-  /** Replaces the configuration; returns whether it was acknowledged. */
-  async putConfiguration(deadlineMs: number): Promise<boolean> {
+  /** Returns the newest version that was sent. */
+  getVersion(): number {
+    return this.#version;
+  }
+
+  /** Replaces the configuration; returns its version if it was acknowledged. */
+  async putConfiguration(deadlineMs: number): Promise<number | undefined> {
     this.#version += 1;
+    const version = this.#version;
     const answer = await this.#client.sendUntil(
       {
         kind: "control",
         method: "POST",
         path: "/Configuration.Replace",
-        json: createConfiguration(this.#version),
+        json: createConfiguration(version),
       },
       deadlineMs,
       [OK],
     );
-    return answer !== undefined;
+    return answer === undefined ? undefined : version;
   }
 
   /** Retires a store box; returns whether it completed by the deadline. */
--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -1,6 +1,7 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as sleeps from "../stand_ins/sleep.ts";
+import * as checkers from "./configuration_checker.ts";
 import * as faultPlans from "./fault_plan.ts";
 import * as faultInjectors from "./fault_injector.ts";
 import * as standInServers from "./stand_in_servers.ts";
@@ -56,6 +57,9 @@
   readonly admissions: readonly Admission[];
   /** Processes that exited without a request. */
   readonly ended: readonly string[];
+  /** Answers that only an older configuration allows. */
+  readonly outdated: readonly string[];
+  readonly probes: number;
   readonly verdict: trainers.TrainerVerdict;
 }
 
@@ -75,6 +79,7 @@
   readonly #standIns: standInServers.StandInServers;
   readonly #operator: operators.SoakOperator;
   readonly #trainer: trainers.SoakTrainer;
+  readonly #checker: checkers.ConfigurationChecker;
   readonly #storeLogs: storeLogReaders.StoreLogReader;
   readonly #injector: faultInjectors.FaultInjector;
   readonly #startMs = Date.now();
@@ -112,6 +117,11 @@
       ...LOAD,
       intervalMs,
     });
+    this.#checker = new checkers.ConfigurationChecker({
+      operator: this.#operator,
+      fleet: this.#fleet,
+      client,
+    });
     this.#storeLogs = new storeLogReaders.StoreLogReader(folder);
     this.#injector = new faultInjectors.FaultInjector({
       ...options,
@@ -126,11 +136,14 @@
     try {
       await this.#setUp();
       void this.#trainer.run();
+      // A throttled box is slow all the time, so no bound holds for it.
+      if (this.#options.cpuShare === 1) void this.#checker.run();
       await sleeps.sleep(this.#options.warmUpMs);
       await this.#injector.run(this.#plan);
       this.#trainer.stop();
       return await this.#createReport();
     } finally {
+      this.#checker.stop();
       this.#trainer.stop();
       this.#standIns.stop();
       this.#throttle.stop();
@@ -141,11 +154,11 @@
   async #setUp(): Promise<void> {
     for (const box of this.#fleet.listBoxes()) this.#fleet.start(box);
     await this.#standIns.start();
-    const isAcknowledged = await this.#operator.putConfiguration(
+    const version = await this.#operator.putConfiguration(
       Date.now() + SETUP_TIMEOUT_MS,
     );
     const leader = await this.#awaitLeader(0, Date.now() + SETUP_TIMEOUT_MS);
-    if (!isAcknowledged || leader === undefined) {
+    if (version === undefined || leader === undefined) {
       throw new Error(
         "Cannot start the fleet: no leader or configuration not acknowledged",
       );
@@ -159,13 +172,17 @@
     const deadlineMs = powerRestoredMs + this.#options.recoveryTimeoutMs;
     const leaderAtMs = await this.#awaitLeader(powerRestoredMs, deadlineMs);
     const verdict = await this.#trainer.verifyResults(deadlineMs);
+    this.#checker.stop();
     const ended = this.#fleet.listUnexpectedExits();
+    const outdated = this.#checker.listFaults();
     const report: SoakReport = {
       seed: this.#options.seed,
       plan: this.#plan,
       isGood: leaderAtMs !== undefined && verdict.faults.length === 0 &&
-        ended.length === 0,
+        ended.length === 0 && outdated.length === 0,
       ended,
+      outdated,
+      probes: this.#checker.countProbes(),
       leaderMs: leaderAtMs === undefined
         ? undefined
         : leaderAtMs - powerRestoredMs,
