--- a/src/fleet_daemon/_submission_handler.ts
+++ b/src/fleet_daemon/_submission_handler.ts
@@ -40,6 +40,8 @@
   readonly route: trafficConfig.Route;
   readonly sender: accounts.Sender;
   readonly body: Buffer;
+  /** Time by which the sender must have an answer, in monotonic ms. */
+  readonly deadlineAtMs: number;
 }
 
 /** Handles caller requests that create, read or end submissions. */
@@ -77,6 +79,7 @@
     const accepted = await this.#callStoreLeader<null>(
       submissions.METHODS.accept,
       request,
+      limitTimeouts(incoming.deadlineAtMs - clock.getMonotonicMs()),
     );
     log.write("info", "submission.sent", {
       submission: requestId,
@@ -160,15 +163,24 @@
   async #callStoreLeader<T>(
     method: string,
     request: object,
+    timeouts: replicaGroups.CallTimeouts = STORE_TIMEOUTS,
   ): Promise<results.Result<T>> {
     return await controlHandlers.callStoreLeader<T>(
       this.#options.stores,
       { method, request },
-      STORE_TIMEOUTS,
+      timeouts,
     );
   }
 }
 
+/** Limits the timeouts of a call to the stores to the remaining time, in ms. */
+function limitTimeouts(remainingMs: number): replicaGroups.CallTimeouts {
+  return {
+    totalMs: Math.min(STORE_TIMEOUTS.totalMs, remainingMs),
+    tryMs: Math.min(STORE_TIMEOUTS.tryMs, remainingMs),
+  };
+}
+
 /** Maps `unknownStep` to `requestReused`: another sender has used the id. */
 function toAcceptFailure(failure: results.Failure): results.Failure {
   if (failure.code !== "unknownStep") return failure;
