--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -7,8 +7,35 @@
 import * as initializeDataFolder from "./initialize_data_folder.ts";
 import * as openReplicas from "./_open_replica.ts";
 import type * as notices from "./replica_notice.ts";
+import type * as replicaOptions from "./replica_options.ts";
+import type * as replicaStates from "./replica_state.ts";
 import * as replicaDrivers from "./replica_driver.ts";
 
+/** Creates the options of a replica `a` that is the only voter. */
+function createOptions(
+  dataFolder: string,
+  stateMachine: listStateMachines.ListStateMachine,
+  config: Partial<replicaStates.ReplicaConfig> = {},
+): replicaOptions.ReplicaDriverOptions {
+  return {
+    config: {
+      id: "a",
+      voters: ["a"],
+      electionTimeoutMs: 50,
+      heartbeatMs: 10,
+      maxBatchEntries: 8,
+      seed: 1,
+      ...config,
+    },
+    clock: new clocks.SystemClock(),
+    dataFolder,
+    stateMachine,
+    snapshotEntries: 16,
+    send: () => {},
+    onFatal: () => {},
+  };
+}
+
 describe("replica driver", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-driver-"));
   let fatalErrors: readonly unknown[] = [];
@@ -20,19 +47,7 @@
     dataFolder = folder,
   ): Promise<replicaDrivers.ReplicaDriver> {
     return replicaDrivers.ReplicaDriver.open({
-      config: {
-        id: "a",
-        voters: ["a"],
-        electionTimeoutMs: 50,
-        heartbeatMs: 10,
-        maxBatchEntries: 8,
-        seed: 1,
-      },
-      clock: new clocks.SystemClock(),
-      dataFolder,
-      stateMachine: machine,
-      snapshotEntries: 16,
-      send: () => {},
+      ...createOptions(dataFolder, machine),
       onFatal: (error) => {
         fatalErrors = [...fatalErrors, error];
       },
@@ -55,22 +70,12 @@
       path.join(os.tmpdir(), "hoistscale-empty-"),
     );
     const machine = new listStateMachines.ListStateMachine();
-    const driver = await replicaDrivers.ReplicaDriver.open({
-      config: {
-        id: "a",
-        voters: ["a"],
+    const driver = await replicaDrivers.ReplicaDriver.open(
+      createOptions(emptyFolder, machine, {
         electionTimeoutMs: 10,
         heartbeatMs: 5,
-        maxBatchEntries: 8,
-        seed: 1,
-      },
-      clock: new clocks.SystemClock(),
-      dataFolder: emptyFolder,
-      stateMachine: machine,
-      snapshotEntries: 16,
-      send: () => {},
-      onFatal: () => {},
-    });
+      }),
+    );
     await clocks.sleep(new clocks.SystemClock(), 100);
     chai.expect(driver.getStatus().role).to.equal("follower");
     await driver.stop();
@@ -90,21 +95,11 @@
     fs.appendFileSync(path.join(testFolder, "log.0"), Buffer.from([1, 2, 3]));
     const reported: notices.ReplicaNotice[] = [];
     const { log } = await openReplicas.openReplica({
-      config: {
-        id: "a",
+      ...createOptions(testFolder, new listStateMachines.ListStateMachine(), {
         voters: [],
-        electionTimeoutMs: 50,
-        heartbeatMs: 10,
-        maxBatchEntries: 8,
-        seed: 1,
-      },
+      }),
       clock: new clocks.FakeClock(),
-      dataFolder: testFolder,
-      stateMachine: new listStateMachines.ListStateMachine(),
-      snapshotEntries: 16,
-      send: () => {},
       onNotice: (notice) => reported.push(notice),
-      onFatal: () => {},
     });
     await log.close();
     chai.expect(reported).to.deep.equal([{
@@ -141,21 +136,9 @@
     const read: unknown[] = [];
     const second = new listStateMachines.ListStateMachine();
     const { log } = await openReplicas.openReplica({
-      config: {
-        id: "a",
-        voters: ["a"],
-        electionTimeoutMs: 50,
-        heartbeatMs: 10,
-        maxBatchEntries: 8,
-        seed: 1,
-      },
+      ...createOptions(testFolder, second),
       clock: new clocks.FakeClock(),
-      dataFolder: testFolder,
-      stateMachine: second,
-      snapshotEntries: 16,
-      send: () => {},
       onLogRead: (commands) => read.push(...commands),
-      onFatal: () => {},
     });
     await log.close();
     chai.expect(read.filter((command) => typeof command === "string")).to.deep
