--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -63,6 +63,27 @@
     }
   });
 
+  it("reports the error of a handler, of which the sender of a notification learns nothing", async () => {
+    const reported: string[] = [];
+    const server = new rpcServers.RpcServer((method, error) =>
+      reported.push(`${method}: ${(error as Error).message}`)
+    );
+    servers.push(server);
+    server.add("merge", () => {
+      throw new Error("a record lacks its id");
+    });
+    await server.listen(FIRST_ADDRESS, PORT);
+    const client = connect(FIRST_ADDRESS);
+    client.notify("merge", {});
+    // Messages on one connection are handled in order.
+    const failure = await client.call("merge", {}, 5_000).catch((error) =>
+      error
+    );
+    chai.expect(failure).to.be.instanceOf(Error);
+    const line = "merge: a record lacks its id";
+    chai.expect(reported).to.deep.equal([line, line]);
+  });
+
   it("replaces a silent connection that carries only notifications", async () => {
     const received = await listen(FIRST_ADDRESS);
     const sockets: net.Socket[] = [];
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
+import type * as logs from "../log/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import * as results from "../results/mod.ts";
 import * as checkConfiguration from "./check_configuration.ts";
@@ -138,6 +139,39 @@
     chai.expect(holder.getStored()).to.deep.equal({ version: 5, text: "five" });
   });
 
+  it("tells for how long a newer version has been known, and how old one was", () => {
+    const clock = new clocks.FakeClock(10_000);
+    const written: logs.LogFields[] = [];
+    const holder = new configurationHolders.ConfigurationHolder({
+      clock,
+      log: { write: (_level, _event, fields) => written.push(fields ?? {}) },
+      metrics: new metrics.FleetMetrics().configuration,
+      decode: (text) =>
+        text === "bad"
+          ? results.createFailure("malformedBody", "Cannot read it")
+          : results.createOk(createConfiguration({})),
+    });
+    holder.observeVersion(5);
+    clock.advance(300);
+    chai.expect(holder.getBehindMs()).to.equal(300);
+    holder.update({ version: 4, text: "four" }, "sync");
+    chai.expect(holder.getBehindMs()).to.equal(300);
+    holder.update({ version: 5, text: "five", acceptedAtMs: 9_900 }, "push");
+    chai.expect(holder.getBehindMs()).to.equal(0);
+    chai.expect(written.at(-1)).to.include({
+      version: 5,
+      before: 4,
+      source: "push",
+      ageMs: 400,
+      behindMs: 300,
+    });
+    chai.expect(holder.update({ version: 6, text: "bad" }, "fetch")).to.equal(
+      false,
+    );
+    chai.expect(holder.canAdopt(6)).to.equal(false);
+    chai.expect(holder.canAdopt(7)).to.equal(true);
+  });
+
   it("keeps the highest version, also across a restart", () => {
     const notifiedVersions: number[] = [];
     const machine = new configurationMachines.ConfigurationMachine((stored) =>
