Record messages that can't be handled in one place

The sync loop had a copy of what the RPC server's listener does, without the metric, so hoistscale_messages_failed_total missed sync replies. Both use FailureRecorder now. The line of a sync reply no longer names its peer; event and message stay, the test too.

--- a/src/fleet/_sync_loop.ts
+++ b/src/fleet/_sync_loop.ts
@@ -1,5 +1,6 @@
 import * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as failureRecorders from "./failure_recorder.ts";
 import * as protocol from "./protocol.ts";
 import type * as peerPools from "./peer_pool.ts";
 
@@ -18,6 +19,7 @@
 export interface SyncLoopOptions {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly failures: failureRecorders.FailureRecorder;
   readonly peers: peerPools.Peers;
   /** Returns the core box that relays to this one; undefined if there is none. */
   readonly chooseRelay: () => string | undefined;
@@ -109,12 +111,7 @@
     try {
       this.#options.onReply(reply, from);
     } catch (error) {
-      const { stack, message } = error as Error;
-      this.#options.log.write("error", "message.failed", {
-        method: protocol.METHODS.sync,
-        peer: from,
-        message: stack ?? message,
-      });
+      this.#options.failures.record(protocol.METHODS.sync, error);
     }
   }
 }
--- a/src/fleet/fleet_fixture_test.ts
+++ b/src/fleet/fleet_fixture_test.ts
@@ -10,6 +10,7 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as boxDirectories from "./box_directory.ts";
 import type * as boxRecords from "./box_record.ts";
+import * as failureRecorders from "./failure_recorder.ts";
 import * as fleetGossips from "./fleet_gossip.ts";
 
 /** Interval of a server's heartbeats, in ms. */
@@ -134,10 +135,11 @@
     this.recordSync = new crashGuards.RecordSync(clock, { write: () => {} });
     this.servers = new registry.ServerRegistry(clock, HEARTBEAT_MS);
     this.directory = new boxDirectories.BoxDirectory(clock);
+    const boxMetrics = new metrics.FleetMetrics();
     this.configuration = new trafficConfig.ConfigurationHolder({
       clock,
       log,
-      metrics: new metrics.FleetMetrics().configuration,
+      metrics: boxMetrics.configuration,
       decode: (text) =>
         this.unreadableTexts.has(text)
           ? results.createFailure("malformedBody", "Cannot read it")
@@ -146,6 +148,10 @@
     this.gossip = new fleetGossips.FleetGossip({
       clock,
       log,
+      failures: new failureRecorders.FailureRecorder({
+        log,
+        metrics: boxMetrics,
+      }),
       directory: this.directory,
       servers: this.servers,
       configuration: this.configuration,
--- a/src/fleet/fleet_gossip.ts
+++ b/src/fleet/fleet_gossip.ts
@@ -9,6 +9,7 @@
 import * as relayChoices from "./_choose_relay.ts";
 import * as configurationSyncs from "./_configuration_sync.ts";
 import * as crashSyncs from "./_crash_sync.ts";
+import type * as failureRecorders from "./failure_recorder.ts";
 import * as protocol from "./protocol.ts";
 import * as refreshBatches from "./_refresh_batch.ts";
 import * as relays from "./_relay.ts";
@@ -29,6 +30,7 @@
   extends Omit<crashSyncs.CrashSyncOptions, "onLearned"> {
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
+  readonly failures: failureRecorders.FailureRecorder;
   readonly directory: boxDirectories.BoxDirectory;
   readonly servers: registry.ServerRegistry;
   readonly configuration: trafficConfig.ConfigurationHolder;
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -13,6 +13,7 @@
  */
 export * from "./box_directory.ts";
 export * from "./box_record.ts";
+export * from "./failure_recorder.ts";
 export * from "./fleet_gossip.ts";
 export * from "./protocol.ts";
 export * from "./peer_pool.ts";
--- a/src/fleet/sync_loop_test.ts
+++ b/src/fleet/sync_loop_test.ts
@@ -1,6 +1,8 @@
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
 import * as logs from "../log/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import * as failureRecorders from "./failure_recorder.ts";
 import type * as protocol from "./protocol.ts";
 import * as syncLoops from "./_sync_loop.ts";
 
@@ -9,10 +11,16 @@
     // Guards against faults of a build that look like unreachable boxes.
     const clock = new clocks.FakeClock();
     const lines: string[] = [];
+    const log = new logs.Log("box", "debug", (line) => lines.push(line));
+    const boxMetrics = new metrics.FleetMetrics();
     let replyCount = 0;
     const loop = new syncLoops.SyncLoop({
       clock,
-      log: new logs.Log("box", "debug", (line) => lines.push(line)),
+      log,
+      failures: new failureRecorders.FailureRecorder({
+        log,
+        metrics: boxMetrics,
+      }),
       peers: {
         get: () => ({
           notify: () => {},
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -37,6 +37,7 @@
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
   readonly metrics: metrics.FleetMetrics;
+  readonly failures: fleet.FailureRecorder;
   readonly server: rpc.RpcServer;
   readonly peers: fleet.PeerPool;
   readonly directory: fleet.BoxDirectory;
@@ -76,6 +77,7 @@
     metrics: boxMetrics.configuration,
     decode: dialect.decodeConfiguration,
   });
+  const failures = new fleet.FailureRecorder({ log, metrics: boxMetrics });
   const shared = {
     ...context,
     clock,
@@ -88,8 +90,9 @@
     }),
     isService: (name: string) =>
       configuration.get()?.services.has(name) ?? true,
+    failures,
     server: new rpc.RpcServer((method, error) =>
-      reportFailedMessage({ log, metrics: boxMetrics }, method, error)
+      failures.record(method, error)
     ),
     peers: new fleet.PeerPool(settings.listen.peerPort),
     directory: new fleet.BoxDirectory(clock),
@@ -119,17 +122,6 @@
   return { ...shared, crashGuard, forwarder, link };
 }
 
-/** Reports a message of another box whose handler threw an error. */
-function reportFailedMessage(
-  { log, metrics: boxMetrics }: Pick<BoxComponents, "log" | "metrics">,
-  method: string,
-  error: unknown,
-): void {
-  boxMetrics.process.countFailedMessage(method);
-  const { stack, message } = error as Error;
-  log.write("error", "message.failed", { method, message: stack ?? message });
-}
-
 /** Components that do not depend on the gossip link. */
 type LocalComponents = Omit<BoxComponents, "link" | "crashGuard" | "forwarder">;
 
