Adopt an older version than one that can't be decoded

Since a box that could not decode version 9 also passed over a version 8 that came after it and was newer than its own; before it put that in force. Found by reading the change; the test failed before. The log's behindMs is rounded like other times.

--- a/src/traffic_config/configuration_holder.ts
+++ b/src/traffic_config/configuration_holder.ts
@@ -22,7 +22,7 @@
   readonly #options: ConfigurationHolderOptions;
   #stored: configurations.StoredConfiguration | undefined;
   #current: configurations.Configuration | undefined;
-  /** Highest version that this build can't decode. */
+  /** Last version that this build could not decode. */
   #unreadableVersion = 0;
   /** Highest version that another box was heard to have. */
   #announcedVersion = 0;
@@ -83,13 +83,13 @@
       routes: routes.length,
       source,
       ageMs,
-      behindMs: this.getBehindMs(),
+      behindMs: Math.round(this.getBehindMs()),
     });
   }
 
   /** Whether a version is newer than the current one and not known as unreadable. */
   canAdopt(version: number): boolean {
-    return version > this.getVersion() && version > this.#unreadableVersion;
+    return version > this.getVersion() && version !== this.#unreadableVersion;
   }
 
   /** Records the version that another box has in force. */
--- a/src/traffic_config/traffic_config_test.ts
+++ b/src/traffic_config/traffic_config_test.ts
@@ -170,6 +170,12 @@
     );
     chai.expect(holder.canAdopt(6)).to.equal(false);
     chai.expect(holder.canAdopt(7)).to.equal(true);
+    chai.expect(holder.update({ version: 9, text: "bad" }, "push")).to.equal(
+      false,
+    );
+    chai.expect(holder.update({ version: 8, text: "eight" }, "push")).to.equal(
+      true,
+    );
   });
 
   it("keeps the highest version, also across a restart", () => {
