--- a/src/consensus/replica_driver_test.ts
+++ b/src/consensus/replica_driver_test.ts
@@ -36,6 +36,18 @@
   };
 }
 
+/** Creates an initialized data folder of replica `a`. */
+async function createDataFolder(voters: readonly string[]): Promise<string> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-replica-"));
+  await initializeDataFolder.initializeDataFolder({
+    folder,
+    owner: "a",
+    wallMs: 5,
+    voters,
+  });
+  return folder;
+}
+
 describe("replica driver", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-driver-"));
   let fatalErrors: readonly unknown[] = [];
@@ -83,15 +95,7 @@
   });
 
   it("reports the stored state and the torn bytes when it is opened", async () => {
-    const testFolder = fs.mkdtempSync(
-      path.join(os.tmpdir(), "hoistscale-opened-"),
-    );
-    await initializeDataFolder.initializeDataFolder({
-      folder: testFolder,
-      owner: "a",
-      wallMs: 5,
-      voters: ["a", "b"],
-    });
+    const testFolder = await createDataFolder(["a", "b"]);
     fs.appendFileSync(path.join(testFolder, "log.0"), Buffer.from([1, 2, 3]));
     const reported: notices.ReplicaNotice[] = [];
     const { log } = await openReplicas.openReplica({
@@ -118,15 +122,7 @@
   });
 
   it("hands over the commands that follow the snapshot when it is opened", async () => {
-    const testFolder = fs.mkdtempSync(
-      path.join(os.tmpdir(), "hoistscale-read-"),
-    );
-    await initializeDataFolder.initializeDataFolder({
-      folder: testFolder,
-      owner: "a",
-      wallMs: 5,
-      voters: ["a"],
-    });
+    const testFolder = await createDataFolder(["a"]);
     const first = new listStateMachines.ListStateMachine();
     const driver = await openDriver(first, testFolder);
     for (const command of ["one", "two"]) {
