Answer every request that a box reads during its planned stop

Cause: the drain ended 1.2 s before the kill whatever was in flight, for a close of the components that takes 0 to 2 ms; and nothing at the door knew the end, so requests, queue, retries and reads that wait reckoned with the caller's deadline alone. Beside it: the time was counted from the end of the change of leadership, up to 0.4 s late; a request that was read after the last look at the counter was cut by the exit; a request sent behind another one on a connection that closes was run and never answered.

Change: one moment, known from the signal on (150 ms before the kill). Requests whose deadline comes first are served as before. Others are served with a deadline cut to it if the usual duration of their route fits, else refused at once with 503, Retry-After and a log line, before they are passed on. Reads wait no longer than leaves time for their answer. Listeners close first, then what is in flight ends, what is left is answered 504, and then the components stop. docs/design/planned_stop.md tells what was weighed.

--- a/src/fleet_daemon/_poll_results.ts
+++ b/src/fleet_daemon/_poll_results.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as results from "../results/mod.ts";
 import type * as submissions from "../submission/mod.ts";
+import * as storeTimeouts from "./_store_timeouts.ts";
 
 /**
  * Longest wait requested in one call, in ms. A call to a failed replica times
@@ -9,12 +10,19 @@
 const CALL_WAIT_MS = 400;
 /** Time allowed for a reply beyond the requested wait, in ms. */
 const REPLY_MARGIN_MS = 500;
+/** Shortest timeout of a call, in ms. */
+const MIN_TIMEOUT_MS = 1;
 
 /** Options of `pollResults`. */
 export interface PollOptions {
   readonly clock: clocks.Clock;
   /** Longest total wait for results, in ms. */
   readonly waitMs: number;
+  /**
+   * Returns the time by which the read must have ended, in monotonic ms. It may
+   * become earlier during the read, as when the box begins to stop.
+   */
+  readonly getDeadlineMs: () => number;
   /**
    * Reads one page.
    *
@@ -38,12 +46,19 @@
 export async function pollResults(
   options: PollOptions,
 ): Promise<results.Result<submissions.ResultPage>> {
-  const { clock, waitMs, readOnce } = options;
+  const { clock, waitMs, getDeadlineMs, readOnce } = options;
   const endMs = clock.getMonotonicMs() + waitMs;
   for (;;) {
-    const remainingMs = Math.max(0, endMs - clock.getMonotonicMs());
+    const nowMs = clock.getMonotonicMs();
+    const deadlineMs = getDeadlineMs();
+    const waitEndMs = Math.min(endMs, deadlineMs - storeTimeouts.STORE_CALL_MS);
+    const remainingMs = Math.max(0, waitEndMs - nowMs);
     const callWaitMs = Math.min(remainingMs, CALL_WAIT_MS);
-    const page = await readOnce(callWaitMs, callWaitMs + REPLY_MARGIN_MS);
+    const timeoutMs = Math.min(
+      callWaitMs + REPLY_MARGIN_MS,
+      Math.max(MIN_TIMEOUT_MS, deadlineMs - nowMs),
+    );
+    const page = await readOnce(callWaitMs, timeoutMs);
     if (page.kind === "failure") return page;
     const { results: found, isEnded } = page.value;
     if (found.length > 0 || isEnded || remainingMs <= CALL_WAIT_MS) return page;
--- a/src/fleet_daemon/_submission_handler.ts
+++ b/src/fleet_daemon/_submission_handler.ts
@@ -7,12 +7,12 @@
 import type * as results from "../results/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
+import type * as boxComponents from "./box_components.ts";
 import * as controlHandlers from "./control_handler.ts";
 import * as replicaReaders from "./_replica_reader.ts";
 import * as pollResults from "./_poll_results.ts";
+import * as storeTimeouts from "./_store_timeouts.ts";
 
-/** Timeouts of calls to the leader of the stores, in ms. */
-const STORE_TIMEOUTS = { totalMs: 2_500, tryMs: 1_200 };
 /** Retry delay sent to callers whose read no leader answered, in ms. */
 const READ_RETRY_MS = 150;
 
@@ -24,6 +24,7 @@
   readonly stores: replicaGroups.LeaderCaller;
   readonly peers: fleet.Peers;
   readonly failureDomain: string;
+  readonly status: Pick<boxComponents.BoxStatus, "servesUntilMs">;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
 }
@@ -79,7 +80,9 @@
     const accepted = await this.#callStoreLeader<null>(
       submissions.METHODS.accept,
       request,
-      limitTimeouts(incoming.deadlineAtMs - clock.getMonotonicMs()),
+      storeTimeouts.limitTimeouts(
+        incoming.deadlineAtMs - clock.getMonotonicMs(),
+      ),
     );
     log.write("info", "submission.sent", {
       submission: requestId,
@@ -114,12 +117,13 @@
     const read = await pollResults.pollResults({
       clock: this.#options.clock,
       waitMs: call.waitMs,
+      getDeadlineMs: () => this.#options.status.servesUntilMs,
       readOnce: (waitMs, tryMs) => {
         const { submission: id, after } = call;
-        return this.#reader.read({ id, sender, after, waitMs }, {
-          totalMs: Math.max(STORE_TIMEOUTS.totalMs, tryMs),
-          tryMs,
-        });
+        return this.#reader.read(
+          { id, sender, after, waitMs },
+          storeTimeouts.limitTimeouts(this.#getServingTimeMs(), tryMs),
+        );
       },
     });
     if (read.kind === "ok") return dialect.formatResults(read.value);
@@ -160,10 +164,16 @@
     return dialect.formatFailure(ended.failure);
   }
 
+  /** Returns the time until this box stops serving, in ms; infinite if it does not. */
+  #getServingTimeMs(): number {
+    const { clock, status } = this.#options;
+    return status.servesUntilMs - clock.getMonotonicMs();
+  }
+
   async #callStoreLeader<T>(
     method: string,
     request: object,
-    timeouts: replicaGroups.CallTimeouts = STORE_TIMEOUTS,
+    timeouts = storeTimeouts.limitTimeouts(this.#getServingTimeMs()),
   ): Promise<results.Result<T>> {
     return await controlHandlers.callStoreLeader<T>(
       this.#options.stores,
@@ -173,14 +183,6 @@
   }
 }
 
-/** Limits the timeouts of a call to the stores to the remaining time, in ms. */
-function limitTimeouts(remainingMs: number): replicaGroups.CallTimeouts {
-  return {
-    totalMs: Math.min(STORE_TIMEOUTS.totalMs, remainingMs),
-    tryMs: Math.min(STORE_TIMEOUTS.tryMs, remainingMs),
-  };
-}
-
 /** Maps `unknownStep` to `requestReused`: another sender has used the id. */
 function toAcceptFailure(failure: results.Failure): results.Failure {
   if (failure.code !== "unknownStep") return failure;
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -28,6 +28,11 @@
   isReady: boolean;
   /** Whether a graceful shutdown has begun. */
   isLeaving: boolean;
+  /**
+   * Time until which requests are served, in monotonic ms; infinite until a
+   * graceful shutdown begins.
+   */
+  servesUntilMs: number;
   /** Newest term in which this box has led its replica group; 0 for none. */
   ledTerm: number;
 }
@@ -104,7 +109,12 @@
     configuration,
     crashTable: new crashRecords.CrashTable(),
     recordSync: new crashGuards.RecordSync(clock, log),
-    status: { isReady: false, isLeaving: false, ledTerm: 0 },
+    status: {
+      isReady: false,
+      isLeaving: false,
+      servesUntilMs: Number.POSITIVE_INFINITY,
+      ledTerm: 0,
+    },
     draw: Math.random,
   };
   const link: fleet.FleetGossip = createLink(
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -11,9 +11,11 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import * as endToEndHeaders from "./_end_to_end_headers.ts";
+import * as formatOutcomes from "./_format_outcome.ts";
 import type * as usages from "../usage/mod.ts";
+import type * as boxComponents from "./box_components.ts";
 import * as rawListeners from "./_raw_listener.ts";
+import * as stopGates from "./_stop_gate.ts";
 import * as submissionHandlers from "./_submission_handler.ts";
 
 /** Subtracted from each deadline so that the answer arrives in time, in ms. */
@@ -36,6 +38,7 @@
   readonly stores: replicaGroups.LeaderCaller;
   readonly peers: fleet.Peers;
   readonly failureDomain: string;
+  readonly status: Pick<boxComponents.BoxStatus, "servesUntilMs">;
   /** Counts usage per account; undefined where usage is not reported. */
   readonly usage: usages.UsageRecorder | undefined;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -66,9 +69,11 @@
 export class CallerHandler {
   readonly #options: CallerHandlerOptions;
   readonly #submissions: submissionHandlers.SubmissionHandler;
+  readonly #stopGate: stopGates.StopGate;
 
   constructor(options: CallerHandlerOptions) {
     this.#options = options;
+    this.#stopGate = new stopGates.StopGate(options);
     this.#submissions = new submissionHandlers.SubmissionHandler(options);
   }
 
@@ -104,6 +109,8 @@
     if (call.kind === "routed") {
       return await this.#serveRouted(parsed, request, response);
     }
+    const verdict = this.#stopGate.admitCall(getRequestName(parsed));
+    if (verdict.kind === "refused") return verdict.answer;
     const allowsAnonymous = configuration.routes.some((route) =>
       route.host === parsed.host && route.kind === "submission" &&
       route.allowsAnonymous
@@ -178,11 +185,21 @@
       head.deadlineMs ?? route.timeoutMs,
       route.timeoutMs,
     );
+    const name = getRequestName(parsed);
+    const callerDeadlineMs = arrivedAtMs + timeoutMs - ANSWER_MARGIN_MS;
+    const early = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
+    if (early.kind === "refused") return early.answer;
     const body = await httpServer.readBody(request, {
       maxBodyBytes: configuration.limits.bodyBytes,
-      receiveTimeoutMs: timeoutMs,
+      receiveTimeoutMs: Math.min(
+        timeoutMs,
+        this.#stopGate.getServingTimeMs(),
+      ),
     });
     if (body.kind === "failure") return dialect.formatFailure(body.failure);
+    // Receiving the body may have taken most of the time.
+    const verdict = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
+    if (verdict.kind === "refused") return verdict.answer;
     const routed: RoutedRequest = {
       raw,
       route,
@@ -190,14 +207,28 @@
       sender,
       requestId: head.requestId,
       arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + timeoutMs - ANSWER_MARGIN_MS,
+      deadlineAtMs: verdict.deadlineAtMs,
     };
     if (route.kind === "submission") {
-      return await this.#submissions.accept({ ...routed, body: body.value });
+      return await this.#sendSubmission(routed, body.value);
     }
     return await this.#forward(routed, body.value, response);
   }
 
+  async #sendSubmission(
+    routed: RoutedRequest,
+    body: Buffer,
+  ): Promise<dialects.RawAnswer> {
+    const answer = await this.#submissions.accept({ ...routed, body });
+    const durationMs = this.#getDurationMs(routed);
+    this.#stopGate.recordDuration(routed.route, durationMs);
+    return answer;
+  }
+
+  #getDurationMs({ arrivedAtMs }: RoutedRequest): number {
+    return this.#options.clock.getMonotonicMs() - arrivedAtMs;
+  }
+
   async #forward(
     routed: RoutedRequest,
     body: Buffer,
@@ -229,7 +260,7 @@
       cancellation,
     });
     this.#recordOutcome(routed, outcome);
-    return this.#toAnswer(outcome);
+    return formatOutcomes.formatOutcome(outcome, this.#options.dialect);
   }
 
   #countUsage(sender: accounts.Sender, startedAtMs: number): void {
@@ -243,9 +274,12 @@
     routed: RoutedRequest,
     outcome: forwarding.ForwardOutcome,
   ): void {
-    const { clock, log, metrics } = this.#options;
-    const durationMs = clock.getMonotonicMs() - routed.arrivedAtMs;
+    const { log, metrics } = this.#options;
+    const durationMs = this.#getDurationMs(routed);
     metrics.recordRequest(routed.route.name, outcome.kind, durationMs);
+    if (outcome.kind === "answered") {
+      this.#stopGate.recordDuration(routed.route, durationMs);
+    }
     const isServed = outcome.kind === "answered" && outcome.answer.status < 500;
     log.write(isServed ? "debug" : "info", "request.done", {
       request: routed.requestId,
@@ -263,46 +297,12 @@
       tookMs: Math.round(durationMs),
     });
   }
+}
 
-  #toAnswer(
-    outcome: forwarding.ForwardOutcome,
-  ): dialects.RawAnswer | undefined {
-    switch (outcome.kind) {
-      case "answered": {
-        const { status, headers, body, isFramed } = outcome.answer;
-        return {
-          status,
-          headers: endToEndHeaders.toEndToEndHeaders(headers),
-          body,
-          isCloseDelimited: !isFramed,
-        };
-      }
-      case "notRun":
-        return this.#refuse(
-          "noBackendServer",
-          `Cannot serve: ${outcome.reason}`,
-          { retryAfterMs: outcome.returnMs },
-        );
-      case "heldBack":
-        return this.#refuse(
-          "workHeldBack",
-          `Cannot serve: ${outcome.reason}`,
-          { retryAfterMs: outcome.returnMs },
-        );
-      case "failed":
-        return this.#refuse(
-          "backendFailed",
-          `Cannot answer: ${outcome.reason}`,
-          { outcome: "unknown" },
-        );
-      case "expired":
-        return this.#refuse("deadlineExceeded", "Cannot answer in time", {
-          outcome: outcome.wasSent ? "unknown" : "notRun",
-        });
-      case "abandoned":
-        return undefined;
-    }
-  }
+function getRequestName(
+  { raw, head }: ParsedRequest,
+): stopGates.RequestName {
+  return { requestId: head.requestId, target: raw.target };
 }
 
 function getHost(raw: dialects.RawRequest): string {
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -7,11 +7,13 @@
 import * as results from "../results/mod.ts";
 import * as usages from "../usage/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
+import * as addressLifetimes from "./_address_lifetime.ts";
 import * as boxComponents from "./box_components.ts";
 import * as callerHandlers from "./caller_handler.ts";
 import * as chooseEntryBoxes from "./_choose_entry_boxes.ts";
 import * as controlHandlers from "./control_handler.ts";
 import * as dutySettings from "./_duty_settings.ts";
+import * as endExchanges from "./_end_exchanges.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
 /** Largest body of a control call, in bytes. */
@@ -22,8 +24,6 @@
 const MAX_CORE_VOTERS = 9;
 /** Log entries between snapshots of the core group. */
 const CORE_SNAPSHOT_ENTRIES = 64;
-/** Lifetime of an address answer, as a fraction of `addressesKeepMs`. */
-const ADDRESS_LIFETIME_FRACTION = 0.4;
 /** Largest number of addresses in one answer. */
 const MAX_ADDRESSES = 64;
 
@@ -34,7 +34,8 @@
 export class EntryBox {
   readonly #components: boxComponents.BoxComponents;
   readonly #callerListener: httpServer.HttpListener;
-  readonly #otherListeners: readonly httpServer.HttpListener[];
+  /** All listeners, also the one for callers. */
+  readonly #listeners: readonly httpServer.HttpListener[];
   readonly #controlListener: httpServer.HttpListener;
   readonly #readinessListener: httpServer.HttpListener;
   readonly #addressListener: httpServer.HttpListener;
@@ -85,7 +86,8 @@
       (request, response) => this.#serveAddresses(request, response),
       log,
     );
-    this.#otherListeners = [
+    this.#listeners = [
+      this.#callerListener,
       this.#controlListener,
       this.#readinessListener,
       this.#addressListener,
@@ -118,6 +120,15 @@
     return this.#callerListener.getInFlightCount();
   }
 
+  /** Returns the number of requests in flight at all listeners. */
+  countExchanges(): number {
+    return this.#listExchanges().length;
+  }
+
+  #listExchanges(): readonly httpServer.Exchange[] {
+    return this.#listeners.flatMap((listener) => listener.listExchanges());
+  }
+
   /** Applies the connection timeouts of the configuration in force. */
   applyLimits(): void {
     const limits = this.#components.configuration.get()?.limits;
@@ -130,16 +141,28 @@
 
   /** Closes connections after their next answer; transfers the leadership. */
   async setDraining(): Promise<void> {
-    this.#callerListener.startDraining();
-    for (const listener of this.#otherListeners) listener.startDraining();
+    for (const listener of this.#listeners) listener.startDraining();
     await this.#core?.resign();
   }
 
-  /** Closes all listeners and stops the core replica. */
+  /** Accepts no more connections and closes the idle ones. */
+  closeListeners(): void {
+    for (const listener of this.#listeners) listener.close(false);
+  }
+
+  /** Answers all requests in flight that have no answer so far. */
+  endExchanges(): void {
+    endExchanges.endExchanges(this.#listExchanges(), this.#components);
+  }
+
+  /** Logs the requests whose answers are not sent whole. */
+  recordCutExchanges(): void {
+    endExchanges.recordCutExchanges(this.#listExchanges(), this.#components);
+  }
+
+  /** Closes all listeners and connections, then stops the core replica. */
   async stop(): Promise<void> {
-    for (const listener of [this.#callerListener, ...this.#otherListeners]) {
-      listener.close(false);
-    }
+    for (const listener of this.#listeners) listener.close(true);
     this.#usageRecorder?.stop();
     await this.#core?.stop();
   }
@@ -232,12 +255,14 @@
     const addresses = query === undefined
       ? []
       : this.#listAddresses(query.failureDomain);
-    const keepMs = settings.bounds.addressesKeepMs * ADDRESS_LIFETIME_FRACTION;
+    const lifetimeMs = addressLifetimes.getAddressLifetimeMs(
+      settings.bounds.addressesKeepMs,
+    );
     rawListeners.writeAnswer(
       response,
       addresses.length === 0
         ? this.#refuse("noLease", "Cannot answer: no box is ready")
-        : dialect.formatAddresses(addresses, keepMs),
+        : dialect.formatAddresses(addresses, lifetimeMs),
     );
     return Promise.resolve();
   }
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -1,26 +1,12 @@
-import * as clocks from "../clock/mod.ts";
 import * as boxComponents from "./box_components.ts";
 import * as entryBoxes from "./entry_box.ts";
+import * as plannedStops from "./_planned_stop.ts";
 import * as storeBoxes from "./store_box.ts";
 
 /** Interval between refreshes of the box's status, in ms. */
 const CHECK_INTERVAL_MS = 100;
 /** Delay of a refresh that is logged as a stall of the process, in ms. */
 const MIN_STALL_MS = 400;
-/** Part of the stop timeout reserved for closing the components, in ms. */
-const STOP_MARGIN_MS = 1_200;
-/** Time that a store box keeps serving after it has resigned, in ms. */
-const STORE_DRAIN_MS = 1_000;
-/** Time without requests in flight after which a drain ends, in ms. */
-const MIN_IDLE_MS = 1_500;
-/** Interval between checks for requests in flight, in ms. */
-const IDLE_CHECK_INTERVAL_MS = 50;
-/**
- * Time for which callers may use an address answer after the drain began, as a
- * multiple of `addressesKeepMs`.
- */
-const ADDRESS_LIFETIME_FACTOR = 1.2;
-
 /** How the daemon of a box ended. */
 export type BoxEnd =
   | { readonly kind: "stopped" }
@@ -83,39 +69,37 @@
 
   /**
    * Shuts down gracefully: removes the box from the address answers, transfers
-   * its leadership, serves requests until none arrive, then stops.
+   * its leadership, answers the requests that still arrive, then stops. Further
+   * calls have no effect. An error ends the daemon as failed.
    */
   async drain(): Promise<void> {
-    const { status, link, log } = this.#components;
-    if (status.isLeaving) return;
-    status.isLeaving = true;
-    log.write("info", "drain.began", { inFlight: this.#entry?.getInFlight() });
-    link.publishSelf();
-    await Promise.all([this.#entry?.setDraining(), this.#store?.setDraining()]);
-    await (this.#entry === undefined
-      ? clocks.sleep(this.#components.clock, STORE_DRAIN_MS)
-      : this.#awaitIdle(this.#entry));
-    log.write("info", "drain.ended", { inFlight: this.#entry?.getInFlight() });
+    if (this.#components.status.isLeaving) return;
+    try {
+      await this.#runDrain();
+    } catch (error) {
+      this.#end({ kind: "failed", error });
+    }
+  }
+
+  async #runDrain(): Promise<void> {
+    const { settings: { bounds }, clock, log } = this.#components;
+    await new plannedStops.PlannedStop({
+      ...this.#components,
+      bounds,
+      entry: this.#entry,
+      startLeaving: () => this.#startLeaving(),
+    }).run();
+    const startMs = clock.getMonotonicMs();
     await this.#stopComponents();
+    log.write("info", "components.stopped", {
+      tookMs: Math.round(clock.getMonotonicMs() - startMs),
+    });
     this.#end({ kind: "stopped" });
   }
 
-  /**
-   * Waits until address answers that name this box have expired and no request
-   * has been in flight for `MIN_IDLE_MS`, at most until the stop timeout.
-   */
-  async #awaitIdle(entry: entryBoxes.EntryBox): Promise<void> {
-    const { clock, settings: { bounds } } = this.#components;
-    const startMs = clock.getMonotonicMs();
-    const endMs = startMs + bounds.stopMs - STOP_MARGIN_MS;
-    let lastBusyMs = startMs +
-      bounds.addressesKeepMs * ADDRESS_LIFETIME_FACTOR - MIN_IDLE_MS;
-    while (clock.getMonotonicMs() < endMs) {
-      const nowMs = clock.getMonotonicMs();
-      if (entry.getInFlight() > 0) lastBusyMs = Math.max(lastBusyMs, nowMs);
-      if (nowMs - lastBusyMs > MIN_IDLE_MS) return;
-      await clocks.sleep(clock, IDLE_CHECK_INTERVAL_MS);
-    }
+  async #startLeaving(): Promise<void> {
+    this.#components.link.publishSelf();
+    await Promise.all([this.#entry?.setDraining(), this.#store?.setDraining()]);
   }
 
   /**
--- a/src/fleet_daemon/poll_results_test.ts
+++ b/src/fleet_daemon/poll_results_test.ts
@@ -23,10 +23,12 @@
 describe("pollResults", () => {
   let clock = new clocks.FakeClock();
   let waits: number[] = [];
+  let deadlineMs = Number.POSITIVE_INFINITY;
 
   beforeEach(() => {
     clock = new clocks.FakeClock();
     waits = [];
+    deadlineMs = Number.POSITIVE_INFINITY;
   });
 
   /** Polls for 1,000 ms; each reply takes the whole wait of its call. */
@@ -36,6 +38,7 @@
     return pollResults.pollResults({
       clock,
       waitMs: 1_000,
+      getDeadlineMs: () => deadlineMs,
       readOnce: (waitMs, timeoutMs) => {
         chai.expect(timeoutMs).to.be.lessThan(1_000);
         waits.push(waitMs);
@@ -51,6 +54,30 @@
     chai.expect(waits).to.deep.equal([400, 400, 200]);
   });
 
+  // Guards against reads that are cut off as their box ends.
+  it("ends in time to be answered before the box stops", async () => {
+    deadlineMs = 650;
+    const page = await poll([]);
+    chai.expect(page).to.deep.equal(createPage([]));
+    chai.expect(waits).to.deep.equal([400, 150]);
+  });
+
+  it("notices a stop that begins while it waits", async () => {
+    const page = pollResults.pollResults({
+      clock,
+      waitMs: 1_000,
+      getDeadlineMs: () => deadlineMs,
+      readOnce: (waitMs) => {
+        waits.push(waitMs);
+        clock.advance(waitMs);
+        deadlineMs = 550;
+        return Promise.resolve(createPage([]));
+      },
+    });
+    chai.expect(await page).to.deep.equal(createPage([]));
+    chai.expect(waits).to.deep.equal([400, 50]);
+  });
+
   it("returns the first results without further calls", async () => {
     const page = await poll([createPage([]), createPage([RESULT])]);
     chai.expect(page).to.deep.equal(createPage([RESULT]));
--- a/src/http_server/http_listener.ts
+++ b/src/http_server/http_listener.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as results from "../results/mod.ts";
 import * as responses from "./respond.ts";
 
@@ -43,11 +44,19 @@
   responses.respondFailure(response, results.toFailure(error));
 }
 
-/** An HTTP server that counts requests in flight and can drain connections. */
+/** A request that has not been answered whole. */
+export interface Exchange {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+}
+
+/** An HTTP server that tracks requests in flight and can drain connections. */
 export class HttpListener {
   readonly #server: http.Server;
   readonly #options: HttpListenerOptions;
-  #inFlightCount = 0;
+  readonly #exchanges = new Set<Exchange>();
+  /** Connections that close after the answer to a request already begun. */
+  readonly #closingSockets = new WeakSet<net.Socket>();
   #isDraining = false;
 
   constructor(handler: HttpHandler, options: HttpListenerOptions) {
@@ -67,7 +76,12 @@
 
   /** Returns the number of requests in flight. */
   getInFlightCount(): number {
-    return this.#inFlightCount;
+    return this.#exchanges.size;
+  }
+
+  /** Lists the requests in flight. */
+  listExchanges(): readonly Exchange[] {
+    return [...this.#exchanges];
   }
 
   /** Changes the timeouts of connections, including those already open. */
@@ -76,7 +90,10 @@
     this.#server.keepAliveTimeout = timeouts.idleMs;
   }
 
-  /** Makes every later response close its connection. */
+  /**
+   * Makes every later response close its connection. Requests that were sent
+   * behind such a one on its connection are not handled.
+   */
   startDraining(): void {
     this.#isDraining = true;
   }
@@ -101,16 +118,19 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
-    this.#inFlightCount += 1;
-    response.once("close", () => {
-      this.#inFlightCount -= 1;
-    });
+    if (this.#closingSockets.has(request.socket)) return;
+    const exchange: Exchange = { request, response };
+    this.#exchanges.add(exchange);
+    response.once("close", () => this.#exchanges.delete(exchange));
     const {
       onHandlerError: onHandlerError = respondThrownError,
       onResponseError,
     } = this.#options;
     response.on("error", (error) => onResponseError?.(error));
-    if (this.#isDraining) response.setHeader("connection", "close");
+    if (this.#isDraining) {
+      response.setHeader("connection", "close");
+      this.#closingSockets.add(request.socket);
+    }
     handler(request, response).catch((error: unknown) =>
       onHandlerError(request, response, error)
     );
