Daemon: close the listener before the last look at what is in flight

What callers could see: a request that the product's own daemon read while it gave up its leadership, after it had found nothing in flight, was cut by the end of the process.

Now the listener stops taking connections first; once nothing is in flight, all connections that are left are closed in the same turn, so that nothing can be read any more. drain_test failed before (the connection stayed open).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -124,7 +124,7 @@
   /** Stops immediately and aborts requests in flight. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    await this.#stopComponents(true);
+    await this.#stopComponents();
     this.#end({ kind: "stopped" });
   }
 
@@ -162,12 +162,15 @@
     await this.#awaitDrainingListed();
     await clocks.sleep(this.#clock, lease.leaseMs + addresses.keepMs);
     this.#trainerService.stop();
+    this.#callerListener.close(false);
     while (this.#callerListener.getInFlight() > 0) {
       await clocks.sleep(this.#clock, DRAIN_CHECK_INTERVAL_MS);
     }
+    // Nothing is in flight; a request that is read from now on would be cut.
+    this.#callerListener.close(true);
     await this.#control?.service.resign();
     this.#log.write("info", "drain.ended");
-    await this.#stopComponents(false);
+    await this.#stopComponents();
     this.#end({ kind: "stopped" });
   }
 
@@ -186,8 +189,8 @@
     }
   }
 
-  async #stopComponents(force: boolean): Promise<void> {
-    this.#callerListener.close(force);
+  async #stopComponents(): Promise<void> {
+    this.#callerListener.close(true);
     this.#trainerService.stop();
     this.#operatorListener.close();
     this.#serverTable.stop();
--- a/src/daemon/one_box_test.ts
+++ b/src/daemon/one_box_test.ts
@@ -54,6 +54,9 @@
   receivedUrls: readonly string[] = [];
   readonly #network: string;
   readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-box-"));
+  /** Resolves when the daemon has ended. */
+  readonly ended: Promise<void>;
+  #resolveEnded: () => void = () => {};
   #servers: readonly http.Server[] = [];
   #daemon: daemons.Daemon | undefined;
 
@@ -62,6 +65,9 @@
     this.#network = `${loopbackNetworks.LOOPBACK_NETWORK}.${network}`;
     this.address = `${this.#network}.1`;
     this.deadUrl = `http://${this.#network}.3:${PORT}`;
+    this.ended = new Promise((resolve) => {
+      this.#resolveEnded = resolve;
+    });
   }
 
   /** Starts everything and waits until a request succeeds. */
@@ -81,7 +87,10 @@
       owner: "box-1",
       wallMs: 1,
     });
-    this.#daemon = new daemons.Daemon(this.#createSettings(), () => {});
+    this.#daemon = new daemons.Daemon(
+      this.#createSettings(),
+      () => this.#resolveEnded(),
+    );
     await this.#daemon.start();
     const endMs = Date.now() + START_TIMEOUT_MS;
     for (;;) {
@@ -104,6 +113,11 @@
     }
   }
 
+  /** Begins the planned stop. */
+  drain(): void {
+    this.#daemon?.drain();
+  }
+
   async stop(): Promise<void> {
     await this.#daemon?.stop();
     for (const server of this.#servers) {
@@ -205,6 +219,7 @@
       weightStore: { url },
       scorer: { url },
       lease: { leaseMs: 2_000, syncWaitMs: 300 },
+      addresses: { keepMs: 500 },
       limits: {
         maxBodyBytes: 1_000,
         receiveTimeoutMs: 1_500,
