Put back comments that give the reason, number or fault behind a constant

One or two sentences each, in today's names, only what the old comments held and what still is so.

No code is changed (every changed line is a comment line).

--- a/src/admission/admission_queue.ts
+++ b/src/admission/admission_queue.ts
@@ -1,7 +1,10 @@
 import * as retrySchedules from "./retry_schedule.ts";
 import * as slotReleaseRates from "./slot_release_rate.ts";
 
-/** Most requests in the queue; bounds the memory held by their bodies. */
+/**
+ * Most requests in the queue; bounds the memory held by their bodies, to some
+ * megabytes with bodies of some kilobytes.
+ */
 const MAX_QUEUED = 512;
 
 /** A request that all servers refused and that can wait for a slot. */
--- a/src/admission/retry_schedule.ts
+++ b/src/admission/retry_schedule.ts
@@ -1,6 +1,9 @@
 /** Shortest retry delay, in ms. */
 const MIN_RETRY_MS = 100;
-/** Longest retry delay, in ms. */
+/**
+ * Longest retry delay, in ms. Callers honour at most a third of their remaining
+ * time, which is seldom more than some seconds.
+ */
 const MAX_RETRY_MS = 1_000;
 /** Time between two retries while the slot release rate is unknown, in ms. */
 const DEFAULT_INTERVAL_MS = 20;
--- a/src/consensus/_append_window.ts
+++ b/src/consensus/_append_window.ts
@@ -12,7 +12,8 @@
 const MAX_IN_FLIGHT_BYTES = 4 * 1024 * 1024;
 /**
  * Most bytes of entries in one message, unless a single entry is larger. Bounds
- * the memory that the leader needs to encode it.
+ * the memory that the leader needs to encode it: messages of 2 MB and more can
+ * exhaust a heap of 140 MB while a replica catches up.
  */
 const MAX_MESSAGE_BYTES = 512 * 1024;
 /**
@@ -58,6 +59,8 @@
  * Counts the entries that a follower may be sent now. Replicas that lost their
  * disks catch up one at a time, in batches that grow while the leader has headroom:
  * unbounded, the traffic delays heartbeats until the leader loses its authority.
+ * In small batches alone, a replica with a slow disk would take so long to catch up
+ * that the loss of a second disk meanwhile costs the group its quorum.
  *
  * @param state The leader.
  * @param to The follower.
--- a/src/consensus/_compaction_policy.ts
+++ b/src/consensus/_compaction_policy.ts
@@ -3,7 +3,8 @@
 
 /**
  * Bytes of applied entries after which a snapshot is taken, whatever their number.
- * Bounds the memory that the log occupies.
+ * Bounds the memory that the log occupies: beside the state, a log of 70 MB can
+ * exhaust a heap of 140 MB while a replica catches up.
  */
 const SNAPSHOT_BYTES = 24 * 1024 * 1024;
 /** Most bytes of recent entries that stay in memory for followers that lag. */
--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -5,7 +5,7 @@
 
 /** Initial window of unconfirmed parts, also used after a loss. */
 const INITIAL_WINDOW = 4;
-/** Largest window of unconfirmed parts. */
+/** Largest window of unconfirmed parts; some 2 MB. */
 const MAX_WINDOW = 16;
 /** Parts by which the window grows with each confirmation. */
 const WINDOW_GROWTH = 1;
--- a/src/consensus/leader_lease.ts
+++ b/src/consensus/leader_lease.ts
@@ -41,7 +41,8 @@
 
 /**
  * Time since the last reply after which a follower is out of contact, in
- * election timeouts.
+ * election timeouts. Replies this old keep the leader in its role, but give it no
+ * authority.
  */
 const CONTACT_TIMEOUTS = 1.8;
 /** Maximum age of the request that a reply acknowledges, in election timeouts. */
--- a/src/crash_guard/create_grant_client.ts
+++ b/src/crash_guard/create_grant_client.ts
@@ -2,9 +2,15 @@
 import type * as crashGuards from "./crash_guard.ts";
 import * as protocol from "./protocol.ts";
 
-/** Timeout of one attempt to ask for a grant, in ms; the caller waits meanwhile. */
+/**
+ * Timeout of one attempt to ask for a grant, in ms. A leader answers within some
+ * milliseconds, and the caller waits meanwhile.
+ */
 const ASK_ATTEMPT_MS = 100;
-/** Timeouts of reporting the end of a run. */
+/**
+ * Timeouts of reporting the end of a run. Without the report, the grant is held
+ * until it expires.
+ */
 const END_CALL_TIMES: replicaGroups.CallTimeouts = {
   totalMs: 2_000,
   tryMs: 500,
--- a/src/crash_record/decide_run.ts
+++ b/src/crash_record/decide_run.ts
@@ -8,8 +8,8 @@
 /** Consecutive crashes after which work must pause before its next run. */
 const CRASHES_BEFORE_PAUSE = 2;
 /**
- * Pause before the last allowed run, in ms. Longer than a server restart, so
- * that work can't take down all servers of a service at once.
+ * Pause before the last allowed run, in ms. Longer than a server restart, which
+ * takes some 3 s, so that work can't take down all servers of a service at once.
  */
 const PAUSE_MS = 5_000;
 /** Retry delay that callers of blocked work are given, in ms. */
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -29,8 +29,9 @@
 const LOADING_STALL_TIMEOUT_MS = 4_000;
 /**
  * Time without confirmed leadership after which this box cancels its runs, in
- * ms: longer than brief quorum outages, as repeating all runs is costly, and
- * below the time within which the end of a submission must take effect.
+ * ms: longer than brief quorum outages of some hundred ms, as repeating hundreds
+ * of runs costs seconds, and below the time within which the end of a submission
+ * must take effect.
  */
 const AUTHORITY_GRACE_MS = 2_000;
 
--- a/src/dispatch/engine_table.ts
+++ b/src/dispatch/engine_table.ts
@@ -8,7 +8,10 @@
 const DEFAULT_INTERVAL_MS = 40;
 /** Age after which an engine's average interval is considered stale, in ms. */
 const MAX_INTERVAL_AGE_MS = 5_000;
-/** Relative increase of the event interval from an idle to a full engine. */
+/**
+ * Relative increase of the event interval from an idle to a full engine: from 37
+ * to 42.5 ms with all of twelve slots in use.
+ */
 const FULL_LOAD_SLOWDOWN = 0.15;
 /** Multiple of the median interval above which an engine counts as slow. */
 const SLOW_RATIO = 1.1;
--- a/src/dispatch/order_tasks.ts
+++ b/src/dispatch/order_tasks.ts
@@ -4,7 +4,8 @@
 /**
  * Sorts items by the latest time at which each must start to meet the due time
  * of its submission. Long items come before short ones that are due at the same
- * time.
+ * time, as they decide when the submission is complete; short items of an earlier
+ * submission can wait for long ones of a later one without delaying either.
  *
  * @param tasks The items.
  * @param lengths Estimates of the items' remaining events.
--- a/src/fleet/_relay.ts
+++ b/src/fleet/_relay.ts
@@ -11,6 +11,8 @@
  * Refreshes go to the other core boxes once in this many intervals. Non-core
  * boxes send their refreshes to every core box themselves, so the relayed ones
  * matter only where a link is cut. The resulting 1 s is below BOX_TIMEOUT_MS.
+ * Sent in each interval, they would be half of the bytes that refreshes send
+ * between failure domains.
  */
 const CORE_RELAY_INTERVALS = 4;
 /**
--- a/src/fleet_daemon/_choose_entry_boxes.ts
+++ b/src/fleet_daemon/_choose_entry_boxes.ts
@@ -4,8 +4,9 @@
 const MIN_SAME_DOMAIN_BOXES = 2;
 /**
  * Time without gossip about a box after which callers are not sent to it, in
- * ms. It is shorter than the time after which the directory drops the box, as a
- * caller that connects to a dead box waits for its connect timeout.
+ * ms: more than two refreshes, which come every 500 ms and are relayed within 250.
+ * It is shorter than the time after which the directory drops the box, as a
+ * caller that connects to a dead box waits for its connect timeout of a second.
  */
 const SUSPECT_TIMEOUT_MS = 1_100;
 /**
--- a/src/fleet_daemon/_replica_reader.ts
+++ b/src/fleet_daemon/_replica_reader.ts
@@ -36,7 +36,8 @@
 
 /**
  * Reads results from a replica in this box's failure domain if there is one,
- * else from the leader, which reduces traffic between failure domains.
+ * else from the leader, which reduces traffic between failure domains: results
+ * are read several times, by their trainer and by others.
  */
 export class ReplicaReader {
   readonly #options: ReplicaReaderOptions;
--- a/src/forwarding/_service_queue.ts
+++ b/src/forwarding/_service_queue.ts
@@ -3,7 +3,8 @@
 
 /**
  * Interval at which the head of the queue is retried while no answers arrive, in
- * ms. Slots freed by requests of other boxes can be found only by an attempt.
+ * ms. Slots freed by requests of other boxes can be found only by an attempt; 25
+ * attempts a second are few beside the answers of a full service.
  */
 const PROBE_INTERVAL_MS = 40;
 
--- a/src/forwarding/server_loads.ts
+++ b/src/forwarding/server_loads.ts
@@ -19,7 +19,8 @@
 
 /**
  * Time for which a server counts as full after it refused a request, in ms,
- * unless it answers another request earlier.
+ * unless it answers another request earlier; about the time in which one of its
+ * slots becomes free.
  */
 const FULL_DURATION_MS = 25;
 
--- a/src/registry/lifetime.ts
+++ b/src/registry/lifetime.ts
@@ -17,7 +17,8 @@
 
 /**
  * Largest accepted lead of a server's start time over this box's wall clock, in
- * ms. A start time further in the future would hide all restarts until then.
+ * ms; clocks of boxes and servers may differ by seconds. A start time further in
+ * the future would hide all restarts until then.
  */
 const MAX_CLOCK_SKEW_MS = 60_000;
 /** The same for an id without a known lifetime, which hides no other, in ms. */
--- a/src/registry/registered_server.ts
+++ b/src/registry/registered_server.ts
@@ -53,7 +53,8 @@
  */
 export function createRegisteredServer(report: ServerReport): RegisteredServer {
   const lifetime = lifetimes.createLifetimeKey(report);
-  // Lists the fields, as objects made by spread slow down server selection.
+  // Lists the fields, as objects made by spread slow down server selection by a
+  // quarter with 1,800 servers.
   return {
     id: report.id,
     born: report.born,
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -155,7 +155,8 @@
   /**
    * Picks the leader that a replica named, else the one published in the fleet,
    * else the next replica in turn. Trying the published leader first spares a
-   * new caller from asking many replicas that do not vote.
+   * new caller from asking many replicas that do not vote: with 30 store boxes, 5
+   * of them voters, a first call would take up to 1.6 s.
    */
   #pickReplica(): string | undefined {
     if (this.#leader !== undefined) return this.#leader;
--- a/src/rpc/_framing.ts
+++ b/src/rpc/_framing.ts
@@ -18,7 +18,10 @@
 const DEFLATE_FORMAT = 1;
 /** DEFLATE with `COMPRESSION_DICTIONARY` as the preset dictionary. */
 const DICTIONARY_FORMAT = 2;
-/** Shorter texts, in bytes, are compressed with the dictionary. */
+/**
+ * Shorter texts, in bytes, are compressed with the dictionary. It takes some 30 microseconds
+ * to write and 15 to read one, and leaves a fifth of a refresh.
+ */
 const MIN_DEFLATE_BYTES = 1_024;
 /** The window holds the dictionary and a short text. */
 const DICTIONARY_OPTIONS: zlib.ZlibOptions = {
@@ -28,7 +31,8 @@
 };
 /**
  * Longer texts, in bytes, are sent uncompressed, because compressing them would
- * block the event loop too long.
+ * block the event loop too long: 29 ms a megabyte, to save a quarter. The log for a
+ * replica that lost its disk would take over a second.
  */
 const MAX_DEFLATE_BYTES = 512 * 1_024;
 const DEFLATE_LEVEL = 1;
--- a/src/step_schedule/plan_steps.ts
+++ b/src/step_schedule/plan_steps.ts
@@ -22,8 +22,9 @@
  * Plans the order in which the waiting items of all open steps start.
  *
  * If the open steps require more slots than there are, ordering items by latest
- * start alone makes all groups complete late together. The "groups" policy
- * instead starts the groups that can complete in time first.
+ * start alone makes all groups complete late together: a step that lacks a fifth
+ * of its slots is late as a whole. The "groups" policy instead starts the groups
+ * that can complete in time first.
  *
  * @param input Open steps, capacity and current time.
  * @param policy Scheduling policy.
--- a/src/usage/usage_window.ts
+++ b/src/usage/usage_window.ts
@@ -18,10 +18,13 @@
 /**
  * Fraction of the report delay after which a window is closed. Totals that arrive
  * later are not reported; the rest of the delay is left for sending the report,
- * and for a failover to another box.
+ * and for a failover to another box, which takes over after some 3.3 s.
  */
 const SETTLE_FRACTION = 0.4;
-/** Age up to which windows are still reported, as a multiple of the report delay. */
+/**
+ * Age up to which windows are still reported, as a multiple of the report delay.
+ * Older ones help nobody, as after an hour without a quorum.
+ */
 const STALE_FACTOR = 3;
 
 /**
