--- /dev/null
+++ b/src/dialect/is_foreign_answer.ts
@@ -0,0 +1,22 @@
+import type * as dialects from "./dialect.ts";
+
+/** Misdirected Request: the address now belongs to a different server. */
+const WRONG_SERVER_STATUS = 421;
+
+/**
+ * Reports whether an answer belongs to another request than the one that waits for
+ * it, whatever its status: a surplus answer may arrive in the place where the next
+ * one is due. Only a server that isn't the expected one may name no request.
+ *
+ * @param status Status of the answer.
+ * @param head Its parsed headers.
+ * @param requestId Id of the request that waits.
+ */
+export function isForeignAnswer(
+  status: number,
+  head: Pick<dialects.AnswerHead, "requestId">,
+  requestId: string,
+): boolean {
+  if (head.requestId === requestId) return false;
+  return head.requestId !== undefined || status !== WRONG_SERVER_STATUS;
+}
--- a/src/dialect/mod.ts
+++ b/src/dialect/mod.ts
@@ -13,3 +13,4 @@
  * @module
  */
 export * from "./dialect.ts";
+export * from "./is_foreign_answer.ts";
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -1,5 +1,5 @@
 import type * as csp from "../csp/mod.ts";
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as jobs from "./forward_job.ts";
@@ -64,12 +64,10 @@
   { dialect, job }: AttemptOptions,
   { status, headers }: httpClient.ResponseHead,
 ): string | undefined {
-  const { requestId } = dialect.parseAnswerHead(headers);
-  if (requestId === job.requestId) return undefined;
-  if (requestId === undefined && status === WRONG_SERVER_STATUS) {
-    return undefined;
-  }
-  return "the answer belongs to another request";
+  const head = dialect.parseAnswerHead(headers);
+  return dialects.isForeignAnswer(status, head, job.requestId)
+    ? "the answer belongs to another request"
+    : undefined;
 }
 
 function evaluateAnswer(
--- a/src/item_run/item_run_test.ts
+++ b/src/item_run/item_run_test.ts
@@ -87,6 +87,36 @@
     });
   }
 
+  // Guards against a late surplus answer to an earlier item that is taken for the
+  // answer to this one.
+  for (const status of [200, 408, 422, 429, 500, 503]) {
+    it(`ignores a ${status} that belongs to another item`, async () => {
+      const statuses = [status, 200];
+      script = (_request, response) => {
+        const isForeign = statuses.shift() === status && statuses.length === 1;
+        if (!isForeign) {
+          writeEvents(response, ["id: 1\ndata: a"]);
+          return void response.end();
+        }
+        response.writeHead(status, {
+          id: "item-0",
+          version: "3",
+          "not-run": "1",
+          "content-length": "0",
+        });
+        response.end();
+      };
+      const progress = new textProgresses.TextProgress();
+      chai.expect(await run(progress)).to.deep.equal({
+        kind: "broken",
+        reason: "the answer belongs to another request",
+        isClosed: false,
+      });
+      chai.expect((await run(progress)).kind).to.equal("finished");
+      chai.expect(progress.countGeneratedEvents()).to.equal(1);
+    });
+  }
+
   it("reports the versions of this engine, not those of earlier runs", async () => {
     script = (_request, response) => {
       writeEvents(response, ["id: 2\ndata: b", "version: 4\nid: 3\ndata: c"]);
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -2,7 +2,7 @@
 import type * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import type * as csp from "../csp/mod.ts";
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as submissions from "../submission/mod.ts";
@@ -108,13 +108,14 @@
   }
 
   onHead(head: httpClient.ResponseHead): void {
-    const parsed = this.#options.dialect.parseAnswerHead(head.headers);
+    const { dialect, item } = this.#options;
+    const parsed = dialect.parseAnswerHead(head.headers);
+    if (dialects.isForeignAnswer(head.status, parsed, item.id)) {
+      return this.#abort("the answer belongs to another request");
+    }
     this.#status = head.status;
     this.#isNotRun = parsed.isNotRun || head.status === WRONG_SERVER_STATUS;
     if (head.status !== OK_STATUS) return;
-    if (parsed.requestId !== this.#options.item.id) {
-      return this.#abort("the answer belongs to another request");
-    }
     this.#version = parsed.weightVersion;
     if (this.#version === undefined) {
       return this.#abort("the response has no weight version");
