Soak: callers that use a box to the end of its planned stop

The soak stopped boxes while its callers left at once, so it could not see the requests that a planned stop cut. Now callers hold an address answer three times its lifetime, keep their connections, send work of 20 ms to 4 s (the route allows 5 s) and reads that wait; more of them begin to use a box just before it is stopped, and go on until its process is gone.

--- a/tools/soak/fault_injector.ts
+++ b/tools/soak/fault_injector.ts
@@ -3,6 +3,7 @@
 import type * as layouts from "./fleet_layout.ts";
 import type * as fleets from "./soak_fleet.ts";
 import type * as operators from "./soak_operator.ts";
+import * as stopPlans from "./stop_plan.ts";
 import type * as storeLogReaders from "./store_log_reader.ts";
 
 const STOP_GRACE_MS = 8_000;
@@ -22,6 +23,8 @@
   /** Time over which the boxes start after a total power loss, in ms. */
   readonly startSpreadMs: number;
   readonly printProgress: (message: string) => void;
+  /** Called just before a box is stopped; awaited. */
+  readonly onStopping: (box: layouts.SoakBox) => Promise<void>;
 }
 
 /** Start of a box with an empty disk; `startMs` is wall-clock time. */
@@ -46,9 +49,18 @@
     this.#options = options;
   }
 
-  /** Applies all faults of a plan; resolves once the last one has completed. */
-  async run(plan: faultPlans.FaultPlan): Promise<void> {
+  /**
+   * Applies all faults of a plan, with planned stops beside them; resolves once
+   * the last one has completed.
+   */
+  async run(
+    plan: faultPlans.FaultPlan,
+    stops: readonly stopPlans.PlannedBoxStop[],
+  ): Promise<void> {
     const startMs = Date.now();
+    for (const stop of stops) {
+      this.#pendingFaults.push(this.#stopBox(stop, startMs + stop.atMs));
+    }
     for (const { atMs, fault } of plan) {
       await sleeps.sleep(Math.max(0, startMs + atMs - Date.now()));
       const completion = this.#applyFault(fault);
@@ -191,11 +203,31 @@
     this.#diskCreatedMs.set(box.name, Date.now());
   }
 
+  /** Stops a box at a wall-clock time in ms, and starts it again. */
+  async #stopBox(
+    { kind, index, signals }: stopPlans.PlannedBoxStop,
+    atMs: number,
+  ): Promise<void> {
+    await sleeps.sleep(Math.max(0, atMs - Date.now()));
+    const { fleet, printProgress, catchUpMs, onStopping } = this.#options;
+    const boxes = kind === "entry" ? fleet.entries : fleet.listStores();
+    const box = boxes[index % boxes.length];
+    if (box === undefined || !fleet.isRunning(box) || fleet.isStopping(box)) {
+      return;
+    }
+    if (kind === "store") this.#deferNextLoss(STOP_GRACE_MS + catchUpMs);
+    else await onStopping(box);
+    printProgress(`${box.name} is stopped`);
+    await fleet.stop(box, STOP_GRACE_MS, stopPlans.LATER_SIGNALS[signals]);
+    // Another fault may have removed the box meanwhile.
+    if (fleet.listBoxes().includes(box)) fleet.start(box);
+  }
+
   async #rollEntries(): Promise<void> {
     const { fleet, printProgress } = this.#options;
     printProgress("the entry boxes are restarted one at a time");
     for (const box of fleet.entries) {
-      if (!fleet.isRunning(box)) continue;
+      if (!fleet.isRunning(box) || fleet.isStopping(box)) continue;
       await fleet.stop(box, STOP_GRACE_MS);
       fleet.start(box);
     }
--- a/tools/soak/fault_plan.ts
+++ b/tools/soak/fault_plan.ts
@@ -1,5 +1,4 @@
-import * as uniform from "pure-rand/distribution/uniformInt";
-import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as randomSources from "./random_source.ts";
 
 /** Selects the store box that a fault hits, when the fault is applied. */
 export type StoreSelector =
@@ -86,25 +85,7 @@
   },
 ];
 
-/** Seeded pseudo-random number generator. */
-class RandomSource {
-  readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
-
-  constructor(seed: number) {
-    this.#random = generator.xoroshiro128plus(seed);
-  }
-
-  /** Draws an integer from a range; both bounds are inclusive. */
-  drawInteger(from: number, to: number): number {
-    return uniform.uniformInt(this.#random, from, to);
-  }
-
-  pick<T>(values: readonly T[]): T {
-    return values[this.drawInteger(0, values.length - 1)] as T;
-  }
-}
-
-function pickStore(random: RandomSource): StoreSelector {
+function pickStore(random: randomSources.RandomSource): StoreSelector {
   const index = random.drawInteger(0, STORE_COUNT - 1);
   return random.pick<StoreSelector>([
     { kind: "index", index },
@@ -116,7 +97,7 @@
 }
 
 /** Draws a fault that loses the disk of a store box. */
-function drawDiskLoss(random: RandomSource): Fault {
+function drawDiskLoss(random: randomSources.RandomSource): Fault {
   const store = pickStore(random);
   const kind = random.pick(["loseDisk", "loseDisk", "replace", "retire"]);
   if (kind === "replace") return { kind, store, afterMs: 2_000 };
@@ -125,7 +106,7 @@
 }
 
 /** Draws a fault that loses no disk. */
-function drawOtherFault(random: RandomSource): Fault {
+function drawOtherFault(random: randomSources.RandomSource): Fault {
   const store = random.pick<StoreSelector>([
     { kind: "newest" },
     pickStore(random),
@@ -147,7 +128,7 @@
  */
 export function createPlan(seed: number): FaultPlan {
   if (seed === 0) return SERIES_PLAN;
-  const random = new RandomSource(seed);
+  const random = new randomSources.RandomSource(seed);
   const plan: PlannedFault[] = [];
   let atMs = FIRST_LOSS_MS;
   const lossCount = random.drawInteger(2, 4);
--- a/tools/soak/soak_client.ts
+++ b/tools/soak/soak_client.ts
@@ -22,11 +22,17 @@
 export class SoakClient {
   readonly #entries: readonly layouts.SoakBox[];
   #requestCount = 0;
+  #isStopped = false;
 
   constructor(entries: readonly layouts.SoakBox[]) {
     this.#entries = entries;
   }
 
+  /** Ends retries, so that none reaches a later fleet at the same addresses. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Sends a request to the next entry box; undefined without a full answer. */
   async send(
     request: EntryRequest,
@@ -60,14 +66,14 @@
    * @param request An idempotent request.
    * @param deadlineMs Wall-clock time after which no retry begins, in ms.
    * @param statuses Statuses that end the retries.
-   * @returns The answer, or undefined after the deadline.
+   * @returns The answer, or undefined after the deadline or `stop`.
    */
   async sendUntil(
     request: EntryRequest,
     deadlineMs: number,
     statuses: readonly number[],
   ): Promise<httpClient.JsonResponse | undefined> {
-    while (Date.now() < deadlineMs) {
+    while (!this.#isStopped && Date.now() < deadlineMs) {
       const answer = await this.send(request);
       if (answer !== undefined && statuses.includes(answer.status)) {
         return answer;
--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -34,6 +34,10 @@
   readonly #unexpectedExits: string[] = [];
   /** Wall-clock time of the last start, stop or suspension by box name, in ms. */
   readonly #disturbedMs = new Map<string, number>();
+  /** Wall-clock time of the last kill or suspension by box name, in ms. */
+  readonly #failedMs = new Map<string, number>();
+  /** Names of the boxes that were sent SIGTERM and have not ended. */
+  readonly #stopping = new Set<string>();
   #startCount = 0;
   #isFirstStart = true;
 
@@ -70,6 +74,21 @@
     return this.#disturbedMs.get(box.name) ?? 0;
   }
 
+  /** Returns when a box was last killed, suspended or resumed, in ms. */
+  getFailedMs(box: layouts.SoakBox): number {
+    return this.#failedMs.get(box.name) ?? 0;
+  }
+
+  /** Whether a box was sent SIGTERM and has not ended. */
+  isStopping(box: layouts.SoakBox): boolean {
+    return this.#stopping.has(box.name);
+  }
+
+  #recordFailure(...boxes: readonly layouts.SoakBox[]): void {
+    this.#recordDisturbance(...boxes);
+    for (const { name } of boxes) this.#failedMs.set(name, Date.now());
+  }
+
   /** Returns when this last happened to any box with a disk, in ms. */
   getCoreDisturbedMs(): number {
     const disks = this.listBoxes().filter((box) => box.hasDisk);
@@ -125,37 +144,51 @@
   }
 
   async kill(box: layouts.SoakBox): Promise<void> {
-    this.#recordDisturbance(box);
+    this.#recordFailure(box);
     await this.#killProcesses([this.#getProcess(box)]);
   }
 
   /** Kills all boxes at once. */
   async killAll(): Promise<void> {
-    this.#recordDisturbance(...this.listBoxes());
+    this.#recordFailure(...this.listBoxes());
     await this.#killProcesses([...this.#processes.values()]);
   }
 
-  /** Stops a box with SIGTERM, and with SIGKILL after `graceMs`. */
-  async stop(box: layouts.SoakBox, graceMs: number): Promise<void> {
+  /**
+   * Stops a box with SIGTERM, and with SIGKILL after `graceMs`.
+   *
+   * @param later Signals to send while the box drains.
+   */
+  async stop(
+    box: layouts.SoakBox,
+    graceMs: number,
+    later: readonly NodeJS.Signals[] = [],
+  ): Promise<void> {
     const child = this.#getProcess(box);
     this.#recordDisturbance(box);
     this.#expectedExits.add(child);
-    const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
+    this.#stopping.add(box.name);
+    const killTimer = setTimeout(() => child.kill("SIGKILL"), graceMs);
+    const signalTimer = setTimeout(() => {
+      for (const signal of later) child.kill(signal);
+    }, graceMs / 2);
     child.kill("SIGTERM");
     await child.ended;
-    clearTimeout(timer);
+    clearTimeout(killTimer);
+    clearTimeout(signalTimer);
+    this.#stopping.delete(box.name);
   }
 
   /** Suspends the process of a box, which simulates a stalled box. */
   suspend(box: layouts.SoakBox): void {
-    this.#recordDisturbance(box);
+    this.#recordFailure(box);
     this.#options.throttle.release(this.#getProcess(box));
     this.#getProcess(box).kill("SIGSTOP");
   }
 
   /** Resumes a suspended box and throttles it again. */
   resume(box: layouts.SoakBox): void {
-    this.#recordDisturbance(box);
+    this.#recordFailure(box);
     this.#getProcess(box).kill("SIGCONT");
     this.#options.throttle.limit(this.#getProcess(box));
   }
--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -6,10 +6,12 @@
 import * as faultInjectors from "./fault_injector.ts";
 import * as standInServers from "./stand_in_servers.ts";
 import * as throttles from "./cpu_throttle.ts";
+import * as callers from "./soak_callers.ts";
 import * as clients from "./soak_client.ts";
 import * as fleets from "./soak_fleet.ts";
 import * as operators from "./soak_operator.ts";
 import * as trainers from "./soak_trainer.ts";
+import * as stopPlans from "./stop_plan.ts";
 import * as storeLogReaders from "./store_log_reader.ts";
 
 /** Seed, load, timing and limits of a scenario. */
@@ -60,6 +62,10 @@
   /** Answers that only an older configuration allows. */
   readonly outdated: readonly string[];
   readonly probes: number;
+  /** Requests of callers that were cut, or refused though they had run. */
+  readonly lost: readonly string[];
+  /** Whole answers to callers, and those from boxes that were being stopped. */
+  readonly answers: { readonly all: number; readonly whileStopping: number };
   readonly verdict: trainers.TrainerVerdict;
 }
 
@@ -77,9 +83,11 @@
   readonly #throttle: throttles.CpuThrottle;
   readonly #fleet: fleets.SoakFleet;
   readonly #standIns: standInServers.StandInServers;
+  readonly #client: clients.SoakClient;
   readonly #operator: operators.SoakOperator;
   readonly #trainer: trainers.SoakTrainer;
   readonly #checker: checkers.ConfigurationChecker;
+  readonly #callers: callers.SoakCallers;
   readonly #storeLogs: storeLogReaders.StoreLogReader;
   readonly #injector: faultInjectors.FaultInjector;
   readonly #startMs = Date.now();
@@ -111,16 +119,22 @@
       slots: SLOTS_PER_ENGINE,
       entries,
     });
-    const client = new clients.SoakClient(entries);
-    this.#operator = new operators.SoakOperator(client);
-    this.#trainer = new trainers.SoakTrainer(client, {
+    this.#client = new clients.SoakClient(entries);
+    this.#operator = new operators.SoakOperator(this.#client);
+    this.#trainer = new trainers.SoakTrainer(this.#client, {
       ...LOAD,
       intervalMs,
     });
     this.#checker = new checkers.ConfigurationChecker({
       operator: this.#operator,
       fleet: this.#fleet,
-      client,
+      client: this.#client,
+    });
+    this.#callers = new callers.SoakCallers({
+      seed,
+      fleet: this.#fleet,
+      standIns: this.#standIns,
+      getSubmission: () => this.#trainer.getNewestSubmission(),
     });
     this.#storeLogs = new storeLogReaders.StoreLogReader(folder);
     this.#injector = new faultInjectors.FaultInjector({
@@ -129,24 +143,34 @@
       operator: this.#operator,
       storeLogs: this.#storeLogs,
       printProgress: (message) => this.#printProgress(message),
+      onStopping: (box) =>
+        this.#isChecked() ? this.#callers.useBox(box) : Promise.resolve(),
     });
   }
 
   async run(): Promise<SoakReport> {
+    const load: Promise<void>[] = [];
     try {
       await this.#setUp();
-      void this.#trainer.run();
-      if (this.#isChecked()) void this.#checker.run();
+      load.push(this.#trainer.run());
+      if (this.#isChecked()) {
+        load.push(this.#checker.run(), this.#callers.run());
+      }
       await sleeps.sleep(this.#options.warmUpMs);
-      await this.#injector.run(this.#plan);
+      const stops = stopPlans.createStops(this.#options.seed);
+      await this.#injector.run(this.#plan, stops);
       this.#trainer.stop();
       return await this.#createReport();
     } finally {
+      this.#callers.stop();
       this.#checker.stop();
       this.#trainer.stop();
       this.#standIns.stop();
       this.#throttle.stop();
+      this.#client.stop();
       await this.#fleet.killAll();
+      // A call left over from this fleet would reach the next one.
+      await Promise.all(load);
     }
   }
 
@@ -177,6 +201,12 @@
     const leaderAtMs = await this.#awaitLeader(powerRestoredMs, deadlineMs);
     const verdict = await this.#trainer.verifyResults(deadlineMs);
     this.#checker.stop();
+    this.#callers.stop();
+    const lost = this.#callers.listFaults();
+    const answers = {
+      all: this.#callers.countAnswers(),
+      whileStopping: this.#callers.countAnswersWhileStopping(),
+    };
     const ended = this.#fleet.listUnexpectedExits();
     const outdated = this.#checker.listFaults();
     const probes = this.#checker.countProbes();
@@ -184,11 +214,13 @@
       seed: this.#options.seed,
       plan: this.#plan,
       isGood: leaderAtMs !== undefined && verdict.faults.length === 0 &&
-        ended.length === 0 && outdated.length === 0 &&
-        (probes > 0 || !this.#isChecked()),
+        ended.length === 0 && outdated.length === 0 && lost.length === 0 &&
+        (probes > 0 && answers.whileStopping > 0 || !this.#isChecked()),
       ended,
       outdated,
       probes,
+      lost,
+      answers,
       leaderMs: leaderAtMs === undefined
         ? undefined
         : leaderAtMs - powerRestoredMs,
--- a/tools/soak/soak_trainer.ts
+++ b/tools/soak/soak_trainer.ts
@@ -80,6 +80,11 @@
     this.#isStopped = true;
   }
 
+  /** Returns the id of the newest accepted submission, if there is any. */
+  getNewestSubmission(): string | undefined {
+    return this.#submissions.at(-1)?.id;
+  }
+
   /**
    * Reads all accepted submissions again from their first result and compares
    * the digests.
--- a/tools/soak/stand_in_servers.ts
+++ b/tools/soak/stand_in_servers.ts
@@ -14,6 +14,8 @@
 const OK_STATUS = 200;
 const ACCEPTED_STATUS = 202;
 const FIRST_PORT = 9_300;
+/** Path of a request that a plain server works on for a given time, in ms. */
+const WORK_PATH = /^\/till\/work\/(\d+)$/;
 
 /** Number and behavior of the stand-in servers. */
 export interface StandInServersOptions {
@@ -34,6 +36,8 @@
   readonly #options: StandInServersOptions;
   readonly #servers: http.Server[] = [];
   readonly #eventPayload: string;
+  /** Ids of the requests for work that a server began. */
+  readonly #ranIds = new Set<string>();
   #isStopped = false;
 
   constructor(options: StandInServersOptions) {
@@ -64,7 +68,7 @@
       address,
       port,
       (request) =>
-        isScorer ? answerScore(request) : this.#handleRequest(request),
+        isScorer ? this.#handlePlain(request) : this.#handleRequest(request),
     );
     this.#servers.push(server);
     void this.#runHeartbeats(`i-${index}`, `${address}:${port}`, isScorer);
@@ -104,6 +108,19 @@
     }
   }
 
+  /** Whether a server began to work on a request of a caller. */
+  hasRun(id: string): boolean {
+    return this.#ranIds.has(id);
+  }
+
+  async #handlePlain(request: jsonServers.StandInRequest): Promise<void> {
+    const [, workMs] = WORK_PATH.exec(request.path) ?? [];
+    if (workMs === undefined) return answerScore(request);
+    this.#ranIds.add(String(request.headers["x-request-id"]));
+    await sleeps.sleep(Number(workMs));
+    answerScore(request);
+  }
+
   async #handleRequest(request: jsonServers.StandInRequest): Promise<void> {
     const { path, response } = request;
     if (path === "/report") return answerReport(response);
