Count crashes of engines under equal items only in succession

Cause: the items of a group are equal work.

Change: a crash under an item counts only if its run began after the crashes that are known. Suspect work then runs one item at a time until its first event, at an engine without another such run. Requests of callers count as before.

Cost: a group of four items that crashes each engine ends six of them, four at once as before and two alone; before, four.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -6,30 +6,21 @@
 import type * as httpClient from "../http_client/mod.ts";
 import type * as protocol from "./protocol.ts";
 import type * as recordSyncs from "./record_sync.ts";
+import type * as workDescriptions from "./work_description.ts";
 
 /** Most characters of a request path that are recorded and logged. */
 const MAX_TARGET_LENGTH = 120;
 /** Interval between removals of expired records, in ms. */
 const CLEANUP_INTERVAL_MS = 10_000;
 
-/** Digest of a piece of work, and details of it for records and logs. */
-export interface WorkDescription {
-  readonly digest: crashRecords.WorkDigest;
-  /** Id of the request or submission item. */
-  readonly requestId: string;
-  /** Client account that sent it; empty for requests without one. */
-  readonly account: string;
-  readonly service: string;
-  /** Path with query. */
-  readonly target: string;
-}
-
 /** Result of asking for a grant. */
 export type GrantResult =
   | Exclude<protocol.GrantReply, { readonly kind: "notLeader" }>
   /** No leader replied within the timeout. */
   | { readonly kind: "unanswered" };
 
+const NO_SUSPICION: workDescriptions.Suspicion = { ended: 0, sinceMs: 0 };
+
 /** Dependencies of a `CrashGuard`. */
 export interface CrashGuardOptions {
   readonly clock: clocks.Clock;
@@ -91,6 +82,26 @@
     return crashRecords.decideRun(record, sinceMs);
   }
 
+  /**
+   * Returns what is held against a piece of work.
+   *
+   * @param computeDigest Computes the digest of the work; called only if the
+   * table has records.
+   */
+  getSuspicion(
+    computeDigest: () => crashRecords.WorkDigest,
+  ): workDescriptions.Suspicion {
+    const { clock, table } = this.#options;
+    this.#removeExpired();
+    const record = table.isEmpty() ? undefined : table.get(computeDigest());
+    const ended = crashRecords.countConsecutiveCrashes(record);
+    if (record === undefined || ended === 0) return NO_SUSPICION;
+    return {
+      ended,
+      sinceMs: Math.max(0, clock.getWallMs() - record.notedAtMs),
+    };
+  }
+
   /**
    * Creates the key of the crash that a run may cause; called before the run.
    *
@@ -114,12 +125,15 @@
    */
   async recordConnectionLoss(
     server: registry.RegisteredServer,
-    work: WorkDescription,
+    work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
+    endedBefore = Number.POSITIVE_INFINITY,
   ): Promise<void> {
     const { findPortState } = this.#options;
     const state = await findPortState(server.address, server.port);
-    if (state === "refused") this.recordCrash(server, work, crash);
+    if (state === "refused") {
+      this.recordCrash(server, work, crash, endedBefore);
+    }
   }
 
   /**
@@ -128,14 +142,28 @@
    * @param server The server.
    * @param work The work.
    * @param crash Key of the crash, created before the run.
+   * @param endedBefore Successive crashes of the work that were known before the
+   * run. If there are more by now, the run did not follow them, and its crash
+   * counts as part of the same event. By default each crash counts.
    */
   recordCrash(
     server: registry.RegisteredServer,
-    work: WorkDescription,
+    work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
+    endedBefore = Number.POSITIVE_INFINITY,
   ): void {
     const { clock, log, metrics, table, publish } = this.#options;
     const nowMs = clock.getWallMs();
+    const known = crashRecords.countConsecutiveCrashes(table.get(work.digest));
+    if (known > endedBefore) {
+      this.#options.servers.markCrashed(server);
+      log.write("info", "crash.sameEvent", {
+        ...createLogFields(work),
+        server: server.id,
+        ended: known,
+      });
+      return;
+    }
     const isNew = table.merge({
       digest: work.digest,
       account: work.account,
@@ -159,7 +187,7 @@
   }
 
   /** Clears the crashes of work that a server ran without crashing. */
-  recordSuccess(work: WorkDescription): void {
+  recordSuccess(work: workDescriptions.WorkDescription): void {
     const { clock, log, metrics, table, publish } = this.#options;
     const record = table.get(work.digest);
     if (
@@ -244,7 +272,7 @@
    * @returns The server, or undefined if any may be used.
    */
   assignServer(
-    work: WorkDescription,
+    work: workDescriptions.WorkDescription,
     servers: readonly registry.LifetimeKey[],
   ): registry.LifetimeKey | undefined {
     const { table, log } = this.#options;
@@ -268,7 +296,11 @@
   }
 
   /** Counts and logs work that is held back instead of being run. */
-  recordHeldBack(work: WorkDescription, ended: number, returnMs: number): void {
+  recordHeldBack(
+    work: workDescriptions.WorkDescription,
+    ended: number,
+    returnMs: number,
+  ): void {
     this.#options.metrics.countCrashEvent("heldBack");
     this.#options.log.write("info", "crash.heldBack", {
       ...createLogFields(work),
@@ -287,7 +319,7 @@
 }
 
 function createLogFields(
-  work: WorkDescription,
+  work: workDescriptions.WorkDescription,
 ): Readonly<Record<string, string>> {
   const { digest, requestId, account, service, target } = work;
   return {
--- a/src/crash_guard/crash_guard_test.ts
+++ b/src/crash_guard/crash_guard_test.ts
@@ -5,9 +5,9 @@
 import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as httpClient from "../http_client/mod.ts";
 import * as registry from "../registry/mod.ts";
-import type * as crashGuards from "./crash_guard.ts";
+import type * as workDescriptions from "./work_description.ts";
 
-const WORK: crashGuards.WorkDescription = {
+const WORK: workDescriptions.WorkDescription = {
   digest: "d",
   requestId: "request-1",
   account: "north",
--- a/src/crash_guard/mod.ts
+++ b/src/crash_guard/mod.ts
@@ -17,3 +17,4 @@
 export * from "./protocol.ts";
 export * from "./record_file.ts";
 export * from "./record_sync.ts";
+export * from "./work_description.ts";
--- /dev/null
+++ b/src/crash_guard/work_description.ts
@@ -0,0 +1,21 @@
+import type * as crashRecords from "../crash_record/mod.ts";
+
+/** Digest of a piece of work, and details of it for records and logs. */
+export interface WorkDescription {
+  readonly digest: crashRecords.WorkDigest;
+  /** Id of the request or submission item. */
+  readonly requestId: string;
+  /** Client account that sent it; empty for requests without one. */
+  readonly account: string;
+  readonly service: string;
+  /** Path with query. */
+  readonly target: string;
+}
+
+/** What is held against a piece of work. */
+export interface Suspicion {
+  /** Servers that crashed in succession while they ran it. */
+  readonly ended: number;
+  /** Time since the latest of these crashes, in ms. */
+  readonly sinceMs: number;
+}
--- a/src/crash_record/decide_run.ts
+++ b/src/crash_record/decide_run.ts
@@ -13,7 +13,7 @@
  */
 const PAUSE_MS = 5_000;
 /** Retry delay that callers of blocked work are given, in ms. */
-const BLOCKED_RETURN_MS = 60_000;
+export const BLOCKED_RETURN_MS = 60_000;
 
 /** Whether a piece of work may run. */
 export type RunDecision =
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -165,10 +165,13 @@
       if (!round.hasFreeSlot(service)) continue;
       const serviceTasks = filterByService(service, tasks);
       for (const task of this.#waitingOrder.order(service, serviceTasks)) {
+        // An item of its kind may have been put on trial in this round.
+        if (!this.#crashTracker.canRun(task)) continue;
         const engine = round.reserveSlot(
           service,
           task.getRequirements(),
           task.targetEngine,
+          this.#crashTracker.getExcludedEngines(task),
         );
         if (engine !== undefined) void this.#run(task, engine);
         else if (!round.hasFreeSlot(service)) break;
@@ -220,6 +223,7 @@
           engines.recordInterval(engine, nowMs - lastEventAtMs);
         }
         lastEventAtMs = nowMs;
+        if (this.#crashTracker.recordEvent(task)) this.wake();
       },
       onVersion: (version) =>
         engines.setVersion(engine.lifetime, model, version),
--- a/src/dispatch/item_crash_tracker_test.ts
+++ b/src/dispatch/item_crash_tracker_test.ts
@@ -84,4 +84,127 @@
     }
     chai.expect(tracker.canRun(task)).to.equal(true);
   });
+
+  // Guards against innocent items that are barred for a day because the engines
+  // of their group were lost together.
+  describe("for items of groups", () => {
+    /** Creates an item of a group; the items of a group are equal work. */
+    function createItem(group: string, index: number) {
+      return taskFixtures.createTask(`${group}-${index}`, {
+        sender: { kind: "account", name: group, priority: undefined },
+      });
+    }
+
+    interface StartedRun {
+      readonly task: ReturnType<typeof createItem>;
+      readonly server: ReturnType<typeof serverFixtures.createServer>;
+      readonly start: itemCrashTrackers.RunStart;
+    }
+
+    function startRun(
+      item: ReturnType<typeof createItem>,
+      engine: string,
+    ): StartedRun {
+      const server = serverFixtures.createServer(engine);
+      return { task: item, server, start: tracker.startRun(item, server) };
+    }
+
+    /** Ends runs whose engines crash at one moment. */
+    async function endByCrash(runs: readonly StartedRun[]): Promise<void> {
+      await Promise.all(
+        runs.map(({ task: item, server, start }) =>
+          tracker.recordRunEnd(item, server, start, BROKEN)
+        ),
+      );
+    }
+
+    function createGroup(group: string) {
+      return [0, 1, 2, 3].map((index) => createItem(group, index));
+    }
+
+    async function crashEngines(groups: readonly string[]) {
+      const items = groups.map(createGroup);
+      await endByCrash(
+        items.flatMap((members) =>
+          members.map((item, index) => startRun(item, `i-${index}`))
+        ),
+      );
+      return items;
+    }
+
+    it("runs them again after a rack of engines was lost at their begin", async () => {
+      const groups = await crashEngines(["g1", "g2"]);
+      for (const item of groups.flat()) {
+        chai.expect(tracker.canRun(item)).to.equal(true);
+      }
+    });
+
+    it("runs one item of a group at a time until it generates an event", async () => {
+      const [[first, second]] = await crashEngines(["g1"]) as [
+        [ReturnType<typeof createItem>, ReturnType<typeof createItem>],
+      ];
+      startRun(first, "i-5");
+      chai.expect(tracker.canRun(second)).to.equal(false);
+      chai.expect(tracker.recordEvent(first)).to.equal(true);
+      chai.expect(tracker.canRun(second)).to.equal(true);
+      chai.expect(tracker.getExcludedEngines(second).size).to.equal(0);
+      chai.expect(tracker.recordEvent(first)).to.equal(false);
+    });
+
+    it("keeps items of two groups on trial apart, for a limited time", async () => {
+      const [[first], [other]] = await crashEngines(["g1", "g2"]) as [
+        [ReturnType<typeof createItem>],
+        [ReturnType<typeof createItem>],
+      ];
+      startRun(first, "i-5");
+      chai.expect([...tracker.getExcludedEngines(other)].join()).to.contain(
+        "i-5",
+      );
+      clock.advance(1_001);
+      chai.expect(tracker.getExcludedEngines(other).size).to.equal(0);
+    });
+
+    it("ends a trial whose run broke off without a crash", async () => {
+      const [[first, second]] = await crashEngines(["g1"]) as [
+        [ReturnType<typeof createItem>, ReturnType<typeof createItem>],
+      ];
+      const { server, start } = startRun(first, "i-5");
+      await tracker.recordRunEnd(first, server, start, {
+        ...BROKEN,
+        isClosed: false,
+      });
+      chai.expect(tracker.canRun(second)).to.equal(true);
+    });
+
+    it("bars a group whose trials crash one engine after the other", async () => {
+      const [items = []] = await crashEngines(["g1"]);
+      let crashed = 0;
+      for (const [index, item] of items.entries()) {
+        if (!tracker.canRun(item)) continue;
+        await endByCrash([startRun(item, `i-${5 + index}`)]);
+        crashed += 1;
+      }
+      chai.expect(crashed).to.equal(2);
+      chai.expect(items.some((item) => tracker.canRun(item))).to.equal(false);
+    });
+
+    it("bars the group that crashes engines, and not one that was lost with it", async () => {
+      const [guilty = [], innocent = []] = await crashEngines(["bad", "good"]);
+      const [suspect] = guilty;
+      const [other] = innocent;
+      if (suspect === undefined || other === undefined) throw new Error("none");
+      const trial = startRun(suspect, "i-5");
+      chai.expect(
+        tracker.getExcludedEngines(other).has(trial.server.lifetime),
+      ).to.equal(true);
+      startRun(other, "i-9");
+      tracker.recordEvent(other);
+      await endByCrash([trial]);
+      await endByCrash([startRun(suspect, "i-6")]);
+      chai.expect(guilty.some((item) => tracker.canRun(item))).to.equal(false);
+      chai.expect(innocent.every((item) => tracker.canRun(item))).to.equal(
+        true,
+      );
+    });
+  });
 });
--- a/src/dispatch/placement_round.ts
+++ b/src/dispatch/placement_round.ts
@@ -2,6 +2,8 @@
 import * as chooseEngine from "./choose_engine.ts";
 import type * as engineTables from "./engine_table.ts";
 
+const NO_ENGINES: ReadonlySet<registry.LifetimeKey> = new Set();
+
 /** Options of a placement round. */
 export interface PlacementRoundOptions {
   readonly servers: Pick<registry.ServerRegistry, "listReady">;
@@ -44,14 +46,19 @@
    * @param service Service of the item.
    * @param requirements Requirements of the item.
    * @param targetEngine Engine to prefer if it is eligible and has a free slot.
+   * @param excluded Engines that must not be used.
    * @returns The engine, or undefined when no eligible one has a free slot.
    */
   reserveSlot(
     service: string,
     requirements: chooseEngine.EngineRequirements,
     targetEngine?: registry.LifetimeKey,
+    excluded: ReadonlySet<registry.LifetimeKey> = NO_ENGINES,
   ): registry.RegisteredServer | undefined {
-    const eligible = this.#listEligible(service, requirements);
+    const all = this.#listEligible(service, requirements);
+    const eligible = excluded.size === 0
+      ? all
+      : all.filter(({ engine }) => !excluded.has(engine.lifetime));
     const preferred = targetEngine === undefined
       ? undefined
       : eligible.find(({ engine, runCount }) =>
