--- a/tools/soak/soak_callers.ts
+++ b/tools/soak/soak_callers.ts
@@ -92,7 +92,7 @@
    * until the use of the answer or the process of the box ends.
    */
   async useBox(box: layouts.SoakBox): Promise<void> {
-    const held = await this.#resolveAddresses();
+    const held = await this.#resolveAddresses(box.failureDomain);
     const address = `${box.address}:${layouts.PORTS.caller}`;
     if (held === undefined || !held.addresses.includes(address)) return;
     for (let count = 0; count < LATE_CALLER_COUNT; count += 1) {
@@ -109,19 +109,23 @@
 
   async #runCaller(): Promise<void> {
     while (!this.#isStopped) {
-      const held = await this.#resolveAddresses();
+      const { failureDomain } = this.#random.pick(this.#options.fleet.entries);
+      const held = await this.#resolveAddresses(failureDomain);
       if (held === undefined) await sleeps.sleep(RETRY_DELAY_MS);
       else await this.#useAnswer(held);
     }
   }
 
-  async #resolveAddresses(): Promise<HeldAnswer | undefined> {
+  /** Asks some entry box for the addresses that callers of a domain use. */
+  async #resolveAddresses(
+    failureDomain: string,
+  ): Promise<HeldAnswer | undefined> {
     const entry = this.#random.pick(this.#options.fleet.entries);
     const atMs = Date.now();
     const answer = await httpClient.sendJson({
       baseUrl: `http://${entry.address}:${layouts.PORTS.directory}`,
       method: "GET",
-      path: `/resolve?name=${clients.ROUTE_HOST}&zone=${entry.failureDomain}`,
+      path: `/resolve?name=${clients.ROUTE_HOST}&zone=${failureDomain}`,
       headers: {},
       timeoutMs: RESOLVE_TIMEOUT_MS,
       isFreshConnection: true,
