Format refusals and tell the serving time in one place each

Six places of the fleet's daemon made a failure and formatted it, two of them new with the planned stop; the time until a box stops serving stood in the gate and in the submissions' handler. The timeout of a read was limited to that time twice, the first time in vain. The outcome of a request is formatted by one switch again. Behaviour and log lines stay; no test lost an assertion.

--- a/src/fleet_daemon/_end_exchanges.ts
+++ b/src/fleet_daemon/_end_exchanges.ts
@@ -1,7 +1,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import type * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
-import * as results from "../results/mod.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
 /** Dependencies of `endExchanges` and `recordCutExchanges`. */
@@ -22,19 +22,16 @@
   options: EndExchangesOptions,
 ): void {
   const { dialect, log } = options;
-  for (const { request, response } of exchanges) {
-    if (response.headersSent) continue;
-    const raw = rawListeners.toRawRequest(request);
-    log.write("warn", "request.unfinished", {
-      request: dialect.parseRequestHead(raw.headers).requestId,
-      target: raw.target,
-    });
-    const { failure } = results.createFailure(
+  for (const exchange of exchanges) {
+    if (exchange.response.headersSent) continue;
+    log.write("warn", "request.unfinished", describeRequest(exchange, dialect));
+    const answer = formatRefusals.formatRefusal(
+      dialect,
       "deadlineExceeded",
       "Cannot answer in time: the box is stopping",
       { outcome: "unknown" },
     );
-    rawListeners.writeAnswer(response, dialect.formatFailure(failure));
+    rawListeners.writeAnswer(exchange.response, answer);
   }
 }
 
@@ -43,12 +40,19 @@
   exchanges: readonly httpServer.Exchange[],
   { dialect, log }: EndExchangesOptions,
 ): void {
-  for (const { request, response } of exchanges) {
-    const raw = rawListeners.toRawRequest(request);
+  for (const exchange of exchanges) {
     log.write("warn", "request.cut", {
-      request: dialect.parseRequestHead(raw.headers).requestId,
-      target: raw.target,
-      unsentBytes: response.writableLength,
+      ...describeRequest(exchange, dialect),
+      unsentBytes: exchange.response.writableLength,
     });
   }
 }
+
+/** Returns the log fields that identify a request. */
+function describeRequest(
+  { request }: httpServer.Exchange,
+  dialect: dialects.Dialect,
+): Readonly<Record<string, string | undefined>> {
+  const { headers, target } = rawListeners.toRawRequest(request);
+  return { request: dialect.parseRequestHead(headers).requestId, target };
+}
--- a/src/fleet_daemon/_format_outcome.ts
+++ b/src/fleet_daemon/_format_outcome.ts
@@ -1,7 +1,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
-import * as results from "../results/mod.ts";
 import * as endToEndHeaders from "./_end_to_end_headers.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 
 /**
  * Formats the outcome of a forwarded request as the answer to its caller.
@@ -14,47 +14,44 @@
   outcome: forwarding.ForwardOutcome,
   dialect: dialects.Dialect,
 ): dialects.RawAnswer | undefined {
-  const failure = describeFailure(outcome);
-  if (failure !== undefined) return dialect.formatFailure(failure);
-  if (outcome.kind !== "answered") return undefined;
-  const { status, headers, body, isFramed } = outcome.answer;
-  return {
-    status,
-    headers: endToEndHeaders.toEndToEndHeaders(headers),
-    body,
-    isCloseDelimited: !isFramed,
-  };
-}
-
-function describeFailure(
-  outcome: forwarding.ForwardOutcome,
-): results.Failure | undefined {
   switch (outcome.kind) {
+    case "answered": {
+      const { status, headers, body, isFramed } = outcome.answer;
+      return {
+        status,
+        headers: endToEndHeaders.toEndToEndHeaders(headers),
+        body,
+        isCloseDelimited: !isFramed,
+      };
+    }
     case "notRun":
-      return results.createFailure(
+      return formatRefusals.formatRefusal(
+        dialect,
         "noBackendServer",
         `Cannot serve: ${outcome.reason}`,
         { retryAfterMs: outcome.returnMs },
-      ).failure;
+      );
     case "heldBack":
-      return results.createFailure(
+      return formatRefusals.formatRefusal(
+        dialect,
         "workHeldBack",
         `Cannot serve: ${outcome.reason}`,
         { retryAfterMs: outcome.returnMs },
-      ).failure;
+      );
     case "failed":
-      return results.createFailure(
+      return formatRefusals.formatRefusal(
+        dialect,
         "backendFailed",
         `Cannot answer: ${outcome.reason}`,
         { outcome: "unknown" },
-      ).failure;
+      );
     case "expired":
-      return results.createFailure(
+      return formatRefusals.formatRefusal(
+        dialect,
         "deadlineExceeded",
         "Cannot answer in time",
         { outcome: outcome.wasSent ? "unknown" : "notRun" },
-      ).failure;
-    case "answered":
+      );
     case "abandoned":
       return undefined;
   }
--- a/src/fleet_daemon/_poll_results.ts
+++ b/src/fleet_daemon/_poll_results.ts
@@ -10,8 +10,6 @@
 const CALL_WAIT_MS = 400;
 /** Time allowed for a reply beyond the requested wait, in ms. */
 const REPLY_MARGIN_MS = 500;
-/** Shortest timeout of a call, in ms. */
-const MIN_TIMEOUT_MS = 1;
 
 /** Options of `pollResults`. */
 export interface PollOptions {
@@ -49,16 +47,13 @@
   const { clock, waitMs, getDeadlineMs, readOnce } = options;
   const endMs = clock.getMonotonicMs() + waitMs;
   for (;;) {
-    const nowMs = clock.getMonotonicMs();
-    const deadlineMs = getDeadlineMs();
-    const waitEndMs = Math.min(endMs, deadlineMs - storeTimeouts.STORE_CALL_MS);
-    const remainingMs = Math.max(0, waitEndMs - nowMs);
-    const callWaitMs = Math.min(remainingMs, CALL_WAIT_MS);
-    const timeoutMs = Math.min(
-      callWaitMs + REPLY_MARGIN_MS,
-      Math.max(MIN_TIMEOUT_MS, deadlineMs - nowMs),
+    const waitEndMs = Math.min(
+      endMs,
+      getDeadlineMs() - storeTimeouts.STORE_CALL_MS,
     );
-    const page = await readOnce(callWaitMs, timeoutMs);
+    const remainingMs = Math.max(0, waitEndMs - clock.getMonotonicMs());
+    const callWaitMs = Math.min(remainingMs, CALL_WAIT_MS);
+    const page = await readOnce(callWaitMs, callWaitMs + REPLY_MARGIN_MS);
     if (page.kind === "failure") return page;
     const { results: found, isEnded } = page.value;
     if (found.length > 0 || isEnded || remainingMs <= CALL_WAIT_MS) return page;
--- a/src/fleet_daemon/_stop_gate.ts
+++ b/src/fleet_daemon/_stop_gate.ts
@@ -2,9 +2,9 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as logs from "../log/mod.ts";
-import * as results from "../results/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxComponents from "./box_components.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 import * as storeTimeouts from "./_store_timeouts.ts";
 
 /**
@@ -50,12 +50,6 @@
     this.#durations.record(route.name, durationMs);
   }
 
-  /** Returns the time for which the box still serves, in ms; may be infinite. */
-  getServingTimeMs(): number {
-    const { clock, status } = this.#options;
-    return status.servesUntilMs - clock.getMonotonicMs();
-  }
-
   /** Admits a request of a route that has a deadline, in monotonic ms. */
   admitRouted(
     name: RequestName,
@@ -130,11 +124,11 @@
       expectedMs: Math.round(expectedMs),
       returnMs: STOPPING_RETRY_MS,
     });
-    const { failure } = results.createFailure(
+    return formatRefusals.formatRefusal(
+      this.#options.dialect,
       "draining",
       "Cannot serve: the box is stopping",
       { retryAfterMs: STOPPING_RETRY_MS },
     );
-    return this.#options.dialect.formatFailure(failure);
   }
 }
--- a/src/fleet_daemon/_submission_handler.ts
+++ b/src/fleet_daemon/_submission_handler.ts
@@ -11,6 +11,7 @@
 import * as controlHandlers from "./control_handler.ts";
 import * as replicaReaders from "./_replica_reader.ts";
 import * as pollResults from "./_poll_results.ts";
+import * as servingTimes from "./_serving_time.ts";
 import * as storeTimeouts from "./_store_timeouts.ts";
 
 /** Retry delay sent to callers whose read no leader answered, in ms. */
@@ -122,7 +123,10 @@
         const { submission: id, after } = call;
         return this.#reader.read(
           { id, sender, after, waitMs },
-          storeTimeouts.limitTimeouts(this.#getServingTimeMs(), tryMs),
+          storeTimeouts.limitTimeouts(
+            servingTimes.getServingTimeMs(this.#options),
+            tryMs,
+          ),
         );
       },
     });
@@ -164,16 +168,12 @@
     return dialect.formatFailure(ended.failure);
   }
 
-  /** Returns the time until this box stops serving, in ms; infinite if it does not. */
-  #getServingTimeMs(): number {
-    const { clock, status } = this.#options;
-    return status.servesUntilMs - clock.getMonotonicMs();
-  }
-
   async #callStoreLeader<T>(
     method: string,
     request: object,
-    timeouts = storeTimeouts.limitTimeouts(this.#getServingTimeMs()),
+    timeouts = storeTimeouts.limitTimeouts(
+      servingTimes.getServingTimeMs(this.#options),
+    ),
   ): Promise<results.Result<T>> {
     return await controlHandlers.callStoreLeader<T>(
       this.#options.stores,
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -7,14 +7,16 @@
 import * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
-import * as results from "../results/mod.ts";
+import type * as results from "../results/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as formatOutcomes from "./_format_outcome.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 import type * as usages from "../usage/mod.ts";
 import type * as boxComponents from "./box_components.ts";
 import * as rawListeners from "./_raw_listener.ts";
+import * as servingTimes from "./_serving_time.ts";
 import * as stopGates from "./_stop_gate.ts";
 import * as submissionHandlers from "./_submission_handler.ts";
 
@@ -155,8 +157,12 @@
     message: string,
     options: results.FailureOptions = {},
   ): dialects.RawAnswer {
-    const { failure } = results.createFailure(code, message, options);
-    return this.#options.dialect.formatFailure(failure);
+    return formatRefusals.formatRefusal(
+      this.#options.dialect,
+      code,
+      message,
+      options,
+    );
   }
 
   async #serveRouted(
@@ -193,7 +199,7 @@
       maxBodyBytes: configuration.limits.bodyBytes,
       receiveTimeoutMs: Math.min(
         timeoutMs,
-        this.#stopGate.getServingTimeMs(),
+        servingTimes.getServingTimeMs(this.#options),
       ),
     });
     if (body.kind === "failure") return dialect.formatFailure(body.failure);
--- a/src/fleet_daemon/control_handler.ts
+++ b/src/fleet_daemon/control_handler.ts
@@ -7,6 +7,7 @@
 import * as results from "../results/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 
 /** Timeouts in ms; operators' clients time out after one second. */
 const CALL_TIMEOUTS = { totalMs: 900, tryMs: 450 };
@@ -78,8 +79,12 @@
     message: string,
     options: results.FailureOptions = {},
   ): dialects.RawAnswer {
-    const { failure } = results.createFailure(code, message, options);
-    return this.#options.dialect.formatFailure(failure);
+    return formatRefusals.formatRefusal(
+      this.#options.dialect,
+      code,
+      message,
+      options,
+    );
   }
 
   /** Publishes the report to the other boxes before the server is answered. */
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -4,7 +4,7 @@
 import type * as fleetSettings from "../fleet_settings/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
-import * as results from "../results/mod.ts";
+import type * as results from "../results/mod.ts";
 import * as usages from "../usage/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
 import * as addressLifetimes from "./_address_lifetime.ts";
@@ -14,6 +14,7 @@
 import * as controlHandlers from "./control_handler.ts";
 import * as dutySettings from "./_duty_settings.ts";
 import * as endExchanges from "./_end_exchanges.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
 /** Largest body of a control call, in bytes. */
@@ -241,8 +242,11 @@
   }
 
   #refuse(code: results.ResultCodeName, message: string): dialects.RawAnswer {
-    const { failure } = results.createFailure(code, message);
-    return this.#components.dialect.formatFailure(failure);
+    return formatRefusals.formatRefusal(
+      this.#components.dialect,
+      code,
+      message,
+    );
   }
 
   #serveAddresses(
--- a/src/fleet_daemon/stop_gate_test.ts
+++ b/src/fleet_daemon/stop_gate_test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
+import * as servingTimes from "./_serving_time.ts";
 import * as stopGates from "./_stop_gate.ts";
 
 const NAME = { requestId: "r-1", target: "/till/x" };
@@ -43,7 +44,9 @@
       kind: "serve",
       deadlineAtMs: 90_000,
     });
-    chai.expect(gate.getServingTimeMs()).to.equal(Number.POSITIVE_INFINITY);
+    chai.expect(servingTimes.getServingTimeMs({ clock, status })).to.equal(
+      Number.POSITIVE_INFINITY,
+    );
   });
 
   it("refuses with a true 503 and its log line what would not be answered", () => {
