--- a/src/dialect/is_foreign_answer.ts
+++ b/src/dialect/is_foreign_answer.ts
@@ -1,7 +1,7 @@
 import type * as dialects from "./dialect.ts";
 
 /** Misdirected Request: the address now belongs to a different server. */
-const WRONG_SERVER_STATUS = 421;
+export const WRONG_SERVER_STATUS = 421;
 
 /**
  * Reports whether an answer belongs to another request than the one that waits for
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -9,8 +9,6 @@
 /** Maximum size of an answer body, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const FIRST_ERROR_STATUS = 500;
-/** Misdirected Request: the address now belongs to a different server. */
-const WRONG_SERVER_STATUS = 421;
 
 /** One attempt of a job at one server. */
 export interface AttemptOptions {
@@ -76,9 +74,9 @@
   body: Buffer,
 ): jobs.AttemptOutcome {
   const head = options.dialect.parseAnswerHead(headers);
-  if (head.isNotRun || status === WRONG_SERVER_STATUS) {
+  if (head.isNotRun || status === dialects.WRONG_SERVER_STATUS) {
     const reason = `the server refused with ${status}`;
-    const isWrongServer = status === WRONG_SERVER_STATUS;
+    const isWrongServer = status === dialects.WRONG_SERVER_STATUS;
     return {
       kind: "notRun",
       reason,
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -14,7 +14,6 @@
 const CONNECT_TIMEOUT_MS = 250;
 const FAILED_STATUS = 500;
 const IMPOSSIBLE_STATUS = 422;
-const WRONG_SERVER_STATUS = 421;
 const OK_STATUS = 200;
 
 /** Options of {@link runItem}. */
@@ -114,7 +113,8 @@
       return this.#abort("the answer belongs to another request");
     }
     this.#status = head.status;
-    this.#isNotRun = parsed.isNotRun || head.status === WRONG_SERVER_STATUS;
+    this.#isNotRun = parsed.isNotRun ||
+      head.status === dialects.WRONG_SERVER_STATUS;
     if (head.status !== OK_STATUS) return;
     this.#version = parsed.weightVersion;
     if (this.#version === undefined) {
@@ -140,7 +140,7 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine responded with status ${this.#status}`;
-    const isWrongServer = this.#status === WRONG_SERVER_STATUS;
+    const isWrongServer = this.#status === dialects.WRONG_SERVER_STATUS;
     this.#settle(
       this.#isNotRun
         ? { kind: "notRun", reason, isWrongServer }
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -1,4 +1,4 @@
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as registry from "../registry/mod.ts";
 
@@ -7,7 +7,6 @@
 const CONNECT_TIMEOUT_MS = 250;
 const ACCEPTED_STATUS = 202;
 const OK_STATUS = 200;
-const MISDIRECTED_STATUS = 421;
 
 /** Outcome of an order to an engine. */
 export type OrderOutcome =
@@ -60,7 +59,7 @@
       return {
         kind: "refused",
         status: sent.head.status,
-        isMisdirected: sent.head.status === MISDIRECTED_STATUS,
+        isMisdirected: sent.head.status === dialects.WRONG_SERVER_STATUS,
       };
   }
 }
