--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -19,8 +19,6 @@
   /** No leader replied within the timeout. */
   | { readonly kind: "unanswered" };
 
-const NO_SUSPICION: workDescriptions.Suspicion = { ended: 0, sinceMs: 0 };
-
 /** Dependencies of a `CrashGuard`. */
 export interface CrashGuardOptions {
   readonly clock: clocks.Clock;
@@ -74,12 +72,9 @@
   decideRun(
     computeDigest: () => crashRecords.WorkDigest,
   ): crashRecords.RunDecision {
-    const { clock, table } = this.#options;
-    const nowMs = clock.getWallMs();
     this.#removeExpired();
-    const record = table.isEmpty() ? undefined : table.get(computeDigest());
-    const sinceMs = Math.max(0, nowMs - (record?.notedAtMs ?? nowMs));
-    return crashRecords.decideRun(record, sinceMs);
+    const record = this.#findRecord(computeDigest);
+    return crashRecords.decideRun(record, this.#getAgeMs(record));
   }
 
   /**
@@ -91,14 +86,11 @@
   getSuspicion(
     computeDigest: () => crashRecords.WorkDigest,
   ): workDescriptions.Suspicion {
-    const { clock, table } = this.#options;
     this.#removeExpired();
-    const record = table.isEmpty() ? undefined : table.get(computeDigest());
-    const ended = crashRecords.countConsecutiveCrashes(record);
-    if (record === undefined || ended === 0) return NO_SUSPICION;
+    const record = this.#findRecord(computeDigest);
     return {
-      ended,
-      sinceMs: Math.max(0, clock.getWallMs() - record.notedAtMs),
+      ended: crashRecords.countConsecutiveCrashes(record),
+      sinceMs: this.#getAgeMs(record),
     };
   }
 
@@ -114,11 +106,24 @@
     server: Pick<registry.RegisteredServer, "lifetime">,
     computeDigest: () => crashRecords.WorkDigest,
   ): crashRecords.CrashKey {
-    const { table } = this.#options;
-    const record = table.isEmpty() ? undefined : table.get(computeDigest());
+    const record = this.#findRecord(computeDigest);
     return crashRecords.createCrashKey(record, server.lifetime);
   }
 
+  /** Finds the record of a piece of work; an empty table needs no digest. */
+  #findRecord(
+    computeDigest: () => crashRecords.WorkDigest,
+  ): crashRecords.CrashRecord | undefined {
+    const { table } = this.#options;
+    return table.isEmpty() ? undefined : table.get(computeDigest());
+  }
+
+  /** Returns the time since the latest crash of a record, in ms; 0 for none. */
+  #getAgeMs(record: crashRecords.CrashRecord | undefined): number {
+    const nowMs = this.#options.clock.getWallMs();
+    return Math.max(0, nowMs - (record?.notedAtMs ?? nowMs));
+  }
+
   /**
    * Records a crash if a server that closed its connection during a run no longer
    * listens on its port. Otherwise only the connection was lost.
--- a/src/crash_guard/work_description.ts
+++ b/src/crash_guard/work_description.ts
@@ -16,6 +16,6 @@
 export interface Suspicion {
   /** Servers that crashed in succession while they ran it. */
   readonly ended: number;
-  /** Time since the latest of these crashes, in ms. */
+  /** Time since the latest crash, in ms; 0 for work without a record. */
   readonly sinceMs: number;
 }
--- a/src/dispatch/placement_round.ts
+++ b/src/dispatch/placement_round.ts
@@ -2,8 +2,6 @@
 import * as chooseEngine from "./choose_engine.ts";
 import type * as engineTables from "./engine_table.ts";
 
-const NO_ENGINES: ReadonlySet<registry.LifetimeKey> = new Set();
-
 /** Options of a placement round. */
 export interface PlacementRoundOptions {
   readonly servers: Pick<registry.ServerRegistry, "listReady">;
@@ -53,7 +51,7 @@
     service: string,
     requirements: chooseEngine.EngineRequirements,
     targetEngine?: registry.LifetimeKey,
-    excluded: ReadonlySet<registry.LifetimeKey> = NO_ENGINES,
+    excluded: ReadonlySet<registry.LifetimeKey> = new Set(),
   ): registry.RegisteredServer | undefined {
     const all = this.#listEligible(service, requirements);
     const eligible = excluded.size === 0
