--- a/src/replica_group/fault_schedule_test.ts
+++ b/src/replica_group/fault_schedule_test.ts
@@ -1,5 +1,4 @@
-import * as uniform from "pure-rand/distribution/uniformInt";
-import * as generator from "pure-rand/generator/xoroshiro128plus";
+import * as randomSources from "../fixtures/random_source.ts";
 
 /**
  * The box that a fault hits, by its role at that time. A `spare` is not a voter;
@@ -135,21 +134,7 @@
 const MAX_CLOCK_STEP_MS = 20_000;
 
 /** Draws the parts of a schedule from a seeded generator. */
-class ScheduleGenerator {
-  readonly #random: ReturnType<typeof generator.xoroshiro128plus>;
-
-  constructor(seed: number) {
-    this.#random = generator.xoroshiro128plus(seed);
-  }
-
-  drawInteger(min: number, max: number): number {
-    return uniform.uniformInt(this.#random, min, max);
-  }
-
-  pick<T>(items: readonly T[]): T {
-    return items[this.drawInteger(0, items.length - 1)] as T;
-  }
-
+class ScheduleGenerator extends randomSources.RandomSource {
   drawStartDelay(): number {
     const isFast = this.drawInteger(0, 1) === 0;
     return isFast
--- a/tools/soak/fault_plan.ts
+++ b/tools/soak/fault_plan.ts
@@ -1,4 +1,4 @@
-import * as randomSources from "./random_source.ts";
+import * as randomSources from "../../src/fixtures/random_source.ts";
 
 /** Selects the store box that a fault hits, when the fault is applied. */
 export type StoreSelector =
--- a/tools/soak/soak_callers.ts
+++ b/tools/soak/soak_callers.ts
@@ -3,7 +3,7 @@
 import * as sleeps from "../stand_ins/sleep.ts";
 import * as layouts from "./fleet_layout.ts";
 import * as checkRequests from "./check_request.ts";
-import * as randomSources from "./random_source.ts";
+import * as randomSources from "../../src/fixtures/random_source.ts";
 import * as clients from "./soak_client.ts";
 import type * as fleets from "./soak_fleet.ts";
 import type * as standInServers from "./stand_in_servers.ts";
@@ -210,7 +210,7 @@
       method: isRead ? "GET" : "POST",
       path: isRead
         ? `/lots/${submission}?after_revision=${READ_AFTER}`
-        : `/till/work/${workMs}`,
+        : `/till/busy/${workMs}`,
       headers: {
         "host": clients.ROUTE_HOST,
         "x-request-id": id,
--- a/tools/soak/stand_in_servers.ts
+++ b/tools/soak/stand_in_servers.ts
@@ -15,7 +15,7 @@
 const ACCEPTED_STATUS = 202;
 const FIRST_PORT = 9_300;
 /** Path of a request that a plain server works on for a given time, in ms. */
-const WORK_PATH = /^\/till\/work\/(\d+)$/;
+const WORK_PATH = /^\/till\/busy\/(\d+)$/;
 
 /** Number and behavior of the stand-in servers. */
 export interface StandInServersOptions {
--- a/tools/soak/stop_plan.ts
+++ b/tools/soak/stop_plan.ts
@@ -1,4 +1,4 @@
-import * as randomSources from "./random_source.ts";
+import * as randomSources from "../../src/fixtures/random_source.ts";
 
 /** Signals that a box gets in a planned stop. */
 export type StopSignals =
