--- a/src/replica_group/simulated_cases_test.ts
+++ b/src/replica_group/simulated_cases_test.ts
@@ -14,15 +14,24 @@
 
 /** Speed and load of the cluster that `createCluster` starts. */
 export interface CaseOptions {
+  /** Ids of the boxes, the first three of which vote; four by default. */
+  readonly ids?: readonly string[];
   readonly syncMs: number;
   /** Committed entries before the cluster is returned. */
   readonly entries: number;
   readonly commandsPerS: number;
+  /** Size of the payload of a proposed command, in bytes. */
+  readonly commandBytes?: number;
+  /** Fraction of a processor that each process gets, from 0 to 1. */
+  readonly processorShare?: number;
   readonly entryMs?: number;
   readonly snapshotEntries?: number;
   readonly leaseMs?: number | undefined;
 }
 
+/** Ids of the boxes by default. */
+const IDS = ["a", "b", "c", "d"];
+
 /** Number of voters that the group maintains. */
 export const MAX_VOTERS = 3;
 
@@ -34,17 +43,18 @@
 const FILL_COMMANDS_PER_S = 1_000;
 const START_DELAY_MS = 300;
 
-/** Starts four stores, of which three vote, and runs them under load. */
+/** Starts stores, of which three vote, and runs them under load. */
 export async function createCluster(
   options: CaseOptions,
 ): Promise<simulatedClusters.SimulatedCluster> {
   const cluster = new simulatedClusters.SimulatedCluster({
-    ids: ["a", "b", "c", "d"],
+    ids: options.ids ?? IDS,
     maxVoters: MAX_VOTERS,
     syncMs: 1,
     entryMs: 0,
     snapshotEntries: options.snapshotEntries ?? 4_096,
     commandsPerS: FILL_COMMANDS_PER_S,
+    commandBytes: options.commandBytes ?? 0,
     leaseMs: options.leaseMs,
   });
   cluster.start(cluster.listIds(), START_DELAY_MS);
@@ -54,6 +64,7 @@
   );
   cluster.commandsPerS = options.commandsPerS;
   cluster.entryMs = options.entryMs ?? 0;
+  cluster.processorShare = options.processorShare ?? 1;
   cluster.setSyncMs(options.syncMs);
   await cluster.run(WARM_UP_MS);
   return cluster;
--- a/src/replica_group/simulated_cluster_test.ts
+++ b/src/replica_group/simulated_cluster_test.ts
@@ -10,6 +10,7 @@
 import type * as rpc from "../rpc/mod.ts";
 import * as storage from "../storage/mod.ts";
 import type * as electionChecks from "./election_check_test.ts";
+import type * as groupStateMachines from "./group_state_machine_test.ts";
 import * as simulatedStores from "./simulated_store_test.ts";
 
 /** Size, speed and load of a simulated cluster. */
@@ -23,6 +24,8 @@
   readonly snapshotEntries: number;
   /** Mean rate of proposed commands, at most 1,000 per second. */
   readonly commandsPerS: number;
+  /** Size of the payload of a proposed command, in bytes. */
+  readonly commandBytes?: number;
   /** Duration of the duty lease, in ms; undefined disables duties. */
   readonly leaseMs: number | undefined;
 }
@@ -70,6 +73,8 @@
   readonly #openRealLog = storage.DurableLog.open;
   #syncMs: number;
   readonly #random = generator.xoroshiro128plus(LOAD_SEED);
+  /** The proposed command, shared by all entries to save memory. */
+  readonly #command: groupStateMachines.GroupCommand;
   #committed = 0;
 
   constructor(options: ClusterOptions) {
@@ -77,6 +82,8 @@
     this.#syncMs = options.syncMs;
     this.commandsPerS = options.commandsPerS;
     this.entryMs = options.entryMs;
+    const payload = "x".repeat(options.commandBytes ?? 0);
+    this.#command = { kind: "load", payload };
     this.#folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-sim-"));
     storage.DurableLog.open = (folder, owner) => this.#openLog(folder, owner);
     const initialVoters = options.ids.slice(0, options.maxVoters);
@@ -243,7 +250,7 @@
     const leader = this.findLeader();
     if (leader === undefined) return;
     const group = this.get(leader).getGroup();
-    void group?.propose({ kind: "load" }, COMMIT_TIMEOUT_MS).then((result) => {
+    void group?.propose(this.#command, COMMIT_TIMEOUT_MS).then((result) => {
       if (result.kind === "ok") this.#committed += 1;
     });
   }
