leader.unfound: why each replica does not lead comes before the last tries

The users' record of the lost disks cuts the line within lastTried, so said, which tells who counts, was lost. The order of the fields is checked by a new test; the tests that read either field are as they were.

--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -106,7 +106,10 @@
     }
   }
 
-  /** Logs the attempts of a call and creates its failure. */
+  /**
+   * Logs the attempts of a call and creates its failure. Records may cut a line
+   * short, so why each replica does not lead comes first.
+   */
   #reportFailure(
     method: string,
     state: CallState,
@@ -115,10 +118,10 @@
       method,
       replicas: this.#options.listReplicas().length,
       tries: state.attempts,
-      lastTried: state.lastAttempts.join(","),
       said: [...state.lastAnswers].map(([id, text]) => `${id}:${text}`).join(
         ",",
       ),
+      lastTried: state.lastAttempts.join(","),
     });
     return createCallFailure(method, state);
   }
--- a/src/replica_group/leader_caller_test.ts
+++ b/src/replica_group/leader_caller_test.ts
@@ -198,6 +198,16 @@
     ]);
   });
 
+  it("logs why each replica does not lead before the last attempts", async () => {
+    replicas = ["s0", "s1"];
+    leader = "none";
+    await callOnce(createCaller());
+    chai.expect(lines).to.have.length(1);
+    chai.expect(lines[0]).to.match(
+      / replicas=2 tries=\d+ said=s\d:\S+ lastTried=s\d:\S+\n$/,
+    );
+  });
+
   it("logs the answers of at most the last twelve replicas called", async () => {
     leader = "none";
     await callOnce(createCaller());
