--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -3,7 +3,7 @@
 import * as replicaStates from "./replica_state.ts";
 
 /** Maximum age of the last acknowledged request of a present voter, in ms. */
-const PRESENCE_TIMEOUT_MS = 1_000;
+export const PRESENCE_TIMEOUT_MS = 1_000;
 
 /** Status of a replica, as shown to operators and other boxes. */
 export interface ReplicaStatus {
