Log and measure since when a group can't bear the next lost disk

Nobody told it, nor what the group waited for: the figure that tells the hypotheses of the incident apart. The leader now writes group.short when its group becomes short and each second at most while it stays so, group.whole when it bears the losses again and as a leadership begins whole, and sets hoistscale_group_short_ms. A leader that led 3 s ago or less goes on with its earlier time; others begin anew.

Nothing else changes.

--- a/src/metrics/replica_metrics.ts
+++ b/src/metrics/replica_metrics.ts
@@ -4,6 +4,11 @@
 export interface ReplicaStatistics {
   /** Time since the replica knew a leader with authority, in ms. */
   readonly leaderlessMs: number;
+  /**
+   * Time for which the group is known not to bear the losses that it should, in
+   * ms; undefined if that is not known.
+   */
+  readonly shortMs: number | undefined;
   /** Statistics of the followers; undefined unless the replica leads. */
   readonly followers: FollowerStatistics | undefined;
 }
@@ -22,6 +27,7 @@
   readonly #presentVoters: prometheus.Gauge<"group">;
   readonly #lossesLeft: prometheus.Gauge<"group">;
   readonly #fedMs: prometheus.Gauge<"group">;
+  readonly #shortMs: prometheus.Gauge<"group">;
   readonly #leaderlessMs: prometheus.Gauge<"group">;
   readonly #refusedVotes: prometheus.Counter<"group" | "reason">;
 
@@ -45,6 +51,12 @@
       labelNames: ["group"],
       registers,
     });
+    this.#shortMs = new prometheus.Gauge({
+      name: "hoistscale_group_short_ms",
+      help: "Time for which the group has not borne the next lost disks",
+      labelNames: ["group"],
+      registers,
+    });
     this.#leaderlessMs = new prometheus.Gauge({
       name: "hoistscale_leaderless_ms",
       help: "Time since this replica knew a leader that may act",
@@ -61,8 +73,11 @@
 
   /** Sets the gauges of a group; removes those of the leader on a follower. */
   setStatistics(group: string, statistics: ReplicaStatistics): void {
-    const { leaderlessMs, followers } = statistics;
+    const { leaderlessMs, shortMs, followers } = statistics;
     this.#leaderlessMs.set({ group }, leaderlessMs);
+    if (followers === undefined || shortMs === undefined) {
+      this.#shortMs.remove({ group });
+    } else this.#shortMs.set({ group }, shortMs);
     if (followers === undefined) {
       this.#presentVoters.remove({ group });
       this.#lossesLeft.remove({ group });
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -11,6 +11,7 @@
 import * as createElectionSeed from "./_create_election_seed.ts";
 import * as describeNotice from "./_describe_notice.ts";
 import * as isBulk from "./_is_bulk.ts";
+import * as shortfallMonitors from "./_shortfall_monitor.ts";
 import * as notLeaders from "./not_leader.ts";
 import * as planVoters from "./plan_voters.ts";
 
@@ -82,6 +83,7 @@
     ConsensusEnvelope
   >();
   readonly #bootstrapClient: bootstrapClients.BootstrapClient;
+  readonly #shortfalls: shortfallMonitors.ShortfallMonitor;
   #isStopped = false;
   /** Term at the last `getReignMs`, and its first call, in monotonic ms. */
   #leadership = { term: 0, sinceMs: 0 };
@@ -89,6 +91,7 @@
   constructor(options: ReplicaGroupOptions) {
     this.#options = options;
     this.#bootstrapClient = new bootstrapClients.BootstrapClient(options);
+    this.#shortfalls = new shortfallMonitors.ShortfallMonitor(options);
     options.server.add(
       this.#getMethod(),
       (envelope: ConsensusEnvelope) =>
@@ -263,8 +266,14 @@
 
   #updateMetrics(): void {
     const { metrics, name } = this.#options;
-    const health = this.#driver?.getHealth();
-    if (health !== undefined) metrics.replicas.setStatistics(name, health);
+    const driver = this.#driver;
+    if (driver === undefined) return;
+    const health = driver.getHealth();
+    const plan = health.hasAuthority
+      ? this.#createPlanInput(driver)
+      : undefined;
+    const shortMs = this.#shortfalls.observe(health, plan);
+    metrics.replicas.setStatistics(name, { ...health, shortMs });
   }
 
   #updateVoters(): void {
