Slow boxes no longer depose each other's leaders: gaps outlive reigns, pauses of a process are its own

Cause: on boxes whose processes stall for 0.4 to 0.9 s, leaders replaced each other each 0.5 s. The gaps of a leader were forgotten with each term and within a second; a process that had stalled itself took the silence for the other's, a leader among them, which stepped down before it read the replies that had come meanwhile; a lost pre-vote was repeated after a whole election timeout only, and two candidates split the votes.

--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -1,36 +1,11 @@
 import * as leaderLeases from "./leader_lease.ts";
-import * as electionDelays from "./_election_delay.ts";
+import * as electionTimers from "./_election_timer.ts";
 import * as formerLeaders from "./_former_leader.ts";
-import * as heartbeatGaps from "./_heartbeat_gap.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replications from "./_replication.ts";
 import * as replicaStates from "./replica_state.ts";
 
-/**
- * Resets the election timer to a random delay of one to two election timeouts,
- * plus an allowance for a leader whose heartbeats are slow. A restarted leader
- * gets a shorter, fixed delay.
- */
-export function resetElectionTimer(
-  state: replicaStates.ReplicaState,
-  nowMs: number,
-): replicaStates.ReplicaState {
-  if (formerLeaders.canStartEarlyElection(state, nowMs)) {
-    const waitMs = state.config.electionTimeoutMs *
-      formerLeaders.EARLY_ELECTION_FRACTION;
-    return { ...state, electionAtMs: nowMs + waitMs };
-  }
-  const { seed, electionTimeoutMs } = state.config;
-  const electionAtMs = nowMs + heartbeatGaps.getExtraDelayMs(state) +
-    electionDelays.drawDelay(seed, state.electionDelayCount, electionTimeoutMs);
-  return {
-    ...state,
-    electionAtMs,
-    electionDelayCount: state.electionDelayCount + 1,
-  };
-}
-
 /**
  * Becomes a follower in a term; a change of term is saved and clears the vote.
  */
@@ -83,7 +58,7 @@
   nowMs: number,
 ): replicaStates.Transition {
   const votes = new Set([state.config.id]);
-  const next = resetElectionTimer(
+  const next = electionTimers.resetPreVoteTimer(
     { ...state, role: { kind: "preCandidate", votes } },
     nowMs,
   );
@@ -104,7 +79,7 @@
   const term = state.term + 1;
   const votes = new Set([state.config.id]);
   const votedFor = state.config.id;
-  const next = resetElectionTimer(
+  const next = electionTimers.resetElectionTimer(
     { ...state, term, votedFor, role: { kind: "candidate", votes } },
     nowMs,
   );
@@ -212,7 +187,7 @@
       return refuseVote(state, from, true, "logBehind");
     }
     return {
-      state,
+      state: dropPreVote(state, from, request, nowMs),
       effects: [
         createVoteReply(from, { term, isPreVote: true, isGranted: true }),
       ],
@@ -232,7 +207,10 @@
     );
     return { ...refused, effects: [...entered.effects, ...refused.effects] };
   }
-  const voted = resetElectionTimer({ ...current, votedFor: from }, nowMs);
+  const voted = electionTimers.resetElectionTimer({
+    ...current,
+    votedFor: from,
+  }, nowMs);
   return {
     state: voted,
     effects: [
@@ -242,6 +220,27 @@
   };
 }
 
+/**
+ * Ends the pre-vote of this replica in favour of another pre-candidate with more
+ * entries, or as many and a lower id; else both could split the votes that follow.
+ */
+function dropPreVote(
+  state: replicaStates.ReplicaState,
+  to: string,
+  request: messages.VoteRequest,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  if (state.role.kind !== "preCandidate") return state;
+  const lastIndex = replicaLogs.getLastIndex(state.log);
+  const hasSameLog = request.lastIndex === lastIndex &&
+    request.lastTerm === replicaLogs.getTermAt(state.log, lastIndex);
+  if (hasSameLog && to > state.config.id) return state;
+  return electionTimers.resetPreVoteTimer({
+    ...state,
+    role: { kind: "follower" },
+  }, nowMs);
+}
+
 function refuseVote(
   state: replicaStates.ReplicaState,
   from: string,
--- a/src/consensus/_handover.ts
+++ b/src/consensus/_handover.ts
@@ -1,4 +1,4 @@
-import * as elections from "./_election.ts";
+import * as electionTimers from "./_election_timer.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -46,7 +46,7 @@
     const paused = to === undefined ? pauseProposals(state, nowMs) : state;
     return { state: paused, effects: [] };
   }
-  const follower = elections.resetElectionTimer(
+  const follower = electionTimers.resetElectionTimer(
     { ...state, role: { kind: "follower" } },
     nowMs,
   );
--- a/src/consensus/_progress.ts
+++ b/src/consensus/_progress.ts
@@ -1,3 +1,4 @@
+import * as contactGaps from "./_contact_gap.ts";
 import type * as messages from "./message.ts";
 import type * as replicaStates from "./replica_state.ts";
 
@@ -44,6 +45,7 @@
   nowMs: number,
 ): replicaStates.Progress {
   const { identity, sentAtMs, index } = reply;
+  const { lastReplyAtMs: previousReplyAtMs = nowMs } = old;
   const { lastProgressAtMs: progressAtMs = nowMs } = old;
   const ackedSentAtMs = Math.max(old.lastAckedSentAtMs, sentAtMs);
   const replied = {
@@ -51,6 +53,11 @@
     identity,
     lastAckedSentAtMs: ackedSentAtMs,
     lastReplyAtMs: nowMs,
+    replyGap: contactGaps.recordGap(
+      old.replyGap ?? contactGaps.NO_GAP,
+      nowMs - previousReplyAtMs,
+      nowMs,
+    ),
     lastProgressAtMs: progressAtMs,
   };
   if (!reply.isMatch) return resetNextIndex(replied, reply, nowMs);
--- a/src/consensus/leader_lease.ts
+++ b/src/consensus/leader_lease.ts
@@ -1,3 +1,4 @@
+import * as contactGaps from "./_contact_gap.ts";
 import * as replicaStates from "./replica_state.ts";
 
 /**
@@ -67,9 +68,11 @@
       {
         lastReplyAtMs: replyAtMs = Number.NEGATIVE_INFINITY,
         lastAckedSentAtMs: sentAtMs,
+        replyGap = contactGaps.NO_GAP,
       },
     ) =>
-      nowMs - replyAtMs < electionTimeoutMs * CONTACT_TIMEOUTS &&
+      nowMs - replyAtMs < electionTimeoutMs * CONTACT_TIMEOUTS +
+          contactGaps.getExtraMs(replyGap, electionTimeoutMs, nowMs) &&
       nowMs - sentAtMs < electionTimeoutMs * MAX_ECHO_AGE_TIMEOUTS,
   );
   const own = replicaStates.isVoter(state) ? 1 : 0;
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -1,3 +1,4 @@
+import type * as contactGaps from "./_contact_gap.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
@@ -33,6 +34,8 @@
   readonly lastAckedSentAtMs: number;
   /** Time of its last reply, in ms. */
   readonly lastReplyAtMs?: number;
+  /** Longest recent gap between two of its replies. */
+  readonly replyGap?: contactGaps.ContactGap;
   /** Time at which `nextIndex` was last moved back, in ms. */
   readonly rewoundAtMs?: number;
   /** Time at which `matchIndex` last advanced, or of the first reply, in ms. */
@@ -75,23 +78,18 @@
   readonly commitIndex: number;
   /** When to start an election unless a leader's message arrives, in ms. */
   readonly electionAtMs: number;
+  /** Whether that time was put off after a pause of this process. */
+  readonly isElectionDeferred: boolean;
   /** Time of the last message from a leader, in ms; blocks votes for a while. */
   readonly leaderContactAtMs: number;
-  /** Longest recent gap between messages of the leader. */
-  readonly heartbeatGap: HeartbeatGap;
+  /** Messages of leaders and the gaps between them. */
+  readonly leaderContacts: contactGaps.LeaderContacts;
   /** Number of election delays drawn so far from the seeded generator. */
   readonly electionDelayCount: number;
   /** Leader of the saved term; undefined if the log doesn't name it. */
   readonly formerLeader: FormerLeader | undefined;
 }
 
-/** Longest recent gap between messages of the leader of one term. */
-export interface HeartbeatGap {
-  readonly term: number;
-  /** Gap, in ms; decays with each further message. */
-  readonly gapMs: number;
-}
-
 /** The leader of a replica's saved term, as named by its log. */
 export interface FormerLeader {
   readonly id: string;
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -1,11 +1,12 @@
+import * as contactGaps from "./_contact_gap.ts";
 import * as leaderLeases from "./leader_lease.ts";
 import * as formerLeaders from "./_former_leader.ts";
 import * as elections from "./_election.ts";
+import * as electionTimers from "./_election_timer.ts";
 import * as followers from "./_follow.ts";
 import * as handovers from "./_handover.ts";
 import * as memberships from "./_membership.ts";
 import * as replications from "./_replication.ts";
-import * as heartbeatGaps from "./_heartbeat_gap.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -53,8 +54,9 @@
     log: saved.log,
     commitIndex: saved.log.snapshotIndex,
     electionAtMs: 0,
+    isElectionDeferred: false,
     leaderContactAtMs: nowMs,
-    heartbeatGap: { term: 0, gapMs: 0 },
+    leaderContacts: contactGaps.NO_CONTACTS,
     electionDelayCount: 0,
     formerLeader: leader === undefined ? undefined : {
       id: leader,
@@ -62,7 +64,7 @@
       earlyElectionUntilMs,
     },
   };
-  return elections.resetElectionTimer(state, nowMs);
+  return electionTimers.resetElectionTimer(state, nowMs);
 }
 
 /**
@@ -99,20 +101,51 @@
   state: replicaStates.ReplicaState,
   nowMs: number,
 ): replicaStates.Transition {
-  if (state.role.kind !== "leader") {
-    if (nowMs < state.electionAtMs) return { state, effects: [] };
-    if (!replicaStates.isVoter(state)) return resetToFollower(state, nowMs);
-    return elections.startPreVote(state, nowMs);
+  if (state.role.kind !== "leader") return handleElectionTick(state, nowMs);
+  // Replies that arrived during a pause of this process are still to be read.
+  const pausedMs = Math.max(0, nowMs - state.role.nextHeartbeatAtMs);
+  if (hasLostQuorum(state, nowMs - pausedMs)) {
+    return resetToFollower(state, nowMs);
   }
+  if (nowMs < state.role.nextHeartbeatAtMs) return { state, effects: [] };
+  return replications.sendAppends(state, nowMs);
+}
+
+/** Reports whether a leader has no contact to a quorum for too long. */
+function hasLostQuorum(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): boolean {
+  if (state.role.kind !== "leader") return false;
   const graceMs = state.config.electionTimeoutMs;
-  const isInGracePeriod = nowMs < state.role.leaderSinceMs + graceMs;
   const { getLeaseExpiryMs, NEVER_SUSPENDED } = leaderLeases;
   const leaseExpiryMs = getLeaseExpiryMs(state, nowMs, NEVER_SUSPENDED);
-  const hasLostQuorum = nowMs >= leaseExpiryMs + graceMs &&
+  return nowMs >= state.role.leaderSinceMs + graceMs &&
+    nowMs >= leaseExpiryMs + graceMs &&
     !leaderLeases.hasQuorumContact(state, nowMs);
-  if (!isInGracePeriod && hasLostQuorum) return resetToFollower(state, nowMs);
-  if (nowMs < state.role.nextHeartbeatAtMs) return { state, effects: [] };
-  return replications.sendAppends(state, nowMs);
+}
+
+/**
+ * Starts an election once one is due. After a pause of this process, the messages
+ * that arrived meanwhile are read first.
+ */
+function handleElectionTick(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.Transition {
+  const { electionAtMs, isElectionDeferred, config } = state;
+  if (nowMs < electionAtMs) return { state, effects: [] };
+  if (!replicaStates.isVoter(state)) return resetToFollower(state, nowMs);
+  const hasPaused = nowMs - electionAtMs > config.heartbeatMs;
+  if (!hasPaused || isElectionDeferred) {
+    return elections.startPreVote(state, nowMs);
+  }
+  const deferred = {
+    ...state,
+    electionAtMs: nowMs + config.heartbeatMs,
+    isElectionDeferred: true,
+  };
+  return { state: deferred, effects: [] };
 }
 
 /**
@@ -127,7 +160,10 @@
     ...state,
     role: { kind: "follower" },
   };
-  return { state: elections.resetElectionTimer(follower, nowMs), effects: [] };
+  return {
+    state: electionTimers.resetElectionTimer(follower, nowMs),
+    effects: [],
+  };
 }
 
 function handleMessage(
@@ -194,13 +230,20 @@
   message: messages.AppendRequest | messages.SnapshotRequest,
   nowMs: number,
 ): replicaStates.Transition {
-  if (message.term < state.term) return rejectStaleLeader(state, from, message);
+  const leaderContacts = contactGaps.recordContact(
+    state.leaderContacts,
+    message,
+    nowMs,
+  );
+  if (message.term < state.term) {
+    return rejectStaleLeader({ ...state, leaderContacts }, from, message);
+  }
   const entered = elections.enterTerm(state, message.term, from);
-  const updated = elections.resetElectionTimer(
+  const updated = electionTimers.resetElectionTimer(
     {
       ...entered.state,
       leaderContactAtMs: nowMs,
-      heartbeatGap: heartbeatGaps.recordHeartbeat(state, message.term, nowMs),
+      leaderContacts,
     },
     nowMs,
   );
