A lost disk costs one change of the voters: standbys hold the log, an emptied voter is replaced in one step

Cause (class: a loss begins work that must end before the next one may come, however slow the boxes are): the fourth store was fed only once a voter was suspected, so each loss began a transfer of the whole log; the change of voters took two commits, the first of which needed every whole store; it was planned only with a lease and after 0.8 s of a reign.

--- a/src/consensus/_append_requests.ts
+++ b/src/consensus/_append_requests.ts
@@ -1,3 +1,4 @@
+import * as admissions from "./_admission.ts";
 import * as appendWindows from "./_append_window.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
@@ -9,16 +10,42 @@
   readonly effect: replicaStates.Effect;
 }
 
+/** The entries of an append request, and whom it admits. */
+export interface RequestContent {
+  /** Index of the first entry. */
+  readonly nextIndex: number;
+  readonly count: number;
+  /** Incarnation of the follower that it admits; undefined for none. */
+  readonly admits: number | undefined;
+}
+
+/** Describes the append request that a follower is sent next. */
+export function describeContent(
+  state: replicaStates.ReplicaState,
+  to: string,
+  progress: replicaStates.Progress,
+  count: number,
+): RequestContent {
+  const { nextIndex, identity } = progress;
+  const isAdmitting = admissions.canAdmit(
+    state,
+    to,
+    progress,
+    nextIndex - 1 + count,
+  );
+  const admits = isAdmitting ? identity.incarnation : undefined;
+  return { nextIndex, count, admits };
+}
+
 /**
- * Creates an append request of at most `count` entries from `nextIndex` on.
+ * Creates an append request.
  *
- * @returns The request; undefined if the log no longer holds the entry before
- * `nextIndex`, so that the follower needs a snapshot.
+ * @returns The request; undefined if the log no longer holds the entry before its
+ * first one, so that the follower needs a snapshot.
  */
 export function createRequest(
   state: replicaStates.ReplicaState,
-  nextIndex: number,
-  count: number,
+  { nextIndex, count, admits }: RequestContent,
   nowMs: number,
 ): messages.AppendRequest | undefined {
   const previousIndex = nextIndex - 1;
@@ -32,7 +59,8 @@
     previousTerm,
     entries: replicaLogs.getEntries(log, nextIndex, count),
     commitIndex,
-    isEstablished: isEstablished(state),
+    isEstablished: admits !== undefined,
+    admits,
     sentAtMs: nowMs,
   };
 }
@@ -55,8 +83,10 @@
     };
   }
   const nextIndex = progress.nextIndex + message.entries.length;
+  const isAdmitting = progress.isAdmitting === true ||
+    message.admits !== undefined;
   return {
-    progress: { ...progress, nextIndex },
+    progress: { ...progress, nextIndex, isAdmitting },
     effect: { kind: "send", to, message },
   };
 }
@@ -80,7 +110,7 @@
     previousTerm: log.snapshotTerm,
     entries: [],
     commitIndex,
-    isEstablished: isEstablished(state),
+    isEstablished: false,
     sentAtMs: nowMs,
   };
   return { progress, effect: { kind: "send", to, message } };
@@ -97,11 +127,11 @@
 ): readonly (readonly [string, PreparedAppend])[] {
   const requests = new Map<string, messages.AppendRequest | undefined>();
   return [...followers].map(([to, progress]) => {
-    const { nextIndex } = progress;
     const count = appendWindows.countSendable(state, to, progress, nowMs);
-    const key = `${nextIndex} ${count}`;
+    const content = describeContent(state, to, progress, count);
+    const key = `${content.nextIndex} ${count} ${content.admits}`;
     if (!requests.has(key)) {
-      requests.set(key, createRequest(state, nextIndex, count, nowMs));
+      requests.set(key, createRequest(state, content, nowMs));
     }
     const message = requests.get(key);
     if (
@@ -113,8 +143,3 @@
     return [to, createAppend(state, to, progress, message)] as const;
   });
 }
-
-function isEstablished(state: replicaStates.ReplicaState): boolean {
-  return state.role.kind === "leader" &&
-    state.commitIndex >= state.role.termStartIndex;
-}
--- a/src/consensus/_follow.ts
+++ b/src/consensus/_follow.ts
@@ -73,17 +73,21 @@
 }
 
 /**
- * Admits a new replica to quorums once it holds every entry that a leader with a
- * committed entry of its own term has committed. Then it holds all entries that its
- * former incarnation may have acknowledged.
+ * Admits a new replica to quorums if the leader says so and it holds every entry
+ * that the leader has committed. Then it holds all entries that its former
+ * incarnation may have acknowledged.
  */
 function admitReplica(
   state: replicaStates.ReplicaState,
   request: messages.AppendRequest,
   index: number,
 ): replicaStates.Transition {
-  const isCurrent = request.isEstablished && index >= request.commitIndex;
-  if (state.identity.isAdmitted || !isCurrent) return { state, effects: [] };
+  const { incarnation, isAdmitted } = state.identity;
+  const { admits = incarnation, isEstablished, commitIndex } = request;
+  const isCurrent = isEstablished && index >= commitIndex;
+  if (isAdmitted || !isCurrent || admits !== incarnation) {
+    return { state, effects: [] };
+  }
   const identity = { ...state.identity, isAdmitted: true };
   return {
     state: { ...state, identity },
--- a/src/consensus/_membership.ts
+++ b/src/consensus/_membership.ts
@@ -1,5 +1,6 @@
+import * as admissions from "./_admission.ts";
 import * as replicaLogs from "./replica_log.ts";
-import * as replicaSets from "./replica_set.ts";
+import type * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
 import * as replications from "./_replication.ts";
 
@@ -41,10 +42,11 @@
 }
 
 /**
- * Adds or removes one voter by appending a replica set entry, which takes effect
- * once appended. Does nothing unless the replica is an established leader that stays
- * a voter, the previous change is committed, and a new voter is admitted and nearly
- * caught up: a quorum may need that voter to commit the change.
+ * Changes the voters by appending a replica set entry, which takes effect once
+ * appended. Does nothing unless the replica is an established leader that stays a
+ * voter, all quorums of the sets that may be in force overlap with those of the new
+ * one, and a new voter is admitted and nearly caught up: a quorum may need that
+ * voter to commit the change.
  */
 export function changeVoters(
   state: replicaStates.ReplicaState,
@@ -74,11 +76,14 @@
   voters: readonly string[],
 ): boolean {
   const { role, commitIndex } = state;
-  if (role.kind !== "leader" || commitIndex < role.termStartIndex) return false;
-  const pending = replicaSets.findReplicaSet(state.log)?.index ?? 0;
-  if (pending > commitIndex || !voters.includes(state.config.id)) return false;
+  if (role.kind !== "leader" || !replicaStates.isEstablished(state)) {
+    return false;
+  }
   const before = replicaStates.listVoters(state);
-  if (!replicaSets.isSingleVoterChange(before, voters)) return false;
+  const isSame = before.length === voters.length &&
+    before.every((id) => voters.includes(id));
+  if (isSame || !voters.includes(state.config.id)) return false;
+  if (!admissions.canFollowOn(state, voters)) return false;
   return voters.filter((id) => !before.includes(id)).every((id) => {
     const progress = role.progress.get(id);
     return progress !== undefined && progress.identity.isAdmitted &&
--- a/src/consensus/_progress.ts
+++ b/src/consensus/_progress.ts
@@ -45,7 +45,7 @@
   nowMs: number,
 ): replicaStates.Progress {
   const { identity, sentAtMs, index } = reply;
-  const { lastReplyAtMs: previousReplyAtMs = nowMs } = old;
+  const { lastReplyAtMs: previousReplyAtMs = nowMs, heardAtMs = nowMs } = old;
   const { lastProgressAtMs: progressAtMs = nowMs } = old;
   const ackedSentAtMs = Math.max(old.lastAckedSentAtMs, sentAtMs);
   const replied = {
@@ -53,6 +53,7 @@
     identity,
     lastAckedSentAtMs: ackedSentAtMs,
     lastReplyAtMs: nowMs,
+    heardAtMs,
     replyGap: contactGaps.recordGap(
       old.replyGap ?? contactGaps.NO_GAP,
       nowMs - previousReplyAtMs,
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -47,12 +47,8 @@
   if (progress === undefined) return { state, effects: [] };
   const count = appendWindows.countSendable(state, to, progress, nowMs);
   if (count === 0) return { state, effects: [] };
-  const message = appendRequests.createRequest(
-    state,
-    progress.nextIndex,
-    count,
-    nowMs,
-  );
+  const content = appendRequests.describeContent(state, to, progress, count);
+  const message = appendRequests.createRequest(state, content, nowMs);
   const sent = appendRequests.createAppend(state, to, progress, message);
   const next = new Map([...role.progress, [to, sent.progress] as const]);
   return {
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -53,8 +53,16 @@
   readonly previousTerm: number;
   readonly entries: readonly replicaLogs.Entry[];
   readonly commitIndex: number;
-  /** Whether the leader has committed an entry of its own term. */
+  /**
+   * Whether a receiver that lost its disk is admitted to quorums once it holds the
+   * entries up to the commit index.
+   */
   readonly isEstablished: boolean;
+  /**
+   * Incarnation of the receiver that is admitted; undefined if none is. Leaders of
+   * earlier versions omit it and admit any.
+   */
+  readonly admits?: number | undefined;
   /** Monotonic send time on the leader's clock, in ms; echoed in the reply. */
   readonly sentAtMs: number;
 }
--- a/src/consensus/replica_set.ts
+++ b/src/consensus/replica_set.ts
@@ -44,18 +44,31 @@
 }
 
 /**
- * Reports whether two voter sets differ by at most one replica, so that each
- * quorum of one overlaps with each quorum of the other.
+ * Reports whether each quorum of one set overlaps with each quorum of another in a
+ * replica that can vote, so that the one may follow on the other.
  *
  * @param before Voters before the change.
  * @param after Voters after the change.
+ * @param voteless Replicas that are certain to count in no quorum.
  * @returns Whether the change is safe without joint consensus.
  */
-export function isSingleVoterChange(
+export function hasQuorumOverlap(
   before: readonly string[],
   after: readonly string[],
+  voteless: readonly string[],
 ): boolean {
-  const added = after.filter((id) => !before.includes(id)).length;
-  const removed = before.filter((id) => !after.includes(id)).length;
-  return after.length > 0 && added + removed <= 1;
+  if (after.length === 0) return false;
+  const all = new Set([...before, ...after]);
+  const able = [...all].filter((id) => !voteless.includes(id));
+  return countQuorum(before) + countQuorum(after) > able.length;
+}
+
+/**
+ * Counts the voters that form a majority.
+ *
+ * @param voters All voters.
+ * @returns The size of a quorum.
+ */
+export function countQuorum(voters: readonly string[]): number {
+  return Math.floor(voters.length / 2) + 1;
 }
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -45,6 +45,10 @@
   /** Entries that it lacked when `matchIndex` last advanced during catch-up. */
   readonly catchUpLagEntries?: number;
   readonly identity: messages.ReplicaIdentity;
+  /** Time of the first reply of this incarnation to this leader, in ms. */
+  readonly heardAtMs?: number;
+  /** Whether it was sent a message that may admit it. */
+  readonly isAdmitting?: boolean;
 }
 
 /** The Raft role of a replica. */
@@ -176,7 +180,7 @@
  * @returns The size of a quorum.
  */
 export function getQuorumSize(state: ReplicaState): number {
-  return Math.floor(listVoters(state).length / 2) + 1;
+  return replicaSets.countQuorum(listVoters(state));
 }
 
 /**
@@ -231,6 +235,18 @@
   return { ...state, log: replicaLogs.compactLog(log, last) };
 }
 
+/**
+ * Reports whether a replica leads and has committed an entry of its own term, and
+ * so all entries of earlier terms.
+ *
+ * @param state The replica.
+ * @returns Whether it does.
+ */
+export function isEstablished(state: ReplicaState): boolean {
+  const { role, commitIndex } = state;
+  return role.kind === "leader" && commitIndex >= role.termStartIndex;
+}
+
 /** Reports whether a leader refuses proposals to transfer its leadership. */
 export function isHandingOver(state: ReplicaState, nowMs: number): boolean {
   const { role } = state;
--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -1,3 +1,4 @@
+import * as admissions from "./_admission.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
@@ -12,6 +13,11 @@
   readonly leader: string | undefined;
   readonly commitIndex: number;
   readonly lastIndex: number;
+  /**
+   * Whether it leads and has committed an entry of its term, so that it may change
+   * the voters; unlike authority, this needs no lease.
+   */
+  readonly isEstablished: boolean;
   readonly followers: readonly FollowerStatus[];
   readonly voterSet: VoterSet;
 }
@@ -25,6 +31,8 @@
   readonly silentMs: number;
   /** False for a new replica that has not caught up. */
   readonly isAdmitted: boolean;
+  /** Whether it is certain to count in no quorum; see `isVoteless`. */
+  readonly isVoteless: boolean;
 }
 
 /** Why a replica is, or isn't, an active leader. */
@@ -122,10 +130,12 @@
     leader: getLeader(state),
     commitIndex,
     lastIndex: replicaLogs.getLastIndex(log),
+    isEstablished: replicaStates.isEstablished(state),
     followers: progress.map(([id, entry]) => ({
       id,
       matchIndex: entry.matchIndex,
       isAdmitted: entry.identity.isAdmitted,
+      isVoteless: admissions.isVoteless(entry),
       silentMs: Math.round(nowMs - entry.lastAckedSentAtMs),
     })),
     voterSet: describeVoterSet(state),
--- a/src/operator/filter_status_test.ts
+++ b/src/operator/filter_status_test.ts
@@ -25,6 +25,7 @@
         term: 1,
         leader: "box-1",
         commitIndex: 1,
+        isEstablished: true,
         lastIndex: 1,
         followers: [],
         voterSet: { voters: [], index: 0, isCommitted: true },
--- a/src/replica_group/describe_shortfall_test.ts
+++ b/src/replica_group/describe_shortfall_test.ts
@@ -14,6 +14,7 @@
     matchIndex: COMMIT_INDEX,
     silentMs: 40,
     isAdmitted: true,
+    isVoteless: false,
     ...changes,
   };
 }
@@ -33,6 +34,8 @@
   self: "a",
   voters: ["a", "b", "c"],
   wanted: 3,
+  minVoters: 3,
+  standbys: 1,
   commitIndex: COMMIT_INDEX,
   leadershipMs: 60_000,
   followers: [B, C],
--- a/src/replica_group/plan_voters.ts
+++ b/src/replica_group/plan_voters.ts
@@ -2,7 +2,7 @@
 
 /**
  * Silence after which a voter is suspected to have failed and a learner is
- * added for it, in ms. A new leader changes no voters before.
+ * added for it, in ms. A new leader removes no voter for its silence before.
  */
 const SUSPECT_MS = 800;
 
@@ -16,6 +16,10 @@
   readonly voters: readonly string[];
   /** Number of voters to aim for. */
   readonly wanted: number;
+  /** Number of voters needed to bear the configured losses. */
+  readonly minVoters: number;
+  /** Number of learners to keep up to date while all voters count. */
+  readonly standbys: number;
   readonly commitIndex: number;
   /** Time since the leader was elected in its term, in ms. */
   readonly leadershipMs: number;
@@ -51,8 +55,10 @@
 }
 
 /**
- * Plans the next change of the voters, which adds or removes one of them. A
- * replacement is added before the voter that it replaces is removed.
+ * Plans the next change of the voters. Those that are certain to count in no
+ * quorum, as after a lost disk, are replaced in one step; else one voter is added
+ * or removed. A voter that is only silent may return with its disk, and is removed
+ * after its replacement is added.
  *
  * @param input What the leader knows.
  * @returns The voters after the change, or undefined if none is due. A leader
@@ -61,28 +67,60 @@
 export function planVoters(
   input: VoterPlanInput,
 ): readonly string[] | undefined {
-  const { voters, wanted, retiring, self, leadershipMs } = input;
-  if (retiring.includes(self) || leadershipMs < SUSPECT_MS) return undefined;
-  const others = voters.filter((id) => id !== self);
-  const failed = others.filter((id) => hasFailed(id, input));
-  const retiringVoters = others.filter((id) => retiring.includes(id));
-  const unadmitted = others.filter((id) => isUnadmitted(id, input));
-  const replaceable = [...failed, ...retiringVoters, ...unadmitted];
-  const promotable = findPromotable(input);
+  if (input.retiring.includes(input.self)) return undefined;
+  const replaced = planReplacement(input);
+  if (replaced !== undefined) return replaced;
+  const { voters, wanted } = input;
+  const others = voters.filter((id) => id !== input.self);
+  const replaceable = others.find((id) => hasFailed(id, input)) ??
+    others.find((id) => input.retiring.includes(id));
   if (voters.length > wanted) {
-    const isEven = voters.length % 2 === 0;
-    const surplus = replaceable[0] ??
-      (isEven ? findMostSilent(input, others) : undefined);
+    const surplus = others.find((id) => isUnadmitted(id, input)) ??
+      replaceable ?? findSurplus(input, others);
     return surplus === undefined ? undefined : removeVoter(voters, surplus);
   }
-  const needsVoter = voters.length < wanted || replaceable.length > 0;
+  const needsVoter = voters.length < wanted || replaceable !== undefined;
+  const [promotable] = listPromotable(input);
   if (needsVoter && promotable !== undefined) return [...voters, promotable];
   return undefined;
 }
 
+/**
+ * Replaces voters that count in no quorum by learners, and removes those that
+ * nobody replaces if enough voters stay.
+ */
+function planReplacement(
+  input: VoterPlanInput,
+): readonly string[] | undefined {
+  const { voters, wanted, minVoters } = input;
+  const voteless = voters.filter((id) =>
+    findFollower(id, input)?.isVoteless === true
+  );
+  const able = voters.filter((id) => !voteless.includes(id));
+  const added = listPromotable(input).slice(
+    0,
+    Math.max(0, wanted - able.length),
+  );
+  const keptCount = Math.max(0, minVoters - able.length - added.length);
+  const kept = voteless.slice(0, keptCount);
+  if (kept.length === voteless.length) return undefined;
+  return [...able, ...kept, ...added];
+}
+
+/** Finds the voter to remove from an even number of them, all of which count. */
+function findSurplus(
+  input: VoterPlanInput,
+  others: readonly string[],
+): string | undefined {
+  const isEven = input.voters.length % 2 === 0;
+  if (!isEven || input.leadershipMs < SUSPECT_MS) return undefined;
+  return findMostSilent(input, others);
+}
+
 /**
  * Chooses the learners, which receive the log without voting: one for each voter
- * that is missing or may soon be replaced. Responsive boxes are preferred, then
+ * that is missing or may soon be replaced, and the standbys, which hold the log
+ * already when a voter loses its disk. Responsive boxes are preferred, then
  * those in failure domains with few voters, then those with the longest log.
  * There are no others, as catch-ups at the same time delay each other.
  *
@@ -92,7 +130,7 @@
 export function chooseLearners(
   input: VoterPlanInput,
 ): readonly string[] {
-  const { voters, wanted, retiring, candidates, self } = input;
+  const { voters, wanted, standbys, retiring, candidates, self } = input;
   const others = voters.filter((id) => id !== self);
   const replaceable = others.filter((id) =>
     retiring.includes(id) || isUnadmitted(id, input) ||
@@ -104,7 +142,7 @@
   return candidates.filter((id) => !voters.includes(id))
     .map((id) => describeCandidate(id, retained, input))
     .toSorted(compareCandidates)
-    .slice(0, missing + replacements)
+    .slice(0, missing + replacements + standbys)
     .map((candidate) => candidate.id);
 }
 
@@ -123,9 +161,10 @@
 function describeCandidate(
   id: string,
   retained: readonly string[],
-  { followers, failureDomains }: VoterPlanInput,
+  input: VoterPlanInput,
 ): LearnerCandidate {
-  const follower = followers.find((item) => item.id === id);
+  const { failureDomains } = input;
+  const follower = findFollower(id, input);
   const domain = failureDomains.get(id);
   return {
     id,
@@ -156,7 +195,7 @@
 
 /** Reports whether a box has been silent for longer than the failure timeout. */
 function hasFailed(id: string, input: VoterPlanInput): boolean {
-  const follower = input.followers.find((item) => item.id === id);
+  const follower = findFollower(id, input);
   if (follower === undefined) {
     return input.leadershipMs > input.failureTimeoutMs;
   }
@@ -169,21 +208,21 @@
  * more disk could cost the group its quorum.
  */
 function isUnadmitted(id: string, input: VoterPlanInput): boolean {
-  const follower = input.followers.find((item) => item.id === id);
+  const follower = findFollower(id, input);
   return follower !== undefined && Number.isFinite(follower.silentMs) &&
     !follower.isAdmitted;
 }
 
 /**
- * Finds a learner that can become a voter. It may lack a few entries: under load
- * a learner with a slow disk never holds every committed entry, and would never
- * replace a failed voter.
+ * Lists the learners that can become voters. They may lack a few entries: under
+ * load a learner with a slow disk never holds every committed entry, and would
+ * never replace a failed voter.
  */
-function findPromotable(input: VoterPlanInput): string | undefined {
-  const { candidates, voters, followers, commitIndex } = input;
-  return candidates.find((id) => {
+function listPromotable(input: VoterPlanInput): readonly string[] {
+  const { candidates, voters, commitIndex } = input;
+  return candidates.filter((id) => {
     if (voters.includes(id)) return false;
-    const follower = followers.find((item) => item.id === id);
+    const follower = findFollower(id, input);
     return follower !== undefined && follower.isAdmitted &&
       commitIndex - follower.matchIndex <=
         consensus.MAX_CAUGHT_UP_LAG_ENTRIES &&
@@ -191,6 +230,13 @@
   });
 }
 
+function findFollower(
+  id: string,
+  { followers }: VoterPlanInput,
+): consensus.FollowerStatus | undefined {
+  return followers.find((item) => item.id === id);
+}
+
 /** Finds the voter among `others` with the longest silence. */
 function findMostSilent(
   input: VoterPlanInput,
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -278,7 +278,7 @@
 
   #updateVoters(): void {
     const driver = this.#driver;
-    if (driver === undefined || !driver.hasAuthority()) return;
+    if (driver === undefined || !driver.getStatus().isEstablished) return;
     const input = this.#createPlanInput(driver);
     driver.setLearners(planVoters.chooseLearners(input));
     const planned = planVoters.planVoters(input);
@@ -318,6 +318,8 @@
       ),
       retiring,
       failureTimeoutMs: VOTER_FAILURE_TIMEOUT_MS,
+      minVoters,
+      standbys: Math.floor(minVoters / 2),
     };
   }
 
