A new leader takes the first reply of a lagging replica for what it holds

Seen: with real processes at a third of a core, leaders change each 0.5 to 1.5 s, and an emptied replica that holds 500 entries is sent none in answer to its first reply to a new leader. Cause: a mismatch moved the next index, but left the match index at 0, so that the entries before it counted as in flight and filled the window. Only the next heartbeat and its reply opened it. Change: a mismatch reply names the term of the follower's last entry. If the leader's entry there has the same term, both logs agree up to it (Log Matching), and the follower has synced it before it replied. The field is optional: without it the leader does as before, and an older leader passes it over.

--- a/src/consensus/_follow.ts
+++ b/src/consensus/_follow.ts
@@ -23,7 +23,8 @@
 
 /**
  * Appends entries from the leader of the current term, advances the commit index and
- * replies. Without the previous entry the reply hints where the leader should retry.
+ * replies. Without the previous entry the reply tells the leader where to retry, and
+ * the term of the entry there.
  */
 export function acceptAppend(
   state: replicaStates.ReplicaState,
@@ -39,13 +40,10 @@
       replicaLogs.getLastIndex(state.log),
       previousIndex - 1,
     );
+    const indexTerm = replicaLogs.getTermAt(state.log, index);
     const { identity } = state;
-    return {
-      state,
-      effects: [
-        createAppendReply(from, { term, isMatch, index, sentAtMs, identity }),
-      ],
-    };
+    const reply = { term, isMatch, index, indexTerm, sentAtMs, identity };
+    return { state, effects: [createAppendReply(from, reply)] };
   }
   const added = findNewEntries(state.log, entries);
   const log = replicaLogs.appendEntries(state.log, added);
--- a/src/consensus/_progress.ts
+++ b/src/consensus/_progress.ts
@@ -1,4 +1,5 @@
 import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
 import type * as replicaStates from "./replica_state.ts";
 
 /**
@@ -37,28 +38,46 @@
   };
 }
 
-/** Updates a follower's progress from an append reply. */
+/**
+ * Finds the last entry that a reply confirms. On a mismatch it is the one that the
+ * reply names, if the leader's entry there has the same term: logs with an entry of
+ * the same index and term agree up to it.
+ *
+ * @returns The entry's index; 0 if the reply confirms none.
+ */
+function findConfirmedIndex(
+  log: replicaLogs.ReplicaLog,
+  { isMatch, index, indexTerm }: messages.AppendReply,
+): number {
+  if (isMatch) return index;
+  if (indexTerm === undefined) return 0;
+  return replicaLogs.getTermAt(log, index) === indexTerm ? index : 0;
+}
+
+/**
+ * Updates a follower's progress from an append reply.
+ *
+ * @param log The leader's log.
+ */
 export function recordReply(
   old: replicaStates.Progress,
   reply: messages.AppendReply,
+  log: replicaLogs.ReplicaLog,
   nowMs: number,
 ): replicaStates.Progress {
-  const { identity, sentAtMs, index } = reply;
+  const { identity, sentAtMs } = reply;
   const { lastProgressAtMs: progressAtMs = nowMs } = old;
   const ackedSentAtMs = Math.max(old.lastAckedSentAtMs, sentAtMs);
+  const index = findConfirmedIndex(log, reply);
+  const hasAdvanced = index > old.matchIndex;
   const replied = {
     ...old,
     identity,
-    lastAckedSentAtMs: ackedSentAtMs,
-    lastReplyAtMs: nowMs,
-    lastProgressAtMs: progressAtMs,
-  };
-  if (!reply.isMatch) return resetNextIndex(replied, reply, nowMs);
-  const hasAdvanced = index > old.matchIndex;
-  return {
-    ...replied,
     matchIndex: Math.max(old.matchIndex, index),
     nextIndex: Math.max(old.nextIndex, index + 1),
+    lastAckedSentAtMs: ackedSentAtMs,
+    lastReplyAtMs: nowMs,
     lastProgressAtMs: hasAdvanced ? nowMs : progressAtMs,
   };
+  return reply.isMatch ? replied : resetNextIndex(replied, reply, nowMs);
 }
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -161,7 +161,7 @@
     return staleIncarnations.handleStaleReply(state, from, known, reply);
   }
   const old = progresses.resetForNewIncarnation(known, reply);
-  const progress = progresses.recordReply(old, reply, nowMs);
+  const progress = progresses.recordReply(old, reply, state.log, nowMs);
   const map = new Map([...role.progress, [from, progress] as const]);
   const updated: replicaStates.ReplicaState = {
     ...state,
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -66,6 +66,11 @@
   readonly isMatch: boolean;
   /** Last index known to match; on a mismatch, a hint for the next attempt. */
   readonly index: number;
+  /**
+   * On a mismatch, the term of the follower's entry at `index`. If the leader's
+   * entry there has the same term, both logs agree up to it.
+   */
+  readonly indexTerm?: number | undefined;
   readonly sentAtMs: number;
   readonly identity: ReplicaIdentity;
 }
