A leader starts waiting items in slices, so that heartbeats go on

Cause: the dispatcher starts all waiting items of a submission in one turn of the event loop. The three longest turns of the stores took 1,086, 1,072 and 995 ms of wall time, of which 404, 770 and 871 ms in #updateTasks. Meanwhile no heartbeat goes out and no reply is read; the next leader starts the same items at once and loses its authority in turn. Change: an item starter stops after 15 ms, lets other events be handled, and goes on in the same order while this box has authority. An item that started, ended or was put on trial meanwhile is left out; a pass that takes more than 0.5 s is replaced by one with a new order. Evidence: item_starter_test (400 ms without another event before, 50 ms at most now; no start after the loss of authority).

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -12,10 +12,10 @@
 import type * as engineTables from "./engine_table.ts";
 import * as itemCrashTrackers from "./item_crash_tracker.ts";
 import * as itemFinishers from "./item_finisher.ts";
+import * as itemStarters from "./item_starter.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as lengthEstimators from "./length_estimator.ts";
 import type * as phaseTimes from "./phase_times.ts";
-import * as placementRounds from "./placement_round.ts";
 import * as runMovers from "./run_mover.ts";
 import * as taskTables from "./task_table.ts";
 import * as textReplicators from "./text_replicator.ts";
@@ -62,6 +62,7 @@
   readonly #taskTable: taskTables.TaskTable;
   readonly #crashTracker: itemCrashTrackers.ItemCrashTracker;
   readonly #waitingOrder: waitingOrders.WaitingOrder;
+  readonly #itemStarter: itemStarters.ItemStarter;
   /** When the quorum stopped confirming leadership, in monotonic ms. */
   #authorityLostAtMs: number | undefined;
   #isUpdateScheduled = false;
@@ -76,6 +77,12 @@
       lengths: this.#lengthEstimator,
       canRun: (task) => this.#crashTracker.canRun(task),
     });
+    this.#itemStarter = new itemStarters.ItemStarter({
+      ...options,
+      crashTracker: this.#crashTracker,
+      waitingOrder: this.#waitingOrder,
+      startRun: (task, engine) => void this.#run(task, engine),
+    });
     this.#itemFinisher = new itemFinishers.ItemFinisher(options);
     this.#textReplicator = new textReplicators.TextReplicator(options.group);
     this.#runMover = new runMovers.RunMover({
@@ -94,6 +101,7 @@
   /** Stops updates and cancels all runs. */
   stop(): void {
     this.#isStopped = true;
+    this.#itemStarter.stop();
     this.#cancelAll();
   }
 
@@ -126,7 +134,7 @@
     this.#authorityLostAtMs = undefined;
     this.#syncTasks();
     const tasks = this.#taskTable.list();
-    this.#startWaitingTasks(tasks);
+    this.#itemStarter.startWaiting(tasks);
     this.#runMover.moveToFasterEngines(tasks);
     void this.#textReplicator.replicate(tasks);
   }
@@ -155,30 +163,6 @@
     }
   }
 
-  #startWaitingTasks(tasks: readonly itemTasks.ItemTask[]): void {
-    const round = new placementRounds.PlacementRound(this.#options);
-    const services = new Set(
-      tasks.filter((task) => task.phase === "waiting")
-        .map((task) => task.submission.terms.service),
-    );
-    for (const service of services) {
-      if (!round.hasFreeSlot(service)) continue;
-      const serviceTasks = filterByService(service, tasks);
-      for (const task of this.#waitingOrder.order(service, serviceTasks)) {
-        // An item of its kind may have been put on trial in this round.
-        if (!this.#crashTracker.canRun(task)) continue;
-        const engine = round.reserveSlot(
-          service,
-          task.getRequirements(),
-          task.targetEngine,
-          this.#crashTracker.getExcludedEngines(task),
-        );
-        if (engine !== undefined) void this.#run(task, engine);
-        else if (!round.hasFreeSlot(service)) break;
-      }
-    }
-  }
-
   async #run(
     task: itemTasks.ItemTask,
     engine: registry.RegisteredServer,
