The replica that can be admitted first is fed first, also if it replies late

Cause: (1) a replica counted as silent if what it replied to was a second old, so that a late reply was answered with no entries; (2) voters went before replicas that hold more, though any admission makes the set whole; (3) "nearly caught up" was 96 entries, however large: with entries of 117 KB that is 11 MB, sent to both at once in a window of 4 MB each. Change: silence counts from the last reply; the order is most entries, then voters; a lag counts as small up to 512 KB too.

--- a/src/consensus/_append_window.ts
+++ b/src/consensus/_append_window.ts
@@ -28,6 +28,11 @@
  * overloaded.
  */
 const MIN_CATCH_UP_BATCH = 32;
+/**
+ * Most missing bytes at which a replica counts as nearly caught up. Large entries
+ * make a lag of few entries a long transfer.
+ */
+const MAX_CAUGHT_UP_LAG_BYTES = 512 * 1024;
 /** Most entries in a message to a replica that catches up. */
 const MAX_CATCH_UP_BATCH = 96;
 /** Factor by which the batch size grows and shrinks. */
@@ -209,15 +214,19 @@
   state: replicaStates.ReplicaState,
   progress: replicaStates.Progress,
 ): boolean {
-  const lag = replicaLogs.getLastIndex(state.log) - progress.matchIndex;
-  return lag > replicaStates.MAX_CAUGHT_UP_LAG_ENTRIES;
+  const { log } = state;
+  const { matchIndex } = progress;
+  const lag = replicaLogs.getLastIndex(log) - matchIndex;
+  if (lag > replicaStates.MAX_CAUGHT_UP_LAG_ENTRIES) return true;
+  return sumBytes(log, matchIndex + 1, lag) > MAX_CAUGHT_UP_LAG_BYTES;
 }
 
 /**
  * Selects which responsive, non-admitted replicas catch up: the best one that makes
- * progress, preferring voters, then those with the most entries. While none makes
- * progress the best two are served, so that a stuck replica does not block its
- * replacement.
+ * progress, preferring those with the most entries, then voters. The one that can be
+ * admitted first is served first, since any admission lets the group bear the next
+ * lost disk. While none makes progress the best two are served, so that a stuck
+ * replica does not block its replacement.
  */
 function selectCatchUps(
   state: replicaStates.ReplicaState,
@@ -228,11 +237,11 @@
   const candidates = [...state.role.progress]
     .filter(([, progress]) =>
       !progress.identity.isAdmitted && isFarBehind(state, progress) &&
-      nowMs - progress.lastAckedSentAtMs < STALL_TIMEOUT_MS
+      nowMs - getRepliedAtMs(progress) < STALL_TIMEOUT_MS
     )
     .toSorted(([a, left], [b, right]) =>
-      Number(voters.includes(b)) - Number(voters.includes(a)) ||
       right.matchIndex - left.matchIndex ||
+      Number(voters.includes(b)) - Number(voters.includes(a)) ||
       (a < b ? -1 : 1)
     );
   const advancing = candidates.filter(([, progress]) =>
@@ -244,6 +253,14 @@
   return selected.map(([id]) => id);
 }
 
+/**
+ * Returns when a replica last replied, in ms. What it replied to may be older than
+ * any limit on slow boxes, so its age does not tell a silent replica.
+ */
+function getRepliedAtMs(progress: replicaStates.Progress): number {
+  return progress.lastReplyAtMs ?? progress.lastAckedSentAtMs;
+}
+
 /** Tells whether a replica has confirmed nothing new for `STALL_TIMEOUT_MS`. */
 function isStalled(progress: replicaStates.Progress, nowMs: number): boolean {
   const { lastProgressAtMs: movedAtMs } = progress;
