--- a/src/consensus/_progress.ts
+++ b/src/consensus/_progress.ts
@@ -81,3 +81,19 @@
   };
   return reply.isMatch ? replied : resetNextIndex(replied, reply, nowMs);
 }
+
+/**
+ * Records that a follower has confirmed parts of a snapshot, which counts as
+ * progress. Once it has all of them, it is about to install the snapshot: its
+ * rejections of messages sent before do not mean that it needs another one.
+ */
+export function recordSnapshotParts(
+  old: replicaStates.Progress,
+  wholeIndex: number | undefined,
+  nowMs: number,
+): replicaStates.Progress {
+  const moved = { ...old, lastProgressAtMs: nowMs };
+  if (wholeIndex === undefined) return moved;
+  const nextIndex = Math.max(old.nextIndex, wholeIndex + 1);
+  return { ...moved, nextIndex, rewoundAtMs: nowMs };
+}
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -200,6 +200,21 @@
   return { ...advanced, state: advanceHeartbeat(advanced.state, nowMs) };
 }
 
+/** Updates a follower's progress from the parts of a snapshot that it confirmed. */
+export function recordSnapshotParts(
+  state: replicaStates.ReplicaState,
+  { from, wholeIndex }: replicaStates.SnapshotConfirmed,
+  nowMs: number,
+): replicaStates.Transition {
+  const { role } = state;
+  if (role.kind !== "leader") return { state, effects: [] };
+  const known = role.progress.get(from);
+  if (known === undefined) return { state, effects: [] };
+  const updated = progresses.recordSnapshotParts(known, wholeIndex, nowMs);
+  const progress = new Map([...role.progress, [from, updated] as const]);
+  return { state: { ...state, role: { ...role, progress } }, effects: [] };
+}
+
 /** Moves the next heartbeat forward to announce a new commit index soon. */
 function advanceHeartbeat(
   state: replicaStates.ReplicaState,
--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -38,6 +38,8 @@
   readonly createSnapshot: () => messages.Snapshot;
   /** Called when the transfer of a snapshot starts. */
   readonly onNotice?: notices.NoticeHandler | undefined;
+  /** Called when a replica has confirmed further parts. */
+  readonly onConfirmed?: (event: replicaStates.SnapshotConfirmed) => void;
 }
 
 /**
@@ -102,9 +104,10 @@
     if (transfer?.id !== reply.transfer) return;
     if (reply.received >= countMessages(transfer.snapshot)) {
       this.#transfers.delete(from);
-      return;
+      return this.#reportConfirmed(from, transfer.snapshot.index);
     }
     if (reply.received === transfer.confirmed) return;
+    this.#reportConfirmed(from, undefined);
     // A restarted replica has lost the parts that it confirmed before; the transfer
     // continues from the parts that it holds now.
     const hasRestarted = reply.received < transfer.confirmed;
@@ -143,6 +146,11 @@
     return this.#sentIndexes.get(to) ?? 0;
   }
 
+  #reportConfirmed(from: string, wholeIndex: number | undefined): void {
+    const kind = "snapshotConfirmed";
+    this.#options.onConfirmed?.({ kind, from, wholeIndex });
+  }
+
   #sendParts(to: string, term: number, transfer: Transfer): void {
     const { snapshot, id } = transfer;
     const { index, term: snapshotTerm, voters, state } = snapshot;
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -59,6 +59,7 @@
       send: options.send,
       createSnapshot: () => this.#applied.createSnapshot(this.#state.log),
       onNotice: options.onNotice,
+      onConfirmed: (event) => this.#enqueue(event),
     });
     this.#timer = new tickTimers.TickTimer(options.clock, () => {
       this.#enqueue({ kind: "tick" });
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -103,6 +103,14 @@
   readonly earlyElectionUntilMs: number;
 }
 
+/** A replica has confirmed further parts of a snapshot that this leader sends. */
+export interface SnapshotConfirmed {
+  readonly kind: "snapshotConfirmed";
+  readonly from: string;
+  /** Last index of the snapshot once all parts are confirmed. */
+  readonly wholeIndex: number | undefined;
+}
+
 /** An input to a replica. */
 export type ReplicaEvent =
   | { readonly kind: "tick" }
@@ -114,6 +122,7 @@
     readonly message: messages.Message;
   }
   | { readonly kind: "propose"; readonly commands: readonly unknown[] }
+  | SnapshotConfirmed
   /** Sets the replicas that receive the log without a vote. */
   | { readonly kind: "setLearners"; readonly learners: readonly string[] }
   /** Adds or removes one voter; ignored if the change isn't allowed now. */
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -86,6 +86,8 @@
       return handovers.transferLeadership(state, nowMs, event.to);
     case "propose":
       return replications.proposeCommands(state, event.commands, nowMs);
+    case "snapshotConfirmed":
+      return replications.recordSnapshotParts(state, event, nowMs);
     case "setLearners":
       return memberships.setLearners(state, event.learners, nowMs);
     case "changeVoters":
