--- a/src/replica_group/simulated_cases_test.ts
+++ b/src/replica_group/simulated_cases_test.ts
@@ -116,3 +116,13 @@
   >;
   return reply.kind === "done" && reply.value === "completed";
 }
+
+/** Counts the committed commands that the leader does not hold. */
+export function countLostCommands(
+  cluster: simulatedClusters.SimulatedCluster,
+): number {
+  const leader = cluster.findLeader();
+  if (leader === undefined) return 0;
+  const held = cluster.get(leader).getStateMachine()?.getLoadCount() ?? 0;
+  return Math.max(0, cluster.countCommitted() - held);
+}
