--- a/src/consensus/fake_network_test.ts
+++ b/src/consensus/fake_network_test.ts
@@ -4,6 +4,8 @@
 export interface NetworkOptions {
   readonly lossChance: number;
   readonly repeatChance: number;
+  /** Longest delay of a message, in ms; 200 by default. */
+  readonly maxDelayMs?: number;
 }
 
 /** A message with its sender and receiver. */
@@ -57,7 +59,7 @@
     const copies = this.#happens(this.#options.repeatChance) ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
       const maxMs = this.#happens(LONG_DELAY_CHANCE)
-        ? MAX_LONG_DELAY_MS
+        ? this.#options.maxDelayMs ?? MAX_LONG_DELAY_MS
         : MAX_SHORT_DELAY_MS;
       this.#inFlight = [...this.#inFlight, {
         ...envelope,
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -27,6 +27,8 @@
   readonly extraReplicas: number;
   /** Probability that a leader proposes to add or remove a voter. */
   readonly membershipChance: number;
+  /** Probability that a leader replaces emptied voters in one step; 0 by default. */
+  readonly replaceChance?: number;
   /** Probability that the box of a replica is suspended, higher for leaders. */
   readonly suspendChance: number;
   /** Whether leaders count replies from before a suspension; an injected bug. */
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -6,6 +6,7 @@
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
+import * as replicaStatuses from "./replica_status.ts";
 import * as simulatedNodes from "./simulated_node_test.ts";
 import * as stepReplica from "./step_replica.ts";
 
@@ -168,6 +169,10 @@
     if (membershipChance > 0 && this.#happens(membershipChance)) {
       this.#changeVoters(node);
     }
+    const { replaceChance = 0 } = this.#options;
+    if (replaceChance > 0 && this.#happens(replaceChance)) {
+      this.#replaceVoters(node);
+    }
     if (!this.#happens(300)) return;
     this.#proposals += 1;
     this.#step(node, { kind: "propose", commands: [`c${this.#proposals}`] });
@@ -189,6 +194,29 @@
     this.#step(node, { kind: "changeVoters", voters: nextVoters });
   }
 
+  /** Replaces all voters that count in no quorum, in one step, as the plan does. */
+  #replaceVoters(node: simulatedNodes.SimulatedNode): void {
+    if (node.state === undefined) return;
+    const others = this.#nodes.map((other) => other.config.id)
+      .filter((id) => id !== node.config.id);
+    this.#step(node, { kind: "setLearners", learners: others });
+    if (node.state === undefined) return;
+    const voters = replicaStates.listVoters(node.state);
+    const { followers } = replicaStatuses.describeReplica(
+      node.state,
+      simulatedNodes.getLocalMs(node, this.#nowMs),
+    );
+    const kept = voters.filter((id) =>
+      !followers.some((other) => other.id === id && other.isVoteless)
+    );
+    const spares = followers.filter(({ id, isAdmitted }) =>
+      isAdmitted && !voters.includes(id)
+    ).map(({ id }) => id);
+    const added = spares.slice(0, this.#options.replicas - kept.length);
+    if (added.length === 0 || kept.length === voters.length) return;
+    this.#step(node, { kind: "changeVoters", voters: [...kept, ...added] });
+  }
+
   #deliverMessages(): void {
     for (const { from, to, message } of this.#network.takeDue(this.#nowMs)) {
       const node = this.#nodes.find((candidate) => candidate.config.id === to);
