--- a/src/consensus/replacement_safety_test.ts
+++ b/src/consensus/replacement_safety_test.ts
@@ -118,6 +118,17 @@
     }
   }
 
+  /** Delivers the first message of a link, though it is held. */
+  deliverFirst(from: string, to: string): void {
+    const at = this.#queue.findIndex((envelope) =>
+      envelope.from === from && envelope.to === to
+    );
+    const envelope = this.#queue[at];
+    if (envelope === undefined) throw new Error("no message waits");
+    this.#queue = this.#queue.toSpliced(at, 1);
+    this.step(to, { kind: "message", from, message: envelope.message });
+  }
+
   /** Lets time pass with ticks of some replicas, and delivers. */
   run(ids: readonly string[], durationMs: number): void {
     for (const untilMs = this.nowMs + durationMs; this.nowMs < untilMs;) {
@@ -274,3 +285,48 @@
     ]);
   });
 });
+
+describe("a voter that is being admitted", () => {
+  it("still counts as such after it was dropped and is fed again", () => {
+    const group = createGroup(["a", "b", "c", "d", "e"], "f");
+    group.separate(["a", "c", "d", "e", "f"], ["b"]);
+    group.empty("b");
+    group.separate([], []);
+    group.run(["a"], 5);
+    while (!isHeard(group)) group.run(["a"], 5);
+    // Slow boxes: replies of b take a while from now on.
+    group.holds = ({ from }) => from === "b";
+    group.run(["a"], 3 * HEARTBEAT_MS);
+    chai.expect(group.get("b").identity.isAdmitted, "admitted").to.equal(true);
+    // The plan of a moment ago, in which b was voteless.
+    group.separate(["a", "e", "f"], ["b", "c", "d"]);
+    group.step("a", { kind: "changeVoters", voters: ["a", "c", "d", "e"] });
+    group.step("a", { kind: "setLearners", learners: ["b", "f"] });
+    group.cut = new Set();
+    group.separate(["a"], ["c", "d"]);
+    group.cut = new Set([...group.cut, "a>b"]);
+    group.deliverFirst("b", "a");
+    group.run(["a"], 5);
+    group.step("a", {
+      kind: "changeVoters",
+      voters: ["a", "c", "d", "e", "f"],
+    });
+    group.step("a", { kind: "propose", commands: ["of a", "of a too"] });
+    group.separate(["a", "e", "f"], ["b", "c", "d"]);
+    group.run(["a"], HEARTBEAT_MS);
+    group.holds = () => false;
+    group.run([], TIMEOUT_MS + HEARTBEAT_MS);
+    group.elect("c");
+    group.run(["c"], 2 * HEARTBEAT_MS);
+    chai.expect(group.listConflicts()).to.deep.equal([]);
+  });
+});
+
+/** Whether the leader a has heard b since it was emptied. */
+function isHeard(group: Group): boolean {
+  const { role } = group.get("a");
+  if (role.kind !== "leader") throw new Error("a does not lead");
+  const progress = role.progress.get("b");
+  return progress?.identity.isAdmitted === false &&
+    progress.heardAtMs !== undefined;
+}
