An emptied voter is replaced or admitted only once no leader can have been elected with its former votes

Change: both need that the leader is confirmed since the emptied replicas were heard: by all other voters, or by a quorum once the longest candidacy is over, since who asked for the former votes is in a later term. A candidate drops its votes when its time is over, also after a pause. A set is changed only once the one before is committed, as before. Which incarnations a leader may have admitted is kept for its term, also for followers that are dropped. A leader leaves its own pauses out of its followers' silence, and waits for first replies as long as it would wait for a leader.

--- a/src/consensus/_append_requests.ts
+++ b/src/consensus/_append_requests.ts
@@ -8,6 +8,8 @@
 export interface PreparedAppend {
   readonly progress: replicaStates.Progress;
   readonly effect: replicaStates.Effect;
+  /** Incarnation of the follower that the message admits; undefined for none. */
+  readonly admits?: number | undefined;
 }
 
 /** The entries of an append request, and whom it admits. */
@@ -83,11 +85,10 @@
     };
   }
   const nextIndex = progress.nextIndex + message.entries.length;
-  const isAdmitting = progress.isAdmitting === true ||
-    message.admits !== undefined;
   return {
-    progress: { ...progress, nextIndex, isAdmitting },
+    progress: { ...progress, nextIndex },
     effect: { kind: "send", to, message },
+    admits: message.admits,
   };
 }
 
--- a/src/consensus/_election.ts
+++ b/src/consensus/_election.ts
@@ -79,7 +79,7 @@
   const term = state.term + 1;
   const votes = new Set([state.config.id]);
   const votedFor = state.config.id;
-  const next = electionTimers.resetElectionTimer(
+  const next = electionTimers.limitCandidacy(
     { ...state, term, votedFor, role: { kind: "candidate", votes } },
     nowMs,
   );
@@ -114,6 +114,7 @@
     role: {
       kind: "leader",
       progress,
+      admitting: new Map(),
       nextHeartbeatAtMs: nowMs,
       termStartIndex: firstIndex,
       leaderSinceMs: nowMs,
@@ -290,6 +291,9 @@
   if (role.kind !== "preCandidate" && role.kind !== "candidate") {
     return { state, effects: [] };
   }
+  // Votes of a candidacy that is over may come from a life that ended since.
+  const isOver = role.kind === "candidate" && nowMs >= state.electionAtMs;
+  if (isOver) return { state, effects: [] };
   if (!replicaStates.listVoters(state).includes(from)) {
     return { state, effects: [] };
   }
--- a/src/consensus/_election_timer.ts
+++ b/src/consensus/_election_timer.ts
@@ -26,20 +26,10 @@
       isElectionDeferred: false,
     };
   }
-  const { seed, electionTimeoutMs } = state.config;
-  const extraMs = contactGaps.getExtraMs(
-    state.leaderContacts.gap,
-    electionTimeoutMs,
-    nowMs,
-  );
-  const electionAtMs = nowMs + extraMs +
-    electionDelays.drawDelay(seed, state.electionDelayCount, electionTimeoutMs);
-  return {
-    ...state,
-    electionAtMs,
-    isElectionDeferred: false,
-    electionDelayCount: state.electionDelayCount + 1,
-  };
+  const { electionTimeoutMs } = state.config;
+  const { gap } = state.leaderContacts;
+  const extraMs = contactGaps.getExtraMs(gap, electionTimeoutMs, nowMs);
+  return setDelay(state, electionTimeoutMs, nowMs + extraMs);
 }
 
 /**
@@ -53,16 +43,37 @@
   if (formerLeaders.canStartEarlyElection(state, nowMs)) {
     return resetElectionTimer(state, nowMs);
   }
-  const { seed, electionTimeoutMs } = state.config;
+  return setDelay(
+    state,
+    state.config.electionTimeoutMs * PRE_VOTE_FRACTION,
+    nowMs,
+  );
+}
+
+/** Sets the random time after which a candidate gives up the votes that it has. */
+export function limitCandidacy(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  return setDelay(state, state.config.electionTimeoutMs, nowMs);
+}
+
+/** Sets the election timer to a random delay of one to two times a duration. */
+function setDelay(
+  state: replicaStates.ReplicaState,
+  durationMs: number,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  const { config, electionDelayCount } = state;
   const delayMs = electionDelays.drawDelay(
-    seed,
-    state.electionDelayCount,
-    electionTimeoutMs * PRE_VOTE_FRACTION,
+    config.seed,
+    electionDelayCount,
+    durationMs,
   );
   return {
     ...state,
     electionAtMs: nowMs + delayMs,
     isElectionDeferred: false,
-    electionDelayCount: state.electionDelayCount + 1,
+    electionDelayCount: electionDelayCount + 1,
   };
 }
--- a/src/consensus/_membership.ts
+++ b/src/consensus/_membership.ts
@@ -1,6 +1,6 @@
 import * as admissions from "./_admission.ts";
 import * as replicaLogs from "./replica_log.ts";
-import type * as replicaSets from "./replica_set.ts";
+import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
 import * as replications from "./_replication.ts";
 
@@ -44,8 +44,8 @@
 /**
  * Changes the voters by appending a replica set entry, which takes effect once
  * appended. Does nothing unless the replica is an established leader that stays a
- * voter, all quorums of the sets that may be in force overlap with those of the new
- * one, and a new voter is admitted and nearly caught up: a quorum may need that
+ * voter, the previous change is committed, all quorums before and after it overlap,
+ * and a new voter is admitted and nearly caught up: a quorum may need that
  * voter to commit the change.
  */
 export function changeVoters(
@@ -83,6 +83,8 @@
   const isSame = before.length === voters.length &&
     before.every((id) => voters.includes(id));
   if (isSame || !voters.includes(state.config.id)) return false;
+  const pending = replicaSets.findReplicaSet(state.log)?.index ?? 0;
+  if (pending > commitIndex) return false;
   if (!admissions.canFollowOn(state, voters)) return false;
   return voters.filter((id) => !before.includes(id)).every((id) => {
     const progress = role.progress.get(id);
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -1,3 +1,4 @@
+import * as admissions from "./_admission.ts";
 import * as appendRequests from "./_append_requests.ts";
 import * as commits from "./_commit.ts";
 import * as appendWindows from "./_append_window.ts";
@@ -27,10 +28,14 @@
   if (role.kind !== "leader") return { state, effects: [] };
   const sent = appendRequests.createAppends(state, role.progress, nowMs);
   const progress = new Map(sent.map(([to, append]) => [to, append.progress]));
+  const admitting = sent.reduce(
+    (all, [to, { admits }]) => admissions.recordAdmitting(all, to, admits),
+    role.admitting,
+  );
   const heartbeatDueAtMs = nowMs + state.config.heartbeatMs;
   const next = {
     ...state,
-    role: { ...role, progress, nextHeartbeatAtMs: heartbeatDueAtMs },
+    role: { ...role, progress, admitting, nextHeartbeatAtMs: heartbeatDueAtMs },
   };
   return commitReplicated({
     state: next,
@@ -54,8 +59,13 @@
   const message = appendRequests.createRequest(state, content, nowMs);
   const sent = appendRequests.createAppend(state, to, progress, message);
   const next = new Map([...role.progress, [to, sent.progress] as const]);
+  const admitting = admissions.recordAdmitting(
+    role.admitting,
+    to,
+    sent.admits,
+  );
   return {
-    state: { ...state, role: { ...role, progress: next } },
+    state: { ...state, role: { ...role, progress: next, admitting } },
     effects: [sent.effect],
   };
 }
--- a/src/consensus/admission_test.ts
+++ b/src/consensus/admission_test.ts
@@ -103,7 +103,7 @@
     chai.expect(admissions.canAdmit(leader, "b", CAUGHT_UP, lastIndex - 1)).to
       .equal(false);
     const { state: changed } = stepReplica.stepReplica(
-      setProgress(leader, "b", { ...CAUGHT_UP, isAdmitting: false }),
+      setProgress(leader, "b", CAUGHT_UP),
       { kind: "changeVoters", voters: ["a", "c", "d"] },
       LATER_MS,
     );
@@ -151,14 +151,19 @@
   function plan(
     b: replicaStates.Progress,
     voters: readonly string[],
+    admitted?: number,
   ): readonly string[] {
     const leader = setProgress(
       setProgress(createLeader(), "b", b),
       "c",
       createAcknowledged(LATER_MS),
     );
+    if (leader.role.kind !== "leader") throw new Error("a is not the leader");
+    const admitting = new Map(
+      admitted === undefined ? [] : [["b", admitted] as const],
+    );
     const { state } = stepReplica.stepReplica(
-      leader,
+      { ...leader, role: { ...leader.role, admitting } },
       { kind: "changeVoters", voters },
       LATER_MS,
     );
@@ -169,8 +174,10 @@
     const swapped = ["a", "c", "d"];
     const before = ["a", "b", "c"];
     chai.expect(plan(CAUGHT_UP, swapped), "emptied").to.deep.equal(swapped);
-    const admitting = { ...CAUGHT_UP, isAdmitting: true };
-    chai.expect(plan(admitting, swapped), "being admitted").to.deep.equal(
+    chai.expect(plan(CAUGHT_UP, swapped, EMPTIED.incarnation), "being admitted")
+      .to.deep.equal(before);
+    const unconfirmed = { ...CAUGHT_UP, heardAtMs: LATER_MS };
+    chai.expect(plan(unconfirmed, swapped), "unconfirmed").to.deep.equal(
       before,
     );
     const admitted = createAcknowledged(LATER_MS);
--- a/src/consensus/consensus_test.ts
+++ b/src/consensus/consensus_test.ts
@@ -204,6 +204,7 @@
       role: {
         kind: "leader",
         progress: new Map([["b", progress], ["c", progress]]),
+        admitting: new Map(),
         nextHeartbeatAtMs: 0,
         termStartIndex: 2,
         leaderSinceMs: 0,
--- a/src/consensus/leader_fixture_test.ts
+++ b/src/consensus/leader_fixture_test.ts
@@ -32,6 +32,7 @@
     role: {
       kind: "leader",
       progress: new Map([["b", progress], ["c", progress]]),
+      admitting: new Map(),
       nextHeartbeatAtMs: 0,
       termStartIndex: lastIndex + 1,
       leaderSinceMs: 0,
--- a/src/consensus/replacement_safety_test.ts
+++ b/src/consensus/replacement_safety_test.ts
@@ -2,7 +2,7 @@
 import * as leaderLeases from "./leader_lease.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
-import * as replicaStates from "./replica_state.ts";
+import type * as replicaStates from "./replica_state.ts";
 import * as stepReplica from "./step_replica.ts";
 
 /*
@@ -64,7 +64,7 @@
   }
 
   /** Starts a replica again with an empty disk. */
-  empty(id: string): void {
+  wipe(id: string): void {
     this.start(id, {
       ...stepReplica.EMPTY_REPLICA,
       identity: { incarnation: 1_000 + this.nowMs, isAdmitted: false },
@@ -139,7 +139,7 @@
   }
 
   /** Lets only one replica tick until it leads. */
-  elect(id: string): void {
+  awaitElection(id: string): void {
     for (let count = 0; count < 400; count += 1) {
       if (this.get(id).role.kind === "leader") return;
       this.run([id], 5);
@@ -148,7 +148,7 @@
   }
 
   /** Cuts all links between two sides. */
-  separate(left: readonly string[], right: readonly string[]): void {
+  cutLinks(left: readonly string[], right: readonly string[]): void {
     this.cut = new Set(
       left.flatMap((a) => right.flatMap((b) => [`${a}>${b}`, `${b}>${a}`])),
     );
@@ -170,7 +170,7 @@
 ): Group {
   const group = new Group(voters, [spare]);
   group.run([], 2 * TIMEOUT_MS);
-  group.elect("a");
+  group.awaitElection("a");
   group.step("a", { kind: "setLearners", learners: [spare] });
   group.run(["a"], 20 * HEARTBEAT_MS);
   chai.expect(group.get(spare).identity.isAdmitted, "spare").to.equal(true);
@@ -182,7 +182,7 @@
  * process of e is paused next: of its requests for votes, only that to b has left.
  */
 function startCandidacy(group: Group): void {
-  group.separate(["a"], ["b", "c", "d", "e", "f"]);
+  group.cutLinks(["a"], ["b", "c", "d", "e", "f"]);
   group.run([], TIMEOUT_MS + 5);
   group.holds = ({ from, to, message }) =>
     from === "e" && to !== "b" && message.kind === "voteRequest" &&
@@ -203,9 +203,9 @@
   it("commits nothing at a leader whose successor it elected before", () => {
     const group = createGroup(["a", "b", "c"], "d");
     // a is paused, or cut off for less than its patience; b elects c.
-    group.separate(["a"], ["b", "c"]);
+    group.cutLinks(["a"], ["b", "c"]);
     group.run([], TIMEOUT_MS + HEARTBEAT_MS);
-    group.elect("c");
+    group.awaitElection("c");
     group.step("c", { kind: "propose", commands: ["of c"] });
     group.run(["c"], 2 * HEARTBEAT_MS);
     const committedAt = [...group.committed].find(([, values]) =>
@@ -214,8 +214,8 @@
     chai.expect(committedAt?.[0], "committed by b and c").to.be.a("number");
     // b loses its disk, c its power. One lost disk is to be borne.
     group.nowMs += PAUSE_MS;
-    group.separate(["c"], ["a", "b", "d"]);
-    group.empty("b");
+    group.cutLinks(["c"], ["a", "b", "d"]);
+    group.wipe("b");
     group.run(["a"], 5);
     chai.expect(group.get("a").role.kind).to.equal("leader");
     // What the planner asks for; it asks for no authority.
@@ -229,8 +229,8 @@
     const group = createGroup(["a", "b", "c", "d", "e"], "f");
     startCandidacy(group);
     // b, which has voted for e, loses its disk; a goes on, cut off from e only.
-    group.empty("b");
-    group.separate(["a", "b", "c", "d", "f"], ["e"]);
+    group.wipe("b");
+    group.cutLinks(["a", "b", "c", "d", "f"], ["e"]);
     group.run(["a"], HEARTBEAT_MS + 5);
     chai.expect(
       leaderLeases.hasAuthority(group.get("a"), group.nowMs, 0),
@@ -247,7 +247,7 @@
     // The vote request of e reaches c once c has missed a for the timeout.
     group.nowMs += TIMEOUT_MS;
     resume(group);
-    group.separate(["a", "d", "f"], ["b", "c", "e"]);
+    group.cutLinks(["a", "d", "f"], ["b", "c", "e"]);
     group.holds = ({ from, to }) => from === "e" && to !== "c";
     group.deliver();
     group.holds = () => false;
@@ -265,20 +265,22 @@
     const group = createGroup(["a", "b", "c", "d", "e"], "f");
     startCandidacy(group);
     const term = group.get("e").term;
-    group.empty("b");
-    group.separate(["a", "b", "c", "d", "f"], ["e"]);
+    group.wipe("b");
+    group.cutLinks(["a", "b", "c", "d", "f"], ["e"]);
     group.run(["a"], 3 * HEARTBEAT_MS);
+    chai.expect(group.get("b").identity.isAdmitted, "early").to.equal(false);
+    group.run(["a"], 3 * TIMEOUT_MS);
     chai.expect(group.get("b").identity.isAdmitted, "admitted").to.equal(true);
     // a starts again; c gets the vote request of e, d is elected by a and b.
     group.restart("a");
     group.nowMs += TIMEOUT_MS + 5;
     resume(group);
-    group.separate(["a", "b", "d", "f"], ["c", "e"]);
+    group.cutLinks(["a", "b", "d", "f"], ["c", "e"]);
     group.holds = ({ from, to }) => from === "e" && to !== "c";
     group.deliver();
     const isLeading = group.get("e").role.kind === "leader" &&
       group.get("e").term === term;
-    group.elect("d");
+    group.awaitElection("d");
     chai.expect([isLeading, group.get("d").term]).to.not.deep.equal([
       true,
       term,
@@ -289,9 +291,9 @@
 describe("a voter that is being admitted", () => {
   it("still counts as such after it was dropped and is fed again", () => {
     const group = createGroup(["a", "b", "c", "d", "e"], "f");
-    group.separate(["a", "c", "d", "e", "f"], ["b"]);
-    group.empty("b");
-    group.separate([], []);
+    group.cutLinks(["a", "c", "d", "e", "f"], ["b"]);
+    group.wipe("b");
+    group.cutLinks([], []);
     group.run(["a"], 5);
     while (!isHeard(group)) group.run(["a"], 5);
     // Slow boxes: replies of b take a while from now on.
@@ -299,11 +301,11 @@
     group.run(["a"], 3 * HEARTBEAT_MS);
     chai.expect(group.get("b").identity.isAdmitted, "admitted").to.equal(true);
     // The plan of a moment ago, in which b was voteless.
-    group.separate(["a", "e", "f"], ["b", "c", "d"]);
+    group.cutLinks(["a", "e", "f"], ["b", "c", "d"]);
     group.step("a", { kind: "changeVoters", voters: ["a", "c", "d", "e"] });
     group.step("a", { kind: "setLearners", learners: ["b", "f"] });
     group.cut = new Set();
-    group.separate(["a"], ["c", "d"]);
+    group.cutLinks(["a"], ["c", "d"]);
     group.cut = new Set([...group.cut, "a>b"]);
     group.deliverFirst("b", "a");
     group.run(["a"], 5);
@@ -312,11 +314,11 @@
       voters: ["a", "c", "d", "e", "f"],
     });
     group.step("a", { kind: "propose", commands: ["of a", "of a too"] });
-    group.separate(["a", "e", "f"], ["b", "c", "d"]);
+    group.cutLinks(["a", "e", "f"], ["b", "c", "d"]);
     group.run(["a"], HEARTBEAT_MS);
     group.holds = () => false;
     group.run([], TIMEOUT_MS + HEARTBEAT_MS);
-    group.elect("c");
+    group.awaitElection("c");
     group.run(["c"], 2 * HEARTBEAT_MS);
     chai.expect(group.listConflicts()).to.deep.equal([]);
   });
--- a/src/consensus/replica_log.ts
+++ b/src/consensus/replica_log.ts
@@ -104,26 +104,6 @@
   };
 }
 
-/**
- * Lists the replica sets that replicas may vote by: the newest committed one and
- * those after it.
- *
- * @param log The log.
- * @param commitIndex Index of the last committed entry.
- * @returns The voters of each set, oldest first; empty if the log names none.
- */
-export function listSetsInForce(
-  log: ReplicaLog,
-  commitIndex: number,
-): readonly (readonly string[])[] {
-  const committedAt = log.replicaSets.findLastIndex((set) =>
-    set.index <= commitIndex
-  );
-  return log.replicaSets.slice(Math.max(0, committedAt)).map((set) =>
-    set.voters
-  );
-}
-
 /**
  * Removes the entries up to an index, which a snapshot covers.
  *
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -47,8 +47,6 @@
   readonly identity: messages.ReplicaIdentity;
   /** Time of the first reply of this incarnation to this leader, in ms. */
   readonly heardAtMs?: number;
-  /** Whether it was sent a message that may admit it. */
-  readonly isAdmitting?: boolean;
 }
 
 /** The Raft role of a replica. */
@@ -59,6 +57,8 @@
   | {
     readonly kind: "leader";
     readonly progress: ReadonlyMap<string, Progress>;
+    /** Incarnations that messages of this leader may have admitted, by replica. */
+    readonly admitting: ReadonlyMap<string, number>;
     /** When to send the next heartbeat, in ms. */
     readonly nextHeartbeatAtMs: number;
     /** Index of the first entry of the leader's term. */
--- a/src/consensus/replica_status.ts
+++ b/src/consensus/replica_status.ts
@@ -31,8 +31,8 @@
   readonly silentMs: number;
   /** False for a new replica that has not caught up. */
   readonly isAdmitted: boolean;
-  /** Whether it is certain to count in no quorum; see `isVoteless`. */
-  readonly isVoteless: boolean;
+  /** Whether it is a voter that lost its disk and can be replaced in one step. */
+  readonly isReplaceable: boolean;
 }
 
 /** Why a replica is, or isn't, an active leader. */
@@ -124,6 +124,7 @@
 ): ReplicaStatus {
   const { role, term, commitIndex, log } = state;
   const progress = role.kind === "leader" ? [...role.progress] : [];
+  const replaceable = admissions.listReplaceable(state);
   return {
     role: role.kind,
     term,
@@ -135,7 +136,7 @@
       id,
       matchIndex: entry.matchIndex,
       isAdmitted: entry.identity.isAdmitted,
-      isVoteless: admissions.isVoteless(entry),
+      isReplaceable: replaceable.includes(id),
       silentMs: Math.round(nowMs - entry.lastAckedSentAtMs),
     })),
     voterSet: describeVoterSet(state),
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -2,6 +2,7 @@
 import * as leaderLeases from "./leader_lease.ts";
 import * as savedRecords from "./_saved_record.ts";
 import type * as messages from "./message.ts";
+import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import type * as replicaStates from "./replica_state.ts";
 
@@ -157,3 +158,29 @@
     : node.resumedAtMs;
   return leaderLeases.hasAuthority(node.state, localMs, resumedAtMs);
 }
+
+/** Creates a snapshot of what a node has applied. */
+export function createSnapshot(node: SimulatedNode): messages.Snapshot {
+  return {
+    index: node.appliedIndex,
+    term: node.appliedTerm,
+    state: node.applied,
+    voters: findVoters(node),
+  };
+}
+
+/** Replaces the entries that a node has applied by a snapshot. */
+export function compact(node: SimulatedNode): void {
+  if (
+    node.state === undefined ||
+    node.appliedIndex <= node.state.log.snapshotIndex
+  ) return;
+  node.disk = {
+    snapshot: createSnapshot(node),
+    records: savedRecords.createRecordsAfter(node.state, node.appliedIndex),
+  };
+  node.state = {
+    ...node.state,
+    log: replicaLogs.compactLog(node.state.log, node.appliedIndex),
+  };
+}
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -3,10 +3,10 @@
 import * as fakeNetworks from "./fake_network_test.ts";
 import * as savedRecords from "./_saved_record.ts";
 import type * as messages from "./message.ts";
-import * as replicaLogs from "./replica_log.ts";
+import * as plans from "./plan_replacement_test.ts";
+import type * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
-import * as replicaStatuses from "./replica_status.ts";
 import * as simulatedNodes from "./simulated_node_test.ts";
 import * as stepReplica from "./step_replica.ts";
 
@@ -107,7 +107,9 @@
         if (this.#happens(this.#options.wipeChance)) this.#wipe(node);
         this.#restart(node);
       }
-      if (this.#happens(this.#options.compactChance)) this.#compact(node);
+      if (this.#happens(this.#options.compactChance)) {
+        simulatedNodes.compact(node);
+      }
       this.#suspend(node, this.#options.suspendChance * factor);
     }
     if (this.#happens(this.#options.partitionChance)) this.#changePartition();
@@ -171,7 +173,7 @@
     }
     const { replaceChance = 0 } = this.#options;
     if (replaceChance > 0 && this.#happens(replaceChance)) {
-      this.#replaceVoters(node);
+      this.#swapVoters(node);
     }
     if (!this.#happens(300)) return;
     this.#proposals += 1;
@@ -194,27 +196,21 @@
     this.#step(node, { kind: "changeVoters", voters: nextVoters });
   }
 
-  /** Replaces all voters that count in no quorum, in one step, as the plan does. */
-  #replaceVoters(node: simulatedNodes.SimulatedNode): void {
+  /** Replaces all emptied voters in one step, as the plan of voters does. */
+  #swapVoters(node: simulatedNodes.SimulatedNode): void {
     if (node.state === undefined) return;
-    const others = this.#nodes.map((other) => other.config.id)
+    const learners = this.#nodes.map((other) => other.config.id)
       .filter((id) => id !== node.config.id);
-    this.#step(node, { kind: "setLearners", learners: others });
+    this.#step(node, { kind: "setLearners", learners });
     if (node.state === undefined) return;
-    const voters = replicaStates.listVoters(node.state);
-    const { followers } = replicaStatuses.describeReplica(
+    const voters = plans.planReplacement(
       node.state,
       simulatedNodes.getLocalMs(node, this.#nowMs),
+      this.#options.replicas,
     );
-    const kept = voters.filter((id) =>
-      !followers.some((other) => other.id === id && other.isVoteless)
-    );
-    const spares = followers.filter(({ id, isAdmitted }) =>
-      isAdmitted && !voters.includes(id)
-    ).map(({ id }) => id);
-    const added = spares.slice(0, this.#options.replicas - kept.length);
-    if (added.length === 0 || kept.length === voters.length) return;
-    this.#step(node, { kind: "changeVoters", voters: [...kept, ...added] });
+    if (voters !== undefined) {
+      this.#step(node, { kind: "changeVoters", voters });
+    }
   }
 
   #deliverMessages(): void {
@@ -286,7 +282,7 @@
         return this.#send(node.config.id, effect.to, {
           kind: "snapshotRequest",
           term: node.state?.term ?? 0,
-          snapshot: this.#createSnapshot(node),
+          snapshot: simulatedNodes.createSnapshot(node),
           sentAtMs: simulatedNodes.getLocalMs(node, this.#nowMs),
         });
       case "commit":
@@ -294,15 +290,6 @@
     }
   }
 
-  #createSnapshot(node: simulatedNodes.SimulatedNode): messages.Snapshot {
-    return {
-      index: node.appliedIndex,
-      term: node.appliedTerm,
-      state: node.applied,
-      voters: simulatedNodes.findVoters(node),
-    };
-  }
-
   #send(from: string, to: string, message: messages.Message): void {
     this.#network.send({ from, to, message }, this.#nowMs);
   }
@@ -326,21 +313,6 @@
     node.appliedTerm = entry.term;
   }
 
-  #compact(node: simulatedNodes.SimulatedNode): void {
-    if (
-      node.state === undefined ||
-      node.appliedIndex <= node.state.log.snapshotIndex
-    ) return;
-    node.disk = {
-      snapshot: this.#createSnapshot(node),
-      records: savedRecords.createRecordsAfter(node.state, node.appliedIndex),
-    };
-    node.state = {
-      ...node.state,
-      log: replicaLogs.compactLog(node.state.log, node.appliedIndex),
-    };
-  }
-
   #checkLeader({ state, config: { id } }: simulatedNodes.SimulatedNode): void {
     if (state?.role.kind !== "leader") return;
     const other = this.#leaderOfTerm.get(state.term) ?? id;
--- a/src/consensus/slow_leader_test.ts
+++ b/src/consensus/slow_leader_test.ts
@@ -113,8 +113,11 @@
       sentAtMs: 500,
       identity: { incarnation: 0, isAdmitted: true },
     };
+    if (leader.role.kind !== "leader") throw new Error("a is not the leader");
+    // Its process runs: the heartbeats before went out on time.
+    const role = { ...leader.role, nextHeartbeatAtMs: 1_450 };
     const { state } = stepReplica.stepReplica(
-      { ...leader, config: CONFIG },
+      { ...leader, config: CONFIG, role },
       { kind: "message", from: "b", message: reply },
       1_400,
     );
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -104,16 +104,40 @@
   nowMs: number,
 ): replicaStates.Transition {
   if (state.role.kind !== "leader") return handleElectionTick(state, nowMs);
-  // Replies that arrived during a pause of this process are still to be read.
-  const pausedMs = Math.max(0, nowMs - state.role.nextHeartbeatAtMs);
-  if (hasLostQuorum(state, nowMs - pausedMs)) {
-    return resetToFollower(state, nowMs);
-  }
+  const awake = dropPause(state, nowMs);
+  if (hasLostQuorum(awake, nowMs)) return resetToFollower(awake, nowMs);
   if (nowMs < state.role.nextHeartbeatAtMs) return { state, effects: [] };
-  return replications.sendAppends(state, nowMs);
+  return replications.sendAppends(awake, nowMs);
 }
 
-/** Reports whether a leader has no contact to a quorum for too long. */
+/**
+ * Leaves a pause of the leader's own process, which a late tick shows, out of the
+ * followers' silence: replies that arrived meanwhile are still to be read.
+ */
+function dropPause(
+  state: replicaStates.ReplicaState,
+  nowMs: number,
+): replicaStates.ReplicaState {
+  const { role, config } = state;
+  if (role.kind !== "leader") return state;
+  const pausedMs = nowMs - role.nextHeartbeatAtMs;
+  if (pausedMs <= config.heartbeatMs) return state;
+  const progress = new Map(
+    [...role.progress].map(([id, item]) => {
+      const { lastReplyAtMs } = item;
+      if (lastReplyAtMs === undefined) return [id, item] as const;
+      const repliedAtMs = Math.min(nowMs, lastReplyAtMs + pausedMs);
+      return [id, { ...item, lastReplyAtMs: repliedAtMs }] as const;
+    }),
+  );
+  const leaderSinceMs = Math.min(nowMs, role.leaderSinceMs + pausedMs);
+  return { ...state, role: { ...role, progress, leaderSinceMs } };
+}
+
+/**
+ * Reports whether a leader has no contact to a quorum for too long. A new leader
+ * waits for first replies as long as it would have waited for a leader.
+ */
 function hasLostQuorum(
   state: replicaStates.ReplicaState,
   nowMs: number,
@@ -122,7 +146,9 @@
   const graceMs = state.config.electionTimeoutMs;
   const { getLeaseExpiryMs, NEVER_SUSPENDED } = leaderLeases;
   const leaseExpiryMs = getLeaseExpiryMs(state, nowMs, NEVER_SUSPENDED);
-  return nowMs >= state.role.leaderSinceMs + graceMs &&
+  const { gap } = state.leaderContacts;
+  const extraMs = contactGaps.getExtraMs(gap, graceMs, nowMs);
+  return nowMs >= state.role.leaderSinceMs + graceMs + extraMs &&
     nowMs >= leaseExpiryMs + graceMs &&
     !leaderLeases.hasQuorumContact(state, nowMs);
 }
@@ -138,7 +164,8 @@
   const { electionAtMs, isElectionDeferred, config } = state;
   if (nowMs < electionAtMs) return { state, effects: [] };
   if (!replicaStates.isVoter(state)) return resetToFollower(state, nowMs);
-  const hasPaused = nowMs - electionAtMs > config.heartbeatMs;
+  const hasPaused = state.role.kind !== "candidate" &&
+    nowMs - electionAtMs > config.heartbeatMs;
   if (!hasPaused || isElectionDeferred) {
     return elections.startPreVote(state, nowMs);
   }
--- a/src/duty/plan_handover_test.ts
+++ b/src/duty/plan_handover_test.ts
@@ -5,7 +5,7 @@
   const responsive = {
     id: "b",
     isAdmitted: true,
-    isVoteless: false,
+    isReplaceable: false,
     matchIndex: 9,
     silentMs: 40,
   };
--- a/src/replica_group/describe_shortfall_test.ts
+++ b/src/replica_group/describe_shortfall_test.ts
@@ -14,7 +14,7 @@
     matchIndex: COMMIT_INDEX,
     silentMs: 40,
     isAdmitted: true,
-    isVoteless: false,
+    isReplaceable: false,
     ...changes,
   };
 }
--- a/src/replica_group/plan_unadmitted_voter_test.ts
+++ b/src/replica_group/plan_unadmitted_voter_test.ts
@@ -18,13 +18,13 @@
     matchIndex: COMMIT_INDEX,
     silentMs: 10,
     isAdmitted: true,
-    isVoteless: false,
+    isReplaceable: false,
     ...changes,
   };
 }
 
 const UNADMITTED = createFollower("b", { matchIndex: 0, isAdmitted: false });
-const VOTELESS = { ...UNADMITTED, isVoteless: true };
+const VOTELESS = { ...UNADMITTED, isReplaceable: true };
 
 const INPUT: planVoters.VoterPlanInput = {
   self: "a",
--- a/src/replica_group/plan_voters.ts
+++ b/src/replica_group/plan_voters.ts
@@ -93,17 +93,17 @@
   input: VoterPlanInput,
 ): readonly string[] | undefined {
   const { voters, wanted, minVoters } = input;
-  const voteless = voters.filter((id) =>
-    findFollower(id, input)?.isVoteless === true
+  const emptied = voters.filter((id) =>
+    findFollower(id, input)?.isReplaceable === true
   );
-  const able = voters.filter((id) => !voteless.includes(id));
+  const able = voters.filter((id) => !emptied.includes(id));
   const added = listPromotable(input).slice(
     0,
     Math.max(0, wanted - able.length),
   );
   const keptCount = Math.max(0, minVoters - able.length - added.length);
-  const kept = voteless.slice(0, keptCount);
-  if (kept.length === voteless.length) return undefined;
+  const kept = emptied.slice(0, keptCount);
+  if (kept.length === emptied.length) return undefined;
   return [...able, ...kept, ...added];
 }
 
--- a/src/replica_group/plan_voters_test.ts
+++ b/src/replica_group/plan_voters_test.ts
@@ -4,7 +4,7 @@
 import * as planVoters from "./plan_voters.ts";
 
 function createFollower(id: string, silentMs = 10, matchIndex = 100) {
-  return { id, matchIndex, silentMs, isAdmitted: true, isVoteless: false };
+  return { id, matchIndex, silentMs, isAdmitted: true, isReplaceable: false };
 }
 
 const INPUT: planVoters.VoterPlanInput = {
--- a/src/submission/read_retire_test.ts
+++ b/src/submission/read_retire_test.ts
@@ -25,7 +25,7 @@
     matchIndex: COMMIT_INDEX,
     silentMs: 20,
     isAdmitted: true,
-    isVoteless: false,
+    isReplaceable: false,
   };
 }
 
