--- a/src/consensus/_snapshot_transfer.ts
+++ b/src/consensus/_snapshot_transfer.ts
@@ -51,6 +51,8 @@
   readonly #transfers = new Map<string, Transfer>();
   /** Last index of the newest snapshot sent to each replica. */
   readonly #sentIndexes = new Map<string, number>();
+  /** When each replica last confirmed a whole snapshot, in monotonic ms. */
+  readonly #wholeAtMs = new Map<string, number>();
   #transferCount = 0;
 
   constructor(options: SnapshotSenderOptions) {
@@ -58,11 +60,15 @@
   }
 
   /**
-   * Starts a transfer to a replica; resumes one that is paused or has stalled.
+   * Starts a transfer to a replica; resumes one that is paused or has stalled. Does
+   * nothing while the replica may still install the last snapshot: replies that it
+   * sent before may be read only now.
    */
   send(to: string, term: number): void {
     const nowMs = this.#options.clock.getMonotonicMs();
     const known = this.#transfers.get(to);
+    const wholeAtMs = this.#wholeAtMs.get(to) ?? Number.NEGATIVE_INFINITY;
+    if (known === undefined && nowMs - wholeAtMs < RESEND_MS) return;
     if (known !== undefined) {
       if (!known.isPaused && nowMs - known.progressAtMs < RESEND_MS) return;
       known.sent = known.confirmed;
@@ -104,6 +110,7 @@
     if (transfer?.id !== reply.transfer) return;
     if (reply.received >= countMessages(transfer.snapshot)) {
       this.#transfers.delete(from);
+      this.#wholeAtMs.set(from, this.#options.clock.getMonotonicMs());
       return this.#reportConfirmed(from, transfer.snapshot.index);
     }
     if (reply.received === transfer.confirmed) return;
--- a/src/consensus/snapshot_progress_test.ts
+++ b/src/consensus/snapshot_progress_test.ts
@@ -18,6 +18,8 @@
 const STALLED_SINCE_MS = 5_000;
 const PARTS = 3;
 const TERM = 1;
+/** Time after which a replica that still needs a snapshot is sent one, in ms. */
+const INSTALL_MS = 600;
 
 const SNAPSHOT: messages.Snapshot = {
   index: SNAPSHOT_INDEX,
@@ -119,6 +121,27 @@
     chai.expect(listTargets(state)).to.deep.equal([]);
   });
 
+  it("starts no transfer before a replica can have installed the last one", () => {
+    const clock = new clocks.FakeClock();
+    const transferIds: string[] = [];
+    const sender = new transfers.SnapshotSender({
+      clock,
+      send: (_to, message) => {
+        if (message.kind === "snapshotPart") transferIds.push(message.transfer);
+      },
+      createSnapshot: () => SNAPSHOT,
+    });
+    sender.send("b", TERM);
+    const [transfer = ""] = transferIds;
+    const kind = "snapshotPartReply";
+    sender.handleReply("b", { kind, transfer, received: PARTS }, TERM);
+    sender.send("b", TERM);
+    chai.expect(new Set(transferIds).size).to.equal(1);
+    clock.advance(INSTALL_MS);
+    sender.send("b", TERM);
+    chai.expect(new Set(transferIds).size).to.equal(2);
+  });
+
   it("sends none again because of a message sent before it was whole", () => {
     const state = receiveEvents([
       ...acknowledgeParts(PARTS),
