As much is in flight to a replica as it needs to catch up in time

Change: what is in flight follows from what is missing and from the time that replies take, so that the missing part is sent in 1 s: at least 1 MB, at most 4 MB.

--- a/src/consensus/_append_window.ts
+++ b/src/consensus/_append_window.ts
@@ -21,11 +21,16 @@
  * entry is larger: some 2 ms of a core to encode, and 5 ms to receive and write.
  */
 const MAX_CATCH_UP_MESSAGE_BYTES = 256 * 1024;
+/** Most unconfirmed bytes in flight to such a replica. */
+const MAX_CATCH_UP_IN_FLIGHT_BYTES = 4 * 1024 * 1024;
+/** Unconfirmed bytes in flight to such a replica if few are missing. */
+const MIN_CATCH_UP_IN_FLIGHT_BYTES = 1024 * 1024;
 /**
- * Most unconfirmed bytes in flight to such a replica. On slow boxes a reply takes up
- * to a second; the log must still reach the replica before the next disk is lost.
+ * Time in which the missing bytes are to be sent, in ms. On slow boxes a reply takes
+ * up to a second; the log must still reach the replica before the next disk is lost,
+ * some seconds later. More in flight than that would delay the leader's heartbeats.
  */
-const MAX_CATCH_UP_IN_FLIGHT_BYTES = 4 * 1024 * 1024;
+const CATCH_UP_TARGET_MS = 1_000;
 /** Most batches in flight to such a replica. */
 const MAX_CATCH_UP_BATCHES = 4;
 /** Entries in the first messages to a replica that catches up. */
@@ -163,6 +168,25 @@
   return Math.min(feedEntries, Math.max(MIN_CATCH_UP_BATCH, halved));
 }
 
+/**
+ * Computes the bytes in flight with which a replica catches up in time, given the
+ * time that its replies take.
+ */
+function computeNeededBytes(
+  { log }: replicaStates.ReplicaState,
+  progress: replicaStates.Progress,
+): number {
+  const { matchIndex, lastAckedSentAtMs } = progress;
+  const lag = replicaLogs.getLastIndex(log) - matchIndex;
+  const missingBytes = sumBytes(log, matchIndex + 1, lag);
+  const replyMs = getRepliedAtMs(progress) - lastAckedSentAtMs;
+  const neededBytes = missingBytes * replyMs / CATCH_UP_TARGET_MS;
+  return Math.min(
+    MAX_CATCH_UP_IN_FLIGHT_BYTES,
+    Math.max(MIN_CATCH_UP_IN_FLIGHT_BYTES, neededBytes),
+  );
+}
+
 function findWindow(
   state: replicaStates.ReplicaState,
   to: string,
@@ -187,7 +211,7 @@
   } = progress;
   return {
     entries: MAX_CATCH_UP_BATCHES * feedEntries,
-    bytes: MAX_CATCH_UP_IN_FLIGHT_BYTES,
+    bytes: computeNeededBytes(state, progress),
     batch: feedEntries,
     messageBytes: MAX_CATCH_UP_MESSAGE_BYTES,
   };
