Simulation of disks lost in series: two leaders and lost commands count as faults

A series also fails if two leaders have authority at one moment or if the leader lacks a command that was confirmed. The power losses follow a plan by what it adds or removes, as one change may now do both.

--- a/src/replica_group/disk_series_runner_test.ts
+++ b/src/replica_group/disk_series_runner_test.ts
@@ -54,6 +54,8 @@
   /** Ids of the boxes, from the oldest disk to the newest. */
   #idsByAge: readonly string[];
   #leader: string | undefined;
+  /** Describes leaders with authority at the same time. */
+  #conflict: string | undefined;
   #events: readonly string[] = [];
   #isDone = false;
 
@@ -77,8 +79,14 @@
       if (violation !== undefined) return this.#end(violation);
     }
     await this.#wipeDiskAndCutPower(losses);
-    if (this.#cluster.findLeader() !== undefined) return this.#end(undefined);
-    return this.#end(`no leader ${ELECTION_TIMEOUT_MS} ms after the last loss`);
+    if (this.#cluster.findLeader() === undefined) {
+      return this.#end(
+        `no leader ${ELECTION_TIMEOUT_MS} ms after the last loss`,
+      );
+    }
+    const lost = simulatedCases.countLostCommands(this.#cluster);
+    if (lost === 0) return this.#end(undefined);
+    return this.#end(`${lost} committed commands lost after the last loss`);
   }
 
   #end(violation: string | undefined): SeriesOutcome {
@@ -97,8 +105,8 @@
     this.#markEmptied(victim);
     this.#cluster.start([victim], startDelayMs);
     await this.#cluster.run(startDelayMs + simulatedCases.CATCH_UP_MS, () => {
-      this.#observeLeader();
-      return false;
+      this.#observeLeaders();
+      return this.#conflict !== undefined;
     });
   }
 
@@ -119,6 +127,9 @@
 
   #findViolation(): string | undefined {
     const cluster = this.#cluster;
+    if (this.#conflict !== undefined) return this.#conflict;
+    const lost = simulatedCases.countLostCommands(cluster);
+    if (lost > 0) return `${lost} committed commands lost`;
     const fatalLoss = electionChecks.findFatalLoss(cluster.getDisks());
     if (fatalLoss === undefined) return undefined;
     return `${cluster.getNowMs()} ms: no leader without ${fatalLoss}`;
@@ -158,8 +169,10 @@
     this.#idsByAge = [...others, victim];
   }
 
-  #observeLeader(): void {
-    const leader = this.#cluster.findLeader();
+  #observeLeaders(): void {
+    const leaders = this.#cluster.listLeaders();
+    const [leader] = leaders;
+    if (leaders.length > 1) this.#conflict = `${leaders.join(" and ")} lead`;
     if (leader === this.#leader) return;
     this.#leader = leader;
     this.#recordEvent(leader === undefined ? "no leader" : `${leader} leads`);
--- a/src/replica_group/power_loss_runner_test.ts
+++ b/src/replica_group/power_loss_runner_test.ts
@@ -7,12 +7,18 @@
 export type Cause = "disk" | "retire";
 
 /**
- * What the power loss follows: the start of the change that adds a voter or that
- * removes one, the moment at which an emptied replica has nearly the whole log,
+ * What the power loss follows: the plan of a change that adds a voter or removes
+ * one, the moment at which an emptied replica has nearly the whole log,
  * or the cause itself.
  */
 type Trigger = "voterAdded" | "voterRemoved" | "nearlyAdmitted" | "cause";
 
+/** The voters before and after a planned change. */
+interface VoterChange {
+  readonly before: readonly string[];
+  readonly after: readonly string[];
+}
+
 /** A power loss of all boxes around a change of voters or an admission. */
 export interface PowerLoss extends simulatedCases.CaseOptions {
   readonly cause: Cause;
@@ -164,19 +170,27 @@
       case "cause":
         return true;
       case "voterAdded":
-        return this.#hasPlanned(simulatedCases.MAX_VOTERS + 1);
+        return this.#listChanges().some(({ before, after }) =>
+          after.some((id) => !before.includes(id))
+        );
       case "voterRemoved":
-        return this.#hasPlanned(simulatedCases.MAX_VOTERS);
+        return this.#listChanges().some(({ before, after }) =>
+          before.some((id) => !after.includes(id))
+        );
       case "nearlyAdmitted":
         return this.#hasNearlyAdmitted();
     }
   }
 
-  /** Whether a leader has planned a change to a number of voters. */
-  #hasPlanned(voterCount: number): boolean {
-    return this.#cluster.logRecords.some(({ event, fields }) =>
-      event === "group.changing" &&
-      String(fields["planned"]).split(",").length === voterCount
+  /** Lists the changes that leaders have planned, by their voters. */
+  #listChanges(): readonly VoterChange[] {
+    return this.#cluster.logRecords.flatMap(({ event, fields }) =>
+      event === "group.changing"
+        ? [{
+          before: String(fields["voters"]).split(","),
+          after: String(fields["planned"]).split(","),
+        }]
+        : []
     );
   }
 
--- a/src/replica_group/simulated_cluster_test.ts
+++ b/src/replica_group/simulated_cluster_test.ts
@@ -192,14 +192,19 @@
     this.#cutLinks.clear();
   }
 
-  /** Id of the active leader with a valid lease, if there is one. */
-  findLeader(): string | undefined {
-    return this.listIds().find((id) => {
+  /** Ids of the active leaders with a valid lease; more than one is a fault. */
+  listLeaders(): readonly string[] {
+    return this.listIds().filter((id) => {
       const store = this.get(id);
       return store.isActive() && store.getGroup()?.hasAuthority() === true;
     });
   }
 
+  /** Id of the active leader with a valid lease, if there is one. */
+  findLeader(): string | undefined {
+    return this.listLeaders()[0];
+  }
+
   countCommitted(): number {
     return this.#committed;
   }
