Fault schedules of stores: two leaders and lost commands count as faults

One check for the three runners: two leaders with authority at one moment, or a leader that lacks a confirmed command. The random fault search checked the disks and the end only.

--- a/src/replica_group/disk_series_runner_test.ts
+++ b/src/replica_group/disk_series_runner_test.ts
@@ -54,8 +54,7 @@
   /** Ids of the boxes, from the oldest disk to the newest. */
   #idsByAge: readonly string[];
   #leader: string | undefined;
-  /** Describes leaders with authority at the same time. */
-  #conflict: string | undefined;
+  #safetyFault: string | undefined;
   #events: readonly string[] = [];
   #isDone = false;
 
@@ -84,9 +83,7 @@
         `no leader ${ELECTION_TIMEOUT_MS} ms after the last loss`,
       );
     }
-    const lost = simulatedCases.countLostCommands(this.#cluster);
-    if (lost === 0) return this.#end(undefined);
-    return this.#end(`${lost} committed commands lost after the last loss`);
+    return this.#end(simulatedCases.findSafetyFault(this.#cluster));
   }
 
   #end(violation: string | undefined): SeriesOutcome {
@@ -105,8 +102,8 @@
     this.#markEmptied(victim);
     this.#cluster.start([victim], startDelayMs);
     await this.#cluster.run(startDelayMs + simulatedCases.CATCH_UP_MS, () => {
-      this.#observeLeaders();
-      return this.#conflict !== undefined;
+      this.#observeLeader();
+      return this.#safetyFault !== undefined;
     });
   }
 
@@ -127,9 +124,7 @@
 
   #findViolation(): string | undefined {
     const cluster = this.#cluster;
-    if (this.#conflict !== undefined) return this.#conflict;
-    const lost = simulatedCases.countLostCommands(cluster);
-    if (lost > 0) return `${lost} committed commands lost`;
+    if (this.#safetyFault !== undefined) return this.#safetyFault;
     const fatalLoss = electionChecks.findFatalLoss(cluster.getDisks());
     if (fatalLoss === undefined) return undefined;
     return `${cluster.getNowMs()} ms: no leader without ${fatalLoss}`;
@@ -169,10 +164,9 @@
     this.#idsByAge = [...others, victim];
   }
 
-  #observeLeaders(): void {
-    const leaders = this.#cluster.listLeaders();
-    const [leader] = leaders;
-    if (leaders.length > 1) this.#conflict = `${leaders.join(" and ")} lead`;
+  #observeLeader(): void {
+    this.#safetyFault = simulatedCases.findSafetyFault(this.#cluster);
+    const leader = this.#cluster.findLeader();
     if (leader === this.#leader) return;
     this.#leader = leader;
     this.#recordEvent(leader === undefined ? "no leader" : `${leader} leads`);
--- a/src/replica_group/power_loss_runner_test.ts
+++ b/src/replica_group/power_loss_runner_test.ts
@@ -137,8 +137,8 @@
       () => cluster.findLeader() !== undefined,
     );
     if (!hasLeader) return `no leader after the power loss: ${before}`;
-    const lost = simulatedCases.countLostCommands(cluster);
-    if (lost > 0) return `${lost} committed commands lost: ${before}`;
+    const fault = simulatedCases.findSafetyFault(cluster);
+    if (fault !== undefined) return `${fault}: ${before}`;
     await cluster.run(lastStartMs + simulatedCases.CATCH_UP_MS);
     const disks = cluster.getDisks();
     const fatalLoss = electionChecks.findFatalLoss(disks);
--- a/src/replica_group/schedule_runner_test.ts
+++ b/src/replica_group/schedule_runner_test.ts
@@ -64,10 +64,11 @@
     const nowMs = this.#cluster.getNowMs();
     if (nowMs - this.#lastCheckMs < CHECK_INTERVAL_MS) return;
     this.#lastCheckMs = nowMs;
+    this.#violation ??= simulatedCases.findSafetyFault(this.#cluster);
     if (this.#losses.listLost(nowMs).length > 0) return;
     const disks = this.#cluster.getDisks();
     const fatalLoss = electionChecks.findFatalLoss(disks);
-    if (fatalLoss === undefined) return;
+    if (fatalLoss === undefined || this.#violation !== undefined) return;
     const summary = electionChecks.describeDisks(disks);
     this.#violation = `${nowMs} ms: no leader without ${fatalLoss}: ${summary}`;
   }
@@ -81,7 +82,10 @@
       Math.max(...last.startMs) + ELECTION_TIMEOUT_MS,
       () => cluster.findLeader() !== undefined,
     );
-    if (hasLeader) return;
+    if (hasLeader) {
+      this.#violation = simulatedCases.findSafetyFault(cluster);
+      return;
+    }
     const summary = electionChecks.describeDisks(cluster.getDisks());
     this.#violation =
       `no leader ${ELECTION_TIMEOUT_MS} ms after a restart: ${summary}`;
