--- a/src/replica_group/simulated_cases_test.ts
+++ b/src/replica_group/simulated_cases_test.ts
@@ -117,6 +117,16 @@
   return reply.kind === "done" && reply.value === "completed";
 }
 
+/** Counts the committed commands that the leader does not hold. */
+export function countLostCommands(
+  cluster: simulatedClusters.SimulatedCluster,
+): number {
+  const leader = cluster.findLeader();
+  if (leader === undefined) return 0;
+  const held = cluster.get(leader).getStateMachine()?.getLoadCount() ?? 0;
+  return Math.max(0, cluster.countCommitted() - held);
+}
+
 /**
  * Finds a fault that no loss excuses: two leaders with authority at the same time,
  * or a leader that lacks committed commands.
@@ -128,9 +138,6 @@
 ): string | undefined {
   const leaders = cluster.listLeaders();
   if (leaders.length > 1) return `${leaders.join(" and ")} lead`;
-  const [leader] = leaders;
-  if (leader === undefined) return undefined;
-  const held = cluster.get(leader).getStateMachine()?.getLoadCount() ?? 0;
-  const lost = cluster.countCommitted() - held;
+  const lost = countLostCommands(cluster);
   return lost > 0 ? `${lost} committed commands lost` : undefined;
 }
