--- a/src/replica_group/disk_series_runner_test.ts
+++ b/src/replica_group/disk_series_runner_test.ts
@@ -37,6 +37,8 @@
 
 /** Longest time from the last loss to a leader, in ms. */
 const ELECTION_TIMEOUT_MS = 12_000;
+/** Interval between looks at the leaders, in ms. */
+const OBSERVE_INTERVAL_MS = 5;
 const MIN_PAUSE_MS = 400;
 const MAX_PAUSE_MS = 900;
 /** Time from the end of a pause to the next one, in ms. */
@@ -165,6 +167,7 @@
   }
 
   #observeLeader(): void {
+    if (this.#cluster.getNowMs() % OBSERVE_INTERVAL_MS !== 0) return;
     this.#safetyFault = simulatedCases.findSafetyFault(this.#cluster);
     const leader = this.#cluster.findLeader();
     if (leader === this.#leader) return;
