--- a/src/replica_group/disk_series_runner_test.ts
+++ b/src/replica_group/disk_series_runner_test.ts
@@ -37,6 +37,8 @@
 
 /** Longest time from the last loss to a leader, in ms. */
 const ELECTION_TIMEOUT_MS = 12_000;
+/** Interval between looks at the leaders, in ms. */
+const OBSERVE_INTERVAL_MS = 5;
 const MIN_PAUSE_MS = 400;
 const MAX_PAUSE_MS = 900;
 /** Time from the end of a pause to the next one, in ms. */
@@ -54,6 +56,7 @@
   /** Ids of the boxes, from the oldest disk to the newest. */
   #idsByAge: readonly string[];
   #leader: string | undefined;
+  #safetyFault: string | undefined;
   #events: readonly string[] = [];
   #isDone = false;
 
@@ -77,8 +80,12 @@
       if (violation !== undefined) return this.#end(violation);
     }
     await this.#wipeDiskAndCutPower(losses);
-    if (this.#cluster.findLeader() !== undefined) return this.#end(undefined);
-    return this.#end(`no leader ${ELECTION_TIMEOUT_MS} ms after the last loss`);
+    if (this.#cluster.findLeader() === undefined) {
+      return this.#end(
+        `no leader ${ELECTION_TIMEOUT_MS} ms after the last loss`,
+      );
+    }
+    return this.#end(simulatedCases.findSafetyFault(this.#cluster));
   }
 
   #end(violation: string | undefined): SeriesOutcome {
@@ -98,7 +105,7 @@
     this.#cluster.start([victim], startDelayMs);
     await this.#cluster.run(startDelayMs + simulatedCases.CATCH_UP_MS, () => {
       this.#observeLeader();
-      return false;
+      return this.#safetyFault !== undefined;
     });
   }
 
@@ -119,6 +126,7 @@
 
   #findViolation(): string | undefined {
     const cluster = this.#cluster;
+    if (this.#safetyFault !== undefined) return this.#safetyFault;
     const fatalLoss = electionChecks.findFatalLoss(cluster.getDisks());
     if (fatalLoss === undefined) return undefined;
     return `${cluster.getNowMs()} ms: no leader without ${fatalLoss}`;
@@ -159,6 +167,8 @@
   }
 
   #observeLeader(): void {
+    if (this.#cluster.getNowMs() % OBSERVE_INTERVAL_MS !== 0) return;
+    this.#safetyFault = simulatedCases.findSafetyFault(this.#cluster);
     const leader = this.#cluster.findLeader();
     if (leader === this.#leader) return;
     this.#leader = leader;
