--- a/src/consensus/replacement_schedules_test.ts
+++ b/src/consensus/replacement_schedules_test.ts
@@ -30,4 +30,23 @@
       seed,
     }),
   );
+
+  for (const replaceChance of [0, 300]) {
+    schedules.describeSchedules(
+      `keep every invariant while successors are struck, ${replaceChance} per mille replaced`,
+      (seed) => ({
+        ...schedules.FAULTY,
+        rounds: 1_500,
+        replicas: seed % 2 === 0 ? 3 : 5,
+        extraReplicas: 1,
+        replaceChance,
+        successorChance: 40,
+        crashChance: 2,
+        partitionChance: 0,
+        transferChance: 0,
+        wipeChance: 0,
+        seed,
+      }),
+    );
+  }
 });
--- a/src/consensus/simulated_node_test.ts
+++ b/src/consensus/simulated_node_test.ts
@@ -29,6 +29,11 @@
   readonly membershipChance: number;
   /** Probability that a leader replaces emptied voters in one step; 0 by default. */
   readonly replaceChance?: number;
+  /**
+   * Probability that a leader that was elected beside another loses its power, and a
+   * voter that elected it its disk; also of a cut into halves. 0 by default.
+   */
+  readonly successorChance?: number;
   /** Probability that the box of a replica is suspended, higher for leaders. */
   readonly suspendChance: number;
   /** Whether leaders count replies from before a suspension; an injected bug. */
--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -18,6 +18,8 @@
 const PER_MILLE = 1_000;
 const MAX_SUSPENSION_MS = 6 * ELECTION_TIMEOUT_MS;
 const MIN_VOTERS = 3;
+/** Chance that a leader that was elected beside another is struck. */
+const STRIKE_CHANCE = 300;
 
 /**
  * Runs replicas on a fake network, fake disks and drifting clocks, and checks the
@@ -111,6 +113,42 @@
       this.#suspend(node, this.#options.suspendChance * factor);
     }
     if (this.#happens(this.#options.partitionChance)) this.#changePartition();
+    const { successorChance = 0 } = this.#options;
+    if (successorChance > 0) this.#strikeSuccessor(successorChance);
+  }
+
+  /**
+   * Cuts a leader from some replicas; if another was elected meanwhile, stops it
+   * and empties a voter that elected it.
+   */
+  #strikeSuccessor(chance: number): void {
+    const leaders = this.#nodes.filter((node) =>
+      node.state?.role.kind === "leader"
+    ).toSorted((a, b) => (b.state?.term ?? 0) - (a.state?.term ?? 0));
+    const [newest] = leaders;
+    if (newest === undefined) return;
+    if (leaders.length === 1) {
+      if (!this.#happens(chance)) return;
+      const peers = this.#nodes.filter((node) =>
+        node !== newest && this.#happens(600)
+      );
+      this.#network.changePartition(
+        newest.config.id,
+        peers.map((peer) => peer.config.id),
+      );
+      return;
+    }
+    if (!this.#happens(STRIKE_CHANCE)) return;
+    const electors = this.#nodes.filter((node) =>
+      node !== newest && node.state?.votedFor === newest.config.id &&
+      node.state.term === newest.state?.term
+    );
+    const elector = electors[this.#draw(Math.max(0, electors.length - 1))];
+    if (elector === undefined) return;
+    if (!this.#wipe(elector)) return;
+    this.#restart(elector);
+    newest.state = undefined;
+    this.#network.changePartition(undefined, []);
   }
 
   #suspend(node: simulatedNodes.SimulatedNode, chance: number): void {
@@ -136,17 +174,20 @@
     return this.#nodes[this.#draw(this.#nodes.length - 1)];
   }
 
-  /** Wipes a disk, unless another wiped replica has not caught up yet. */
-  #wipe(node: simulatedNodes.SimulatedNode): void {
+  /** Wipes a disk, unless another wiped replica has not caught up yet; tells if so. */
+  #wipe(node: simulatedNodes.SimulatedNode): boolean {
     const lastCommittedIndex = Math.max(0, ...this.#committedValues.keys());
     const others = this.#nodes.filter((other) => other !== node);
-    if (others.some((other) => other.wipedAtIndex > other.appliedIndex)) return;
+    if (others.some((other) => other.wipedAtIndex > other.appliedIndex)) {
+      return false;
+    }
     node.wipedAtIndex = lastCommittedIndex;
     const { clockStepChance } = this.#options;
     const isStepped = clockStepChance > 0 && this.#happens(clockStepChance);
     node.disk = simulatedNodes.createEmptyDisk(
       isStepped ? this.#draw(this.#nowMs) : this.#nowMs,
     );
+    return true;
   }
 
   #restart(node: simulatedNodes.SimulatedNode): void {
