--- a/src/replica_group/plan_voter_domains_test.ts
+++ b/src/replica_group/plan_voter_domains_test.ts
@@ -120,3 +120,33 @@
     }
   });
 });
+
+describe("a voter that lost its disk and was sent a message that may admit it", () => {
+  it("is replaced if it falls far behind instead", () => {
+    const follower = {
+      matchIndex: 2_000,
+      silentMs: 10,
+      isAdmitted: true,
+      isVoteless: false,
+    };
+    const planned = planVoters.planVoters({
+      self: "a",
+      voters: ["a", "b", "c"],
+      wanted: 3,
+      minVoters: 3,
+      standbys: 1,
+      commitIndex: 2_000,
+      leadershipMs: 60_000,
+      followers: [
+        { ...follower, id: "b", matchIndex: 500, isAdmitted: false },
+        { ...follower, id: "c" },
+        { ...follower, id: "d" },
+      ],
+      candidates: ["a", "b", "c", "d"],
+      failureDomains: new Map([..."abcd"].map((id) => [id, id])),
+      retiring: [],
+      failureTimeoutMs: 2_000,
+    });
+    chai.expect(planned).to.deep.equal(["a", "b", "c", "d"]);
+  });
+});
