Soak: lose the disks of voters that count, in series, with the end after an election

The plans chose victims without regard to who counts: an index, the oldest disk, or the first store whose last line about authority has it, which names one box again after it has lost its disk. So most lost disks hit a store that the group did not rely on.

The selectors `counted` and `countedFollower` name an admitted voter of the newest committed set, by the stores' logs. The fault `stop` restarts a store with SIGTERM; `loseAll` takes a time after an election, which a suspension of the leader brings about. `--series` draws plans of these from seeds. The choice of stores moves to a file of its own.

--- a/tools/soak/fault_injector.ts
+++ b/tools/soak/fault_injector.ts
@@ -1,14 +1,17 @@
 import * as sleeps from "../stand_ins/sleep.ts";
-import type * as faultPlans from "./fault_plan.ts";
+import * as faultPlans from "./fault_plan.ts";
 import type * as layouts from "./fleet_layout.ts";
 import type * as fleets from "./soak_fleet.ts";
 import type * as operators from "./soak_operator.ts";
 import * as stopPlans from "./stop_plan.ts";
+import * as storeFinders from "./store_finder.ts";
 import type * as storeLogReaders from "./store_log_reader.ts";
 
 const STOP_GRACE_MS = 8_000;
 const RETIRE_TIMEOUT_MS = 20_000;
 const CONFIGURATION_TIMEOUT_MS = 20_000;
+/** Longest wait for a new leader while the former one is suspended, in ms. */
+const ELECTION_TIMEOUT_MS = 10_000;
 /** Longest wait for a snapshot transfer to begin, in ms. */
 const TRANSFER_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 20;
@@ -40,13 +43,19 @@
 export class FaultInjector {
   readonly #options: FaultInjectorOptions;
   readonly #pendingFaults: Promise<void>[] = [];
-  readonly #diskCreatedMs = new Map<string, number>();
+  /** Planned stops of store boxes; each ends once the box is started again. */
+  readonly #storeStops: Promise<void>[] = [];
+  readonly #storeFinder: storeFinders.StoreFinder;
   #earliestLossMs = 0;
   #powerRestoredMs = 0;
   readonly emptyDiskStarts: EmptyDiskStart[] = [];
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
+    this.#storeFinder = new storeFinders.StoreFinder(
+      options.fleet,
+      options.storeLogs,
+    );
   }
 
   /**
@@ -64,7 +73,7 @@
     for (const { atMs, fault } of plan) {
       await sleeps.sleep(Math.max(0, startMs + atMs - Date.now()));
       const completion = this.#applyFault(fault);
-      if (hasDiskLoss(fault)) await completion;
+      if (faultPlans.hasDiskLoss(fault)) await completion;
       else this.#pendingFaults.push(completion);
     }
     await Promise.all(this.#pendingFaults);
@@ -84,6 +93,8 @@
         return await this.#wipeDisk(fault);
       case "restart":
         return await this.#restartStore(fault);
+      case "stop":
+        return await this.#stopStore(fault);
       case "restartInTransfer":
         return await this.#restartInTransfer(fault);
       case "pause":
@@ -105,8 +116,8 @@
     { store, downMs }: Extract<faultPlans.Fault, { kind: "loseDisk" }>,
   ): Promise<void> {
     await this.#awaitCatchUp();
-    const box = this.#selectStore(store);
-    this.#options.printProgress(`${box.name} loses its disk`);
+    const box = this.#storeFinder.findStore(store);
+    this.#options.printProgress(`${box.name} loses its disk (${store.kind})`);
     await this.#options.fleet.kill(box);
     this.#options.fleet.removeDisk(box);
     await sleeps.sleep(downMs);
@@ -118,7 +129,7 @@
     { store, downMs }: Extract<faultPlans.Fault, { kind: "restart" }>,
   ): Promise<void> {
     const { fleet, printProgress, catchUpMs } = this.#options;
-    const box = this.#selectStore(store);
+    const box = this.#storeFinder.findStore(store);
     if (!fleet.isRunning(box)) return;
     printProgress(`${box.name} is killed and restarted`);
     this.#deferNextLoss(downMs + catchUpMs);
@@ -128,11 +139,31 @@
     if (fleet.listStores().includes(box)) fleet.start(box);
   }
 
+  /** Stops a store box; no disk is lost until it has caught up again. */
+  async #stopStore(
+    { store }: Extract<faultPlans.Fault, { kind: "stop" }>,
+  ): Promise<void> {
+    const { fleet, printProgress } = this.#options;
+    const box = this.#storeFinder.findStore(store);
+    if (!fleet.isRunning(box) || fleet.isStopping(box)) return;
+    printProgress(`${box.name} is stopped (${store.kind})`);
+    this.#storeStops.push(this.#restartGracefully(box));
+    await Promise.all(this.#storeStops);
+  }
+
+  async #restartGracefully(box: layouts.SoakBox): Promise<void> {
+    const { fleet, catchUpMs } = this.#options;
+    await fleet.stop(box, STOP_GRACE_MS);
+    // Another fault may have removed the box meanwhile.
+    if (fleet.listStores().includes(box)) fleet.start(box);
+    this.#deferNextLoss(catchUpMs);
+  }
+
   async #restartInTransfer(
     fault: Extract<faultPlans.Fault, { kind: "restartInTransfer" }>,
   ): Promise<void> {
     const { fleet, storeLogs, printProgress } = this.#options;
-    const box = this.#selectStore(fault.store);
+    const box = this.#storeFinder.findStore(fault.store);
     const startMs = Date.now();
     while (!storeLogs.hasSnapshotTransfer(fleet.listStores(), box, startMs)) {
       if (Date.now() > startMs + TRANSFER_TIMEOUT_MS) {
@@ -152,7 +183,7 @@
     { store, pauseMs }: Extract<faultPlans.Fault, { kind: "pause" }>,
   ): Promise<void> {
     const { fleet, printProgress, catchUpMs } = this.#options;
-    const box = this.#selectStore(store);
+    const box = this.#storeFinder.findStore(store);
     if (!fleet.isRunning(box)) return;
     printProgress(`${box.name} is suspended for ${pauseMs} ms`);
     this.#deferNextLoss(pauseMs + catchUpMs);
@@ -166,7 +197,7 @@
   ): Promise<void> {
     await this.#awaitCatchUp();
     const { fleet, printProgress } = this.#options;
-    const box = this.#selectStore(store);
+    const box = this.#storeFinder.findStore(store);
     printProgress(`${box.name} is removed with its disk`);
     await fleet.removeStore(box);
     await sleeps.sleep(afterMs);
@@ -180,7 +211,7 @@
   ): Promise<void> {
     await this.#awaitCatchUp();
     const { fleet, printProgress, operator } = this.#options;
-    const box = this.#selectStore(store);
+    const box = this.#storeFinder.findStore(store);
     if (fleet.listStores().length < 4) return;
     printProgress(`${box.name} is being retired`);
     const isRetired = await operator.retire(
@@ -200,7 +231,7 @@
     if (first === undefined) return;
     const box = this.#options.fleet.addStore(first);
     this.#options.printProgress(`${box.name} is added`);
-    this.#diskCreatedMs.set(box.name, Date.now());
+    this.#storeFinder.recordNewDisk(box, Date.now());
   }
 
   /** Stops a box at a wall-clock time in ms, and starts it again. */
@@ -233,8 +264,28 @@
     }
   }
 
+  /** Suspends the leader until another store acts as leader. */
+  async #startElection(): Promise<void> {
+    const { fleet, storeLogs, printProgress } = this.#options;
+    const leader = this.#storeFinder.findStore({ kind: "counted" });
+    const others = fleet.listStores().filter((store) => store !== leader);
+    const startMs = Date.now();
+    fleet.suspend(leader);
+    while (storeLogs.findLeader(others, startMs) === undefined) {
+      if (Date.now() > startMs + ELECTION_TIMEOUT_MS) {
+        return printProgress(`no leader after ${leader.name} was suspended`);
+      }
+      await sleeps.sleep(POLL_INTERVAL_MS);
+    }
+    printProgress(`a new leader after ${leader.name} was suspended`);
+    fleet.resume(leader);
+  }
+
   async #restartAll(
-    { store, downMs }: Extract<faultPlans.Fault, { kind: "loseAll" }>,
+    { store, downMs, afterElectionMs }: Extract<
+      faultPlans.Fault,
+      { kind: "loseAll" }
+    >,
   ): Promise<void> {
     await Promise.all(this.#pendingFaults);
     await this.#awaitCatchUp();
@@ -242,7 +293,11 @@
     const version = await operator.putConfiguration(
       Date.now() + CONFIGURATION_TIMEOUT_MS,
     );
-    const box = this.#selectStore(store);
+    if (afterElectionMs !== undefined) {
+      await this.#startElection();
+      await sleeps.sleep(afterElectionMs);
+    }
+    const box = this.#storeFinder.findStore(store);
     printProgress(
       `all boxes lose power, ${box.name} also its disk; configuration ${
         version === undefined ? "not acknowledged" : "acknowledged"
@@ -263,6 +318,7 @@
 
   /** Waits until the next disk loss is allowed. */
   async #awaitCatchUp(): Promise<void> {
+    await Promise.all(this.#storeStops);
     for (;;) {
       const remainingMs = this.#earliestLossMs - Date.now();
       if (remainingMs <= 0) return;
@@ -278,63 +334,7 @@
   #recordEmptyStart(box: layouts.SoakBox): void {
     const startMs = Date.now();
     this.emptyDiskStarts.push({ box, startMs });
-    this.#diskCreatedMs.set(box.name, startMs);
+    this.#storeFinder.recordNewDisk(box, startMs);
     this.#deferNextLoss(this.#options.catchUpMs);
   }
-
-  #selectStore(selector: faultPlans.StoreSelector): layouts.SoakBox {
-    const stores = this.#options.fleet.listStores();
-    const found = this.#findStore(selector, stores) ?? stores[0];
-    if (found === undefined) {
-      throw new Error("Cannot select a store: none left");
-    }
-    return found;
-  }
-
-  #findStore(
-    selector: faultPlans.StoreSelector,
-    stores: readonly layouts.SoakBox[],
-  ): layouts.SoakBox | undefined {
-    const { storeLogs } = this.#options;
-    switch (selector.kind) {
-      case "index":
-        return stores[selector.index % stores.length];
-      case "leader":
-        return storeLogs.findLeader(stores, 0);
-      case "spare": {
-        const voters = storeLogs.listVoters(stores);
-        return stores.find((store) => !voters.includes(store.address));
-      }
-      case "newest":
-        return this.#sortByDiskAge(stores).at(-1);
-      case "oldest":
-        return this.#sortByDiskAge(stores)[0];
-    }
-  }
-
-  #sortByDiskAge(
-    stores: readonly layouts.SoakBox[],
-  ): readonly layouts.SoakBox[] {
-    return stores.toSorted((a, b) =>
-      (this.#diskCreatedMs.get(a.name) ?? 0) -
-      (this.#diskCreatedMs.get(b.name) ?? 0)
-    );
-  }
-}
-
-/** Whether a fault loses a disk, so that the next fault waits for it. */
-function hasDiskLoss(fault: faultPlans.Fault): boolean {
-  switch (fault.kind) {
-    case "loseDisk":
-    case "replace":
-    case "retire":
-    case "loseAll":
-      return true;
-    case "restart":
-    case "restartInTransfer":
-    case "pause":
-    case "addStore":
-    case "rollEntries":
-      return false;
-  }
 }
--- a/tools/soak/fault_plan.ts
+++ b/tools/soak/fault_plan.ts
@@ -3,7 +3,15 @@
 /** Selects the store box that a fault hits, when the fault is applied. */
 export type StoreSelector =
   | { readonly kind: "index"; readonly index: number }
+  /**
+   * The first store box whose last line about authority has it, also after the
+   * box has lost its disk.
+   */
   | { readonly kind: "leader" }
+  /** The voter that counts whose loss is worst: the leader, if it counts. */
+  | { readonly kind: "counted" }
+  /** The voter that counts and doesn't lead whose loss is worst. */
+  | { readonly kind: "countedFollower" }
   /** A store box that is not a voter. */
   | { readonly kind: "spare" }
   /** The store box whose disk was created last. */
@@ -25,6 +33,8 @@
     readonly store: StoreSelector;
     readonly downMs: number;
   }
+  /** Stops a store box with SIGTERM and starts it with its disk. */
+  | { readonly kind: "stop"; readonly store: StoreSelector }
   /** Restarts a store box `afterMs` after a snapshot transfer to it began. */
   | {
     readonly kind: "restartInTransfer";
@@ -55,6 +65,11 @@
     readonly kind: "loseAll";
     readonly store: StoreSelector;
     readonly downMs: number;
+    /**
+     * Time from an election, which a suspension of the leader brings about, to
+     * the kill, in ms; undefined for no election.
+     */
+    readonly afterElectionMs?: number;
   };
 
 /** A fault and when to apply it, in ms since the plan began. */
@@ -66,6 +81,24 @@
 /** The faults of a scenario in ascending order of their times. */
 export type FaultPlan = readonly PlannedFault[];
 
+/** Whether a fault loses a disk, so that the next fault waits for it. */
+export function hasDiskLoss(fault: Fault): boolean {
+  switch (fault.kind) {
+    case "loseDisk":
+    case "replace":
+    case "retire":
+    case "loseAll":
+      return true;
+    case "restart":
+    case "stop":
+    case "restartInTransfer":
+    case "pause":
+    case "addStore":
+    case "rollEntries":
+      return false;
+  }
+}
+
 const FIRST_LOSS_MS = 1_500;
 const STORE_COUNT = 4;
 
@@ -120,6 +153,64 @@
   ]);
 }
 
+/** Draws a voter that counts, the one whose loss is worst more often. */
+function pickCounted(random: randomSources.RandomSource): StoreSelector {
+  return random.pick<StoreSelector>([
+    { kind: "counted" },
+    { kind: "counted" },
+    { kind: "countedFollower" },
+  ]);
+}
+
+/** Draws a planned or an unplanned restart, or a suspension, of a store box. */
+function drawRestart(random: randomSources.RandomSource): Fault {
+  const store = random.pick<StoreSelector>([
+    { kind: "counted" },
+    { kind: "countedFollower" },
+    { kind: "spare" },
+    { kind: "newest" },
+  ]);
+  return random.pick<Fault>([
+    { kind: "stop", store },
+    { kind: "stop", store },
+    { kind: "restart", store, downMs: random.drawInteger(200, 2_000) },
+    { kind: "restart", store, downMs: random.drawInteger(200, 2_000) },
+    { kind: "pause", store, pauseMs: random.drawInteger(500, 3_000) },
+  ]);
+}
+
+/**
+ * Creates the fault plan of a scenario in which disks are lost in series, each
+ * of a voter that counts, with restarts in between and a total power loss
+ * shortly after an election.
+ *
+ * @param seed Seed of the generator.
+ * @returns The plan; equal seeds give equal plans.
+ */
+export function createSeriesPlan(seed: number): FaultPlan {
+  const random = new randomSources.RandomSource(seed);
+  const plan: PlannedFault[] = [];
+  let atMs = FIRST_LOSS_MS;
+  const lossCount = random.drawInteger(3, 5);
+  for (let count = 0; count < lossCount; count += 1) {
+    const store = pickCounted(random);
+    const downMs = random.drawInteger(300, 2_000);
+    plan.push({ atMs, fault: { kind: "loseDisk", store, downMs } });
+    if (random.drawInteger(0, 1) === 1) {
+      const delayMs = random.drawInteger(300, 5_000);
+      plan.push({ atMs: atMs + delayMs, fault: drawRestart(random) });
+    }
+    atMs += random.drawInteger(6_500, 9_000);
+  }
+  const afterElectionMs = random.drawInteger(0, 5_000);
+  const store = pickCounted(random);
+  plan.push({
+    atMs,
+    fault: { kind: "loseAll", store, downMs: 1_000, afterElectionMs },
+  });
+  return plan;
+}
+
 /**
  * Creates the fault plan of a scenario.
  *
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -79,6 +79,11 @@
     type: "string",
     describe: "JSON file with a plan that goes before the seed",
   })
+  .option("series", {
+    type: "boolean",
+    default: false,
+    describe: "seeds give days with disks lost in series of voters that count",
+  })
   .strict()
   .help()
   .parseAsync();
@@ -98,6 +103,7 @@
     folder,
     firstSubnet: options.net,
     planFile: options.plan,
+    isSeries: options.series,
     cpuShare: options.share,
     warmUpMs: options.warmS * 1_000,
     intervalMs: options.everyMs,
--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -23,6 +23,8 @@
   readonly firstSubnet: number;
   /** JSON file with a fault plan; undefined derives the plan from the seed. */
   readonly planFile: string | undefined;
+  /** Whether the seed gives a plan of disks lost in series. */
+  readonly isSeries: boolean;
   /** Share of a core that each box may use, from 0 to 1. */
   readonly cpuShare: number;
   /** Duration of the traffic before the fault plan begins, in ms. */
@@ -97,14 +99,11 @@
       seed,
       folder,
       firstSubnet,
-      planFile,
       cpuShare,
       intervalMs,
     } = options;
     this.#options = options;
-    this.#plan = planFile === undefined
-      ? faultPlans.createPlan(seed)
-      : JSON.parse(fs.readFileSync(planFile, "utf8"));
+    this.#plan = readPlan(options);
     this.#throttle = new throttles.CpuThrottle(cpuShare);
     this.#fleet = new fleets.SoakFleet({
       ...options,
@@ -266,6 +265,17 @@
   }
 }
 
+/** Reads the plan from its file, or derives it from the seed. */
+function readPlan(
+  { seed, planFile, isSeries }: SoakScenarioOptions,
+): faultPlans.FaultPlan {
+  if (planFile !== undefined) {
+    return JSON.parse(fs.readFileSync(planFile, "utf8"));
+  }
+  if (isSeries) return faultPlans.createSeriesPlan(seed);
+  return faultPlans.createPlan(seed);
+}
+
 /** Runs a scenario and writes its report to `report.json` in the folder. */
 export function runScenario(options: SoakScenarioOptions): Promise<SoakReport> {
   return new SoakScenario(options).run();
--- a/tools/soak/store_log_reader.ts
+++ b/tools/soak/store_log_reader.ts
@@ -1,6 +1,7 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import type * as layouts from "./fleet_layout.ts";
+import * as storeGroupStates from "./store_group_state.ts";
 
 /** A parsed line of a box's log; `atMs` is wall-clock time. */
 export interface LogLine {
@@ -48,9 +49,25 @@
     );
   }
 
+  /** Finds the voter that counts whose loss is worst. */
+  findCounted(
+    boxes: readonly layouts.SoakBox[],
+    role: storeGroupStates.CountedRole,
+  ): layouts.SoakBox | undefined {
+    const lines = this.readAllLines(boxes);
+    const state = storeGroupStates.readState(lines);
+    const found = storeGroupStates.findCounted(state, role);
+    return boxes.find((box) => box.name === found?.box);
+  }
+
+  /** Reads all lines about the `stores` group of several boxes. */
+  readAllLines(boxes: readonly layouts.SoakBox[]): readonly LogLine[] {
+    return boxes.flatMap((box) => this.readLines(box, 0));
+  }
+
   /** Lists the voters' addresses in the newest line about voters of any box. */
   listVoters(boxes: readonly layouts.SoakBox[]): readonly string[] {
-    const newest = boxes.flatMap((box) => this.readLines(box, 0))
+    const newest = this.readAllLines(boxes)
       .filter((line) => line.event === "replica.voters")
       .toSorted((a, b) => a.atMs - b.atMs).at(-1);
     return (newest?.fields.get("voters") ?? "").split(",");
