Soak: report how long the stores could not bear the next lost disk

For each emptied disk the report gives the time from the opening of the emptied replica until all voters of the newest committed set are admitted and those that remain after the loss to be borne are a majority of it, read from the stores' logs. Once all results are read, the scenario waits for it, at most until its recovery deadline.

--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -12,6 +12,7 @@
 import * as operators from "./soak_operator.ts";
 import * as trainers from "./soak_trainer.ts";
 import * as stopPlans from "./stop_plan.ts";
+import * as setWaits from "./set_wait.ts";
 import * as storeLogReaders from "./store_log_reader.ts";
 
 /** Seed, load, timing and limits of a scenario. */
@@ -59,6 +60,8 @@
   /** Time from the restart of all boxes to a leader, in ms. */
   readonly leaderMs: number | undefined;
   readonly admissions: readonly Admission[];
+  /** How long the stores could not bear the next lost disk, by emptied disk. */
+  readonly setWaits: readonly setWaits.SetWait[];
   /** Processes that exited without a request. */
   readonly ended: readonly string[];
   /** Answers that only an older configuration allows. */
@@ -73,6 +76,10 @@
 
 const SETUP_TIMEOUT_MS = 60_000;
 const POLL_INTERVAL_MS = 100;
+/** Losses that the settings of the fleet ask the stores to bear. */
+const LOSSES_TO_BEAR = 1;
+/** Share of a core from which on {@link SoakReport.setWaits} are bounded. */
+const MIN_BOUNDED_SHARE = 0.33;
 const ENGINE_COUNT = 12;
 const SLOTS_PER_ENGINE = 24;
 const LOAD = { groups: 39, itemsPerGroup: 4, bodyBytes: 1_024, desired: 30 };
@@ -199,6 +206,7 @@
     const deadlineMs = powerRestoredMs + this.#options.recoveryTimeoutMs;
     const leaderAtMs = await this.#awaitLeader(powerRestoredMs, deadlineMs);
     const verdict = await this.#trainer.verifyResults(deadlineMs);
+    const waits = await this.#awaitWholeSet(deadlineMs);
     this.#checker.stop();
     this.#callers.stop();
     const lost = this.#callers.listFaults();
@@ -214,6 +222,7 @@
       plan: this.#plan,
       isGood: leaderAtMs !== undefined && verdict.faults.length === 0 &&
         ended.length === 0 && outdated.length === 0 && lost.length === 0 &&
+        !this.#hasLongWait(waits) &&
         (probes > 0 && answers.whileStopping > 0 || !this.#isChecked()),
       ended,
       outdated,
@@ -224,6 +233,7 @@
         ? undefined
         : leaderAtMs - powerRestoredMs,
       admissions: this.#listAdmissions(),
+      setWaits: waits,
       verdict,
     };
     const file = path.join(this.#options.folder, "report.json");
@@ -246,6 +256,25 @@
     return undefined;
   }
 
+  /** Waits until the stores can bear the next lost disk; lists all waits. */
+  async #awaitWholeSet(
+    deadlineMs: number,
+  ): Promise<readonly setWaits.SetWait[]> {
+    for (;;) {
+      const lines = this.#storeLogs.readAllLines(this.#fleet.listStores());
+      const waits = setWaits.measureSetWaits(lines, LOSSES_TO_BEAR);
+      const isWhole = waits.every(({ waitMs }) => waitMs !== undefined);
+      if (isWhole || Date.now() > deadlineMs) return waits;
+      await sleeps.sleep(POLL_INTERVAL_MS);
+    }
+  }
+
+  #hasLongWait(waits: readonly setWaits.SetWait[]): boolean {
+    const { cpuShare, catchUpMs } = this.#options;
+    return cpuShare >= MIN_BOUNDED_SHARE &&
+      waits.some((wait) => setWaits.hasPassedBound(wait, catchUpMs));
+  }
+
   #listAdmissions(): readonly Admission[] {
     return this.#injector.emptyDiskStarts.map(({ box, startMs }) => {
       const line = this.#storeLogs.findAdmission(box, startMs);
