--- a/tools/soak/soak_fleet.ts
+++ b/tools/soak/soak_fleet.ts
@@ -28,6 +28,7 @@
   readonly #processes = new Map<string, children.Child>();
   readonly entries: readonly layouts.SoakBox[];
   #stores: readonly layouts.SoakBox[];
+  #removedStores: readonly layouts.SoakBox[] = [];
   #storeCount = INITIAL_STORE_COUNT;
   /** Processes whose exit was requested. */
   readonly #expectedExits = new WeakSet<children.Child>();
@@ -55,6 +56,11 @@
     return this.#stores;
   }
 
+  /** Lists the store boxes that ever were part of the fleet. */
+  listAllStores(): readonly layouts.SoakBox[] {
+    return [...this.#stores, ...this.#removedStores];
+  }
+
   listBoxes(): readonly layouts.SoakBox[] {
     return [...this.entries, ...this.#stores];
   }
@@ -204,6 +210,7 @@
     this.removeDisk(box);
     this.#processes.delete(box.name);
     this.#stores = this.#stores.filter((store) => store !== box);
+    this.#removedStores = [...this.#removedStores, box];
   }
 
   /** Starts a new, empty store box in the failure domain of `neighbor`. */
--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -261,7 +261,7 @@
     deadlineMs: number,
   ): Promise<readonly setWaits.SetWait[]> {
     for (;;) {
-      const lines = this.#storeLogs.readAllLines(this.#fleet.listStores());
+      const lines = this.#storeLogs.readAllLines(this.#fleet.listAllStores());
       const waits = setWaits.measureSetWaits(lines, LOSSES_TO_BEAR);
       const isWhole = waits.every(({ waitMs }) => waitMs !== undefined);
       if (isWhole || Date.now() > deadlineMs) return waits;
