--- a/tools/soak/fault_injector.ts
+++ b/tools/soak/fault_injector.ts
@@ -272,13 +272,12 @@
     const startMs = Date.now();
     fleet.suspend(leader);
     while (storeLogs.findLeader(others, startMs) === undefined) {
-      if (Date.now() > startMs + ELECTION_TIMEOUT_MS) {
-        return printProgress(`no leader after ${leader.name} was suspended`);
-      }
+      if (Date.now() > startMs + ELECTION_TIMEOUT_MS) break;
       await sleeps.sleep(POLL_INTERVAL_MS);
     }
-    printProgress(`a new leader after ${leader.name} was suspended`);
     fleet.resume(leader);
+    const tookMs = Date.now() - startMs;
+    printProgress(`${leader.name} was suspended for ${tookMs} ms, to elect`);
   }
 
   async #restartAll(
