Soak: choose no box as a voter that counts before it has opened its new disk

Between the loss of a disk and the opening of the emptied replica the logs still show the box as admitted. In one run the restart in between hit the box that had just lost its disk instead of a voter that counts.

--- a/tools/soak/store_finder.ts
+++ b/tools/soak/store_finder.ts
@@ -1,17 +1,21 @@
 import type * as faultPlans from "./fault_plan.ts";
 import type * as layouts from "./fleet_layout.ts";
 import type * as fleets from "./soak_fleet.ts";
+import type * as storeGroupStates from "./store_group_state.ts";
 import type * as storeLogReaders from "./store_log_reader.ts";
 
+/** The fleet, as far as the choice of a store needs it. */
+type StoreFleet = Pick<fleets.SoakFleet, "listStores" | "isRunning">;
+
 /** Finds the store boxes that faults hit. */
 export class StoreFinder {
-  readonly #fleet: fleets.SoakFleet;
+  readonly #fleet: StoreFleet;
   readonly #storeLogs: storeLogReaders.StoreLogReader;
   /** Wall-clock time at which the disk was created by box name, in ms. */
   readonly #diskCreatedMs = new Map<string, number>();
 
   constructor(
-    fleet: fleets.SoakFleet,
+    fleet: StoreFleet,
     storeLogs: storeLogReaders.StoreLogReader,
   ) {
     this.#fleet = fleet;
@@ -43,9 +47,9 @@
       case "leader":
         return this.#storeLogs.findLeader(stores, 0);
       case "counted":
-        return this.#storeLogs.findCounted(stores, "any");
+        return this.#findCounted(stores, "any");
       case "countedFollower":
-        return this.#storeLogs.findCounted(stores, "follower");
+        return this.#findCounted(stores, "follower");
       case "spare": {
         const voters = this.#storeLogs.listVoters(stores);
         return stores.find((store) => !voters.includes(store.address));
@@ -57,6 +61,18 @@
     }
   }
 
+  /** Finds a voter that counts among the boxes that opened their present disk. */
+  #findCounted(
+    stores: readonly layouts.SoakBox[],
+    role: storeGroupStates.CountedRole,
+  ): layouts.SoakBox | undefined {
+    const opened = stores.filter((store) =>
+      this.#fleet.isRunning(store) &&
+      this.#storeLogs.hasOpened(store, this.#diskCreatedMs.get(store.name) ?? 0)
+    );
+    return this.#storeLogs.findCounted(opened, role);
+  }
+
   #sortByDiskAge(
     stores: readonly layouts.SoakBox[],
   ): readonly layouts.SoakBox[] {
--- a/tools/soak/store_log_reader.ts
+++ b/tools/soak/store_log_reader.ts
@@ -60,6 +60,12 @@
     return boxes.find((box) => box.name === found?.box);
   }
 
+  /** Whether a box has opened its replica since a wall-clock time. */
+  hasOpened(box: layouts.SoakBox, sinceMs: number): boolean {
+    return this.readLines(box, sinceMs)
+      .some((line) => line.event === "replica.opened");
+  }
+
   /** Reads all lines about the `stores` group of several boxes. */
   readAllLines(boxes: readonly layouts.SoakBox[]): readonly LogLine[] {
     return boxes.flatMap((box) => this.readLines(box, 0));
