--- a/src/consensus/_append_window.ts
+++ b/src/consensus/_append_window.ts
@@ -17,17 +17,29 @@
  */
 const MAX_MESSAGE_BYTES = 512 * 1024;
 /**
- * Most messages in flight to a replica that catches up: the leader encodes one
- * while the replica applies the other.
+ * Most bytes of entries in one message to a replica that catches up, unless a single
+ * entry is larger: some 2 ms of a core to encode, and 5 ms to receive and write.
  */
-const MAX_CATCH_UP_MESSAGES = 2;
+const MAX_CATCH_UP_MESSAGE_BYTES = 256 * 1024;
+/**
+ * Most unconfirmed bytes in flight to such a replica. On slow boxes a reply takes up
+ * to a second; the log must still reach the replica before the next disk is lost.
+ */
+const MAX_CATCH_UP_IN_FLIGHT_BYTES = 4 * 1024 * 1024;
+/** Most batches in flight to such a replica. */
+const MAX_CATCH_UP_BATCHES = 4;
 /** Entries in the first messages to a replica that catches up. */
-const INITIAL_CATCH_UP_BATCH = 8;
+const INITIAL_CATCH_UP_BATCH = 32;
 /**
  * Fewest entries to which such a message shrinks while the leader is
  * overloaded.
  */
 const MIN_CATCH_UP_BATCH = 32;
+/**
+ * Most missing bytes at which a replica counts as nearly caught up. Large entries
+ * make a lag of few entries a long transfer.
+ */
+const MAX_CAUGHT_UP_LAG_BYTES = 512 * 1024;
 /** Most entries in a message to a replica that catches up. */
 const MAX_CATCH_UP_BATCH = 96;
 /** Factor by which the batch size grows and shrinks. */
@@ -53,6 +65,8 @@
   readonly bytes: number;
   /** Most entries in one message. */
   readonly batch: number;
+  /** Most bytes in one message. */
+  readonly messageBytes: number;
 }
 
 /**
@@ -93,7 +107,7 @@
   const sentBytes = sumBytes(state.log, firstIndex, unconfirmed);
   if (unconfirmed > 0 && sentBytes >= window.bytes) return 0;
   const limit = Math.min(window.batch, window.entries - unconfirmed);
-  return countFitting(state.log, nextIndex, limit, MAX_MESSAGE_BYTES);
+  return countFitting(state.log, nextIndex, limit, window.messageBytes);
 }
 
 /**
@@ -161,6 +175,7 @@
       entries: MAX_IN_FLIGHT_ENTRIES,
       bytes: MAX_IN_FLIGHT_BYTES,
       batch: maxBatchEntries,
+      messageBytes: MAX_MESSAGE_BYTES,
     };
   }
   if (!selectCatchUps(state, nowMs).includes(to)) return undefined;
@@ -171,9 +186,10 @@
     ),
   } = progress;
   return {
-    entries: MAX_CATCH_UP_MESSAGES * feedEntries,
-    bytes: MAX_CATCH_UP_MESSAGES * MAX_MESSAGE_BYTES,
+    entries: MAX_CATCH_UP_BATCHES * feedEntries,
+    bytes: MAX_CATCH_UP_IN_FLIGHT_BYTES,
     batch: feedEntries,
+    messageBytes: MAX_CATCH_UP_MESSAGE_BYTES,
   };
 }
 
@@ -209,15 +225,19 @@
   state: replicaStates.ReplicaState,
   progress: replicaStates.Progress,
 ): boolean {
-  const lag = replicaLogs.getLastIndex(state.log) - progress.matchIndex;
-  return lag > replicaStates.MAX_CAUGHT_UP_LAG_ENTRIES;
+  const { log } = state;
+  const { matchIndex } = progress;
+  const lag = replicaLogs.getLastIndex(log) - matchIndex;
+  if (lag > replicaStates.MAX_CAUGHT_UP_LAG_ENTRIES) return true;
+  return sumBytes(log, matchIndex + 1, lag) > MAX_CAUGHT_UP_LAG_BYTES;
 }
 
 /**
  * Selects which responsive, non-admitted replicas catch up: the best one that makes
- * progress, preferring voters, then those with the most entries. While none makes
- * progress the best two are served, so that a stuck replica does not block its
- * replacement.
+ * progress, preferring those with the most entries, then voters. The one that can be
+ * admitted first is served first, since any admission lets the group bear the next
+ * lost disk. While none makes progress the best two are served, so that a stuck
+ * replica does not block its replacement.
  */
 function selectCatchUps(
   state: replicaStates.ReplicaState,
@@ -228,11 +248,11 @@
   const candidates = [...state.role.progress]
     .filter(([, progress]) =>
       !progress.identity.isAdmitted && isFarBehind(state, progress) &&
-      nowMs - progress.lastAckedSentAtMs < STALL_TIMEOUT_MS
+      nowMs - getRepliedAtMs(progress) < STALL_TIMEOUT_MS
     )
     .toSorted(([a, left], [b, right]) =>
-      Number(voters.includes(b)) - Number(voters.includes(a)) ||
       right.matchIndex - left.matchIndex ||
+      Number(voters.includes(b)) - Number(voters.includes(a)) ||
       (a < b ? -1 : 1)
     );
   const advancing = candidates.filter(([, progress]) =>
@@ -244,6 +264,14 @@
   return selected.map(([id]) => id);
 }
 
+/**
+ * Returns when a replica last replied, in ms. What it replied to may be older than
+ * any limit on slow boxes, so its age does not tell a silent replica.
+ */
+function getRepliedAtMs(progress: replicaStates.Progress): number {
+  return progress.lastReplyAtMs ?? progress.lastAckedSentAtMs;
+}
+
 /** Tells whether a replica has confirmed nothing new for `STALL_TIMEOUT_MS`. */
 function isStalled(progress: replicaStates.Progress, nowMs: number): boolean {
   const { lastProgressAtMs: movedAtMs } = progress;
--- a/src/consensus/_follow.ts
+++ b/src/consensus/_follow.ts
@@ -23,7 +23,8 @@
 
 /**
  * Appends entries from the leader of the current term, advances the commit index and
- * replies. Without the previous entry the reply hints where the leader should retry.
+ * replies. Without the previous entry the reply tells the leader where to retry, and
+ * the term of the entry there.
  */
 export function acceptAppend(
   state: replicaStates.ReplicaState,
@@ -39,13 +40,10 @@
       replicaLogs.getLastIndex(state.log),
       previousIndex - 1,
     );
+    const indexTerm = replicaLogs.getTermAt(state.log, index);
     const { identity } = state;
-    return {
-      state,
-      effects: [
-        createAppendReply(from, { term, isMatch, index, sentAtMs, identity }),
-      ],
-    };
+    const reply = { term, isMatch, index, indexTerm, sentAtMs, identity };
+    return { state, effects: [createAppendReply(from, reply)] };
   }
   const added = findNewEntries(state.log, entries);
   const log = replicaLogs.appendEntries(state.log, added);
@@ -73,17 +71,21 @@
 }
 
 /**
- * Admits a new replica to quorums once it holds every entry that a leader with a
- * committed entry of its own term has committed. Then it holds all entries that its
- * former incarnation may have acknowledged.
+ * Admits a new replica to quorums if the leader says so and it holds every entry
+ * that the leader has committed. Then it holds all entries that its former
+ * incarnation may have acknowledged.
  */
 function admitReplica(
   state: replicaStates.ReplicaState,
   request: messages.AppendRequest,
   index: number,
 ): replicaStates.Transition {
-  const isCurrent = request.isEstablished && index >= request.commitIndex;
-  if (state.identity.isAdmitted || !isCurrent) return { state, effects: [] };
+  const { incarnation, isAdmitted } = state.identity;
+  const { admits = incarnation, isEstablished, commitIndex } = request;
+  const isCurrent = isEstablished && index >= commitIndex;
+  if (isAdmitted || !isCurrent || admits !== incarnation) {
+    return { state, effects: [] };
+  }
   const identity = { ...state.identity, isAdmitted: true };
   return {
     state: { ...state, identity },
--- a/src/consensus/_replication.ts
+++ b/src/consensus/_replication.ts
@@ -13,6 +13,9 @@
  */
 const MAX_COMMIT_DELAY_MS = 15;
 
+/** Most messages with entries in answer to a reply, of some ms of a core each. */
+const MAX_MESSAGES_PER_REPLY = 2;
+
 const NO_EFFECTS: readonly replicaStates.Effect[] = [];
 
 /** Sends each follower the entries that its window admits, or a heartbeat. */
@@ -47,12 +50,8 @@
   if (progress === undefined) return { state, effects: [] };
   const count = appendWindows.countSendable(state, to, progress, nowMs);
   if (count === 0) return { state, effects: [] };
-  const message = appendRequests.createRequest(
-    state,
-    progress.nextIndex,
-    count,
-    nowMs,
-  );
+  const content = appendRequests.describeContent(state, to, progress, count);
+  const message = appendRequests.createRequest(state, content, nowMs);
   const sent = appendRequests.createAppend(state, to, progress, message);
   const next = new Map([...role.progress, [to, sent.progress] as const]);
   return {
@@ -61,6 +60,26 @@
   };
 }
 
+/**
+ * Sends a replica that is not admitted several messages, as far as its window
+ * permits; other followers one. Bounded, so that heartbeats are not delayed.
+ */
+function sendMissing(
+  state: replicaStates.ReplicaState,
+  to: string,
+  isAdmitted: boolean,
+  nowMs: number,
+): replicaStates.Transition {
+  const limit = isAdmitted ? 1 : MAX_MESSAGES_PER_REPLY;
+  let sent = sendAppendTo(state, to, nowMs);
+  for (let count = 1; count < limit; count += 1) {
+    const next = sendAppendTo(sent.state, to, nowMs);
+    if (next.effects.length === 0) break;
+    sent = { state: next.state, effects: [...sent.effects, ...next.effects] };
+  }
+  return sent;
+}
+
 /**
  * Commits up to the last entry that a quorum holds, if it is of the current
  * term.
@@ -161,7 +180,7 @@
     return staleIncarnations.handleStaleReply(state, from, known, reply);
   }
   const old = progresses.resetForNewIncarnation(known, reply);
-  const progress = progresses.recordReply(old, reply, nowMs);
+  const progress = progresses.recordReply(old, reply, state.log, nowMs);
   const map = new Map([...role.progress, [from, progress] as const]);
   const updated: replicaStates.ReplicaState = {
     ...state,
@@ -169,7 +188,7 @@
   };
   const isBehind = progress.nextIndex <= replicaLogs.getLastIndex(state.log);
   const sent = isBehind
-    ? sendAppendTo(updated, from, nowMs)
+    ? sendMissing(updated, from, progress.identity.isAdmitted, nowMs)
     : { state: updated, effects: NO_EFFECTS };
   const adapted = updateCatchUpBatch(sent.state, from, old, nowMs);
   const advanced = commitReplicated({ ...sent, state: adapted });
@@ -177,6 +196,21 @@
   return { ...advanced, state: advanceHeartbeat(advanced.state, nowMs) };
 }
 
+/** Updates a follower's progress from the parts of a snapshot that it confirmed. */
+export function recordSnapshotParts(
+  state: replicaStates.ReplicaState,
+  { from, wholeIndex }: replicaStates.SnapshotConfirmed,
+  nowMs: number,
+): replicaStates.Transition {
+  const { role } = state;
+  if (role.kind !== "leader") return { state, effects: [] };
+  const known = role.progress.get(from);
+  if (known === undefined) return { state, effects: [] };
+  const updated = progresses.recordSnapshotParts(known, wholeIndex, nowMs);
+  const progress = new Map([...role.progress, [from, updated] as const]);
+  return { state: { ...state, role: { ...role, progress } }, effects: [] };
+}
+
 /** Moves the next heartbeat forward to announce a new commit index soon. */
 function advanceHeartbeat(
   state: replicaStates.ReplicaState,
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -1,3 +1,4 @@
+import type * as contactGaps from "./_contact_gap.ts";
 import type * as messages from "./message.ts";
 import * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
@@ -33,6 +34,8 @@
   readonly lastAckedSentAtMs: number;
   /** Time of its last reply, in ms. */
   readonly lastReplyAtMs?: number;
+  /** Longest recent gap between two of its replies. */
+  readonly replyGap?: contactGaps.ContactGap;
   /** Time at which `nextIndex` was last moved back, in ms. */
   readonly rewoundAtMs?: number;
   /** Time at which `matchIndex` last advanced, or of the first reply, in ms. */
@@ -42,6 +45,10 @@
   /** Entries that it lacked when `matchIndex` last advanced during catch-up. */
   readonly catchUpLagEntries?: number;
   readonly identity: messages.ReplicaIdentity;
+  /** Time of the first reply of this incarnation to this leader, in ms. */
+  readonly heardAtMs?: number;
+  /** Whether it was sent a message that may admit it. */
+  readonly isAdmitting?: boolean;
 }
 
 /** The Raft role of a replica. */
@@ -75,23 +82,18 @@
   readonly commitIndex: number;
   /** When to start an election unless a leader's message arrives, in ms. */
   readonly electionAtMs: number;
+  /** Whether that time was put off after a pause of this process. */
+  readonly isElectionDeferred: boolean;
   /** Time of the last message from a leader, in ms; blocks votes for a while. */
   readonly leaderContactAtMs: number;
-  /** Longest recent gap between messages of the leader. */
-  readonly heartbeatGap: HeartbeatGap;
+  /** Messages of leaders and the gaps between them. */
+  readonly leaderContacts: contactGaps.LeaderContacts;
   /** Number of election delays drawn so far from the seeded generator. */
   readonly electionDelayCount: number;
   /** Leader of the saved term; undefined if the log doesn't name it. */
   readonly formerLeader: FormerLeader | undefined;
 }
 
-/** Longest recent gap between messages of the leader of one term. */
-export interface HeartbeatGap {
-  readonly term: number;
-  /** Gap, in ms; decays with each further message. */
-  readonly gapMs: number;
-}
-
 /** The leader of a replica's saved term, as named by its log. */
 export interface FormerLeader {
   readonly id: string;
@@ -103,6 +105,14 @@
   readonly earlyElectionUntilMs: number;
 }
 
+/** A replica has confirmed further parts of a snapshot that this leader sends. */
+export interface SnapshotConfirmed {
+  readonly kind: "snapshotConfirmed";
+  readonly from: string;
+  /** Last index of the snapshot once all parts are confirmed. */
+  readonly wholeIndex: number | undefined;
+}
+
 /** An input to a replica. */
 export type ReplicaEvent =
   | { readonly kind: "tick" }
@@ -114,6 +124,7 @@
     readonly message: messages.Message;
   }
   | { readonly kind: "propose"; readonly commands: readonly unknown[] }
+  | SnapshotConfirmed
   /** Sets the replicas that receive the log without a vote. */
   | { readonly kind: "setLearners"; readonly learners: readonly string[] }
   /** Adds or removes one voter; ignored if the change isn't allowed now. */
@@ -178,7 +189,7 @@
  * @returns The size of a quorum.
  */
 export function getQuorumSize(state: ReplicaState): number {
-  return Math.floor(listVoters(state).length / 2) + 1;
+  return replicaSets.countQuorum(listVoters(state));
 }
 
 /**
@@ -233,6 +244,18 @@
   return { ...state, log: replicaLogs.compactLog(log, last) };
 }
 
+/**
+ * Reports whether a replica leads and has committed an entry of its own term, and
+ * so all entries of earlier terms.
+ *
+ * @param state The replica.
+ * @returns Whether it does.
+ */
+export function isEstablished(state: ReplicaState): boolean {
+  const { role, commitIndex } = state;
+  return role.kind === "leader" && commitIndex >= role.termStartIndex;
+}
+
 /** Reports whether a leader refuses proposals to transfer its leadership. */
 export function isHandingOver(state: ReplicaState, nowMs: number): boolean {
   const { role } = state;
