--- a/src/consensus/simulation_test.ts
+++ b/src/consensus/simulation_test.ts
@@ -3,7 +3,8 @@
 import * as fakeNetworks from "./fake_network_test.ts";
 import * as savedRecords from "./_saved_record.ts";
 import type * as messages from "./message.ts";
-import * as replicaLogs from "./replica_log.ts";
+import * as plans from "./plan_replacement_test.ts";
+import type * as replicaLogs from "./replica_log.ts";
 import * as replicaSets from "./replica_set.ts";
 import * as replicaStates from "./replica_state.ts";
 import * as simulatedNodes from "./simulated_node_test.ts";
@@ -17,6 +18,8 @@
 const PER_MILLE = 1_000;
 const MAX_SUSPENSION_MS = 6 * ELECTION_TIMEOUT_MS;
 const MIN_VOTERS = 3;
+/** Chance that a leader that was elected beside another is struck. */
+const STRIKE_CHANCE = 300;
 
 /**
  * Runs replicas on a fake network, fake disks and drifting clocks, and checks the
@@ -106,10 +109,48 @@
         if (this.#happens(this.#options.wipeChance)) this.#wipe(node);
         this.#restart(node);
       }
-      if (this.#happens(this.#options.compactChance)) this.#compact(node);
+      if (this.#happens(this.#options.compactChance)) {
+        simulatedNodes.compact(node);
+      }
       this.#suspend(node, this.#options.suspendChance * factor);
     }
     if (this.#happens(this.#options.partitionChance)) this.#changePartition();
+    const { successorChance = 0 } = this.#options;
+    if (successorChance > 0) this.#strikeSuccessor(successorChance);
+  }
+
+  /**
+   * Cuts a leader from some replicas; if another was elected meanwhile, stops it
+   * and empties a voter that elected it.
+   */
+  #strikeSuccessor(chance: number): void {
+    const leaders = this.#nodes.filter((node) =>
+      node.state?.role.kind === "leader"
+    ).toSorted((a, b) => (b.state?.term ?? 0) - (a.state?.term ?? 0));
+    const [newest] = leaders;
+    if (newest === undefined) return;
+    if (leaders.length === 1) {
+      if (!this.#happens(chance)) return;
+      const peers = this.#nodes.filter((node) =>
+        node !== newest && this.#happens(600)
+      );
+      this.#network.changePartition(
+        newest.config.id,
+        peers.map((peer) => peer.config.id),
+      );
+      return;
+    }
+    if (!this.#happens(STRIKE_CHANCE)) return;
+    const electors = this.#nodes.filter((node) =>
+      node !== newest && node.state?.votedFor === newest.config.id &&
+      node.state.term === newest.state?.term
+    );
+    const elector = electors[this.#draw(Math.max(0, electors.length - 1))];
+    if (elector === undefined) return;
+    if (!this.#wipe(elector)) return;
+    this.#restart(elector);
+    newest.state = undefined;
+    this.#network.changePartition(undefined, []);
   }
 
   #suspend(node: simulatedNodes.SimulatedNode, chance: number): void {
@@ -135,17 +176,20 @@
     return this.#nodes[this.#draw(this.#nodes.length - 1)];
   }
 
-  /** Wipes a disk, unless another wiped replica has not caught up yet. */
-  #wipe(node: simulatedNodes.SimulatedNode): void {
+  /** Wipes a disk, unless another wiped replica has not caught up yet; tells if so. */
+  #wipe(node: simulatedNodes.SimulatedNode): boolean {
     const lastCommittedIndex = Math.max(0, ...this.#committedValues.keys());
     const others = this.#nodes.filter((other) => other !== node);
-    if (others.some((other) => other.wipedAtIndex > other.appliedIndex)) return;
+    if (others.some((other) => other.wipedAtIndex > other.appliedIndex)) {
+      return false;
+    }
     node.wipedAtIndex = lastCommittedIndex;
     const { clockStepChance } = this.#options;
     const isStepped = clockStepChance > 0 && this.#happens(clockStepChance);
     node.disk = simulatedNodes.createEmptyDisk(
       isStepped ? this.#draw(this.#nowMs) : this.#nowMs,
     );
+    return true;
   }
 
   #restart(node: simulatedNodes.SimulatedNode): void {
@@ -168,6 +212,10 @@
     if (membershipChance > 0 && this.#happens(membershipChance)) {
       this.#changeVoters(node);
     }
+    const { replaceChance = 0 } = this.#options;
+    if (replaceChance > 0 && this.#happens(replaceChance)) {
+      this.#swapVoters(node);
+    }
     if (!this.#happens(300)) return;
     this.#proposals += 1;
     this.#step(node, { kind: "propose", commands: [`c${this.#proposals}`] });
@@ -189,6 +237,23 @@
     this.#step(node, { kind: "changeVoters", voters: nextVoters });
   }
 
+  /** Replaces all emptied voters in one step, as the plan of voters does. */
+  #swapVoters(node: simulatedNodes.SimulatedNode): void {
+    if (node.state === undefined) return;
+    const learners = this.#nodes.map((other) => other.config.id)
+      .filter((id) => id !== node.config.id);
+    this.#step(node, { kind: "setLearners", learners });
+    if (node.state === undefined) return;
+    const voters = plans.planReplacement(
+      node.state,
+      simulatedNodes.getLocalMs(node, this.#nowMs),
+      this.#options.replicas,
+    );
+    if (voters !== undefined) {
+      this.#step(node, { kind: "changeVoters", voters });
+    }
+  }
+
   #deliverMessages(): void {
     for (const { from, to, message } of this.#network.takeDue(this.#nowMs)) {
       const node = this.#nodes.find((candidate) => candidate.config.id === to);
@@ -258,7 +323,7 @@
         return this.#send(node.config.id, effect.to, {
           kind: "snapshotRequest",
           term: node.state?.term ?? 0,
-          snapshot: this.#createSnapshot(node),
+          snapshot: simulatedNodes.createSnapshot(node),
           sentAtMs: simulatedNodes.getLocalMs(node, this.#nowMs),
         });
       case "commit":
@@ -266,15 +331,6 @@
     }
   }
 
-  #createSnapshot(node: simulatedNodes.SimulatedNode): messages.Snapshot {
-    return {
-      index: node.appliedIndex,
-      term: node.appliedTerm,
-      state: node.applied,
-      voters: simulatedNodes.findVoters(node),
-    };
-  }
-
   #send(from: string, to: string, message: messages.Message): void {
     this.#network.send({ from, to, message }, this.#nowMs);
   }
@@ -298,21 +354,6 @@
     node.appliedTerm = entry.term;
   }
 
-  #compact(node: simulatedNodes.SimulatedNode): void {
-    if (
-      node.state === undefined ||
-      node.appliedIndex <= node.state.log.snapshotIndex
-    ) return;
-    node.disk = {
-      snapshot: this.#createSnapshot(node),
-      records: savedRecords.createRecordsAfter(node.state, node.appliedIndex),
-    };
-    node.state = {
-      ...node.state,
-      log: replicaLogs.compactLog(node.state.log, node.appliedIndex),
-    };
-  }
-
   #checkLeader({ state, config: { id } }: simulatedNodes.SimulatedNode): void {
     if (state?.role.kind !== "leader") return;
     const other = this.#leaderOfTerm.get(state.term) ?? id;
--- a/src/replica_group/simulated_cases_test.ts
+++ b/src/replica_group/simulated_cases_test.ts
@@ -126,3 +126,18 @@
   const held = cluster.get(leader).getStateMachine()?.getLoadCount() ?? 0;
   return Math.max(0, cluster.countCommitted() - held);
 }
+
+/**
+ * Finds a fault that no loss excuses: two leaders with authority at the same time,
+ * or a leader that lacks committed commands.
+ *
+ * @returns A description of the fault, or undefined.
+ */
+export function findSafetyFault(
+  cluster: simulatedClusters.SimulatedCluster,
+): string | undefined {
+  const leaders = cluster.listLeaders();
+  if (leaders.length > 1) return `${leaders.join(" and ")} lead`;
+  const lost = countLostCommands(cluster);
+  return lost > 0 ? `${lost} committed commands lost` : undefined;
+}
