--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -11,9 +11,8 @@
 import * as createElectionSeed from "./_create_election_seed.ts";
 import * as describeNotice from "./_describe_notice.ts";
 import * as isBulk from "./_is_bulk.ts";
-import * as shortfallMonitors from "./_shortfall_monitor.ts";
+import * as voterPlanners from "./_voter_planner.ts";
 import * as notLeaders from "./not_leader.ts";
-import * as planVoters from "./plan_voters.ts";
 
 /**
  * Shortest silence of the leader before an election, in ms: five heartbeats, and
@@ -25,11 +24,6 @@
 const MAX_BATCH_ENTRIES = 24;
 /** Time between two plans of the voters, in ms; a replacement takes two. */
 const PLAN_INTERVAL_MS = 100;
-/**
- * Silence after which a voter is replaced, in ms: short enough to replace a lost
- * voter before the next loss, some 5 s later, even after a restart of all boxes.
- */
-const VOTER_FAILURE_TIMEOUT_MS = 2_000;
 /** Time between two attempts to open a data folder on a full disk, in ms. */
 const DISK_FULL_RETRY_MS = 500;
 const MAX_RESIGN_ATTEMPTS = 20;
@@ -83,7 +77,7 @@
     ConsensusEnvelope
   >();
   readonly #bootstrapClient: bootstrapClients.BootstrapClient;
-  readonly #shortfalls: shortfallMonitors.ShortfallMonitor;
+  readonly #planner: voterPlanners.VoterPlanner;
   #isStopped = false;
   /** Term at the last `getReignMs`, and its first call, in monotonic ms. */
   #leadership = { term: 0, sinceMs: 0 };
@@ -91,7 +85,7 @@
   constructor(options: ReplicaGroupOptions) {
     this.#options = options;
     this.#bootstrapClient = new bootstrapClients.BootstrapClient(options);
-    this.#shortfalls = new shortfallMonitors.ShortfallMonitor(options);
+    this.#planner = new voterPlanners.VoterPlanner(options);
     options.server.add(
       this.#getMethod(),
       (envelope: ConsensusEnvelope) =>
@@ -259,82 +253,9 @@
 
   #runPlanner(): void {
     if (this.#isStopped) return;
-    this.#updateVoters();
-    this.#updateMetrics();
-    this.#options.clock.startTimer(PLAN_INTERVAL_MS, () => this.#runPlanner());
-  }
-
-  #updateMetrics(): void {
-    const { metrics, name } = this.#options;
-    const driver = this.#driver;
-    if (driver === undefined) return;
-    const health = driver.getHealth();
-    const plan = health.hasAuthority
-      ? this.#createPlanInput(driver)
-      : undefined;
-    const shortMs = this.#shortfalls.observe(health, plan);
-    metrics.replicas.setStatistics(name, { ...health, shortMs });
-  }
-
-  #updateVoters(): void {
-    const driver = this.#driver;
-    const { role, isEstablished } = driver?.getStatus() ?? {};
-    if (driver === undefined || role !== "leader") return;
-    const input = this.#createPlanInput(driver);
-    driver.setLearners(planVoters.chooseLearners(input));
-    if (!isEstablished) return;
-    const planned = planVoters.planVoters(input);
-    if (planned !== undefined) return this.#changeVoters(driver, planned);
-    const { retiring, self, voters } = input;
-    if (retiring.includes(self) && voters.length > 1) {
-      driver.transferLeadership();
+    if (this.#driver !== undefined) {
+      this.#planner.update(this.#driver, () => this.getReignMs());
     }
-  }
-
-  #createPlanInput(
-    driver: consensus.ReplicaDriver,
-  ): planVoters.VoterPlanInput {
-    const { id, maxVoters, minVoters, directory, canVote, listRetiring } =
-      this.#options;
-    const retiring = listRetiring();
-    const candidates = directory.listAlive()
-      .filter((box) =>
-        canVote(box) && !box.isLeaving && !retiring.includes(box.id)
-      )
-      .map((box) => box.id);
-    const { followers, commitIndex } = driver.getStatus();
-    return {
-      self: id,
-      voters: driver.listVoters(),
-      wanted: planVoters.countTargetVoters(
-        minVoters,
-        maxVoters,
-        candidates.length,
-      ),
-      commitIndex,
-      leadershipMs: this.getReignMs(),
-      followers,
-      candidates,
-      failureDomains: new Map(
-        directory.listAll().map((box) => [box.id, box.failureDomain]),
-      ),
-      retiring,
-      failureTimeoutMs: VOTER_FAILURE_TIMEOUT_MS,
-      minVoters,
-      standbys: Math.floor(minVoters / 2),
-    };
-  }
-
-  #changeVoters(
-    driver: consensus.ReplicaDriver,
-    planned: readonly string[],
-  ): void {
-    const { log, name } = this.#options;
-    log.write("info", "group.changing", {
-      group: name,
-      voters: driver.listVoters().join(","),
-      planned: planned.join(","),
-    });
-    driver.changeVoters(planned);
+    this.#options.clock.startTimer(PLAN_INTERVAL_MS, () => this.#runPlanner());
   }
 }
