No run is moved while waiting items are being started

Cause: since waiting items are started in slices, the look for faster engines came between the slices, found the slots free that the rest of the items were to take, and cut runs to move them there. Change: it waits until the items are started, as it did before the slices. Evidence: item_starter_test failed before (a look after 4 of 100 items).

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -135,7 +135,9 @@
     this.#syncTasks();
     const tasks = this.#taskTable.list();
     this.#itemStarter.startWaiting(tasks);
-    this.#runMover.moveToFasterEngines(tasks);
+    if (!this.#itemStarter.isStarting()) {
+      this.#runMover.moveToFasterEngines(tasks);
+    }
     void this.#textReplicator.replicate(tasks);
   }
 
--- a/src/dispatch/item_starter.ts
+++ b/src/dispatch/item_starter.ts
@@ -65,6 +65,11 @@
     if (!isInProgress) this.#resumePass();
   }
 
+  /** Tells whether a pass is in progress, so that free slots are still to be taken. */
+  isStarting(): boolean {
+    return this.#pass !== undefined;
+  }
+
   /** Starts no further items. */
   stop(): void {
     this.#isStopped = true;
--- a/src/dispatch/item_starter_test.ts
+++ b/src/dispatch/item_starter_test.ts
@@ -14,6 +14,7 @@
 import * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import * as dispatchers from "./dispatcher.ts";
+import * as runMovers from "./run_mover.ts";
 import * as engineTables from "./engine_table.ts";
 
 /*
@@ -161,4 +162,25 @@
     chai.expect(engines.startCount).to.equal(startCount);
     chai.expect(startCount).to.be.lessThan(ITEMS);
   });
+
+  // Free slots are for the items that wait: a run moved there is cut in vain.
+  it("looks for runs to move only once the waiting items are started", async () => {
+    const startCounts: number[] = [];
+    const { prototype } = runMovers.RunMover;
+    const moveToFasterEngines = prototype.moveToFasterEngines;
+    prototype.moveToFasterEngines = () => {
+      startCounts.push(engines.startCount);
+    };
+    try {
+      dispatcher.start();
+      for (let turn = 0; turn < ITEMS; turn += 1) await countNextStarts();
+      dispatcher.wake();
+      await countNextStarts();
+      await countNextStarts();
+    } finally {
+      prototype.moveToFasterEngines = moveToFasterEngines;
+    }
+    chai.expect(startCounts).to.not.deep.equal([]);
+    chai.expect(Math.min(...startCounts)).to.be.at.least(ITEMS);
+  });
 });
