--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -22,7 +22,7 @@
 const HEARTBEAT_INTERVAL_MS = 90;
 /** Most entries in a message; one with request bodies may have 300 KB. */
 const MAX_BATCH_ENTRIES = 24;
-/** Time between two plans of the voters, in ms; a replacement takes two. */
+/** Time between two plans of the voters, in ms. */
 const PLAN_INTERVAL_MS = 100;
 /** Time between two attempts to open a data folder on a full disk, in ms. */
 const DISK_FULL_RETRY_MS = 500;
