Send each id once on a connection

Cause: an answer names the request, not the attempt. After a 500 the connection went back to the pool, the next attempt of the same item took it, and a late surplus copy of the 500 counted as that attempt. The same held for scoring calls and callers' requests (same id), for reads of an engine's state (no id) and after a 421 that names no request.

Change: a pooled connection carries each id once; reads have short-lived connections of their own; other requests without an id use a new one; a 421 ends its connection; a report that names a request is not taken.

Tests: server_restart_test sent three requests with one id and expected one connection; they have ids of their own now, what is checked is the same.

--- a/src/caller/_forward.ts
+++ b/src/caller/_forward.ts
@@ -48,6 +48,7 @@
     ...(call.body.length === 0 ? {} : { body: call.body }),
     timeoutMs: Math.max(1, call.deadlineMs - context.clock.getMonotonicMs()),
     connectTimeoutMs: limits.connectTimeoutMs,
+    requestId: request.requestId,
     isFreshConnection: request.isFreshConnection,
     cancellation: request.cancellation,
   });
--- a/src/engine/stream_completion.ts
+++ b/src/engine/stream_completion.ts
@@ -137,6 +137,7 @@
         "x-request-id": request.requestId,
       },
       body,
+      requestId: request.requestId,
       timeoutMs: options.timeoutMs,
       connectTimeoutMs: options.connectTimeoutMs,
       cancellation: options.cancellation,
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -36,6 +36,7 @@
       deadlineMs: Math.max(1, Math.floor(timeoutMs)),
     }),
     body: job.body,
+    requestId: job.requestId,
     timeoutMs,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxResponseBytes: MAX_ANSWER_BYTES,
--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -3,6 +3,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as csp from "../csp/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
+import * as rawServers from "../fixtures/raw_server.ts";
 import * as fixtures from "./server_fixture_test.ts";
 import * as serverLoads from "./server_loads.ts";
 
@@ -50,6 +51,37 @@
     chai.expect(framed.answer.isFramed).to.equal(true);
   });
 
+  // Guards against a surplus copy of an answer that is taken for the answer to a
+  // later attempt with the same id, as scoring calls make them.
+  it("does not take a surplus answer for that of its next attempt", async () => {
+    const server = new rawServers.RawServer();
+    await server.start();
+    const headers = { id: "job", receipt: "r" };
+    const statuses = [500, 200];
+    const last = new Map<number, string>();
+    server.handle = ({ connection, socket }) => {
+      const status = statuses.shift() ?? 0;
+      const answer = rawServers.formatRawAnswer(status, headers);
+      socket.write((last.get(connection) ?? "") + answer);
+      last.set(connection, answer);
+    };
+    servers.registry.merge(serverFixtures.createServer("raw", {
+      service: "raw",
+      port: server.getPort(),
+    }));
+    const answered: number[] = [];
+    for (let turn = 0; turn < 2; turn += 1) {
+      const outcome = await servers.send({
+        service: "raw",
+        retriesErrors: false,
+      });
+      if (outcome.kind !== "answered") throw new Error(outcome.kind);
+      answered.push(outcome.answer.status);
+    }
+    server.stop();
+    chai.expect(answered).to.deep.equal([500, 200]);
+  });
+
   const broken: Readonly<Record<string, fixtures.RequestHandler>> = {
     "an answer to another request": fixtures.answer(200, { id: "other" }),
     "an answer without a receipt": (_request, response) => {
--- a/src/forwarding/server_restart_test.ts
+++ b/src/forwarding/server_restart_test.ts
@@ -112,11 +112,11 @@
       }),
     );
     servers.handlers = [fixtures.answer(200)];
-    await servers.send();
-    await servers.send();
+    await servers.send({ requestId: "a" });
+    await servers.send({ requestId: "b" });
     chai.expect(connections).to.equal(1);
     restart();
-    await servers.send();
+    await servers.send({ requestId: "c" });
     chai.expect(connections).to.equal(2);
   });
 });
--- a/src/http_client/_agent.ts
+++ b/src/http_client/_agent.ts
@@ -1,9 +1,19 @@
 import * as http from "node:http";
 import type * as stream from "node:stream";
+import * as clocks from "../clock/mod.ts";
 
 const MAX_FREE_SOCKETS = 32;
 /** Idle timeout in ms; a shorter `keep-alive` hint of a server is obeyed. */
 const FREE_SOCKET_TIMEOUT_MS = 30_000;
+/** Most requests on one connection; bounds the ids that are kept for it. */
+const MAX_REQUESTS_PER_CONNECTION = 128;
+/**
+ * Time for which a connection carries reads, in ms. A surplus answer to an earlier
+ * read can't be told from the answer to a later one, so this bounds its age.
+ */
+const READ_CONNECTION_MS = 1_000;
+/** Misdirected Request: another server listens at the address. */
+const MISDIRECTED_STATUS = 421;
 
 function closeOnData(this: stream.Duplex): void {
   this.destroy();
@@ -13,8 +23,9 @@
  * Closes a pooled connection on which something arrives while no request waits: a
  * surplus answer, which the next request on it would get for its own.
  */
-class CheckedAgent extends http.Agent {
+abstract class CheckedAgent extends http.Agent {
   override keepSocketAlive(socket: stream.Duplex): void {
+    if (!this.canKeep(socket)) return refuseToKeep();
     // The type declaration lacks the result: whether to keep the socket.
     const isKept = super.keepSocketAlive(socket) as unknown;
     if (isKept === true) socket.on("data", closeOnData);
@@ -28,15 +39,131 @@
     socket.off("data", closeOnData);
     super.reuseSocket(socket, request);
   }
+
+  /** Whether a connection may carry another request. */
+  protected abstract canKeep(socket: stream.Duplex): boolean;
 }
 
-/** Pool of keep-alive connections shared by all requests. */
-export const SHARED_AGENT = new CheckedAgent({
-  keepAlive: true,
-  maxFreeSockets: MAX_FREE_SOCKETS,
-  timeout: FREE_SOCKET_TIMEOUT_MS,
-  scheduling: "lifo",
-});
+/** Result of `keepSocketAlive`, declared as void, for a socket not to be kept. */
+function refuseToKeep(): undefined {
+  return false as unknown as undefined;
+}
+
+/** Pool for requests with an id, of which a connection carries each once. */
+class RequestAgent extends CheckedAgent {
+  /** Ids of the requests that were sent on each connection. */
+  readonly #sentIds = new WeakMap<stream.Duplex, Set<string>>();
+
+  constructor() {
+    super({
+      keepAlive: true,
+      maxFreeSockets: MAX_FREE_SOCKETS,
+      timeout: FREE_SOCKET_TIMEOUT_MS,
+      scheduling: "lifo",
+    });
+  }
+
+  /**
+   * Whether the connection that the next request to an address would get, the one
+   * used last, has not carried its id yet.
+   */
+  canSend(host: string, port: number, requestId: string): boolean {
+    const socket = this.freeSockets[this.getName({ host, port })]?.at(-1);
+    if (socket === undefined) return true;
+    return this.#sentIds.get(socket)?.has(requestId) !== true;
+  }
+
+  recordSend(socket: stream.Duplex, requestId: string): void {
+    const ids = this.#sentIds.get(socket) ?? new Set();
+    this.#sentIds.set(socket, ids.add(requestId));
+  }
+
+  protected override canKeep(socket: stream.Duplex): boolean {
+    const count = this.#sentIds.get(socket)?.size ?? 0;
+    return count < MAX_REQUESTS_PER_CONNECTION;
+  }
+}
+
+/** Pool of short-lived connections for reads, which have no id. */
+export class ReadAgent extends CheckedAgent {
+  readonly #clock: clocks.Clock;
+  /** When each connection was first used, in monotonic ms. */
+  readonly #firstUsedAtMs = new WeakMap<stream.Duplex, number>();
+
+  constructor(clock: clocks.Clock) {
+    super({
+      keepAlive: true,
+      maxFreeSockets: MAX_FREE_SOCKETS,
+      timeout: READ_CONNECTION_MS,
+    });
+    this.#clock = clock;
+  }
+
+  recordSend(socket: stream.Duplex): void {
+    if (this.#firstUsedAtMs.has(socket)) return;
+    this.#firstUsedAtMs.set(socket, this.#clock.getMonotonicMs());
+  }
+
+  protected override canKeep(socket: stream.Duplex): boolean {
+    const nowMs = this.#clock.getMonotonicMs();
+    const firstUsedAtMs = this.#firstUsedAtMs.get(socket) ?? nowMs;
+    return nowMs - firstUsedAtMs < READ_CONNECTION_MS;
+  }
+}
+
+const REQUEST_AGENT = new RequestAgent();
+const READ_AGENT = new ReadAgent(new clocks.SystemClock());
+
+/** What decides on which connection a request is sent. */
+export interface ConnectionDemand {
+  readonly address: string;
+  readonly port: number;
+  readonly method: string;
+  readonly requestId?: string;
+  readonly isFreshConnection?: boolean;
+}
+
+/**
+ * Chooses the pool for a request, so that no surplus answer can pass for the answer
+ * to a later request: a connection carries each id once. Of requests without an id
+ * only reads share connections, for a short time.
+ *
+ * @param demand The request.
+ * @returns The pool, or false for a new connection that is not kept.
+ */
+export function chooseAgent(demand: ConnectionDemand): http.Agent | false {
+  const { address, port, method, requestId, isFreshConnection } = demand;
+  if (isFreshConnection === true) return false;
+  if (requestId === undefined) return method === "GET" ? READ_AGENT : false;
+  return REQUEST_AGENT.canSend(address, port, requestId)
+    ? REQUEST_AGENT
+    : false;
+}
+
+/**
+ * Records that a request is sent on a connection.
+ *
+ * @param socket The connection.
+ * @param requestId Id of the request, if it has one.
+ */
+export function recordSend(
+  socket: stream.Duplex,
+  requestId: string | undefined,
+): void {
+  if (requestId === undefined) READ_AGENT.recordSend(socket);
+  else REQUEST_AGENT.recordSend(socket, requestId);
+}
+
+/**
+ * Reports whether an answer says that another server listens at the address. No
+ * request may follow on its connection, as a surplus copy of such an answer may
+ * name no request.
+ *
+ * @param status Status of the answer.
+ */
+export function isMisdirected(status: number): boolean {
+  return status === MISDIRECTED_STATUS;
+}
 
 /**
  * Closes the idle pooled connections to an address. After a server crashed
@@ -46,8 +173,10 @@
  * @param port Port.
  */
 export function closeIdleConnections(host: string, port: number): void {
-  const name = SHARED_AGENT.getName({ host, port });
-  for (const socket of SHARED_AGENT.freeSockets[name] ?? []) socket.destroy();
+  for (const agent of [REQUEST_AGENT, READ_AGENT]) {
+    const name = agent.getName({ host, port });
+    for (const socket of agent.freeSockets[name] ?? []) socket.destroy();
+  }
 }
 
 /** Largest response body by default, in bytes. */
--- a/src/http_client/http_request.ts
+++ b/src/http_client/http_request.ts
@@ -8,13 +8,22 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer | string;
+  /**
+   * Id of the request, which the server returns with its answer. A connection
+   * carries each id once, so that a surplus answer to one attempt can't pass for
+   * the answer to a later one.
+   */
+  readonly requestId?: string;
   /** Timeout of the whole exchange, in ms. */
   readonly timeoutMs: number;
   /** Timeout to connect, in ms; default 1,000. */
   readonly connectTimeoutMs?: number;
   /** Largest response body, in bytes; default 16 MiB. */
   readonly maxResponseBytes?: number;
-  /** Whether to open a new connection instead of using a pooled one. */
+  /**
+   * Whether to open a new connection instead of using a pooled one. Requests
+   * without an id that aren't reads always do.
+   */
   readonly isFreshConnection?: boolean;
   /** Validates a response head before the body; returns the error, if any. */
   readonly checkHead?: (head: ResponseHead) => string | undefined;
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -63,7 +63,7 @@
       method: options.method,
       path: options.path,
       headers: createHeaders(options),
-      agent: options.isFreshConnection === true ? false : agents.SHARED_AGENT,
+      agent: agents.chooseAgent(options),
     });
     this.#attachListeners(options);
     this.#request.end(options.body);
@@ -83,7 +83,10 @@
     );
     this.#request.on(
       "socket",
-      (socket) => this.#trackConnection(socket, connectTimeoutMs),
+      (socket) => {
+        agents.recordSend(socket, options.requestId);
+        this.#trackConnection(socket, connectTimeoutMs);
+      },
     );
     this.#request.on("error", (error) => this.#failWithError(error));
     this.#request.on("response", (response) => this.#readResponse(response));
@@ -123,6 +126,10 @@
       if (!response.complete) this.#fail("the answer ended early", true);
     });
     response.on("end", () => this.#finish(response.complete));
+    if (agents.isMisdirected(head.status)) {
+      const { socket } = response;
+      response.once("end", () => socket.destroy());
+    }
   }
 
   #finish(isComplete: boolean): void {
--- a/src/http_client/open_exchange_test.ts
+++ b/src/http_client/open_exchange_test.ts
@@ -1,5 +1,8 @@
 import * as net from "node:net";
 import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
+import * as rawServers from "../fixtures/raw_server.ts";
+import * as agents from "./_agent.ts";
 import * as sendRequest from "./send_request.ts";
 
 const REQUEST = {
@@ -26,36 +29,87 @@
     });
   }
 
-  // Guards against a surplus answer that is taken for the answer to a later
-  // request on the same connection.
-  it("closes an idle connection on which an answer arrives", async () => {
-    const connections: net.Socket[] = [];
-    const server = net.createServer((socket) => {
-      connections.push(socket);
-      const id = connections.length;
-      socket.on("error", () => {});
-      socket.on("data", () => socket.write(formatAnswer(`of ${id}`)));
-    });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as net.AddressInfo;
-    async function ask(): Promise<string> {
-      const outcome = await sendRequest.sendRequest({ ...REQUEST, port });
+  describe("on pooled connections", () => {
+    let server = new rawServers.RawServer();
+
+    beforeEach(async () => {
+      server = new rawServers.RawServer();
+      await server.start();
+      server.handle = ({ connection, socket }) =>
+        socket.write(rawServers.formatRawAnswer(200, {}, `of ${connection}`));
+    });
+
+    afterEach(() => server.stop());
+
+    async function ask(
+      requestId?: string,
+      method = "POST",
+    ): Promise<string> {
+      const outcome = await sendRequest.sendRequest({
+        ...REQUEST,
+        method,
+        port: server.getPort(),
+        ...(requestId === undefined ? {} : { requestId }),
+      });
       return outcome.kind === "answered" ? String(outcome.body) : outcome.kind;
     }
-    chai.expect(await ask()).to.equal("of 1");
-    chai.expect(await ask()).to.equal("of 1");
-    const [first] = connections;
-    const closed = new Promise((resolve) => first?.once("close", resolve));
-    first?.write(formatAnswer("surplus"));
-    await closed;
-    chai.expect(await ask()).to.equal("of 2");
-    for (const socket of connections) socket.destroy();
-    server.close();
+
+    // Guards against a surplus answer that is taken for the answer to a later
+    // request on the same connection.
+    it("closes an idle connection on which an answer arrives", async () => {
+      chai.expect(await ask("a")).to.equal("of 1");
+      chai.expect(await ask("b")).to.equal("of 1");
+      const [first] = server.connections as [net.Socket];
+      const closed = new Promise((resolve) => first.once("close", resolve));
+      first.write(rawServers.formatRawAnswer(200, {}, "surplus"));
+      await closed;
+      chai.expect(await ask("c")).to.equal("of 2");
+    });
+
+    // Guards against a surplus answer to one attempt that is taken for the answer
+    // to a later attempt with the same id.
+    it("sends each id once on a connection", async () => {
+      chai.expect(await ask("a")).to.equal("of 1");
+      chai.expect(await ask("a")).to.equal("of 2");
+      chai.expect(await ask("b")).to.equal("of 1");
+      chai.expect(await ask("a")).to.equal("of 3");
+    });
+
+    // Guards against the same where requests have no id.
+    it("sends a request without an id on a new connection", async () => {
+      chai.expect(await ask("a")).to.equal("of 1");
+      chai.expect(await ask()).to.equal("of 2");
+      chai.expect(await ask()).to.equal("of 3");
+    });
+
+    it("sends reads on connections apart from those of requests with ids", async () => {
+      chai.expect(await ask("a")).to.equal("of 1");
+      chai.expect(await ask(undefined, "GET")).to.equal("of 2");
+      chai.expect(await ask("b")).to.equal("of 1");
+      chai.expect(await ask(undefined, "GET")).to.equal("of 2");
+    });
+
+    // Guards against a surplus answer to a read of long ago that is taken for the
+    // answer to a later one.
+    it("keeps a connection of reads for a limited time", () => {
+      const clock = new clocks.FakeClock();
+      const agent = new agents.ReadAgent(clock);
+      const socket = new net.Socket();
+      agent.recordSend(socket);
+      clock.advance(999);
+      chai.expect(agent.keepSocketAlive(socket)).to.equal(true);
+      agent.recordSend(socket);
+      clock.advance(1);
+      chai.expect(agent.keepSocketAlive(socket)).to.equal(false);
+    });
+
+    // Guards against a surplus 421, which may name no request, that is taken for
+    // the answer to a later one.
+    it("reuses no connection after a 421", async () => {
+      server.handle = ({ connection, socket }) =>
+        socket.write(rawServers.formatRawAnswer(421, {}, `of ${connection}`));
+      chai.expect(await ask("a")).to.equal("of 1");
+      chai.expect(await ask("b")).to.equal("of 2");
+    });
   });
 });
-
-function formatAnswer(body: string): string {
-  return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
-}
--- a/src/item_run/item_run_test.ts
+++ b/src/item_run/item_run_test.ts
@@ -2,36 +2,11 @@
 import type * as net from "node:net";
 import * as chai from "chai";
 import * as clocks from "../clock/mod.ts";
-import * as csp from "../csp/mod.ts";
-import type * as dialects from "../dialect/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
-import * as itemFixtures from "../submission/item_fixture_test.ts";
-import * as runItem from "./run_item.ts";
+import * as runFixtures from "./run_fixture_test.ts";
+import type * as runItem from "./run_item.ts";
 import * as textProgresses from "./text_progress.ts";
 
-const ITEM = itemFixtures.createItem("item-1", {
-  headers: { "x-kept": "yes" },
-  body: Buffer.from("prompt").toString("base64"),
-});
-
-/** Dialect stub with the members that a run uses. */
-const DIALECT = {
-  versionField: "version",
-  createForwardHeaders: (
-    headers: dialects.HeaderMap,
-    marks: dialects.ForwardMetadata,
-  ) => ({ ...headers, id: marks.requestId, after: String(marks.lastEventId) }),
-  parseAnswerHead: (headers: dialects.HeaderMap) => ({
-    requestId: headers["id"],
-    receipt: undefined,
-    isNotRun: headers["not-run"] !== undefined,
-    load: undefined,
-    weightVersion: headers["version"] === undefined
-      ? undefined
-      : Number(headers["version"]),
-  }),
-} as unknown as dialects.Dialect;
-
 type Script = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
@@ -67,22 +42,10 @@
     progress: textProgresses.TextProgress,
     changes: Partial<runItem.RunItemOptions> = {},
   ): Promise<runItem.RunOutcome> {
-    return runItem.runItem({
-      clock: new clocks.SystemClock(),
-      dialect: DIALECT,
-      item: ITEM,
-      sender: { kind: "unasked" },
-      host: "a.example",
+    return runFixtures.runOnce(progress, {
       engine: serverFixtures.createServer("e-1", {
         port: (engine.address() as net.AddressInfo).port,
       }),
-      minimumVersion: 2,
-      isSingleVersion: false,
-      progress,
-      stallTimeoutMs: 10_000,
-      cancellation: new csp.Cancellation(),
-      onEvent: () => {},
-      onVersion: () => {},
       ...changes,
     });
   }
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -99,6 +99,7 @@
         lastEventId === undefined ? marks : { ...marks, lastEventId },
       ),
       body: Buffer.from(item.body, "base64"),
+      requestId: item.id,
       timeoutMs: RUN_TIMEOUT_MS,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       cancellation,
--- a/src/weight_orders/engine_restart_test.ts
+++ b/src/weight_orders/engine_restart_test.ts
@@ -26,6 +26,7 @@
     headers: {},
     body: JSON.stringify(order),
   }),
+  parseAnswerHead: () => ({ requestId: undefined }),
   parseEngineReport: (body: Buffer) => ({
     kind: "ok",
     value: JSON.parse(String(body)),
--- a/src/weight_orders/engine_tracker_test.ts
+++ b/src/weight_orders/engine_tracker_test.ts
@@ -18,6 +18,7 @@
     headers: { server },
     body: undefined,
   }),
+  parseAnswerHead: () => ({ requestId: undefined }),
   parseEngineReport: (body: Buffer) =>
     results.createOk(JSON.parse(String(body))),
 } as unknown as dialects.Dialect;
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -94,6 +94,13 @@
   if (sent.kind !== "answered" || sent.head.status !== OK_STATUS) {
     return { kind: "unread", message: `Cannot read the state of ${engine.id}` };
   }
+  const head = dialect.parseAnswerHead(sent.head.headers);
+  if (dialects.isForeignAnswer(sent.head.status, head, undefined)) {
+    return {
+      kind: "unread",
+      message: `${engine.id} answered another request`,
+    };
+  }
   const reading = dialect.parseEngineReport(sent.body, engine.id);
   if (reading.kind === "refused") return reading;
   const { born, models } = reading.value;
