Never hold crashes of engines against items and their scoring calls

What trainers saw: an item under which three engines crashed in succession was never placed again, though all was calm and engines had room.

Scoring calls the same.

Change: an item is owed. Owed work has a digest of its own and its crashes are published as cleared, so other boxes pass the server over, and a caller's request of the same content is neither barred nor freed.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -77,23 +77,6 @@
     return crashRecords.decideRun(record, this.#getAgeMs(record));
   }
 
-  /**
-   * Returns what is held against a piece of work.
-   *
-   * @param computeDigest Computes the digest of the work; called only if the
-   * table has records.
-   */
-  getSuspicion(
-    computeDigest: () => crashRecords.WorkDigest,
-  ): workDescriptions.Suspicion {
-    this.#removeExpired();
-    const record = this.#findRecord(computeDigest);
-    return {
-      ended: crashRecords.countConsecutiveCrashes(record),
-      sinceMs: this.#getAgeMs(record),
-    };
-  }
-
   /**
    * Creates the key of the crash that a run may cause; called before the run.
    *
@@ -125,20 +108,21 @@
   }
 
   /**
-   * Records a crash if a server that closed its connection during a run no longer
-   * listens on its port. Otherwise only the connection was lost.
+   * Tells whether a server that closed its connection during a run has crashed: it
+   * no longer listens on its port. Otherwise only the connection was lost.
    */
+  async hasCrashed(server: registry.RegisteredServer): Promise<boolean> {
+    const { findPortState } = this.#options;
+    return await findPortState(server.address, server.port) === "refused";
+  }
+
+  /** Records a crash of the work if the server has crashed. */
   async recordConnectionLoss(
     server: registry.RegisteredServer,
     work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
-    endedBefore = Number.POSITIVE_INFINITY,
   ): Promise<void> {
-    const { findPortState } = this.#options;
-    const state = await findPortState(server.address, server.port);
-    if (state === "refused") {
-      this.recordCrash(server, work, crash, endedBefore);
-    }
+    if (await this.hasCrashed(server)) this.recordCrash(server, work, crash);
   }
 
   /**
@@ -147,35 +131,48 @@
    * @param server The server.
    * @param work The work.
    * @param crash Key of the crash, created before the run.
-   * @param endedBefore Successive crashes of the work that were known before the
-   * run. If there are more by now, the run did not follow them, and its crash
-   * counts as part of the same event. By default each crash counts.
    */
   recordCrash(
     server: registry.RegisteredServer,
     work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
-    endedBefore = Number.POSITIVE_INFINITY,
+  ): void {
+    this.#mergeCrash(server, work, { crash, isBlamed: true });
+  }
+
+  /**
+   * Records that a server crashed, so that all boxes pass it over, and holds nothing
+   * against the work that it ran.
+   *
+   * @param server The server.
+   * @param work The work.
+   * @param crash Key of the crash, created before the run.
+   */
+  recordServerCrash(
+    server: registry.RegisteredServer,
+    work: workDescriptions.WorkDescription,
+    crash: crashRecords.CrashKey,
+  ): void {
+    this.#mergeCrash(server, work, { crash, isBlamed: false });
+  }
+
+  #mergeCrash(
+    server: registry.RegisteredServer,
+    work: workDescriptions.WorkDescription,
+    { crash, isBlamed }: {
+      readonly crash: crashRecords.CrashKey;
+      readonly isBlamed: boolean;
+    },
   ): void {
     const { clock, log, metrics, table, publish } = this.#options;
     const nowMs = clock.getWallMs();
-    const known = crashRecords.countConsecutiveCrashes(table.get(work.digest));
-    if (known > endedBefore) {
-      this.#options.servers.markCrashed(server);
-      log.write("info", "crash.sameEvent", {
-        ...createLogFields(work),
-        server: server.id,
-        ended: known,
-      });
-      return;
-    }
     const isNew = table.merge({
       digest: work.digest,
       account: work.account,
       service: work.service,
       target: work.target.slice(0, MAX_TARGET_LENGTH),
       ended: [crash],
-      cleared: [],
+      cleared: isBlamed ? [] : [crash],
       notedAtMs: nowMs,
     }, nowMs);
     this.#options.servers.markCrashed(server);
@@ -186,6 +183,7 @@
       ...createLogFields(work),
       server: server.id,
       crash,
+      blamed: isBlamed,
       ended: crashRecords.countConsecutiveCrashes(record),
     });
     publish(record);
--- a/src/crash_guard/work_description.ts
+++ b/src/crash_guard/work_description.ts
@@ -11,11 +11,3 @@
   /** Path with query. */
   readonly target: string;
 }
-
-/** What is held against a piece of work. */
-export interface Suspicion {
-  /** Servers that crashed in succession while they ran it. */
-  readonly ended: number;
-  /** Time since the latest crash, in ms; 0 for work without a record. */
-  readonly sinceMs: number;
-}
--- a/src/crash_record/work_digest.ts
+++ b/src/crash_record/work_digest.ts
@@ -13,8 +13,16 @@
   /** Path with query. */
   readonly target: string;
   readonly body: Buffer;
+  /**
+   * Whether the work was accepted to be done later. It has a digest apart from that
+   * of a request with the same content, so that neither counts for the other.
+   */
+  readonly isOwed?: boolean;
 }
 
+/** Precedes the method in the digest of owed work. */
+const OWED_PREFIX = "owed ";
+
 /** Hexadecimal digits of a digest; 128 bits resist deliberate collisions. */
 const DIGEST_DIGITS = 32;
 
@@ -27,7 +35,8 @@
  * @returns The digest, in hexadecimal.
  */
 export function computeWorkDigest(work: Work): WorkDigest {
-  const { sender, method, host, target, body } = work;
+  const { sender, host, target, body, isOwed } = work;
+  const method = isOwed === true ? OWED_PREFIX + work.method : work.method;
   const account = accounts.getAccountName(sender);
   const head = JSON.stringify([sender.kind, account, method, host, target]);
   return crypto.createHash("sha256").update(head).update("\n").update(body)
--- a/src/dispatch/item_task.ts
+++ b/src/dispatch/item_task.ts
@@ -36,7 +36,6 @@
   /** Preferred engine of the next run, set when a run is moved. */
   targetEngine: registry.LifetimeKey | undefined;
   #workDigest: crashRecords.WorkDigest | undefined;
-  #isHeldBack = false;
   #runCount = 0;
   #failureCount = 0;
   #impossibleCount = 0;
@@ -96,6 +95,7 @@
       host: this.submission.terms.host,
       target: this.item.path,
       body: Buffer.from(this.item.body, "base64"),
+      isOwed: true,
     });
     return this.#workDigest;
   }
@@ -112,13 +112,6 @@
     };
   }
 
-  /** Marks the item as held back; returns true the first time. */
-  markHeldBack(): boolean {
-    const isFirst = !this.#isHeldBack;
-    this.#isHeldBack = true;
-    return isFirst;
-  }
-
   /** Returns the requirements on engines that may run the item. */
   getRequirements(): chooseEngine.EngineRequirements {
     return {
--- a/src/dispatch/score_item.ts
+++ b/src/dispatch/score_item.ts
@@ -69,6 +69,7 @@
     deadlineAtMs: nowMs + route.timeoutMs,
     maxAttempts: route.attempts,
     isRepeatable: true,
+    isOwed: true,
     retriesErrors: false,
     hedgeMs: route.targetLatencyMs * HEDGE_RATIO,
     cancellation: task.cancellation,
--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -41,6 +41,7 @@
   readonly server: registry.LifetimeKey | undefined;
 }
 
+const FREE: crashRecords.RunDecision = { kind: "free" };
 const ANY_SERVER: Permitted = { kind: "permitted", server: undefined };
 
 /** Dependencies of a `JobCrashGuard`. */
@@ -54,6 +55,8 @@
     | "createCrashKey"
     | "recordConnectionLoss"
     | "recordCrash"
+    | "hasCrashed"
+    | "recordServerCrash"
     | "recordSuccess"
     | "recordHeldBack"
     | "askGrant"
@@ -77,6 +80,7 @@
 
   /** Whether the work must wait until this box knows of earlier crashes. */
   isAwaitingRecords(): boolean {
+    if (this.#job.isOwed === true) return false;
     return this.#options.crashGuard.isAwaitingRecords();
   }
 
@@ -87,12 +91,13 @@
 
   /** Returns whether the work may be sent, by the crashes known to this box. */
   getVerdict(): crashRecords.RunDecision {
+    if (this.#job.isOwed === true) return FREE;
     return this.#options.crashGuard.decideRun(() => this.getDigest());
   }
 
   /** Returns the digest of the work, computed on first use. */
   getDigest(): crashRecords.WorkDigest {
-    const { sender, method, target, headers, body } = this.#job;
+    const { sender, method, target, headers, body, isOwed } = this.#job;
     const host = String(headers["host"] ?? "");
     this.#digest ??= crashRecords.computeWorkDigest({
       sender,
@@ -100,6 +105,7 @@
       host,
       target,
       body,
+      ...(isOwed === undefined ? {} : { isOwed }),
     });
     return this.#digest;
   }
@@ -203,6 +209,9 @@
     crash: crashRecords.CrashKey,
   ): Promise<void> {
     const { crashGuard } = this.#options;
+    if (this.#job.isOwed === true) {
+      return this.#recordOwedAttempt(outcome, server, crash);
+    }
     if (outcome.kind === "broken" && outcome.isLifetimeEnded === true) {
       crashGuard.recordCrash(server, this.#describeWork(), crash);
     } else if (outcome.kind === "broken" && outcome.isClosed) {
@@ -218,6 +227,20 @@
     }
   }
 
+  /** Records a crash of the server without holding it against owed work. */
+  async #recordOwedAttempt(
+    outcome: jobs.AttemptOutcome,
+    server: registry.RegisteredServer,
+    crash: crashRecords.CrashKey,
+  ): Promise<void> {
+    const { crashGuard } = this.#options;
+    if (outcome.kind !== "broken") return;
+    const hasCrashed = outcome.isLifetimeEnded === true ||
+      (outcome.isClosed && await crashGuard.hasCrashed(server));
+    if (!hasCrashed) return;
+    crashGuard.recordServerCrash(server, this.#describeWork(), crash);
+  }
+
   /** Counts and logs that the job was answered without being sent. */
   recordHeldBack(ended: number, returnMs: number): void {
     this.#options.crashGuard.recordHeldBack(
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -24,6 +24,11 @@
   readonly maxAttempts: number;
   /** Whether the request is idempotent and may run more than once. */
   readonly isRepeatable: boolean;
+  /**
+   * Whether the job belongs to work that was accepted to be done later. Crashes of
+   * servers are never held against such work.
+   */
+  readonly isOwed?: boolean;
   /** Whether a 5xx answer is retried on another server. */
   readonly retriesErrors: boolean;
   /** Time without an answer after which a hedged request is sent, in ms. */
