Bound what is read of an answer that does not end

What trainers saw: one of three engines that sent a line, or lines of an event, without end ended two of three stores for lack of heap within seconds; with comments, the body of a 500 or a slow line its items hung for up to 60 s.

Cause: a run of an item had no bound on bytes, any byte renewed its stall timeout and an error's body was read to its end; interim responses were not counted; nothing bounded what all unfinished answers of a box hold together.

--- a/src/duty/duty_client.ts
+++ b/src/duty/duty_client.ts
@@ -5,6 +5,8 @@
 /** Timeout of a call to the infrastructure, in ms. */
 const CALL_TIMEOUT_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 400;
+/** Largest answer, in bytes. */
+const MAX_ANSWER_BYTES = 256 * 1024;
 const FIRST_NON_SUCCESS_STATUS = 300;
 
 /** Outcome of a call to the infrastructure. */
@@ -35,6 +37,7 @@
     ...(body === undefined ? {} : { body }),
     timeoutMs: CALL_TIMEOUT_MS,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxResponseBytes: MAX_ANSWER_BYTES,
     isFreshConnection: true,
   });
   if (sent.kind !== "answered") {
--- a/src/engine/stream_completion.ts
+++ b/src/engine/stream_completion.ts
@@ -40,11 +40,16 @@
   readonly onToken: (token: GeneratedToken) => void;
 }
 
+/** Most bytes of a stream. */
+const MAX_STREAM_BYTES = 16 * 1024 * 1024;
+
 /** Handles the HTTP exchange of one completion on one engine. */
 class CompletionStream implements httpClient.ExchangeListener {
   readonly #options: StreamOptions;
   readonly #resolve: (outcome: StreamOutcome) => void;
   readonly #reader: eventReaders.EventReader;
+  readonly #limit = new httpClient.StreamLimit(MAX_STREAM_BYTES);
+  #exchange: httpClient.Exchange | undefined;
   #status = 0;
   #finishReason: string | undefined;
   #hasUnknownVersion = false;
@@ -60,12 +65,22 @@
     );
   }
 
+  start(request: httpClient.HttpRequest): void {
+    this.#exchange = httpClient.openExchange(request, this);
+  }
+
   onHead(head: httpClient.ResponseHead): void {
     this.#status = head.status;
+    if (head.status !== 200) this.#limit.markAsError();
   }
 
   onData(chunk: Buffer): void {
+    this.#limit.addBytes(chunk.length);
     if (this.#status === 200) this.#reader.read(chunk);
+    if (!this.#limit.isExceeded()) return;
+    this.#exchange?.cancel();
+    const message = "the engine sent more bytes than an answer can have";
+    this.#resolve({ kind: "broken", message });
   }
 
   onEnd(): void {
@@ -93,6 +108,7 @@
    */
   #handleEvent(event: eventReaders.CompletionEvent): void {
     const { tokenIds, text, weightVersion, finishReason } = event;
+    this.#limit.recordEvent();
     if (finishReason !== null) this.#finishReason = finishReason;
     if (weightVersion === undefined || this.#hasUnknownVersion) {
       this.#hasUnknownVersion = true;
@@ -127,7 +143,7 @@
     stream: true,
   });
   return new Promise((resolve) => {
-    httpClient.openExchange({
+    new CompletionStream(options, resolve).start({
       address: server.address,
       port: server.port,
       method: "POST",
@@ -141,6 +157,6 @@
       timeoutMs: options.timeoutMs,
       connectTimeoutMs: options.connectTimeoutMs,
       cancellation: options.cancellation,
-    }, new CompletionStream(options, resolve));
+    });
   });
 }
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -13,6 +13,13 @@
 import * as rpc from "../rpc/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
 
+const BYTES_PER_MB = 1_000_000;
+/**
+ * Part of a box's memory that unfinished answers of servers may hold; a whole answer
+ * needs as much again when its parts are joined.
+ */
+const MAX_HELD_FRACTION = 0.2;
+
 /** Inputs of a box that do not change while it runs. */
 export interface BoxContext {
   readonly settings: fleetSettings.FleetSettings;
@@ -69,6 +76,9 @@
 /** Creates the components that every box has, without starting any. */
 export function createBoxComponents(context: BoxContext): BoxComponents {
   const { settings, dialect, lines } = context;
+  httpClient.SHARED_HELD_BYTES.limit(
+    settings.memoryMb * BYTES_PER_MB * MAX_HELD_FRACTION,
+  );
   const clock = new clocks.SystemClock();
   const log = new logs.Log(
     settings.box.name,
--- a/src/http_client/mod.ts
+++ b/src/http_client/mod.ts
@@ -11,8 +11,10 @@
  * @module
  */
 export { closeIdleConnections } from "./_agent.ts";
+export * from "./held_bytes.ts";
 export * from "./probe_port.ts";
 export * from "./http_request.ts";
 export * from "./open_exchange.ts";
 export * from "./send_json.ts";
 export * from "./send_request.ts";
+export * from "./stream_limit.ts";
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -31,6 +31,9 @@
   "EPIPE",
 ]);
 
+/** Most interim responses (1xx) before the final one. */
+const MAX_INTERIM_RESPONSES = 8;
+
 /** A request in progress. */
 export interface Exchange {
   /** Aborts the request; the listener is not called any more. */
@@ -48,6 +51,7 @@
   readonly #onCancel: () => void;
   #timer: NodeJS.Timeout | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
+  #interimCount = 0;
 
   constructor(
     options: httpRequests.HttpRequest,
@@ -89,6 +93,7 @@
       },
     );
     this.#request.on("error", (error) => this.#failWithError(error));
+    this.#request.on("information", () => this.#countInterim());
     this.#request.on("response", (response) => this.#readResponse(response));
     this.#cancellation?.addListener(this.#onCancel);
     if (this.#cancellation?.isCancelled() === true) this.#onCancel();
@@ -109,6 +114,13 @@
     });
   }
 
+  /** Interim responses may come without end, and no timeout restarts for them. */
+  #countInterim(): void {
+    this.#interimCount += 1;
+    if (this.#interimCount <= MAX_INTERIM_RESPONSES) return;
+    this.#fail("too many interim responses");
+  }
+
   #readResponse(response: http.IncomingMessage): void {
     if (this.#isSettled) return;
     const head = {
--- a/src/item_run/run_fixture_test.ts
+++ b/src/item_run/run_fixture_test.ts
@@ -7,6 +7,7 @@
 import type * as textProgresses from "./text_progress.ts";
 
 export const ITEM = itemFixtures.createItem("item-1", {
+  tokens: 100,
   headers: { "x-kept": "yes" },
   body: Buffer.from("prompt").toString("base64"),
 });
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -15,6 +15,12 @@
 const FAILED_STATUS = 500;
 const IMPOSSIBLE_STATUS = 422;
 const OK_STATUS = 200;
+/** Most bytes of a run apart from those of its tokens. */
+const RUN_OVERHEAD_BYTES = 64 * 1024;
+/** Most bytes of a run for each token of its item. */
+const MAX_BYTES_PER_TOKEN = 1024;
+/** Most bytes of a run of an item whose number of tokens is not known. */
+const MAX_RUN_BYTES = 16 * 1024 * 1024;
 
 /** Options of {@link runItem}. */
 export interface RunItemOptions {
@@ -31,7 +37,7 @@
   readonly isSingleVersion: boolean;
   /** Text of earlier runs; events of this run are appended to it. */
   readonly progress: textProgresses.TextProgress;
-  /** Time without data after which the run is aborted, in ms. */
+  /** Time without an event after which the run is aborted, in ms. */
   readonly stallTimeoutMs: number;
   readonly cancellation: csp.Cancellation;
   /** Called after each event that was appended. */
@@ -68,6 +74,7 @@
   readonly #resolve: (outcome: RunOutcome) => void;
   readonly #parser: eventSource.EventSourceParser;
   readonly #decoder = new TextDecoder();
+  readonly #limit: httpClient.StreamLimit;
   #exchange: httpClient.Exchange | undefined;
   #cancelStallTimer: clocks.CancelTimer = () => {};
   #status = 0;
@@ -78,6 +85,9 @@
   constructor(options: RunItemOptions, resolve: (outcome: RunOutcome) => void) {
     this.#options = options;
     this.#resolve = resolve;
+    this.#limit = new httpClient.StreamLimit(
+      computeMaxBytes(options.item.tokens),
+    );
     this.#parser = eventSource.createParser({
       onEvent: (event) => this.#handleEvent(event),
       onError: (error) => this.#handleUnknownField(error),
@@ -113,10 +123,11 @@
     if (dialects.isForeignAnswer(head.status, parsed, item.id)) {
       return this.#abort("the answer belongs to another request");
     }
+    this.#restartStallTimer();
     this.#status = head.status;
     this.#isNotRun = parsed.isNotRun ||
       head.status === dialects.WRONG_SERVER_STATUS;
-    if (head.status !== OK_STATUS) return;
+    if (head.status !== OK_STATUS) return this.#limit.markAsError();
     this.#version = parsed.weightVersion;
     if (this.#version === undefined) {
       return this.#abort("the response has no weight version");
@@ -126,9 +137,12 @@
 
   onData(chunk: Buffer): void {
     if (this.#isSettled) return;
-    this.#restartStallTimer();
-    if (this.#status !== OK_STATUS) return;
-    this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
+    this.#limit.addBytes(chunk.length);
+    if (this.#status === OK_STATUS) {
+      this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
+    }
+    if (!this.#limit.isExceeded()) return;
+    this.#abort("the engine sent more bytes than an answer can have");
   }
 
   onEnd(): void {
@@ -205,16 +219,28 @@
       version: this.#version,
     });
     if (!isNext) return this.#abort("an event id is out of sequence");
+    if (this.#hasTooManyEvents()) {
+      progress.reset();
+      return this.#abort("the text has more events than the item has tokens");
+    }
+    this.#limit.recordEvent();
+    this.#restartStallTimer();
     onEvent();
   }
 
+  /** Whether the text can't be the item's, as each event has a token at least. */
+  #hasTooManyEvents(): boolean {
+    const { item, progress } = this.#options;
+    return item.tokens > 0 && progress.countGeneratedEvents() > item.tokens;
+  }
+
   #restartStallTimer(): void {
     const { clock, stallTimeoutMs: stallMs } = this.#options;
     this.#cancelStallTimer();
     if (this.#isSettled) return;
     this.#cancelStallTimer = clock.startTimer(
       stallMs,
-      () => this.#abort("no data was received within the stall timeout"),
+      () => this.#abort("no event was received within the stall timeout"),
     );
   }
 
@@ -231,6 +257,11 @@
   }
 }
 
+function computeMaxBytes(tokens: number): number {
+  if (tokens <= 0) return MAX_RUN_BYTES;
+  return RUN_OVERHEAD_BYTES + tokens * MAX_BYTES_PER_TOKEN;
+}
+
 /**
  * Runs an item on one engine, resuming after the text of earlier runs.
  *
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -5,6 +5,8 @@
 /** Timeout of an order or a read of an engine's report, in ms. */
 const CALL_TIMEOUT_MS = 600;
 const CONNECT_TIMEOUT_MS = 250;
+/** Largest answer to an order or a read, in bytes. */
+const MAX_ANSWER_BYTES = 256 * 1024;
 const ACCEPTED_STATUS = 202;
 const OK_STATUS = 200;
 
@@ -140,6 +142,7 @@
     ...(body === undefined ? {} : { body }),
     timeoutMs: CALL_TIMEOUT_MS,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxResponseBytes: MAX_ANSWER_BYTES,
     isFreshConnection,
   });
 }
