--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -44,7 +44,7 @@
   step: 0,
   minimumVersion: 1,
   desired: 1,
-  items: [itemFixtures.createItem("item-1")],
+  items: [itemFixtures.createItem("item-1", { tokens: 10 })],
   sender: { kind: "unasked" },
   acceptedAtMs: 0,
   terms: {
