Report a step as whole once its trainer no longer waits

What operators saw: step.whole up to 2 s before the trainer could end the step; what looked like a slow read of results was a wait for a group that came back.

Cause: the step's progress counted complete groups against the desired number and not the carried groups, which the trainer always waits for.

Evidence: step_progress_test, 'waits for carried groups', failed before.

--- a/src/dispatch/step_progress.ts
+++ b/src/dispatch/step_progress.ts
@@ -11,6 +11,8 @@
   readonly #desired: number;
   readonly #carriedGroups: ReadonlySet<string>;
   #completeGroups = 0;
+  /** Number of carried groups that are not complete. */
+  #openCarriedGroups: number;
 
   /**
    * @param submission The step.
@@ -39,18 +41,25 @@
       groups.length,
     );
     this.#completeGroups = groups.filter((open) => open.size === 0).length;
+    this.#openCarriedGroups =
+      [...this.#carriedGroups].filter((group) =>
+        (this.#openItems.get(group)?.size ?? 0) > 0
+      ).length;
   }
 
   /**
    * Marks an item as finished.
    *
-   * @returns Whether this completed the last group that the step waits for.
+   * @returns Whether this completed the last group that the trainer waits for.
    */
   finishItem(item: string): boolean {
-    const open = this.#openItems.get(this.#groupsByItem.get(item) ?? "");
+    const group = this.#groupsByItem.get(item) ?? "";
+    const open = this.#openItems.get(group);
     if (open === undefined || !open.delete(item) || open.size > 0) return false;
+    const wasAwaited = this.#isAwaited();
     this.#completeGroups += 1;
-    return this.#completeGroups === this.#desired;
+    if (this.#carriedGroups.has(group)) this.#openCarriedGroups -= 1;
+    return wasAwaited && !this.#isAwaited();
   }
 
   /** Returns the number of complete groups. */
@@ -58,11 +67,19 @@
     return this.#completeGroups;
   }
 
-  /** Returns the number of groups that the step still waits for. */
+  /** Returns how many groups the desired number of complete ones still lacks. */
   countMissingGroups(): number {
     return Math.max(0, this.#desired - this.#completeGroups);
   }
 
+  /**
+   * Tells whether the trainer still waits: for the desired number of groups, and
+   * for all carried ones among them.
+   */
+  #isAwaited(): boolean {
+    return this.countMissingGroups() > 0 || this.#openCarriedGroups > 0;
+  }
+
   /** Tells whether the group is carried over from an earlier step. */
   isCarried(group: string): boolean {
     return this.#carriedGroups.has(group);
--- a/src/dispatch/step_progress_test.ts
+++ b/src/dispatch/step_progress_test.ts
@@ -27,6 +27,24 @@
     chai.expect(step.countMissingGroups()).to.equal(0);
   });
 
+  // Guards against a step that is reported as whole while its trainer waits for a
+  // group that came back.
+  it("waits for carried groups, however many others are complete", () => {
+    const items = ["a", "b", "c"].map((id) => itemFixtures.createItem(id));
+    const submission = {
+      items,
+      desired: 2,
+    } as unknown as submissions.Submission;
+    const step = new stepProgress.StepProgress(
+      submission,
+      new Set(),
+      (item) => item === "c",
+    );
+    chai.expect(step.finishItem("a")).to.equal(false);
+    chai.expect(step.finishItem("b")).to.equal(false);
+    chai.expect(step.finishItem("c")).to.equal(true);
+  });
+
   it("starts from the items already recorded", () => {
     const step = createStep({ a: "x", b: "x", c: "y" }, undefined, ["a", "c"]);
     chai.expect(step.countCompleteGroups()).to.equal(1);
