Copy the body of an answer once on its way to the caller

The parts were kept after they were joined, and a joined body was copied again before it was written.

--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -49,7 +49,9 @@
   answer: dialects.RawAnswer,
 ): void {
   if (response.headersSent || response.destroyed) return;
-  const body = Buffer.from(answer.body);
+  const body = typeof answer.body === "string"
+    ? Buffer.from(answer.body)
+    : answer.body;
   if (answer.isCloseDelimited === true) {
     response.useChunkedEncodingByDefault = false;
     response.writeHead(answer.status, {
--- a/src/http_client/send_request.ts
+++ b/src/http_client/send_request.ts
@@ -45,6 +45,7 @@
     this.#held.release(this);
     if (this.#head === undefined) return;
     const body = Buffer.concat(this.#chunks);
+    this.#chunks.length = 0;
     this.#resolve({ kind: "answered", head: this.#head, body });
   }
 
