Wait for the first event of a trial for a second at most

An item on trial at an engine that loads other weights may make no event for 4 s, and held up the others of its group as long. item_crash_tracker_test, 'waits for the event of a trial for a limited time', failed before.

--- a/src/dispatch/item_crash_tracker.ts
+++ b/src/dispatch/item_crash_tracker.ts
@@ -13,6 +13,11 @@
  * it shares.
  */
 const MAX_ALONE_WAIT_MS = 1_000;
+/**
+ * Time for which a trial that makes no event holds up other items of its kind, in
+ * ms. An engine that loads weights may keep a run for seconds before its first event.
+ */
+const MAX_TRIAL_WAIT_MS = 1_000;
 /** Successive crashes from which work pauses before its next run. */
 const CRASHES_BEFORE_PAUSE = 3;
 /** First pause, in ms; each further crash doubles it. */
@@ -74,10 +79,17 @@
   canRun(task: itemTasks.ItemTask): boolean {
     const series = this.#getSeries(task);
     if (series === undefined) return true;
-    if (this.#trials.has(task.getWorkDigest())) return false;
+    if (this.#isAwaitingTrial(task)) return false;
     return this.#getAgeMs(series) >= computePauseMs(series.crashes);
   }
 
+  #isAwaitingTrial(task: itemTasks.ItemTask): boolean {
+    const startMs = this.#trials.getStartMs(task.getWorkDigest());
+    if (startMs === undefined) return false;
+    const nowMs = this.#options.clock.getMonotonicMs();
+    return nowMs - startMs < MAX_TRIAL_WAIT_MS;
+  }
+
   /** Returns the engines that an item must not use, as others are on trial there. */
   getExcludedEngines(
     task: itemTasks.ItemTask,
@@ -94,7 +106,10 @@
     engine: registry.RegisteredServer,
   ): RunStart {
     const crashesBefore = this.#getSeries(task)?.crashes ?? 0;
-    if (crashesBefore > 0) this.#trials.begin(task, engine.lifetime);
+    if (crashesBefore > 0) {
+      const nowMs = this.#options.clock.getMonotonicMs();
+      this.#trials.begin(task, engine.lifetime, nowMs);
+    }
     return {
       eventsBefore: task.progress.countGeneratedEvents(),
       crashesBefore,
--- a/src/dispatch/item_crash_tracker_test.ts
+++ b/src/dispatch/item_crash_tracker_test.ts
@@ -193,6 +193,19 @@
       chai.expect(tracker.recordEvent(first)).to.equal(false);
     });
 
+    // Guards against items that wait for seconds because one of their kind is on
+    // trial at an engine that is busy with something else.
+    it("waits for the event of a trial for a limited time", async () => {
+      const [[first, second]] = await crashEngines(["g1"]) as [
+        [ReturnType<typeof createItem>, ReturnType<typeof createItem>],
+      ];
+      startRun(first, "i-5");
+      clock.advance(999);
+      chai.expect(tracker.canRun(second)).to.equal(false);
+      clock.advance(1);
+      chai.expect(tracker.canRun(second)).to.equal(true);
+    });
+
     it("keeps items of two groups on trial apart, for a limited time", async () => {
       const [[first], [other]] = await crashEngines(["g1", "g2"]) as [
         [ReturnType<typeof createItem>],
--- a/src/dispatch/suspect_trials.ts
+++ b/src/dispatch/suspect_trials.ts
@@ -6,6 +6,8 @@
 interface Trial {
   readonly task: itemTasks.ItemTask;
   readonly engine: registry.LifetimeKey;
+  /** Start of the run, in monotonic ms. */
+  readonly startedAtMs: number;
 }
 
 /**
@@ -16,8 +18,9 @@
 export class SuspectTrials {
   readonly #trials = new Map<crashRecords.WorkDigest, Trial>();
 
-  has(digest: crashRecords.WorkDigest): boolean {
-    return this.#trials.has(digest);
+  /** Returns when the trial of a piece of work began, in monotonic ms, if any. */
+  getStartMs(digest: crashRecords.WorkDigest): number | undefined {
+    return this.#trials.get(digest)?.startedAtMs;
   }
 
   /** Returns the engines with a trial. */
@@ -25,8 +28,12 @@
     return new Set([...this.#trials.values()].map(({ engine }) => engine));
   }
 
-  begin(task: itemTasks.ItemTask, engine: registry.LifetimeKey): void {
-    this.#trials.set(task.getWorkDigest(), { task, engine });
+  begin(
+    task: itemTasks.ItemTask,
+    engine: registry.LifetimeKey,
+    startedAtMs: number,
+  ): void {
+    this.#trials.set(task.getWorkDigest(), { task, engine, startedAtMs });
   }
 
   /** Ends the trial of a task; returns whether there was one. */
