--- a/src/weight_orders/engine_restart_test.ts
+++ b/src/weight_orders/engine_restart_test.ts
@@ -10,30 +10,9 @@
 import type * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
 import * as submissions from "../submission/mod.ts";
+import * as dialectFixtures from "./dialect_fixture_test.ts";
 import * as weightOrderSchedulers from "./weight_order_scheduler.ts";
 
-/** The parts of a dialect that weight orders use. */
-const DIALECT = {
-  createReportRequest: () => ({
-    method: "GET",
-    target: "/state",
-    headers: {},
-    body: undefined,
-  }),
-  createVersionOrder: (order: dialects.VersionOrder) => ({
-    method: "POST",
-    target: "/order",
-    headers: {},
-    body: JSON.stringify(order),
-  }),
-  parseAnswerHead: () => ({ requestId: undefined }),
-  parseEngineReport: (body: Buffer) => ({
-    kind: "ok",
-    value: JSON.parse(String(body)),
-  }),
-  parseOrderAnswer: (body: Buffer) => JSON.parse(String(body)).born,
-} as unknown as dialects.Dialect;
-
 /** Waits of 1 ms or more within which a condition must hold. */
 const MAX_WAITS = 1_500;
 /** Time by which the fake clock advances per wait, in ms. */
@@ -98,7 +77,7 @@
       clock,
       log: new logs.Log("box", "error", () => {}),
       metrics: { countOrder: () => {} } as unknown as metrics.FleetMetrics,
-      dialect: DIALECT,
+      dialect: dialectFixtures.DIALECT,
       servers,
       duty: {
         canAct: () => true,
--- a/src/weight_orders/order_client_test.ts
+++ b/src/weight_orders/order_client_test.ts
@@ -1,26 +1,9 @@
 import * as chai from "chai";
-import type * as dialects from "../dialect/mod.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as rawServers from "../fixtures/raw_server.ts";
+import * as dialectFixtures from "./dialect_fixture_test.ts";
 import * as orderClients from "./order_client.ts";
 
-/** The parts of a dialect that a read uses. */
-const DIALECT = {
-  createReportRequest: () => ({
-    method: "GET",
-    target: "/state",
-    headers: {},
-    body: undefined,
-  }),
-  parseAnswerHead: (headers: dialects.HeaderMap) => ({
-    requestId: headers["id"],
-  }),
-  parseEngineReport: (body: Buffer) => ({
-    kind: "ok",
-    value: JSON.parse(String(body)),
-  }),
-} as unknown as dialects.Dialect;
-
 describe("readReport", () => {
   const engine = new rawServers.RawServer();
 
@@ -36,7 +19,10 @@
     const server = serverFixtures.createServer("e-1", {
       port: engine.getPort(),
     });
-    const reading = await orderClients.readReport(server, DIALECT);
+    const reading = await orderClients.readReport(
+      server,
+      dialectFixtures.DIALECT,
+    );
     chai.expect(reading.kind).to.equal("unread");
   });
 });
