One status 421, one way to record a crash, one filter of tasks by service

The http client had a copy of the dialect's 421: it has the constant now and the others use it. Owed work had a twin of recordCrash, recordAttempt and the choice between them: whether a crash is held against the work is an argument. Three places filtered tasks by service.

--- a/src/crash_guard/crash_guard.ts
+++ b/src/crash_guard/crash_guard.ts
@@ -121,8 +121,10 @@
     server: registry.RegisteredServer,
     work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
+    isBlamed = true,
   ): Promise<void> {
-    if (await this.hasCrashed(server)) this.recordCrash(server, work, crash);
+    if (!await this.hasCrashed(server)) return;
+    this.recordCrash(server, work, crash, isBlamed);
   }
 
   /**
@@ -131,38 +133,14 @@
    * @param server The server.
    * @param work The work.
    * @param crash Key of the crash, created before the run.
+   * @param isBlamed Whether it is held against the work. Otherwise all boxes only
+   * pass the server over.
    */
   recordCrash(
     server: registry.RegisteredServer,
     work: workDescriptions.WorkDescription,
     crash: crashRecords.CrashKey = server.lifetime,
-  ): void {
-    this.#mergeCrash(server, work, { crash, isBlamed: true });
-  }
-
-  /**
-   * Records that a server crashed, so that all boxes pass it over, and holds nothing
-   * against the work that it ran.
-   *
-   * @param server The server.
-   * @param work The work.
-   * @param crash Key of the crash, created before the run.
-   */
-  recordServerCrash(
-    server: registry.RegisteredServer,
-    work: workDescriptions.WorkDescription,
-    crash: crashRecords.CrashKey,
-  ): void {
-    this.#mergeCrash(server, work, { crash, isBlamed: false });
-  }
-
-  #mergeCrash(
-    server: registry.RegisteredServer,
-    work: workDescriptions.WorkDescription,
-    { crash, isBlamed }: {
-      readonly crash: crashRecords.CrashKey;
-      readonly isBlamed: boolean;
-    },
+    isBlamed = true,
   ): void {
     const { clock, log, metrics, table, publish } = this.#options;
     const nowMs = clock.getWallMs();
--- a/src/dialect/is_foreign_answer.ts
+++ b/src/dialect/is_foreign_answer.ts
@@ -1,8 +1,6 @@
+import * as httpClient from "../http_client/mod.ts";
 import type * as dialects from "./dialect.ts";
 
-/** Misdirected Request: the address now belongs to a different server. */
-export const WRONG_SERVER_STATUS = 421;
-
 /**
  * Reports whether an answer belongs to another request than the one that waits for
  * it, whatever its status: a surplus answer may arrive in the place where the next
@@ -20,5 +18,5 @@
 ): boolean {
   const named = head.requestId === "" ? undefined : head.requestId;
   if (named === requestId) return false;
-  return named !== undefined || status !== WRONG_SERVER_STATUS;
+  return named !== undefined || status !== httpClient.MISDIRECTED_STATUS;
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,6 +10,7 @@
 import type * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import type * as engineTables from "./engine_table.ts";
+import * as filterByServices from "./filter_by_service.ts";
 import * as itemCrashTrackers from "./item_crash_tracker.ts";
 import * as itemFinishers from "./item_finisher.ts";
 import * as itemStarters from "./item_starter.ts";
@@ -120,7 +121,10 @@
    * if late groups have `minAvailableMs` left.
    */
   computeRequiredSlots(service: string, minAvailableMs: number): number {
-    const tasks = filterByService(service, this.#taskTable.list());
+    const tasks = filterByServices.filterByService(
+      service,
+      this.#taskTable.list(),
+    );
     return this.#waitingOrder.computeRequiredSlots(
       service,
       tasks,
@@ -305,13 +309,6 @@
   }
 }
 
-function filterByService(
-  service: string,
-  tasks: readonly itemTasks.ItemTask[],
-): readonly itemTasks.ItemTask[] {
-  return tasks.filter((task) => task.submission.terms.service === service);
-}
-
 /** Tells whether a run ended without a final response from its engine. */
 function isInterrupted(end: itemRuns.RunOutcome): boolean {
   return end.kind === "broken" || end.kind === "notRun";
--- a/src/dispatch/item_crash_tracker.ts
+++ b/src/dispatch/item_crash_tracker.ts
@@ -35,7 +35,7 @@
   readonly log: Pick<logs.Log, "write">;
   readonly crashGuard: Pick<
     crashGuards.CrashGuard,
-    "hasCrashed" | "createCrashKey" | "recordServerCrash"
+    "hasCrashed" | "createCrashKey" | "recordCrash"
   >;
 }
 
@@ -178,7 +178,7 @@
     { crashesBefore, crash }: RunStart,
   ): void {
     const { clock, crashGuard, log } = this.#options;
-    crashGuard.recordServerCrash(engine, task.getWorkDescription(), crash);
+    crashGuard.recordCrash(engine, task.getWorkDescription(), crash, false);
     const known = this.#getSeries(task)?.crashes ?? 0;
     // A run that did not follow the known crashes met the same event as they did.
     const isSuccessive = known <= crashesBefore;
--- a/src/dispatch/item_starter.ts
+++ b/src/dispatch/item_starter.ts
@@ -2,6 +2,7 @@
 import type * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as engineTables from "./engine_table.ts";
+import * as filterByServices from "./filter_by_service.ts";
 import type * as itemCrashTrackers from "./item_crash_tracker.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as placementRounds from "./placement_round.ts";
@@ -101,9 +102,7 @@
     );
     for (const service of services) {
       if (!round.hasFreeSlot(service)) continue;
-      const serviceTasks = tasks.filter((task) =>
-        task.submission.terms.service === service
-      );
+      const serviceTasks = filterByServices.filterByService(service, tasks);
       for (const task of waitingOrder.order(service, serviceTasks)) {
         if (!this.#canStart(task)) continue;
         const engine = round.reserveSlot(
--- a/src/dispatch/plan_moves.ts
+++ b/src/dispatch/plan_moves.ts
@@ -1,6 +1,7 @@
 import type * as registry from "../registry/mod.ts";
 import * as chooseEngine from "./choose_engine.ts";
 import type * as engineTables from "./engine_table.ts";
+import * as filterByServices from "./filter_by_service.ts";
 import type * as itemTasks from "./item_task.ts";
 import type * as lengthEstimators from "./length_estimator.ts";
 
@@ -57,7 +58,7 @@
   return [...services].flatMap((service) => {
     const engines = context.servers.listReady(service);
     const candidates = listCandidates(
-      tasks.filter((task) => task.submission.terms.service === service),
+      filterByServices.filterByService(service, tasks),
       engines,
       nowMs,
       context,
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -75,9 +75,9 @@
   body: Buffer,
 ): jobs.AttemptOutcome {
   const head = options.dialect.parseAnswerHead(headers);
-  if (head.isNotRun || status === dialects.WRONG_SERVER_STATUS) {
+  if (head.isNotRun || status === httpClient.MISDIRECTED_STATUS) {
     const reason = `the server refused with ${status}`;
-    const isWrongServer = status === dialects.WRONG_SERVER_STATUS;
+    const isWrongServer = status === httpClient.MISDIRECTED_STATUS;
     return {
       kind: "notRun",
       reason,
--- a/src/forwarding/_job_crash_guard.ts
+++ b/src/forwarding/_job_crash_guard.ts
@@ -55,8 +55,6 @@
     | "createCrashKey"
     | "recordConnectionLoss"
     | "recordCrash"
-    | "hasCrashed"
-    | "recordServerCrash"
     | "recordSuccess"
     | "recordHeldBack"
     | "askGrant"
@@ -209,16 +207,15 @@
     crash: crashRecords.CrashKey,
   ): Promise<void> {
     const { crashGuard } = this.#options;
-    if (this.#job.isOwed === true) {
-      return this.#recordOwedAttempt(outcome, server, crash);
-    }
+    const isBlamed = this.#job.isOwed !== true;
     if (outcome.kind === "broken" && outcome.isLifetimeEnded === true) {
-      crashGuard.recordCrash(server, this.#describeWork(), crash);
+      crashGuard.recordCrash(server, this.#describeWork(), crash, isBlamed);
     } else if (outcome.kind === "broken" && outcome.isClosed) {
       await crashGuard.recordConnectionLoss(
         server,
         this.#describeWork(),
         crash,
+        isBlamed,
       );
     } else if (
       outcome.kind === "answered" && this.getVerdict().kind !== "free"
@@ -227,20 +224,6 @@
     }
   }
 
-  /** Records a crash of the server without holding it against owed work. */
-  async #recordOwedAttempt(
-    outcome: jobs.AttemptOutcome,
-    server: registry.RegisteredServer,
-    crash: crashRecords.CrashKey,
-  ): Promise<void> {
-    const { crashGuard } = this.#options;
-    if (outcome.kind !== "broken") return;
-    const hasCrashed = outcome.isLifetimeEnded === true ||
-      (outcome.isClosed && await crashGuard.hasCrashed(server));
-    if (!hasCrashed) return;
-    crashGuard.recordServerCrash(server, this.#describeWork(), crash);
-  }
-
   /** Counts and logs that the job was answered without being sent. */
   recordHeldBack(ended: number, returnMs: number): void {
     this.#options.crashGuard.recordHeldBack(
--- a/src/http_client/_agent.ts
+++ b/src/http_client/_agent.ts
@@ -12,8 +12,6 @@
  * read can't be told from the answer to a later one, so this bounds its age.
  */
 const READ_CONNECTION_MS = 1_000;
-/** Misdirected Request: another server listens at the address. */
-const MISDIRECTED_STATUS = 421;
 
 function closeOnData(this: stream.Duplex): void {
   this.destroy();
@@ -154,17 +152,6 @@
   else REQUEST_AGENT.recordSend(socket, requestId);
 }
 
-/**
- * Reports whether an answer says that another server listens at the address. No
- * request may follow on its connection, as a surplus copy of such an answer may
- * name no request.
- *
- * @param status Status of the answer.
- */
-export function isMisdirected(status: number): boolean {
-  return status === MISDIRECTED_STATUS;
-}
-
 /**
  * Closes the idle pooled connections to an address. After a server crashed
  * without closing them they still look open, and a request sent over one is lost.
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -3,6 +3,7 @@
 import type * as csp from "../csp/mod.ts";
 import * as agents from "./_agent.ts";
 import type * as httpRequests from "./http_request.ts";
+import * as misdirected from "./misdirected_status.ts";
 
 /** Events of an exchange; the last is one call of `onEnd` or `onFail`. */
 export interface ExchangeListener {
@@ -138,7 +139,9 @@
       if (!response.complete) this.#fail("the answer ended early", true);
     });
     response.on("end", () => this.#finish(response.complete));
-    if (agents.isMisdirected(head.status)) {
+    // No request may follow on the connection: a surplus copy of such an answer
+    // may name no request.
+    if (head.status === misdirected.MISDIRECTED_STATUS) {
       const { socket } = response;
       response.once("end", () => socket.destroy());
     }
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -126,7 +126,7 @@
     this.#restartStallTimer();
     this.#status = head.status;
     this.#isNotRun = parsed.isNotRun ||
-      head.status === dialects.WRONG_SERVER_STATUS;
+      head.status === httpClient.MISDIRECTED_STATUS;
     if (head.status !== OK_STATUS) return this.#limit.markAsError();
     this.#version = parsed.weightVersion;
     if (this.#version === undefined) {
@@ -155,7 +155,7 @@
         return this.#settle({ kind: "impossible" });
     }
     const reason = `the engine responded with status ${this.#status}`;
-    const isWrongServer = this.#status === dialects.WRONG_SERVER_STATUS;
+    const isWrongServer = this.#status === httpClient.MISDIRECTED_STATUS;
     this.#settle(
       this.#isNotRun
         ? { kind: "notRun", reason, isWrongServer }
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -61,7 +61,7 @@
       return {
         kind: "refused",
         status: sent.head.status,
-        isMisdirected: sent.head.status === dialects.WRONG_SERVER_STATUS,
+        isMisdirected: sent.head.status === httpClient.MISDIRECTED_STATUS,
       };
   }
 }
