--- a/review/fleet_2/fleet.mjs
+++ b/review/fleet_2/fleet.mjs
@@ -82,8 +82,16 @@
 };
 
 export class Fleet {
-  constructor({ entries = 6, diskEntries = 3, stores = 3, bounds = {} } = {}) {
-    this.options = { entries, diskEntries, stores, bounds };
+  constructor(
+    {
+      entries = 6,
+      diskEntries = 3,
+      stores = 3,
+      bounds = {},
+      zones = ["recife", "fortaleza", "salvador"],
+    } = {},
+  ) {
+    this.options = { entries, diskEntries, stores, bounds, zones };
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-review-"));
     this.boxes = [];
     this.children = new Map();
@@ -93,7 +101,7 @@
   }
 
   async layOut() {
-    const zones = ["recife", "fortaleza", "salvador"];
+    const { zones } = this.options;
     for (let attempt = 0; attempt < 50; attempt += 1) {
       const net2 = `127.${100 + Math.floor(Math.random() * 100)}.${
         1 + Math.floor(Math.random() * 250)
@@ -102,18 +110,18 @@
       const boxes = [];
       for (let at = 0; at < entries; at += 1) {
         boxes.push({
-          name: `frontend-${zones[at % 3]}-${Math.floor(at / 3) + 1}`,
+          name: `frontend-${zones[at % zones.length]}-${Math.floor(at / zones.length) + 1}`,
           ip: `${net2}.${10 + at}`,
-          zone: zones[at % 3],
+          zone: zones[at % zones.length],
           role: "entry",
           hasDisk: at < diskEntries,
         });
       }
       for (let at = 0; at < stores; at += 1) {
         boxes.push({
-          name: `storage-${zones[at % 3]}-${Math.floor(at / 3) + 1}`,
+          name: `storage-${zones[at % zones.length]}-${Math.floor(at / zones.length) + 1}`,
           ip: `${net2}.${50 + at}`,
-          zone: zones[at % 3],
+          zone: zones[at % zones.length],
           role: "store",
           hasDisk: true,
         });
--- a/review/fleet_2/site.mjs
+++ b/review/fleet_2/site.mjs
@@ -209,13 +209,15 @@
 }
 
 /** Submits until a 202; each attempt at another daemon. Returns all answers. */
-export async function submitUntilAccepted(fleet, id, submission, limitMs = 12_000, timeoutMs = 3_000) {
+export async function submitUntilAccepted(fleet, id, submission, limitMs = 12_000, timeoutMs = 3_000, onAnswer = () => {}) {
   const answers = [];
   const endMs = Date.now() + limitMs;
   for (let at = 0; Date.now() < endMs; at += 1) {
     const entry = fleet.entries[at % fleet.entries.length];
     const answer = await submit(entry, id, submission, timeoutMs);
-    answers.push({ entry: entry.name, status: answer.status, error: answer.error, text: (answer.text ?? "").slice(0, 200) });
+    const said = { entry: entry.name, status: answer.status, error: answer.error };
+    answers.push(said);
+    onAnswer(said);
     if (answer.status === 202) return { isAccepted: true, answers };
     await sleep(300);
   }
