--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,123 +1,103 @@
 /**
- * A trainer sends a batch submission below `body_bytes` and sends it again, as the pages
- * have it, while there is no 202. The platform's stand-in kills a process that exceeds
- * its memory, and starts ended processes again.
+ * An engine whose answers end with their connection crashes inside an event. Its items
+ * must not be listed as completed with the events that arrived before.
  */
-import * as fs from "node:fs";
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
 import { configure, Fleet, sleep, waitReady } from "../fleet_2/fleet.mjs";
 import * as records from "../fleet_2/record.mjs";
 import * as sites from "../fleet_2/site.mjs";
 
-/** 250 groups of 4 items. With 18,000 bytes each the body has some 24.3 MB. */
-const GROUPS = 250;
+const EVENTS = 20;
+const EVENT_MS = 100;
+const EVENT_BYTES = 16;
+const ENGINES = 6;
+const GROUPS = 6;
 const ITEMS_PER_GROUP = 4;
-const LARGE_BODY_BYTES = 18_000;
-/** The size of a request on the site's sheet. */
-const USUAL_BODY_BYTES = 600;
-const STEPS = 2;
-/** Time limit of a submission on the site's sheet, in ms. */
-const TIME_LIMIT_MS = 12_000;
-const STEP_MS = 4_000;
-const MEMORY_CHECK_MS = 20;
-const RESTART_MS = 1_000;
-const BYTES_PER_MB = 1_000_000;
-/** Ends in a day, and machines on which they are, that make a fault by the rule. */
-const FAULT_ENDS = 3;
-const FAULT_MACHINES = 2;
+/** Time after the 202 at which one engine crashes, in ms. */
+const CRASH_AFTER_MS = 1_000;
+/** Time that a crashed engine is away, in ms. */
+const DOWN_MS = 4_500;
+/** Time after the 202 at which the results are read, in ms. */
+const READ_AFTER_MS = 11_000;
 
 const folder = path.dirname(fileURLToPath(import.meta.url));
 const fleet = new Fleet({ entries: 9, diskEntries: 3, stores: 3 });
 
-/** Anonymous memory of a process in MB: without the program and mapped files. */
-function readMemoryMb(pid) {
-  try {
-    const text = fs.readFileSync(`/proc/${pid}/status`, "utf8");
-    return Number(/RssAnon:\s+(\d+)/.exec(text)[1]) * 1024 / BYTES_PER_MB;
-  } catch {
-    return 0;
-  }
+function wholeText(item) {
+  return Array.from({ length: EVENTS }, (_, at) =>
+    `${item}.${at + 1}.${"x".repeat(EVENT_BYTES)}`
+  ).join("\n");
 }
 
 async function run(record, servers) {
-  const ends = [];
-  const peaks = new Map();
-  let isOver = false;
-  fleet.onUnexpected = (box, code, signal) => {
-    if (isOver) return;
-    const why = box.isOverLimit === true ? "killed over its memory" : `ended with ${code ?? signal}`;
-    box.isOverLimit = false;
-    ends.push(box.name);
-    record.write(`${box.name}: ${why}`);
-    setTimeout(() => {
-      if (!isOver) fleet.start(box);
-    }, RESTART_MS);
-  };
-  const watch = setInterval(() => {
-    for (const box of fleet.boxes) {
-      const child = fleet.children.get(box.name);
-      if (child === undefined || child.hasEnded) continue;
-      const limitMb = box.role === "entry" ? 200 : 220;
-      const usedMb = readMemoryMb(child.pid);
-      peaks.set(box.name, Math.max(peaks.get(box.name) ?? 0, usedMb));
-      if (usedMb <= limitMb || box.isOverLimit === true) continue;
-      box.isOverLimit = true;
-      record.write(`${box.name} holds ${Math.round(usedMb)} MB of ${limitMb}`);
-      child.kill("SIGKILL");
+  const runs = new Map();
+  const halves = [];
+  const onLine = (line) => {
+    if (line.what === "run") {
+      const list = runs.get(line.request) ?? [];
+      list.push(`${line.server} after event ${line.last ?? 0}`);
+      runs.set(line.request, list);
     }
-  }, MEMORY_CHECK_MS);
+    if (line.what === "half") halves.push(line);
+  };
   await fleet.startAll();
   if (!await configure(fleet, sites.createConfiguration(3))) {
     record.write("the configuration was not acknowledged");
     return records.NOT_RUN;
   }
-  servers.push(...await sites.startServers(fleet, {
-    engines: 6,
-    plain: 3,
-    engine: { events: 20, eventMs: 40 },
-  }));
+  const engine = {
+    isFramed: false,
+    events: EVENTS,
+    eventMs: EVENT_MS,
+    eventBytes: EVENT_BYTES,
+  };
+  servers.push(...await sites.startServers(fleet, { engines: ENGINES, plain: 3, engine }, onLine));
   if (!await waitReady(fleet)) {
     record.write("the entry boxes are not ready");
     return records.NOT_RUN;
   }
   await sleep(2_500);
-  if (ends.length > 0) return records.NOT_RUN;
 
-  const bodyBytes = records.HAS_TROUBLE ? LARGE_BODY_BYTES : USUAL_BODY_BYTES;
-  for (let step = 0; step < STEPS; step += 1) {
-    const submission = sites.createSubmission({
-      groups: GROUPS,
-      perGroup: ITEMS_PER_GROUP,
-      bodyBytes,
-      step,
-    });
-    const bytes = JSON.stringify(submission).length;
-    const id = sites.newId();
-    const startMs = Date.now();
-    const sent = await sites.submitUntilAccepted(
-      fleet,
-      id,
-      submission,
-      TIME_LIMIT_MS,
-      TIME_LIMIT_MS,
-      ({ entry, status, error }) =>
-        record.write(`sent submission ${id} of ${bytes} bytes to ${entry}: ${status} ${error ?? ""}`),
-    );
-    record.write(`submission ${id}: ${sent.isAccepted ? "accepted" : "no 202 within its time limit"}`);
-    await sleep(Math.max(0, STEP_MS - (Date.now() - startMs)));
+  const submission = sites.createSubmission({ groups: GROUPS, perGroup: ITEMS_PER_GROUP });
+  const id = sites.newId();
+  const { isAccepted, answers } = await sites.submitUntilAccepted(fleet, id, submission);
+  for (const { entry, status, error } of answers) {
+    record.write(`sent submission ${id} with ${submission.items.length} items to ${entry}: ${status} ${error ?? ""}`);
+  }
+  if (!isAccepted) return records.NOT_RUN;
+  await sleep(CRASH_AFTER_MS);
+  if (records.HAS_TROUBLE) {
+    const victim = servers[0];
+    victim.signal("SIGUSR2");
+    await sleep(2 * EVENT_MS);
+    victim.signal("SIGKILL");
+    await victim.done;
+    record.write(`killed engine ${victim.options.id}, which had sent half an event of ${halves.length} runs`);
+    if (halves.length === 0) return records.NOT_RUN;
+    await sleep(DOWN_MS);
+    servers.push(new sites.ServerProcess({ ...victim.options, id: `i-${sites.newId().slice(0, 8)}` }, onLine));
   }
-  await sleep(3_000);
-  isOver = true;
-  clearInterval(watch);
-  for (const [name, peakMb] of peaks) {
-    record.write(`peak memory of ${name}: ${Math.round(peakMb)} MB`);
+  await sleep(READ_AFTER_MS - CRASH_AFTER_MS - (records.HAS_TROUBLE ? DOWN_MS : 0));
+
+  const read = await sites.readResults(fleet.entries[1], id, 0);
+  record.write(`read results from ${fleet.entries[1].name}: ${read.status}`);
+  if (read.status !== 200) return records.NOT_RUN;
+  const page = JSON.parse(read.text);
+  let broken = 0;
+  for (const result of page.results) {
+    const count = result.message === "" ? 0 : result.message.split("\n").length;
+    const isWhole = result.message === wholeText(result.id);
+    if (result.state === "completed" && !isWhole) broken += 1;
+    record.write(
+      `item ${result.id}: ${result.state}, ${count} of ${EVENTS} events${
+        isWhole ? "" : ", not the whole output"
+      }; runs: ${(runs.get(result.id) ?? []).join(", ")}`,
+    );
   }
-  const machines = new Set(ends);
-  record.write(`${ends.length} processes ended by themselves, on ${machines.size} of ${fleet.boxes.length} machines`);
-  return ends.length >= FAULT_ENDS && machines.size >= FAULT_MACHINES
-    ? records.BROKEN
-    : records.HELD;
+  record.write(`${page.results.length} of ${page.total} items listed, ${broken} completed without their whole output`);
+  if (page.results.length === 0) return records.NOT_RUN;
+  return broken > 0 ? records.BROKEN : records.HELD;
 }
 
 await records.runCase(folder, fleet, run);
