--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -21,7 +21,8 @@
 /** Time after the 202 at which the results are read, in ms. */
 const READ_AFTER_MS = 11_000;
 
-const folder = path.dirname(fileURLToPath(import.meta.url));
+/** What was sent, answered and run is written to this file beside the script. */
+const recordFile = path.join(path.dirname(fileURLToPath(import.meta.url)), "record.txt");
 const fleet = new Fleet({ entries: 9, diskEntries: 3, stores: 3 });
 
 function wholeText(item) {
@@ -100,4 +101,4 @@
   return broken > 0 ? records.BROKEN : records.HELD;
 }
 
-await records.runCase(folder, fleet, run);
+await records.runCase(recordFile, fleet, run);
--- a/review/fleet_2/large_submission.mjs
+++ b/review/fleet_2/large_submission.mjs
@@ -28,8 +28,8 @@
 const FAULT_MACHINES = 2;
 
 /** The record goes into a temporary folder, as this is no case of its own. */
-const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-review-"));
-console.log(`record: ${path.join(folder, "record.txt")}`);
+const recordFile = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "hoistscale-review-")), "record.txt");
+console.log(`record: ${recordFile}`);
 const fleet = new Fleet({ entries: 9, diskEntries: 3, stores: 3 });
 
 /** Anonymous memory of a process in MB: without the program and mapped files. */
@@ -122,4 +122,4 @@
     : records.HELD;
 }
 
-await records.runCase(folder, fleet, run);
+await records.runCase(recordFile, fleet, run);
--- a/review/fleet_2/record.mjs
+++ b/review/fleet_2/record.mjs
@@ -1,6 +1,5 @@
 /** The record of a case, and its exit codes. */
 import * as fs from "node:fs";
-import * as path from "node:path";
 
 export const HELD = 0;
 export const BROKEN = 1;
@@ -12,8 +11,9 @@
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
 export class CaseRecord {
-  constructor(folder) {
-    this.file = path.join(folder, "record.txt");
+  /** @param file Path of the record; an earlier one is replaced. */
+  constructor(file) {
+    this.file = file;
     this.startedAt = Date.now();
     fs.writeFileSync(this.file, `trouble: ${HAS_TROUBLE}\n`);
   }
@@ -28,8 +28,8 @@
  * Runs a case and ends this process with its exit code. All processes of `fleet` and
  * all servers that the case registered are ended first.
  */
-export async function runCase(folder, fleet, body) {
-  const record = new CaseRecord(folder);
+export async function runCase(file, fleet, body) {
+  const record = new CaseRecord(file);
   const servers = [];
   let code = NOT_RUN;
   const timer = setTimeout(() => {
