Take a text that ended inside an event for cut, however it ended

Cause: ItemRun.onEnd took each 200 that ended without an error for a whole text. What had been begun of the next event stayed in the decoder and the parser. Ruled out: that chunks are safe, as the claim says; a server that lives may end them in order partway.

Change: EventStreamReader parses for both engine clients and tells at the end whether the stream stands between two events. The events before stand; no failed attempt, no proof against the item. Why it works: a sound stream ends after an event, so whatever remains of one shows the cut, with or without a length.

--- a/src/engine/event_reader.ts
+++ b/src/engine/event_reader.ts
@@ -1,5 +1,5 @@
-import * as eventSource from "eventsource-parser";
 import * as z from "zod";
+import * as eventStreams from "../event_stream/mod.ts";
 
 const END_MARKER = "[DONE]";
 
@@ -23,8 +23,7 @@
 
 /** Parser of a completion's server-sent events in the OpenAI format. */
 export class EventReader {
-  readonly #parser: eventSource.EventSourceParser;
-  readonly #decoder = new TextDecoder();
+  readonly #reader: eventStreams.EventStreamReader;
   readonly #onEvent: (event: CompletionEvent) => void;
   #isEnded = false;
   #error: string | undefined;
@@ -32,14 +31,14 @@
   /** @param onEvent Receives each event before the `[DONE]` marker. */
   constructor(onEvent: (event: CompletionEvent) => void) {
     this.#onEvent = onEvent;
-    this.#parser = eventSource.createParser({
+    this.#reader = new eventStreams.EventStreamReader({
       onEvent: (event) => this.#handleEvent(event.data),
     });
   }
 
   /** Parses the next chunk of the stream. */
   read(chunk: Buffer): void {
-    this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
+    this.#reader.read(chunk);
   }
 
   /** Whether `[DONE]` was received and every event before it was valid. */
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -91,8 +91,7 @@
     return { kind: "broken", reason, isClosed: false };
   }
   const { id: server } = options.server;
-  const isFramed = headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  const isFramed = httpClient.isFramed({ headers });
   const answer = { server, status, headers, head, body, isFramed };
   return { kind: "answered", answer };
 }
--- a/src/http_client/mod.ts
+++ b/src/http_client/mod.ts
@@ -14,6 +14,7 @@
 export * from "./held_bytes.ts";
 export * from "./probe_port.ts";
 export * from "./http_request.ts";
+export * from "./is_framed.ts";
 export * from "./misdirected_status.ts";
 export * from "./open_exchange.ts";
 export * from "./send_json.ts";
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -1,8 +1,9 @@
-import * as eventSource from "eventsource-parser";
+import type * as eventSource from "eventsource-parser";
 import type * as accounts from "../client_account/mod.ts";
 import type * as clocks from "../clock/mod.ts";
 import type * as csp from "../csp/mod.ts";
 import * as dialects from "../dialect/mod.ts";
+import * as eventStreams from "../event_stream/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as submissions from "../submission/mod.ts";
@@ -72,12 +73,12 @@
 class ItemRun implements httpClient.ExchangeListener {
   readonly #options: RunItemOptions;
   readonly #resolve: (outcome: RunOutcome) => void;
-  readonly #parser: eventSource.EventSourceParser;
-  readonly #decoder = new TextDecoder();
+  readonly #reader: eventStreams.EventStreamReader;
   readonly #limit: httpClient.StreamLimit;
   #exchange: httpClient.Exchange | undefined;
   #cancelStallTimer: clocks.CancelTimer = () => {};
   #status = 0;
+  #isFramed = false;
   #isNotRun = false;
   #version: number | undefined;
   #isSettled = false;
@@ -88,7 +89,7 @@
     this.#limit = new httpClient.StreamLimit(
       computeMaxBytes(options.item.tokens),
     );
-    this.#parser = eventSource.createParser({
+    this.#reader = new eventStreams.EventStreamReader({
       onEvent: (event) => this.#handleEvent(event),
       onError: (error) => this.#handleUnknownField(error),
     });
@@ -125,6 +126,7 @@
     }
     this.#restartStallTimer();
     this.#status = head.status;
+    this.#isFramed = httpClient.isFramed(head);
     this.#isNotRun = parsed.isNotRun ||
       head.status === httpClient.MISDIRECTED_STATUS;
     if (head.status !== OK_STATUS) return this.#limit.markAsError();
@@ -139,7 +141,7 @@
     if (this.#isSettled) return;
     this.#limit.addBytes(chunk.length);
     if (this.#status === OK_STATUS) {
-      this.#parser.feed(this.#decoder.decode(chunk, { stream: true }));
+      this.#reader.read(chunk);
     }
     if (!this.#limit.isExceeded()) return;
     this.#abort("the engine sent more bytes than an answer can have");
@@ -148,7 +150,7 @@
   onEnd(): void {
     switch (this.#status) {
       case OK_STATUS:
-        return this.#settle({ kind: "finished" });
+        return this.#endStream();
       case FAILED_STATUS:
         return this.#settle({ kind: "failed" });
       case IMPOSSIBLE_STATUS:
@@ -163,6 +165,18 @@
     );
   }
 
+  /** Settles the run by where its stream ended; the events before stand. */
+  #endStream(): void {
+    const isWhole = this.#reader.end();
+    this.#settle(
+      isWhole ? { kind: "finished" } : {
+        kind: "broken",
+        reason: "the stream ended inside an event",
+        isClosed: !this.#isFramed,
+      },
+    );
+  }
+
   onFail({ message, isSent, isClosed }: httpClient.ExchangeFailure): void {
     this.#settle(
       isSent
