Answer a streaming route with whole streams only, and repeat those that may be resumed

Callers saw: a server that crashed inside an event of an answer without a length, or ended its chunks in order there, and a success with a clean end but without the last events. Where allow_resume is set, any break failed the request.

Cause: sendAttempt took each answer that ended without an error for whole; nothing read canResume.

Change: a success on a streaming route must end after an event. A stream that may be resumed runs again from its begin within its attempts, unhedged; others get a failure that says they may have run. The terms of a route stand in one function.

--- a/src/event_stream/mod.ts
+++ b/src/event_stream/mod.ts
@@ -11,3 +11,4 @@
  * @module
  */
 export * from "./event_stream_reader.ts";
+export * from "./is_whole_stream.ts";
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -11,6 +11,7 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as forwardTerms from "./_forward_terms.ts";
 import * as formatOutcomes from "./_format_outcome.ts";
 import * as formatRefusals from "./_format_refusal.ts";
 import type * as usages from "../usage/mod.ts";
@@ -24,10 +25,6 @@
 const ANSWER_MARGIN_MS = 30;
 /** Retry delay sent to callers while no configuration is in force, in ms. */
 const UNCONFIGURED_RETRY_MS = 500;
-/** Shortest delay before a hedged request is sent, in ms. */
-const MIN_HEDGE_DELAY_MS = 60;
-/** Delay before a hedged request, as a fraction of the target latency. */
-const HEDGE_DELAY_FRACTION = 0.45;
 
 /** Dependencies of `CallerHandler`. */
 export interface CallerHandlerOptions {
@@ -256,12 +253,8 @@
       targetAtMs: routed.arrivedAtMs + route.targetLatencyMs,
       deadlineAtMs: routed.deadlineAtMs,
       maxAttempts: route.attempts,
-      isRepeatable: route.kind === "repeatable",
       retriesErrors: true,
-      hedgeMs: Math.max(
-        MIN_HEDGE_DELAY_MS,
-        route.targetLatencyMs * HEDGE_DELAY_FRACTION,
-      ),
+      ...forwardTerms.computeForwardTerms(route),
       onStarted: (startedAtMs) => this.#countUsage(sender, startedAtMs),
       cancellation,
     });
--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -1,5 +1,6 @@
 import type * as csp from "../csp/mod.ts";
 import * as dialects from "../dialect/mod.ts";
+import * as eventStreams from "../event_stream/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as jobs from "./forward_job.ts";
@@ -8,6 +9,7 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Maximum size of an answer body, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+const MIN_NON_SUCCESS_STATUS = 300;
 const FIRST_ERROR_STATUS = 500;
 
 /** One attempt of a job at one server. */
@@ -92,6 +94,12 @@
   }
   const { id: server } = options.server;
   const isFramed = httpClient.isFramed({ headers });
+  const mustBeWhole = options.job.isStream === true &&
+    status < MIN_NON_SUCCESS_STATUS;
+  if (mustBeWhole && !eventStreams.isWholeStream(body)) {
+    const reason = "the stream ended inside an event";
+    return { kind: "broken", reason, isClosed: !isFramed };
+  }
   const answer = { server, status, headers, head, body, isFramed };
   return { kind: "answered", answer };
 }
--- a/src/forwarding/_job_run.ts
+++ b/src/forwarding/_job_run.ts
@@ -149,11 +149,11 @@
   /** Schedules a hedged request for when the first server does not answer. */
   #scheduleHedge(): void {
     this.#cancelHedge();
-    if (
-      !this.#job.isRepeatable || this.#crashGuard.getVerdict().kind !== "free"
-    ) return;
+    const { isRepeatable, hedgeMs } = this.#job;
+    if (!isRepeatable || hedgeMs === undefined) return;
+    if (this.#crashGuard.getVerdict().kind !== "free") return;
     this.#cancelHedge = this.#options.clock.startTimer(
-      this.#job.hedgeMs,
+      hedgeMs,
       () => {
         if (this.#canTry() && this.#canHedge()) this.#tryNext();
       },
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -31,8 +31,16 @@
   readonly isOwed?: boolean;
   /** Whether a 5xx answer is retried on another server. */
   readonly retriesErrors: boolean;
-  /** Time without an answer after which a hedged request is sent, in ms. */
-  readonly hedgeMs: number;
+  /**
+   * Whether a successful answer is a stream of server-sent events, which is whole
+   * only if it ends after an event.
+   */
+  readonly isStream?: boolean;
+  /**
+   * Time without an answer after which a hedged request is sent, in ms; undefined
+   * if none is sent.
+   */
+  readonly hedgeMs: number | undefined;
   /**
    * Called at most once, when the job ends, with the time at which its run was
    * sent, in monotonic ms. Not called if the request cannot have run.
