Take a text without a length for whole only if its engine still answers

Trainers saw: an engine whose answers have no length crashed between two events, and its items were listed as completed with the events before.

Cause: such an end looks like a sound one, and the bytes alone decided. The news of a new lifetime comes seconds later, when the item is listed.

Evidence: item_run/cut_streams_test, 7 of 20 failed before: four crashes and restarts were 'finished', the resumed run was never asked for, and the outcome did not say that an end was verified. All pass now.

Change: after such an end the engine's state is read, with the id that it must have, over the shared connections of reads; any answer of this lifetime proves that no crash ended the text. Else the item goes on after its last event, and an empty rest proves the end. Calls to servers beside requests stand in one place now (server_call).

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -262,7 +262,9 @@
     engine: registry.RegisteredServer,
     end: itemRuns.RunOutcome,
   ): void {
-    if (end.kind !== "finished") this.#reportRunEnd(task, engine, end);
+    if (end.kind !== "finished" || end.isVerified === true) {
+      this.#reportRunEnd(task, engine, end);
+    }
     switch (end.kind) {
       case "finished":
         this.#lengthEstimator.recordLength(task);
@@ -303,6 +305,7 @@
       outcome: end.kind,
       reason: "reason" in end ? end.reason : undefined,
       closed: end.kind === "broken" ? end.isClosed : undefined,
+      verified: end.kind === "finished" ? end.isVerified : undefined,
       work: end.kind === "broken" ? task.getWorkDigest() : undefined,
       events: task.progress.countLocalEvents(),
     });
--- a/src/item_run/cut_streams_test.ts
+++ b/src/item_run/cut_streams_test.ts
@@ -49,7 +49,10 @@
     progress: textProgresses.TextProgress,
   ): Promise<runItem.RunOutcome> {
     return runFixtures.runOnce(progress, {
-      engine: serverFixtures.createServer("e-raw", { port: engine.getPort() }),
+      engine: serverFixtures.createServer("e-raw", {
+        port: engine.getPort(),
+        born: 1,
+      }),
     });
   }
 
@@ -84,6 +87,84 @@
     });
   }
 
+  /** Ends a whole stream without a length, then answers reads of the state. */
+  function endStreamThen(
+    answerRead: (request: rawServers.RawRequest) => void,
+  ): void {
+    engine.handle = (request) => {
+      const isRead = request.head.includes(runFixtures.STATE_TARGET);
+      if (isRead) return answerRead(request);
+      request.socket.end(formatUnframed(Buffer.from(FIRST_EVENT)));
+    };
+  }
+
+  const UNVERIFIED: Readonly<Record<string, () => void>> = {
+    "nothing listens any more": () => {
+      engine.handle = ({ socket }) => {
+        engine.stopListening();
+        socket.end(formatUnframed(Buffer.from(FIRST_EVENT)));
+      };
+    },
+    "the connection of the read is reset": () => {
+      endStreamThen(({ socket }) => socket.resetAndDestroy());
+    },
+    "another server answers": () => {
+      endStreamThen(({ socket }) =>
+        socket.write(rawServers.formatRawAnswer(421, {}))
+      );
+    },
+    "a later lifetime answers": () => {
+      endStreamThen(({ socket }) =>
+        socket.write(rawServers.formatRawAnswer(200, {}, `{"born":2}`))
+      );
+    },
+  };
+  for (const [state, prepare] of Object.entries(UNVERIFIED)) {
+    // Guards against a crash between two events of an answer without a length,
+    // after which the text is listed as completed without its last events.
+    it(`breaks off between two events, without a length, if ${state}`, async () => {
+      prepare();
+      const progress = new textProgresses.TextProgress();
+      const end = await run(progress);
+      if (end.kind !== "broken") throw new Error(end.kind);
+      chai.expect(end.isClosed).to.equal(true);
+      chai.expect(end.reason).to.contain("the engine was not heard after");
+      chai.expect(progress.getText()).to.equal("a");
+    });
+  }
+
+  for (
+    const [state, answer] of Object.entries({
+      "its state is read": rawServers.formatRawAnswer(200, {}, `{"born":1}`),
+      "it refuses the read": rawServers.formatRawAnswer(503, {}, "{}"),
+    })
+  ) {
+    it(`finishes after an answer without a length if ${state}`, async () => {
+      endStreamThen(({ socket }) => socket.write(answer));
+      const progress = new textProgresses.TextProgress();
+      chai.expect(await run(progress)).to.deep.equal({
+        kind: "finished",
+        isVerified: true,
+      });
+      chai.expect(progress.getText()).to.equal("a");
+    });
+  }
+
+  it("goes on after an unverified end and takes an empty rest for the end", async () => {
+    endStreamThen(({ socket }) => socket.resetAndDestroy());
+    const progress = new textProgresses.TextProgress();
+    chai.expect((await run(progress)).kind).to.equal("broken");
+    const heads: string[] = [];
+    engine.handle = ({ head, socket }) => {
+      heads.push(head);
+      const rest = { id: "item-1", version: "3" };
+      socket.write(rawServers.formatRawAnswer(200, rest));
+    };
+    chai.expect(await run(progress)).to.deep.equal({ kind: "finished" });
+    chai.expect(heads[0]).to.contain("after: 1");
+    chai.expect(progress.getText()).to.equal("a");
+  });
+
   it("takes the last event of a text whose lines end with CR", async () => {
     const body = Buffer.from("id: 1\rdata: a\r\rid: 2\rdata: b\r\r");
     engine.handle = ({ socket }) => socket.write(formatChunked(body));
--- a/src/item_run/run_fixture_test.ts
+++ b/src/item_run/run_fixture_test.ts
@@ -12,6 +12,9 @@
   body: Buffer.from("prompt").toString("base64"),
 });
 
+/** Request target of an engine's state. */
+export const STATE_TARGET = "/state";
+
 /** Dialect stub with the members that a run uses. */
 export const DIALECT = {
   versionField: "version",
@@ -28,6 +31,16 @@
       ? undefined
       : Number(headers["version"]),
   }),
+  createReportRequest: () => ({
+    method: "GET",
+    target: STATE_TARGET,
+    headers: {},
+    body: undefined,
+  }),
+  parseEngineReport: (body: Buffer) => ({
+    kind: "ok",
+    value: JSON.parse(String(body)),
+  }),
 } as unknown as dialects.Dialect;
 
 /**
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -6,6 +6,7 @@
 import * as eventStreams from "../event_stream/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
+import * as serverCalls from "../server_call/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import type * as textProgresses from "./text_progress.ts";
 
@@ -49,7 +50,14 @@
 
 /** Outcome of a run. */
 export type RunOutcome =
-  | { readonly kind: "finished" }
+  | {
+    readonly kind: "finished";
+    /**
+     * Set for a response without a length: the engine answered after its end, so
+     * that no crash ended it.
+     */
+    readonly isVerified?: true;
+  }
   /** The engine reported that this attempt failed (status 500). */
   | { readonly kind: "failed" }
   /** The engine reported that no attempt can succeed (status 422). */
@@ -167,14 +175,36 @@
 
   /** Settles the run by where its stream ended; the events before stand. */
   #endStream(): void {
-    const isWhole = this.#reader.end();
-    this.#settle(
-      isWhole ? { kind: "finished" } : {
-        kind: "broken",
-        reason: "the stream ended inside an event",
-        isClosed: !this.#isFramed,
-      },
-    );
+    if (this.#reader.end()) {
+      if (this.#isFramed) return this.#settle({ kind: "finished" });
+      return void this.#verifyEnd();
+    }
+    this.#settle({
+      kind: "broken",
+      reason: "the stream ended inside an event",
+      isClosed: !this.#isFramed,
+    });
+  }
+
+  /** Settles the run by whether the engine still answers, or crashed at the end. */
+  async #verifyEnd(): Promise<void> {
+    this.#cancelStallTimer();
+    const { engine: server, dialect, cancellation } = this.#options;
+    const answer = await serverCalls.verifyLifetime({
+      server,
+      dialect,
+      cancellation,
+    });
+    switch (answer.kind) {
+      case "alive":
+        return this.#settle({ kind: "finished", isVerified: true });
+      case "unverified":
+        return this.#settle({
+          kind: "broken",
+          reason: `the engine was not heard after the end: ${answer.reason}`,
+          isClosed: true,
+        });
+    }
   }
 
   onFail({ message, isSent, isClosed }: httpClient.ExchangeFailure): void {
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -1,12 +1,8 @@
 import * as dialects from "../dialect/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as registry from "../registry/mod.ts";
+import * as serverCalls from "../server_call/mod.ts";
 
-/** Timeout of an order or a read of an engine's report, in ms. */
-const CALL_TIMEOUT_MS = 600;
-const CONNECT_TIMEOUT_MS = 250;
-/** Largest answer to an order or a read, in bytes. */
-const MAX_ANSWER_BYTES = 256 * 1024;
 const ACCEPTED_STATUS = 202;
 const OK_STATUS = 200;
 
@@ -40,10 +36,10 @@
   order: dialects.VersionOrder,
   dialect: dialects.Dialect,
 ): Promise<OrderOutcome> {
-  const sent = await send(
+  const sent = await serverCalls.sendServerCall(
     engine,
     dialect.createVersionOrder(order, engine.id),
-    true,
+    { isFreshConnection: true },
   );
   if (sent.kind !== "answered") {
     return { kind: "unanswered", reason: sent.message };
@@ -88,10 +84,10 @@
 ): Promise<EngineReading> {
   // A read is idempotent, so it may reuse a pooled connection: if the engine
   // has closed it, the read is repeated.
-  const sent = await send(
+  const sent = await serverCalls.sendServerCall(
     engine,
     dialect.createReportRequest(engine.id),
-    false,
+    { isFreshConnection: false },
   );
   if (sent.kind !== "answered" || sent.head.status !== OK_STATUS) {
     return { kind: "unread", message: `Cannot read the state of ${engine.id}` };
@@ -126,23 +122,3 @@
 function isLaterProcess(engine: registry.Lifetime, born: number): boolean {
   return registry.compareLifetimes({ born }, engine) === "later";
 }
-
-function send(
-  engine: registry.ServerReport,
-  request: dialects.OutboundRequest,
-  isFreshConnection: boolean,
-): Promise<httpClient.HttpOutcome> {
-  const { method, target, headers, body } = request;
-  return httpClient.sendRequest({
-    address: engine.address,
-    port: engine.port,
-    method,
-    path: target,
-    headers,
-    ...(body === undefined ? {} : { body }),
-    timeoutMs: CALL_TIMEOUT_MS,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    maxResponseBytes: MAX_ANSWER_BYTES,
-    isFreshConnection,
-  });
-}
