Take a caller's stream without a length for whole only if its server still answers

Callers saw, on a streaming route: a server whose answers have no length crashed between two events, and the stream ended as complete.

Cause: the same as for items, on the path of callers: the end of the connection alone decided.

Evidence: forwarding/cut_streams_test, 2 of 11 failed before (the server gone: 'answered'; the server heard: not asked). All pass now.

Change: one function, checkStreamEnd, decides for items and callers.

--- a/src/forwarding/_attempt.ts
+++ b/src/forwarding/_attempt.ts
@@ -3,6 +3,7 @@
 import * as eventStreams from "../event_stream/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
+import * as serverCalls from "../server_call/mod.ts";
 import type * as jobs from "./forward_job.ts";
 
 /** Limit for opening a connection, in ms. */
@@ -56,7 +57,7 @@
         isClosed: outcome.isClosed,
       };
     case "answered":
-      return evaluateAnswer(options, outcome.head, outcome.body);
+      return await evaluateAnswer(options, outcome.head, outcome.body);
   }
 }
 
@@ -75,7 +76,7 @@
   options: AttemptOptions,
   { status, headers }: httpClient.ResponseHead,
   body: Buffer,
-): jobs.AttemptOutcome {
+): jobs.AttemptOutcome | Promise<jobs.AttemptOutcome> {
   const head = options.dialect.parseAnswerHead(headers);
   if (head.isNotRun || status === httpClient.MISDIRECTED_STATUS) {
     const reason = `the server refused with ${status}`;
@@ -94,12 +95,25 @@
   }
   const { id: server } = options.server;
   const isFramed = httpClient.isFramed({ headers });
-  const mustBeWhole = options.job.isStream === true &&
-    status < MIN_NON_SUCCESS_STATUS;
-  if (mustBeWhole && !eventStreams.isWholeStream(body)) {
-    const reason = "the stream ended inside an event";
-    return { kind: "broken", reason, isClosed: !isFramed };
-  }
   const answer = { server, status, headers, head, body, isFramed };
-  return { kind: "answered", answer };
+  const isStream = options.job.isStream === true &&
+    status < MIN_NON_SUCCESS_STATUS;
+  return isStream
+    ? evaluateStream(options, answer)
+    : { kind: "answered", answer };
+}
+
+/** Classifies a successful answer that must be a whole stream of events. */
+async function evaluateStream(
+  options: AttemptOptions,
+  answer: jobs.ServerAnswer,
+): Promise<jobs.AttemptOutcome> {
+  const end = await serverCalls.checkStreamEnd({
+    ...options,
+    isAfterEvent: eventStreams.isWholeStream(answer.body),
+    isFramed: answer.isFramed,
+  });
+  if (end.kind !== "cut") return { kind: "answered", answer };
+  const { reason, isClosed } = end;
+  return { kind: "broken", reason, isClosed };
 }
--- a/src/forwarding/cut_streams_test.ts
+++ b/src/forwarding/cut_streams_test.ts
@@ -59,6 +59,36 @@
     }
   }
 
+  /** Creates a handler of whole streams without a length, and of reads of the state. */
+  function streamThen(
+    answerRead: fixtures.RequestHandler,
+  ): fixtures.RequestHandler {
+    return (request, response) => {
+      const isRead = request.url === fixtures.STATE_TARGET;
+      const handle = isRead ? answerRead : stream(WHOLE, false);
+      handle(request, response);
+    };
+  }
+
+  // Guards against a crash between two events of a stream without a length, after
+  // which the stream ends as complete for its caller.
+  it("does not answer with a stream without a length if its server is gone", async () => {
+    servers.handlers = [
+      streamThen((request) => request.socket.resetAndDestroy()),
+    ];
+    const outcome = await servers.send({ isStream: true, isRepeatable: false });
+    if (outcome.kind !== "failed") throw new Error(outcome.kind);
+    chai.expect(outcome.reason).to.contain("was not heard after the end");
+  });
+
+  it("answers with a stream without a length if its server is heard again", async () => {
+    servers.handlers = [streamThen((_request, response) => response.end())];
+    const outcome = await servers.send({ isStream: true, isRepeatable: false });
+    if (outcome.kind !== "answered") throw new Error(outcome.kind);
+    chai.expect(outcome.answer.body.toString()).to.equal(WHOLE);
+    chai.expect(servers.receivedBy).to.deep.equal(["s0", "s0"]);
+  });
+
   it("answers with a whole stream, and with a failure of any form", async () => {
     servers.handlers = [stream(WHOLE, true)];
     const whole = await servers.send({ isStream: true, isRepeatable: false });
--- a/src/forwarding/server_fixture_test.ts
+++ b/src/forwarding/server_fixture_test.ts
@@ -12,6 +12,9 @@
 import * as forwarders from "./forwarder.ts";
 import * as serverLoads from "./server_loads.ts";
 
+/** Request target of a server's state. */
+export const STATE_TARGET = "/state";
+
 /** The parts of a dialect that forwarding uses. */
 export const DIALECT = {
   createForwardHeaders: (
@@ -25,6 +28,13 @@
     load: undefined,
     weightVersion: undefined,
   }),
+  createReportRequest: () => ({
+    method: "GET",
+    target: STATE_TARGET,
+    headers: {},
+    body: undefined,
+  }),
+  parseEngineReport: () => ({ kind: "ok", value: {} }),
 } as unknown as dialects.Dialect;
 
 /** Handles a request at a test server. */
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -158,7 +158,7 @@
   onEnd(): void {
     switch (this.#status) {
       case OK_STATUS:
-        return this.#endStream();
+        return void this.#endStream();
       case FAILED_STATUS:
         return this.#settle({ kind: "failed" });
       case IMPOSSIBLE_STATUS:
@@ -173,37 +173,23 @@
     );
   }
 
-  /** Settles the run by where its stream ended; the events before stand. */
-  #endStream(): void {
-    if (this.#reader.end()) {
-      if (this.#isFramed) return this.#settle({ kind: "finished" });
-      return void this.#verifyEnd();
-    }
-    this.#settle({
-      kind: "broken",
-      reason: "the stream ended inside an event",
-      isClosed: !this.#isFramed,
-    });
-  }
-
-  /** Settles the run by whether the engine still answers, or crashed at the end. */
-  async #verifyEnd(): Promise<void> {
+  /** Settles the run by whether its stream is whole; the events before stand. */
+  async #endStream(): Promise<void> {
+    const isAfterEvent = this.#reader.end();
     this.#cancelStallTimer();
-    const { engine: server, dialect, cancellation } = this.#options;
-    const answer = await serverCalls.verifyLifetime({
-      server,
-      dialect,
-      cancellation,
+    const end = await serverCalls.checkStreamEnd({
+      ...this.#options,
+      server: this.#options.engine,
+      isAfterEvent,
+      isFramed: this.#isFramed,
     });
-    switch (answer.kind) {
-      case "alive":
+    switch (end.kind) {
+      case "whole":
+        return this.#settle({ kind: "finished" });
+      case "verified":
         return this.#settle({ kind: "finished", isVerified: true });
-      case "unverified":
-        return this.#settle({
-          kind: "broken",
-          reason: `the engine was not heard after the end: ${answer.reason}`,
-          isClosed: true,
-        });
+      case "cut":
+        return this.#settle({ ...end, kind: "broken" });
     }
   }
 
--- a/src/server_call/mod.ts
+++ b/src/server_call/mod.ts
@@ -9,5 +9,6 @@
  * ```
  * @module
  */
+export * from "./check_stream_end.ts";
 export * from "./verify_lifetime.ts";
 export * from "./send_server_call.ts";
