Found a replica group once: a majority of the seeds agrees on its first voters

Cause: each seed founded on its own; boxes turned to the next seed after 4 s; a seed named voters after 6 s however few had asked.

Change: single-decree Paxos over the seeds; a restarted seed takes no part. All boxes ask all seeds at once. Why it works: two majorities of the seeds share one that has accepted. Cost: two of three seeds restarted before the choice found nothing.

--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -46,10 +46,7 @@
 
   constructor(components: boxComponents.BoxComponents) {
     this.#components = components;
-    new replicaGroups.BootstrapService({
-      ...components,
-      isFirstStart: components.settings.isFirstStart,
-    });
+    createBootstrapService(components);
     const core = boxComponents.createLeaderCaller(
       components,
       boxComponents.isCoreBox,
@@ -281,6 +278,23 @@
   }
 }
 
+/** Creates this box's part in founding replica groups, in case it is a seed. */
+function createBootstrapService(
+  components: boxComponents.BoxComponents,
+): replicaGroups.BootstrapService {
+  const { settings } = components;
+  const member = replicaGroups.createFoundingMember({
+    ...components,
+    id: settings.box.address,
+    seeds: settings.seeds.map((seed) => seed.address),
+  });
+  return new replicaGroups.BootstrapService({
+    ...components,
+    isFirstStart: settings.isFirstStart,
+    ...(member === undefined ? {} : { member }),
+  });
+}
+
 /** Creates the usage recorder if usage reporting is enabled. */
 function createUsageRecorder(
   components: boxComponents.BoxComponents,
--- a/src/replica_group/_bootstrap_client.ts
+++ b/src/replica_group/_bootstrap_client.ts
@@ -1,15 +1,10 @@
-import * as clocks from "../clock/mod.ts";
+import type * as clocks from "../clock/mod.ts";
 import * as consensus from "../consensus/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
-import * as bootstrapServices from "./bootstrap_service.ts";
-
-/** Time between two rounds of bootstrap requests, in ms. */
-const RETRY_INTERVAL_MS = 250;
-/** Time after which the next seed is tried as well, in ms. */
-const SEED_TIMEOUT_MS = 4_000;
-/** Timeout of one bootstrap request, in ms. */
-const CALL_TIMEOUT_MS = 1_000;
+import * as awaitInitialVoters from "./_await_initial_voters.ts";
+import * as callSeeds from "./_call_seed.ts";
+import * as messages from "./founding_message.ts";
 
 /** Options of a bootstrap client; see `ReplicaGroupOptions`. */
 export interface BootstrapClientOptions {
@@ -48,13 +43,20 @@
    */
   async initializeDataFolder(): Promise<void> {
     const { dataFolder, id, clock, log, name } = this.#options;
-    const voters = await this.#awaitInitialVoters();
-    if (voters === undefined || !voters.includes(id)) return;
+    const initial = await awaitInitialVoters.awaitInitialVoters({
+      ...this.#options,
+      ask: (seed) => this.#sendRequest(seed),
+      isStopped: () => this.#isStopped,
+    });
+    if (initial.kind === "refused") {
+      log.write("warn", "group.foundingRefused", { group: name });
+    }
+    if (initial.kind !== "founded" || !initial.voters.includes(id)) return;
     const initialized = await consensus.initializeDataFolder({
       folder: dataFolder,
       owner: id,
       wallMs: clock.getWallMs(),
-      voters,
+      voters: initial.voters,
     });
     if (initialized.kind === "failure") {
       log.write("error", "group.notFounded", {
@@ -64,61 +66,19 @@
     }
   }
 
-  /**
-   * Sends requests until a seed names the initial voters. It begins with the
-   * first seed and adds the next after each timeout, so that all boxes ask the
-   * same seed if it is reachable.
-   *
-   * @returns Their ids, or undefined once the client is stopped.
-   */
-  async #awaitInitialVoters(): Promise<readonly string[] | undefined> {
-    const { clock, seeds } = this.#options;
-    const startMs = clock.getMonotonicMs();
-    while (!this.#isStopped) {
-      const elapsedMs = clock.getMonotonicMs() - startMs;
-      const seedCount = 1 + Math.floor(elapsedMs / SEED_TIMEOUT_MS);
-      for (const seed of seeds.slice(0, seedCount)) {
-        const reply = await this.#sendRequest(seed);
-        if (reply?.kind === "founded") return reply.voters;
-        if (reply?.kind === "wait") break;
-      }
-      await clocks.sleep(clock, RETRY_INTERVAL_MS);
-    }
-    return undefined;
-  }
-
   /** Asks one seed; resolves to undefined if the call fails. */
-  async #sendRequest(
-    seed: string,
-  ): Promise<bootstrapServices.BootstrapReply | undefined> {
-    const {
-      name,
-      id,
-      failureDomain,
-      maxVoters: wanted,
-      minVoters: least,
-      peers,
-      log,
-    } = this.#options;
-    const request: bootstrapServices.BootstrapRequest = {
+  #sendRequest(seed: string): Promise<messages.BootstrapReply | undefined> {
+    const { name, id, failureDomain, maxVoters, minVoters } = this.#options;
+    const request: messages.BootstrapRequest = {
       group: name,
       id,
       failureDomain,
-      wanted,
-      least,
+      wanted: maxVoters,
+      least: minVoters,
     };
-    try {
-      return await peers.get(seed).call<bootstrapServices.BootstrapReply>(
-        bootstrapServices.BOOTSTRAP_METHOD,
-        request,
-        CALL_TIMEOUT_MS,
-      );
-    } catch (error) {
-      log.write("debug", "group.seedUnreachable", {
-        seed,
-        message: (error as Error).message,
-      });
-      return undefined;
-    }
+    return callSeeds.callSeed(this.#options, seed, {
+      method: messages.BOOTSTRAP_METHOD,
+      request,
+    });
   }
 }
--- a/src/replica_group/bootstrap_service.ts
+++ b/src/replica_group/bootstrap_service.ts
@@ -1,90 +1,42 @@
-import type * as clocks from "../clock/mod.ts";
-import type * as logs from "../log/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
+import * as groupFoundings from "./_group_founding.ts";
+import type * as foundingAcceptors from "./founding_acceptor.ts";
+import * as messages from "./founding_message.ts";
 
-/** RPC method that asks for the initial voters of a replica group. */
-export const BOOTSTRAP_METHOD = "group.applyForFounding";
+export { chooseInitialVoters } from "./_choose_initial_voters.ts";
+export type { BootstrapReply, BootstrapRequest } from "./founding_message.ts";
 
-/** Time without a new box after which the voters are chosen, in ms. */
-const SETTLE_MS = 1_000;
-/** Longest wait for the number of requests named by `least`, in ms. */
-const MAX_WAIT_MS = 6_000;
-
-/** Request of a box with an empty disk to be an initial voter. */
-export interface BootstrapRequest {
-  /** Name of the replica group. */
-  readonly group: string;
-  /** Id of the box. */
-  readonly id: string;
-  readonly failureDomain: string;
-  /** Largest number of initial voters. */
-  readonly wanted: number;
-  /** Number of boxes to wait for, within a bounded time. */
-  readonly least: number;
-}
-
-/** Reply to a bootstrap request. */
-export type BootstrapReply =
-  /** The voters are not chosen yet; the request is to be repeated. */
-  | { readonly kind: "wait" }
-  | { readonly kind: "founded"; readonly voters: readonly string[] }
-  /** This box has been started before, so it may not choose voters. */
-  | { readonly kind: "refused" };
-
-/** Requests for one replica group; times are monotonic. */
-interface BootstrapState {
-  readonly requests: readonly BootstrapRequest[];
-  readonly firstRequestMs: number;
-  readonly lastRequestMs: number;
-  /** The initial voters; undefined until they are chosen. */
-  readonly voters: readonly string[] | undefined;
-}
-
-/**
- * Chooses the initial voters, spread over as many failure domains as possible.
- *
- * @param requests All requests for a group.
- * @returns Ids of the voters: an odd number, at most as many as wanted.
- */
-export function chooseInitialVoters(
-  requests: readonly BootstrapRequest[],
-): readonly string[] {
-  const sorted = [...requests].sort((a, b) => a.id < b.id ? -1 : 1);
-  const domainCounts = new Map<string, number>();
-  const ranked = sorted.map((request) => {
-    const rank = domainCounts.get(request.failureDomain) ?? 0;
-    domainCounts.set(request.failureDomain, rank + 1);
-    return { id: request.id, rank };
-  }).sort((a, b) => a.rank - b.rank);
-  const wanted = sorted[0]?.wanted ?? 0;
-  const count = Math.min(wanted, ranked.length);
-  const odd = count % 2 === 0 ? count - 1 : count;
-  return ranked.slice(0, odd).map((item) => item.id);
+/** Options of a `BootstrapService`. */
+export interface BootstrapServiceOptions
+  extends groupFoundings.GroupFoundingOptions {
+  readonly server: rpc.MethodRegistry;
+  readonly isFirstStart: boolean;
 }
 
 /**
- * Chooses the initial voters of each replica group, once per deployment. It
- * refuses requests after a restart of its box, since another choice would start
- * a second group beside the first.
+ * A seed's part in choosing the initial voters of each replica group, once per
+ * deployment: it collects requests, proposes voters to all seeds and accepts what
+ * others propose. A majority of the seeds decides. After a restart of its box it
+ * refuses, as it may have forgotten what it accepted.
  */
 export class BootstrapService {
-  readonly #clock: clocks.Clock;
-  readonly #log: logs.Log;
-  readonly #isFirstStart: boolean;
-  readonly #groups = new Map<string, BootstrapState>();
+  readonly #options: BootstrapServiceOptions;
+  readonly #groups = new Map<string, groupFoundings.GroupFounding>();
 
-  constructor(options: {
-    readonly clock: clocks.Clock;
-    readonly log: logs.Log;
-    readonly server: rpc.MethodRegistry;
-    readonly isFirstStart: boolean;
-  }) {
-    this.#clock = options.clock;
-    this.#log = options.log;
-    this.#isFirstStart = options.isFirstStart;
-    options.server.add(
-      BOOTSTRAP_METHOD,
-      (request: BootstrapRequest) => this.handleRequest(request),
+  constructor(options: BootstrapServiceOptions) {
+    this.#options = options;
+    const { server } = options;
+    server.add(
+      messages.BOOTSTRAP_METHOD,
+      (request: messages.BootstrapRequest) => this.handleRequest(request),
+    );
+    server.add(
+      messages.PREPARE_METHOD,
+      (request: messages.PrepareRequest) => this.prepare(request),
+    );
+    server.add(
+      messages.ACCEPT_METHOD,
+      (request: messages.AcceptRequest) => this.accept(request),
     );
   }
 
@@ -92,48 +44,32 @@
    * Handles a request for the initial voters of a group. Once they are chosen,
    * every request gets the same answer.
    */
-  handleRequest(request: BootstrapRequest): BootstrapReply {
-    if (!this.#isFirstStart) return { kind: "refused" };
-    const nowMs = this.#clock.getMonotonicMs();
-    const state = this.#recordRequest(request, nowMs);
-    if (state.voters !== undefined) {
-      return { kind: "founded", voters: state.voters };
-    }
-    const hasEnough = state.requests.length >= request.least ||
-      nowMs - state.firstRequestMs > MAX_WAIT_MS;
-    if (!hasEnough || nowMs - state.lastRequestMs < SETTLE_MS) {
-      return { kind: "wait" };
-    }
-    const voters = chooseInitialVoters(state.requests);
-    this.#groups.set(request.group, { ...state, voters });
-    this.#log.write("info", "group.founded", {
-      group: request.group,
-      voters: voters.join(","),
-    });
-    return { kind: "founded", voters };
+  handleRequest(request: messages.BootstrapRequest): messages.BootstrapReply {
+    if (!this.#options.isFirstStart) return { kind: "refused" };
+    return this.#getGroup(request.group).handleRequest(request);
+  }
+
+  /** Handles a seed's request to promise a ballot. */
+  prepare(
+    { group, ballot }: messages.PrepareRequest,
+  ): foundingAcceptors.PrepareReply {
+    if (!this.#options.isFirstStart) return { kind: "refused" };
+    return this.#getGroup(group).acceptor.prepare(ballot);
+  }
+
+  /** Handles a seed's request to accept the voters of a ballot. */
+  accept(
+    { group, ballot, voters }: messages.AcceptRequest,
+  ): foundingAcceptors.AcceptReply {
+    if (!this.#options.isFirstStart) return { kind: "refused" };
+    return this.#getGroup(group).acceptor.accept(ballot, voters);
   }
 
-  #recordRequest(request: BootstrapRequest, nowMs: number): BootstrapState {
-    const previous = this.#groups.get(request.group);
-    if (previous === undefined) {
-      const created: BootstrapState = {
-        requests: [request],
-        firstRequestMs: nowMs,
-        lastRequestMs: nowMs,
-        voters: undefined,
-      };
-      this.#groups.set(request.group, created);
-      return created;
-    }
-    if (previous.requests.some((other) => other.id === request.id)) {
-      return previous;
-    }
-    const updated: BootstrapState = {
-      ...previous,
-      requests: [...previous.requests, request],
-      lastRequestMs: nowMs,
-    };
-    this.#groups.set(request.group, updated);
-    return updated;
+  #getGroup(name: string): groupFoundings.GroupFounding {
+    const known = this.#groups.get(name);
+    if (known !== undefined) return known;
+    const created = new groupFoundings.GroupFounding(name, this.#options);
+    this.#groups.set(name, created);
+    return created;
   }
 }
--- a/src/replica_group/mod.ts
+++ b/src/replica_group/mod.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export * from "./bootstrap_service.ts";
+export * from "./create_founding_member.ts";
 export * from "./describe_shortfall.ts";
 export * from "./leader_caller.ts";
 export * from "./not_leader.ts";
