Give each replica group an identity that every message and disk carries

Change: the seeds agree on an id with the voters (6 random bytes). It stands in the identity record, goes with each message between replicas, and what another group sends is ignored and told once a sender (replica.foreignGroup). Builds may be mixed: a missing id matches any.

--- a/src/consensus/_saved_record.ts
+++ b/src/consensus/_saved_record.ts
@@ -53,10 +53,16 @@
 export function createBootstrapRecords(
   voters: readonly string[],
   wallMs: number,
+  groupId?: string,
 ): readonly SavedRecord[] {
+  const identity: messages.ReplicaIdentity = {
+    incarnation: wallMs,
+    isAdmitted: true,
+    ...(groupId === undefined ? {} : { groupId }),
+  };
   const command: replicaSets.ReplicaSetCommand = { kind: "replicaSet", voters };
   return [
-    { kind: "identity", identity: { incarnation: wallMs, isAdmitted: true } },
+    { kind: "identity", identity },
     { kind: "vote", term: BOOTSTRAP_TERM },
     { kind: "entry", entry: { index: 1, term: BOOTSTRAP_TERM, command } },
   ];
--- a/src/consensus/initialize_data_folder.ts
+++ b/src/consensus/initialize_data_folder.ts
@@ -11,6 +11,8 @@
   readonly wallMs: number;
   /** Initial voters; undefined if the settings of each box name them. */
   readonly voters?: readonly string[];
+  /** Id of the group that the voters found. */
+  readonly groupId?: string;
 }
 
 /**
@@ -26,7 +28,7 @@
 export async function initializeDataFolder(
   options: DataFolderOptions,
 ): Promise<results.Result<undefined>> {
-  const { folder, owner, wallMs, voters } = options;
+  const { folder, owner, wallMs, voters, groupId } = options;
   const { log, loaded } = await storage.DurableLog.open(folder, owner);
   const isInUse = loaded.records.length > 0 || loaded.snapshot !== undefined;
   if (!isInUse) {
@@ -34,7 +36,7 @@
     await log.append(
       voters === undefined
         ? [{ kind: "identity", identity }]
-        : savedRecords.createBootstrapRecords(voters, wallMs),
+        : savedRecords.createBootstrapRecords(voters, wallMs, groupId),
     );
   }
   await log.close();
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -6,6 +6,11 @@
   readonly incarnation: number;
   /** Whether it counts toward a quorum; a new replica does once caught up. */
   readonly isAdmitted: boolean;
+  /**
+   * Id of the replica's group, chosen at its founding; undefined on an empty disk,
+   * and in groups that were founded without one.
+   */
+  readonly groupId?: string | undefined;
 }
 
 /** Requests a vote; a pre-vote asks whether a vote would be granted. */
--- a/src/consensus/replica_driver.ts
+++ b/src/consensus/replica_driver.ts
@@ -6,9 +6,10 @@
 import * as noticeTellers from "./_notice_reporter.ts";
 import * as driverEvents from "./_driver_event.ts";
 import * as durableWriters from "./_durable_writer.ts";
+import * as effectPersisters from "./_effect_persister.ts";
+import * as groupGates from "./_group_gate.ts";
 import * as logCutters from "./_log_compactor.ts";
 import * as openReplicas from "./_open_replica.ts";
-import * as savedRecords from "./_saved_record.ts";
 import * as proposalTables from "./_proposals.ts";
 import * as tickTimers from "./_tick_timer.ts";
 import * as leaderLeases from "./leader_lease.ts";
@@ -37,8 +38,10 @@
   #running: Promise<void> = Promise.resolve();
   readonly #snapshots: snapshotTransfers.SnapshotExchange;
   readonly #compactor: logCutters.LogCompactor;
+  readonly #persister: effectPersisters.EffectPersister;
   readonly #notices: noticeTellers.NoticeReporter;
   readonly #suspensions: clocks.SuspensionDetector;
+  readonly #groupGate: groupGates.GroupGate;
 
   private constructor(
     options: replicaOptions.ReplicaDriverOptions,
@@ -46,6 +49,7 @@
     state: replicaStates.ReplicaState,
   ) {
     this.#options = options;
+    this.#groupGate = new groupGates.GroupGate(options.onNotice);
     this.#suspensions = new clocks.SuspensionDetector(options.clock);
     this.#writer = new durableWriters.DurableWriter(log, options.clock);
     this.#state = state;
@@ -54,6 +58,11 @@
       writer: this.#writer,
       snapshotIndex: state.log.snapshotIndex,
     });
+    this.#persister = new effectPersisters.EffectPersister({
+      ...options,
+      writer: this.#writer,
+      compactor: this.#compactor,
+    });
     this.#snapshots = new snapshotTransfers.SnapshotExchange({
       clock: options.clock,
       send: options.send,
@@ -111,6 +120,11 @@
     return this.#state.term;
   }
 
+  /** Returns the id of the group; undefined if this replica knows none. */
+  getGroupId(): string | undefined {
+    return this.#state.identity.groupId;
+  }
+
   /** Returns the index of the last applied entry. */
   getAppliedIndex(): number {
     return this.#applied.getAppliedIndex();
@@ -147,8 +161,28 @@
     this.#enqueue({ kind: "changeVoters", voters });
   }
 
-  /** Accepts a message from another replica; drops it if the inbox is full. */
-  receive(from: string, message: messages.DriverMessage): void {
+  /**
+   * Accepts a message from another replica; drops it if the inbox is full or if it
+   * comes from another group.
+   *
+   * @param from Id of the sender.
+   * @param message The message.
+   * @param groupId Id of the sender's group, if it told one.
+   */
+  receive(
+    from: string,
+    message: messages.DriverMessage,
+    groupId?: string,
+  ): void {
+    const verdict = this.#groupGate.check(this.getGroupId(), {
+      from,
+      message,
+      groupId,
+    });
+    if (verdict.kind === "foreign") return;
+    if (verdict.kind === "join") {
+      this.#enqueue({ kind: "joinGroup", groupId: verdict.groupId });
+    }
     const complete = this.#snapshots.handleMessage(
       from,
       message,
@@ -230,7 +264,7 @@
       if (first === csp.CLOSED) return;
       const batch = driverEvents.collectBatch(this.#inbox, first);
       const effects = this.#processBatch(batch);
-      yield* this.#persistEffects(effects);
+      yield* this.#persister.persist(effects, this.#state);
       if (this.#isStopped) return;
       for (const effect of effects) this.#executeEffect(effect);
       this.#state = yield* this.#compactor.compact(
@@ -282,44 +316,6 @@
     return transition.effects;
   }
 
-  *#persistEffects(effects: readonly replicaStates.Effect[]): csp.Step<void> {
-    const restoreIndex = effects.findLastIndex((effect) =>
-      effect.kind === "restore"
-    );
-    const rest = effects.slice(restoreIndex + 1);
-    const restoreEffect = effects[restoreIndex];
-    if (restoreEffect?.kind === "restore") {
-      const isAdmittedLater = rest.some(({ kind }) => kind === "saveIdentity");
-      yield* this.#persistSnapshot(restoreEffect.snapshot, isAdmittedLater);
-    }
-    const records = rest.flatMap(savedRecords.toRecords);
-    if (records.length > 0) yield* this.#writer.append(records);
-  }
-
-  /**
-   * Replaces the log with a snapshot. An admission in the same batch is saved only
-   * afterwards: a power failure must not leave a voter without committed entries.
-   */
-  *#persistSnapshot(
-    snapshot: messages.Snapshot,
-    isAdmittedLater: boolean,
-  ): csp.Step<void> {
-    const { clock, onNotice } = this.#options;
-    const startMs = clock.getMonotonicMs();
-    const { identity } = this.#state;
-    const isAdmitted = identity.isAdmitted && !isAdmittedLater;
-    yield* this.#compactor.restore(snapshot, {
-      ...this.#state,
-      identity: { ...identity, isAdmitted },
-    });
-    onNotice?.({
-      kind: "snapshotTaken",
-      index: snapshot.index,
-      parts: snapshot.state.length,
-      tookMs: Math.round(clock.getMonotonicMs() - startMs),
-    });
-  }
-
   #executeEffect(effect: replicaStates.Effect): void {
     switch (effect.kind) {
       case "saveVote":
--- a/src/consensus/replica_notice.ts
+++ b/src/consensus/replica_notice.ts
@@ -77,6 +77,13 @@
     /** Bytes of a torn write that were truncated. */
     readonly tornBytes: number;
   }
+  /** A replica of another group sent a message, which was ignored. */
+  | {
+    readonly kind: "foreignGroup";
+    readonly from: string;
+    readonly groupId: string;
+    readonly foreignGroupId: string;
+  }
   /** This replica has caught up and counts toward a quorum from now on. */
   | {
     readonly kind: "admitted";
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -127,6 +127,8 @@
   }
   | { readonly kind: "propose"; readonly commands: readonly unknown[] }
   | SnapshotConfirmed
+  /** The leader told the identity of the group, which this replica lacked. */
+  | { readonly kind: "joinGroup"; readonly groupId: string }
   /** Sets the replicas that receive the log without a vote. */
   | { readonly kind: "setLearners"; readonly learners: readonly string[] }
   /** Adds or removes one voter; ignored if the change isn't allowed now. */
--- a/src/consensus/step_replica.ts
+++ b/src/consensus/step_replica.ts
@@ -90,6 +90,8 @@
       return replications.proposeCommands(state, event.commands, nowMs);
     case "snapshotConfirmed":
       return replications.recordSnapshotParts(state, event, nowMs);
+    case "joinGroup":
+      return saveIdentity(state, { ...state.identity, groupId: event.groupId });
     case "setLearners":
       return memberships.setLearners(state, event.learners, nowMs);
     case "changeVoters":
@@ -246,7 +248,16 @@
   const mustRenew = request.term === state.term && !isAdmitted &&
     incarnation < request.incarnation;
   if (!mustRenew) return { state, effects: [] };
-  const identity = { incarnation: request.incarnation + 1, isAdmitted };
+  return saveIdentity(state, {
+    ...state.identity,
+    incarnation: request.incarnation + 1,
+  });
+}
+
+function saveIdentity(
+  state: replicaStates.ReplicaState,
+  identity: messages.ReplicaIdentity,
+): replicaStates.Transition {
   return {
     state: { ...state, identity },
     effects: [{ kind: "saveIdentity", identity }],
--- a/src/replica_group/_await_initial_voters.ts
+++ b/src/replica_group/_await_initial_voters.ts
@@ -21,7 +21,7 @@
 
 /** What the seeds said of a group's first start. */
 export type InitialVoters =
-  | { readonly kind: "founded"; readonly voters: readonly string[] }
+  | messages.Founded
   /** A majority of the seeds has restarted, so no box can found the group now. */
   | { readonly kind: "refused" }
   | { readonly kind: "stopped" };
--- a/src/replica_group/_bootstrap_client.ts
+++ b/src/replica_group/_bootstrap_client.ts
@@ -56,7 +56,7 @@
       folder: dataFolder,
       owner: id,
       wallMs: clock.getWallMs(),
-      voters: initial.voters,
+      ...initial,
     });
     if (initialized.kind === "failure") {
       log.write("error", "group.notFounded", {
--- a/src/replica_group/_describe_notice.ts
+++ b/src/replica_group/_describe_notice.ts
@@ -6,9 +6,18 @@
   Record<string, string | number | boolean | undefined>
 >;
 
-/** Returns the log level: `warn` without a leader, as no call can be served. */
+/**
+ * Returns the log level: `warn` without a leader, as no call can be served, and for
+ * a second group, which acknowledges what this one does not hold.
+ */
 export function chooseLogLevel(notice: consensus.ReplicaNotice): logs.LogLevel {
-  return notice.kind === "leaderless" ? "warn" : "info";
+  switch (notice.kind) {
+    case "leaderless":
+    case "foreignGroup":
+      return "warn";
+    default:
+      return "info";
+  }
 }
 
 /**
@@ -24,6 +33,7 @@
         id: notice.id,
         incarnation: notice.identity.incarnation,
         isAdmitted: notice.identity.isAdmitted,
+        groupId: notice.identity.groupId,
         term: notice.term,
         votedFor: notice.votedFor,
         ...describeVoterSet(notice.set),
@@ -32,6 +42,10 @@
         lastTerm: notice.lastTerm,
         tornBytes: notice.tornBytes,
       };
+    case "foreignGroup": {
+      const { from, groupId, foreignGroupId } = notice;
+      return { from, groupId, foreignGroupId };
+    }
     case "admitted": {
       const { incarnation, term, index, openedMs } = notice;
       return { incarnation, term, index, openedMs };
--- a/src/replica_group/_group_founding.ts
+++ b/src/replica_group/_group_founding.ts
@@ -1,3 +1,4 @@
+import * as crypto from "node:crypto";
 import type * as clocks from "../clock/mod.ts";
 import type * as logs from "../log/mod.ts";
 import * as chooseInitialVoters from "./_choose_initial_voters.ts";
@@ -13,6 +14,8 @@
 const TURN_MS = 700;
 /** Time between two proposals of one seed for a group, in ms. */
 const PROPOSAL_INTERVAL_MS = 500;
+/** Bytes of a group's random id, which each message carries. */
+const GROUP_ID_BYTES = 6;
 
 /** This box among the seeds that agree on the initial voters. */
 export interface FoundingMember {
@@ -38,8 +41,8 @@
   /** Monotonic, in ms. */
   #firstRequestMs = 0;
   #lastRequestMs = 0;
-  /** The initial voters; undefined until this seed knows that they are chosen. */
-  #voters: readonly string[] | undefined;
+  /** What was decided; undefined until this seed knows it. */
+  #founding: foundingAcceptors.Founding | undefined;
   #isProposing = false;
   /** Time before which this seed makes no further proposal, monotonic in ms. */
   #nextProposalMs = 0;
@@ -55,10 +58,10 @@
   handleRequest(request: messages.BootstrapRequest): messages.BootstrapReply {
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#recordRequest(request, nowMs);
-    if (this.#voters === undefined) this.#advance(nowMs);
-    return this.#voters === undefined
+    if (this.#founding === undefined) this.#advance(nowMs);
+    return this.#founding === undefined
       ? { kind: "wait" }
-      : { kind: "founded", voters: this.#voters };
+      : { kind: "founded", ...this.#founding };
   }
 
   #recordRequest(request: messages.BootstrapRequest, nowMs: number): void {
@@ -84,7 +87,8 @@
   /** Chooses voters without other seeds, for the full number of boxes only. */
   #chooseAlone(): void {
     if (this.#requests.length < this.#getLeast()) return;
-    this.#settle(chooseInitialVoters.chooseInitialVoters(this.#requests));
+    const voters = chooseInitialVoters.chooseInitialVoters(this.#requests);
+    this.#settle({ voters });
   }
 
   async #propose({ id, seeds }: FoundingMember): Promise<void> {
@@ -93,7 +97,7 @@
       group: this.#group,
       ballot,
       seeds,
-      chooseVoters: () => this.#chooseVoters(),
+      decide: () => this.#decide(),
     });
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#isProposing = false;
@@ -101,7 +105,7 @@
     this.#round = ballot.round;
     switch (outcome.kind) {
       case "chosen":
-        return this.#settle(outcome.voters);
+        return this.#settle(outcome.founding);
       case "open":
         return;
       case "failed":
@@ -110,26 +114,30 @@
     }
   }
 
-  /** Returns the voters to propose; undefined while too few boxes have asked. */
-  #chooseVoters(): readonly string[] | undefined {
+  /** Returns the founding to propose; undefined while too few boxes have asked. */
+  #decide(): foundingAcceptors.Founding | undefined {
     const nowMs = this.#options.clock.getMonotonicMs();
     const least = this.#getLeast();
     const needed = nowMs - this.#firstRequestMs > MAX_WAIT_MS
       ? chooseInitialVoters.computeFewestVoters(least)
       : least;
     if (this.#requests.length < needed) return undefined;
-    return chooseInitialVoters.chooseInitialVoters(this.#requests);
+    return {
+      groupId: crypto.randomBytes(GROUP_ID_BYTES).toString("hex"),
+      voters: chooseInitialVoters.chooseInitialVoters(this.#requests),
+    };
   }
 
   #getLeast(): number {
     return this.#requests[0]?.least ?? 0;
   }
 
-  #settle(voters: readonly string[]): void {
-    this.#voters = voters;
+  #settle(founding: foundingAcceptors.Founding): void {
+    this.#founding = founding;
     this.#options.log.write("info", "group.founded", {
       group: this.#group,
-      voters: voters.join(","),
+      groupId: founding.groupId,
+      voters: founding.voters.join(","),
       asked: this.#requests.length,
     });
   }
--- a/src/replica_group/_propose_founding.ts
+++ b/src/replica_group/_propose_founding.ts
@@ -18,15 +18,18 @@
 /** An attempt to found a group. */
 export interface FoundingProposal extends messages.PrepareRequest {
   readonly seeds: FoundingSeeds;
-  /** Chooses the voters if none were accepted; undefined if it is too early. */
-  readonly chooseVoters: () => readonly string[] | undefined;
+  /** Decides if none was accepted; undefined if it is too early. */
+  readonly decide: () => foundingAcceptors.Founding | undefined;
 }
 
 /** Outcome of an attempt. */
 export type FoundingOutcome =
-  /** A majority of the seeds accepted these voters. */
-  | { readonly kind: "chosen"; readonly voters: readonly string[] }
-  /** No majority has accepted any, and there are none to propose. */
+  /** A majority of the seeds accepted this founding. */
+  | {
+    readonly kind: "chosen";
+    readonly founding: foundingAcceptors.Founding;
+  }
+  /** No majority has accepted any, and there is none to propose. */
   | { readonly kind: "open" }
   /** No majority answered, or a higher ballot was promised. */
   | {
@@ -36,8 +39,8 @@
   };
 
 /**
- * Proposes the first voters of a group to its seeds: the proposer of single-decree
- * Paxos. Voters that a majority may have accepted are proposed again.
+ * Proposes the founding of a group to its seeds: the proposer of single-decree Paxos.
+ * One that a majority may have accepted is proposed again.
  *
  * @param proposal The attempt.
  * @returns The outcome; the promise is never rejected.
@@ -51,14 +54,14 @@
     (reply) => reply.kind === "promised",
   );
   if (!prepared.hasMajority) return createFailed(ballot, prepared.replies);
-  const voters = findAccepted(prepared.replies) ?? proposal.chooseVoters();
-  if (voters === undefined) return { kind: "open" };
+  const founding = findAccepted(prepared.replies) ?? proposal.decide();
+  if (founding === undefined) return { kind: "open" };
   const accepted = await collectReplies(
-    seeds.ids.map((seed) => seeds.accept(seed, { group, ballot, voters })),
+    seeds.ids.map((seed) => seeds.accept(seed, { group, ballot, founding })),
     (reply) => reply.kind === "accepted",
   );
   return accepted.hasMajority
-    ? { kind: "chosen", voters }
+    ? { kind: "chosen", founding }
     : createFailed(ballot, accepted.replies);
 }
 
@@ -90,10 +93,10 @@
   });
 }
 
-/** Returns the voters accepted in the highest ballot, if any. */
+/** Returns the founding accepted in the highest ballot, if any. */
 function findAccepted(
   replies: readonly foundingAcceptors.PrepareReply[],
-): readonly string[] | undefined {
+): foundingAcceptors.Founding | undefined {
   return replies
     .flatMap((reply) =>
       reply.kind === "promised" && reply.accepted !== undefined
@@ -101,7 +104,7 @@
         : []
     )
     .toSorted((a, b) => foundingAcceptors.compareBallots(a.ballot, b.ballot))
-    .at(-1)?.voters;
+    .at(-1)?.founding;
 }
 
 function createFailed(
--- a/src/replica_group/bootstrap_service.ts
+++ b/src/replica_group/bootstrap_service.ts
@@ -57,12 +57,12 @@
     return this.#getGroup(group).acceptor.prepare(ballot);
   }
 
-  /** Handles a seed's request to accept the voters of a ballot. */
+  /** Handles a seed's request to accept the founding of a ballot. */
   accept(
-    { group, ballot, voters }: messages.AcceptRequest,
+    { group, ballot, founding }: messages.AcceptRequest,
   ): foundingAcceptors.AcceptReply {
     if (!this.#options.isFirstStart) return { kind: "refused" };
-    return this.#getGroup(group).acceptor.accept(ballot, voters);
+    return this.#getGroup(group).acceptor.accept(ballot, founding);
   }
 
   #getGroup(name: string): groupFoundings.GroupFounding {
--- a/src/replica_group/founding_acceptor.ts
+++ b/src/replica_group/founding_acceptor.ts
@@ -5,25 +5,32 @@
   readonly proposer: string;
 }
 
-/** First voters that a seed has accepted. */
-export interface AcceptedVoters {
-  readonly ballot: Ballot;
+/** What the founding of a group decides. */
+export interface Founding {
+  /** Id of the group; undefined if it was founded without other seeds. */
+  readonly groupId?: string;
   readonly voters: readonly string[];
 }
 
+/** A founding that a seed has accepted. */
+export interface AcceptedFounding {
+  readonly ballot: Ballot;
+  readonly founding: Founding;
+}
+
 /** Reply to a request to prepare a ballot. */
 export type PrepareReply =
   | {
     readonly kind: "promised";
-    /** Voters accepted in an earlier ballot, if any. */
-    readonly accepted?: AcceptedVoters;
+    /** Founding accepted in an earlier ballot, if any. */
+    readonly accepted?: AcceptedFounding;
   }
   /** A higher ballot was promised. */
   | { readonly kind: "outdated"; readonly promised: Ballot }
   /** This box has been started before and may have forgotten a promise. */
   | { readonly kind: "refused" };
 
-/** Reply to a request to accept the voters of a ballot. */
+/** Reply to a request to accept the founding of a ballot. */
 export type AcceptReply =
   | { readonly kind: "accepted" }
   | { readonly kind: "outdated"; readonly promised: Ballot }
@@ -43,7 +50,7 @@
  */
 export class FoundingAcceptor {
   #promised: Ballot | undefined;
-  #accepted: AcceptedVoters | undefined;
+  #accepted: AcceptedFounding | undefined;
 
   /** Promises to accept no lower ballot, and tells what was accepted. */
   prepare(ballot: Ballot): PrepareReply {
@@ -56,13 +63,13 @@
       : { kind: "promised", accepted: this.#accepted };
   }
 
-  /** Accepts the voters of a ballot unless a higher one was promised. */
-  accept(ballot: Ballot, voters: readonly string[]): AcceptReply {
+  /** Accepts the founding of a ballot unless a higher one was promised. */
+  accept(ballot: Ballot, founding: Founding): AcceptReply {
     if (this.#promised !== undefined && this.#isPromisedAbove(ballot)) {
       return { kind: "outdated", promised: this.#promised };
     }
     this.#promised = ballot;
-    this.#accepted = { ballot, voters };
+    this.#accepted = { ballot, founding };
     return { kind: "accepted" };
   }
 
--- a/src/replica_group/founding_message.ts
+++ b/src/replica_group/founding_message.ts
@@ -4,7 +4,7 @@
 export const BOOTSTRAP_METHOD = "group.applyForFounding";
 /** RPC method that asks a seed to promise a ballot. */
 export const PREPARE_METHOD = "group.prepareFounding";
-/** RPC method that asks a seed to accept the voters of a ballot. */
+/** RPC method that asks a seed to accept the founding of a ballot. */
 export const ACCEPT_METHOD = "group.acceptFounding";
 
 /** Request of a box with an empty disk to be an initial voter. */
@@ -20,11 +20,16 @@
   readonly least: number;
 }
 
+/** A reply that tells what was decided. */
+export interface Founded extends foundingAcceptors.Founding {
+  readonly kind: "founded";
+}
+
 /** Reply to a bootstrap request. */
 export type BootstrapReply =
   /** The voters are not chosen yet; the request is to be repeated. */
   | { readonly kind: "wait" }
-  | { readonly kind: "founded"; readonly voters: readonly string[] }
+  | Founded
   /** This box has been started before, so it may not choose voters. */
   | { readonly kind: "refused" };
 
@@ -35,7 +40,7 @@
   readonly ballot: foundingAcceptors.Ballot;
 }
 
-/** Asks a seed to accept the voters of a ballot. */
+/** Asks a seed to accept the founding of a ballot. */
 export interface AcceptRequest extends PrepareRequest {
-  readonly voters: readonly string[];
+  readonly founding: foundingAcceptors.Founding;
 }
--- a/src/replica_group/founding_runner_test.ts
+++ b/src/replica_group/founding_runner_test.ts
@@ -49,6 +49,8 @@
   readonly #random: randomSources.RandomSource;
   readonly #services = new Map<string, bootstrapServices.BootstrapService>();
   readonly #told = new Map<string, string>();
+  /** Ids of the groups that boxes were told to found. */
+  readonly groupIds = new Set<string>();
   #isStopped = false;
 
   constructor(
@@ -133,6 +135,7 @@
     });
     if (initial.kind !== "founded" || isKilled()) return;
     this.#told.set(box.id, initial.voters.join());
+    if (initial.groupId !== undefined) this.groupIds.add(initial.groupId);
   }
 
   /** Carries a call and its reply; either may be late or lost. */
--- a/src/replica_group/founding_schedules_test.ts
+++ b/src/replica_group/founding_schedules_test.ts
@@ -32,7 +32,10 @@
     least: 3,
     ...schedule,
   }, new randomSources.RandomSource(seed));
-  return await runner.run(durationMs);
+  const told = await runner.run(durationMs);
+  const ids = runner.groupIds.size;
+  chai.expect(ids, `seed ${seed}`).to.equal(told.size === 0 ? 0 : 1);
+  return told;
 }
 
 /** Draws starts, freezes, kills and cuts at any point of a first start. */
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -65,6 +65,8 @@
 interface ConsensusEnvelope {
   readonly from: string;
   readonly message: consensus.DriverMessage;
+  /** Id of the sender's group; older builds and empty replicas omit it. */
+  readonly groupId?: string;
 }
 
 /** This box's replica of a group; as leader, it also replaces voters. */
@@ -88,8 +90,8 @@
     this.#planner = new voterPlanners.VoterPlanner(options);
     options.server.add(
       this.#getMethod(),
-      (envelope: ConsensusEnvelope) =>
-        this.#driver?.receive(envelope.from, envelope.message),
+      ({ from, message, groupId }: ConsensusEnvelope) =>
+        this.#driver?.receive(from, message, groupId),
     );
   }
 
@@ -245,7 +247,12 @@
   #wrapMessage(message: consensus.DriverMessage): ConsensusEnvelope {
     const cached = this.#envelopes.get(message);
     if (cached !== undefined) return cached;
-    const envelope: ConsensusEnvelope = { from: this.#options.id, message };
+    const groupId = this.#driver?.getGroupId();
+    const envelope: ConsensusEnvelope = {
+      from: this.#options.id,
+      message,
+      ...(groupId === undefined ? {} : { groupId }),
+    };
     this.#envelopes.set(message, envelope);
     if (isBulk.isBulk(message)) rpc.disableCompression(envelope);
     return envelope;
