--- a/src/fleet_settings/fleet_settings.ts
+++ b/src/fleet_settings/fleet_settings.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import * as durations from "./duration.ts";
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -56,16 +57,16 @@
     heartbeatMs: z.number().positive().describe(
       "Interval of the servers' heartbeats, in ms",
     ),
-    stopMs: z.number().positive().describe(
+    stopMs: durations.createDurationSchema(
       "Time from SIGTERM to SIGKILL, in ms",
     ),
     orderLeaseMs: z.number().positive().describe(
       "Minimum time between orders from two boxes to one server, in ms",
     ),
-    addressesKeepMs: z.number().positive().describe(
+    addressesKeepMs: durations.createDurationSchema(
       "Maximum time for which callers may cache the addresses, in ms",
     ),
-    resultsKeepMs: z.number().positive().describe(
+    resultsKeepMs: durations.createDurationSchema(
       "Time for which results stay readable after the submission, in ms",
     ),
     usageWindowS: z.number().positive().optional().describe(
