One way from an encoded call to its HTTP request, one read of a server's state

The verifying read of a stream's end had written again what the read of an engine's report does, and calls to servers what calls to the infrastructure do. toHttpRequest and sendStateRead serve both.

--- a/src/dialect/mod.ts
+++ b/src/dialect/mod.ts
@@ -14,3 +14,4 @@
  */
 export * from "./dialect.ts";
 export * from "./is_foreign_answer.ts";
+export * from "./to_http_request.ts";
--- a/src/duty/duty_client.ts
+++ b/src/duty/duty_client.ts
@@ -1,4 +1,4 @@
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 import type * as fleetSettings from "../fleet_settings/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 
@@ -27,14 +27,10 @@
   endpoint: fleetSettings.Endpoint,
   request: dialects.OutboundRequest,
 ): Promise<DutyCallOutcome> {
-  const { method, target, headers, body } = request;
   const sent = await httpClient.sendRequest({
+    ...dialects.toHttpRequest(request),
     address: endpoint.address,
     port: endpoint.port,
-    method,
-    path: target,
-    headers,
-    ...(body === undefined ? {} : { body }),
     timeoutMs: CALL_TIMEOUT_MS,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxResponseBytes: MAX_ANSWER_BYTES,
--- a/src/server_call/send_server_call.ts
+++ b/src/server_call/send_server_call.ts
@@ -1,5 +1,5 @@
 import type * as csp from "../csp/mod.ts";
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import type * as registry from "../registry/mod.ts";
 
@@ -29,17 +29,33 @@
   call: dialects.OutboundRequest,
   options: ServerCallOptions,
 ): Promise<httpClient.HttpOutcome> {
-  const { method, target, headers, body } = call;
   return httpClient.sendRequest({
+    ...dialects.toHttpRequest(call),
     address,
     port,
-    method,
-    path: target,
-    headers,
-    ...(body === undefined ? {} : { body }),
     timeoutMs: CALL_TIMEOUT_MS,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxResponseBytes: MAX_ANSWER_BYTES,
     ...options,
   });
 }
+
+/**
+ * Sends a server a read of its state. A read is idempotent, so it may share a
+ * connection: if the server has closed that one, the read can be repeated.
+ *
+ * @param server The server.
+ * @param dialect Encoding of the call.
+ * @param cancellation Aborts the read when cancelled.
+ * @returns The outcome; the promise is never rejected.
+ */
+export function sendStateRead(
+  server: registry.ServerReport,
+  dialect: Pick<dialects.Dialect, "createReportRequest">,
+  cancellation?: csp.Cancellation,
+): Promise<httpClient.HttpOutcome> {
+  return sendServerCall(server, dialect.createReportRequest(server.id), {
+    isFreshConnection: false,
+    ...(cancellation === undefined ? {} : { cancellation }),
+  });
+}
--- a/src/server_call/verify_lifetime.ts
+++ b/src/server_call/verify_lifetime.ts
@@ -36,13 +36,10 @@
 export async function verifyLifetime(
   { server, dialect, cancellation }: VerifyLifetimeOptions,
 ): Promise<LifetimeAnswer> {
-  const outcome = await sendServerCalls.sendServerCall(
+  const outcome = await sendServerCalls.sendStateRead(
     server,
-    dialect.createReportRequest(server.id),
-    {
-      isFreshConnection: false,
-      ...(cancellation === undefined ? {} : { cancellation }),
-    },
+    dialect,
+    cancellation,
   );
   if (outcome.kind !== "answered") return createUnverified(outcome.message);
   const { status, headers } = outcome.head;
--- a/src/weight_orders/order_client.ts
+++ b/src/weight_orders/order_client.ts
@@ -82,13 +82,7 @@
   engine: registry.ServerReport,
   dialect: dialects.Dialect,
 ): Promise<EngineReading> {
-  // A read is idempotent, so it may reuse a pooled connection: if the engine
-  // has closed it, the read is repeated.
-  const sent = await serverCalls.sendServerCall(
-    engine,
-    dialect.createReportRequest(engine.id),
-    { isFreshConnection: false },
-  );
+  const sent = await serverCalls.sendStateRead(engine, dialect);
   if (sent.kind !== "answered" || sent.head.status !== OK_STATUS) {
     return { kind: "unread", message: `Cannot read the state of ${engine.id}` };
   }
