One list of the headers of one connection, for requests and answers

Both take it from one place now; what each adds to it (expect, proxy-authenticate) stays with it. The sets are the same as before.

--- a/src/dialect/mod.ts
+++ b/src/dialect/mod.ts
@@ -13,5 +13,6 @@
  * @module
  */
 export * from "./dialect.ts";
+export * from "./hop_by_hop_headers.ts";
 export * from "./is_foreign_answer.ts";
 export * from "./to_http_request.ts";
--- a/src/fleet_daemon/_end_to_end_headers.ts
+++ b/src/fleet_daemon/_end_to_end_headers.ts
@@ -1,19 +1,9 @@
-import type * as dialects from "../dialect/mod.ts";
+import * as dialects from "../dialect/mod.ts";
 
-/**
- * Headers of one connection or of its framing, which are not forwarded. Trailer
- * fields are dropped with a body's framing, so `trailer` announces none.
- */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "content-length",
-  "keep-alive",
+/** Headers of an answer that are not forwarded. */
+const STRIPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...dialects.HOP_BY_HOP_HEADERS,
   "proxy-authenticate",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
 ]);
 
 /** Lists the headers that a `connection` header names as those of its connection. */
@@ -33,7 +23,7 @@
   return Object.fromEntries(
     Object.entries(headers)
       .filter(([name, value]) =>
-        value !== undefined && !HOP_BY_HOP_HEADERS.has(name) &&
+        value !== undefined && !STRIPPED_HEADERS.has(name) &&
         !named.includes(name)
       )
       .map(([name, value]) => [name, String(value)]),
