One count of a majority; simpler reading of the founding's code

computeFewestVoters and describeShortfall had a majority of their own beside countQuorum. The round after a proposal is set in one place, and the log level of a notice without a switch that hides new kinds behind a default. Behaviour and assertions as they were.

--- a/src/consensus/replica_set.ts
+++ b/src/consensus/replica_set.ts
@@ -63,6 +63,11 @@
   return countQuorum(before) + countQuorum(after) > able.length;
 }
 
+/** Computes the size of a majority of `count` boxes. */
+export function computeMajority(count: number): number {
+  return Math.floor(count / 2) + 1;
+}
+
 /**
  * Counts the voters that form a majority.
  *
@@ -70,5 +75,5 @@
  * @returns The size of a quorum.
  */
 export function countQuorum(voters: readonly string[]): number {
-  return Math.floor(voters.length / 2) + 1;
+  return computeMajority(voters.length);
 }
--- a/src/replica_group/_choose_initial_voters.ts
+++ b/src/replica_group/_choose_initial_voters.ts
@@ -1,11 +1,12 @@
+import * as consensus from "../consensus/mod.ts";
 import type * as messages from "./founding_message.ts";
 
 /**
  * Returns the fewest initial voters of a group that expects `least` boxes: a
- * majority of them, so that no two sets of that size have no box in common.
+ * majority of them, and so never one where more are expected.
  */
 export function computeFewestVoters(least: number): number {
-  return Math.floor(least / 2) + 1;
+  return consensus.computeMajority(least);
 }
 
 /**
--- a/src/replica_group/_describe_notice.ts
+++ b/src/replica_group/_describe_notice.ts
@@ -10,14 +10,11 @@
  * Returns the log level: `warn` without a leader, as no call can be served, and for
  * a second group, which acknowledges what this one does not hold.
  */
-export function chooseLogLevel(notice: consensus.ReplicaNotice): logs.LogLevel {
-  switch (notice.kind) {
-    case "leaderless":
-    case "foreignGroup":
-      return "warn";
-    default:
-      return "info";
-  }
+export function chooseLogLevel(
+  { kind }: consensus.ReplicaNotice,
+): logs.LogLevel {
+  const isWarning = kind === "leaderless" || kind === "foreignGroup";
+  return isWarning ? "warn" : "info";
 }
 
 /**
--- a/src/replica_group/_group_founding.ts
+++ b/src/replica_group/_group_founding.ts
@@ -102,16 +102,10 @@
     const nowMs = this.#options.clock.getMonotonicMs();
     this.#isProposing = false;
     this.#nextProposalMs = nowMs + PROPOSAL_INTERVAL_MS;
-    this.#round = ballot.round;
-    switch (outcome.kind) {
-      case "chosen":
-        return this.#settle(outcome.founding);
-      case "open":
-        return;
-      case "failed":
-        this.#round = outcome.highestRound;
-        return;
-    }
+    this.#round = outcome.kind === "failed"
+      ? outcome.highestRound
+      : ballot.round;
+    if (outcome.kind === "chosen") this.#settle(outcome.founding);
   }
 
   /** Returns the founding to propose; undefined while too few boxes have asked. */
--- a/src/replica_group/describe_shortfall.ts
+++ b/src/replica_group/describe_shortfall.ts
@@ -81,8 +81,7 @@
   const { plan, isSetCommitted, lossesToBear } = input;
   const { voters } = plan;
   const counted = voters.filter((id) => isCounted(id, plan));
-  const quorum = Math.floor(voters.length / 2) + 1;
-  const lossesLeft = counted.length - quorum;
+  const lossesLeft = counted.length - consensus.countQuorum(voters);
   const count: VoterCount = { voters, counted, lossesLeft };
   if (isSetCommitted && lossesLeft >= lossesToBear) {
     return { kind: "whole", ...count };
--- a/src/replica_group/founding_runner_test.ts
+++ b/src/replica_group/founding_runner_test.ts
@@ -3,6 +3,7 @@
 import type * as logs from "../log/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as awaitInitialVoters from "./_await_initial_voters.ts";
+import type * as groupFoundings from "./_group_founding.ts";
 import * as bootstrapServices from "./bootstrap_service.ts";
 
 const GROUP = "stores";
@@ -95,11 +96,7 @@
     if (isFirstStart) void this.#askSeeds(box);
   }
 
-  #createMember(box: SimulatedBox):
-    & bootstrapServices.BootstrapServiceOptions[
-      "member"
-    ]
-    & object {
+  #createMember(box: SimulatedBox): groupFoundings.FoundingMember {
     return {
       id: box.id,
       seeds: {
@@ -113,9 +110,9 @@
   }
 
   async #askSeeds(box: SimulatedBox): Promise<void> {
-    const first = this.#services.get(box.id);
     const { id } = box;
     const services = this.#services;
+    const first = services.get(id);
     function isKilled(): boolean {
       return services.get(id) !== first;
     }
