Tell how busy an event loop is, and what a named version was answered

Callers saw too little served on the shifted deployment, and versions without an acknowledgement. The logs could not tell whether the leader was busy, held by one task or late for another reason: the first line of a late process comes at 400 ms, longer than a lease, and the answer to a named version had no line.

- hoistscale_event_loop_busy and process.overloaded (busyPercent, lateMs)
- version.put at the entry box, as configuration.put

--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -9,6 +9,7 @@
  * ```
  * @module
  */
+export * from "./busy_monitor.ts";
 export * from "./clock.ts";
 export * from "./fake_clock.ts";
 export * from "./coalesced_call.ts";
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -69,6 +69,8 @@
   readonly crashGuard: crashGuards.CrashGuard;
   readonly forwarder: forwarding.Forwarder;
   readonly status: BoxStatus;
+  /** How busy this process is. */
+  readonly busyMonitor: clocks.BusyMonitor;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
 }
@@ -125,6 +127,7 @@
       servesUntilMs: Number.POSITIVE_INFINITY,
       ledTerm: 0,
     },
+    busyMonitor: new clocks.BusyMonitor(),
     draw: Math.random,
   };
   const link: fleet.FleetGossip = createLink(
--- a/src/fleet_daemon/control_handler.ts
+++ b/src/fleet_daemon/control_handler.ts
@@ -187,6 +187,11 @@
       submissions.METHODS.nameVersion,
       request,
     );
+    this.#options.log.write("info", "version.put", {
+      model,
+      version,
+      outcome: reply.kind === "ok" ? "done" : reply.failure.code,
+    });
     return reply.kind === "ok"
       ? this.#options.dialect.formatDone()
       : this.#options.dialect.formatFailure(reply.failure);
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -7,6 +7,11 @@
 const CHECK_INTERVAL_MS = 100;
 /** Delay of a refresh that is logged as a stall of the process, in ms. */
 const MIN_STALL_MS = 400;
+/** Busy share of the event loop from which it is logged. */
+const OVERLOADED_SHARE = 0.9;
+/** Shortest interval between two lines about an overload, in ms. */
+const OVERLOAD_LOG_INTERVAL_MS = 1_000;
+
 /** How the daemon of a box ended. */
 export type BoxEnd =
   | { readonly kind: "stopped" }
@@ -21,6 +26,8 @@
   #isEnded = false;
   /** Monotonic time at which the next refresh is due, in ms. */
   #refreshDueMs = Number.POSITIVE_INFINITY;
+  /** When an overload was last logged, in monotonic ms. */
+  #overloadLoggedMs = Number.NEGATIVE_INFINITY;
 
   /** @param onEnd Called once, when the daemon has stopped or failed. */
   constructor(
@@ -111,6 +118,7 @@
       this.#components;
     if (this.#isEnded) return;
     this.#reportStall();
+    this.#reportOverload();
     metrics.process.setDroppedLogLines(lines.getDroppedCount());
     metrics.configuration.setBehindMs(configuration.getBehindMs());
     this.#entry?.applyLimits();
@@ -136,6 +144,22 @@
     });
   }
 
+  /** Logs that the event loop has hardly any time left. */
+  #reportOverload(): void {
+    const { clock, log, metrics, busyMonitor } = this.#components;
+    busyMonitor.takeSample();
+    const busyShare = busyMonitor.getBusyShare();
+    metrics.process.setBusyShare(busyShare);
+    const nowMs = clock.getMonotonicMs();
+    const isDue = nowMs - this.#overloadLoggedMs >= OVERLOAD_LOG_INTERVAL_MS;
+    if (busyShare < OVERLOADED_SHARE || !isDue) return;
+    this.#overloadLoggedMs = nowMs;
+    log.write("warn", "process.overloaded", {
+      busyPercent: Math.round(busyShare * 100),
+      lateMs: Math.max(0, Math.round(nowMs - this.#refreshDueMs)),
+    });
+  }
+
   /** Publishes the term when this box has become leader of its group. */
   #publishLeadership(): void {
     const { status, link } = this.#components;
--- a/src/metrics/process_metrics.ts
+++ b/src/metrics/process_metrics.ts
@@ -5,6 +5,7 @@
   readonly #droppedLogLines: prometheus.Gauge<string>;
   readonly #failedMessages: prometheus.Counter<"method">;
   readonly #stalledMs: prometheus.Counter<string>;
+  readonly #busyShare: prometheus.Gauge<string>;
 
   constructor(registry: prometheus.Registry) {
     const registers = [registry];
@@ -24,6 +25,11 @@
       help: "Time for which the process was not run when it should have been",
       registers,
     });
+    this.#busyShare = new prometheus.Gauge({
+      name: "hoistscale_event_loop_busy",
+      help: "Share of the time for which the event loop is busy, from 0 to 1",
+      registers,
+    });
   }
 
   setDroppedLogLines(lines: number): void {
@@ -34,6 +40,11 @@
     this.#failedMessages.inc({ method });
   }
 
+  /** Sets the share of the time for which the event loop is busy. */
+  setBusyShare(share: number): void {
+    this.#busyShare.set(share);
+  }
+
   /** Adds a time for which the process was not run, in ms. */
   addStalledMs(durationMs: number): void {
     this.#stalledMs.inc(durationMs);
