Call a group without a leader ever more seldom, and large calls only once

What callers saw: on boxes with a third of a core steps were accepted, versions noted and ends taken late or never.

Cause: a call that found no leader with authority was made again each 40 ms until its time was up, 20 to 60 times, whole submissions among them, by every entry box, and mostly to the leader that was late.

Change: two attempts follow at once (a redirect), then the pauses double up to 320 ms, with jitter; a submission is sent again only to a replica that has answered that it leads (readIndex, which older builds answer too). Known as capped exponential backoff with jitter.

--- a/src/fleet_daemon/_store_timeouts.ts
+++ b/src/fleet_daemon/_store_timeouts.ts
@@ -1,5 +1,7 @@
 import type * as replicaGroups from "../replica_group/mod.ts";
 
+/** Name of the group that holds the submissions. */
+export const STORES_GROUP = "stores";
 /** Timeouts of calls to the leader of the stores, in ms. */
 const STORE_TIMEOUTS = { totalMs: 2_500, tryMs: 1_200 };
 /** Time that a call to the stores usually needs at most, in ms. */
--- a/src/fleet_daemon/_submission_handler.ts
+++ b/src/fleet_daemon/_submission_handler.ts
@@ -3,7 +3,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as logs from "../log/mod.ts";
-import type * as replicaGroups from "../replica_group/mod.ts";
+import * as replicaGroups from "../replica_group/mod.ts";
 import type * as results from "../results/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
@@ -81,9 +81,14 @@
     const accepted = await this.#callStoreLeader<null>(
       submissions.METHODS.accept,
       request,
-      storeTimeouts.limitTimeouts(
-        incoming.deadlineAtMs - clock.getMonotonicMs(),
-      ),
+      {
+        ...storeTimeouts.limitTimeouts(
+          incoming.deadlineAtMs - clock.getMonotonicMs(),
+        ),
+        probeMethod: replicaGroups.getReadIndexMethod(
+          storeTimeouts.STORES_GROUP,
+        ),
+      },
     );
     log.write("info", "submission.sent", {
       submission: requestId,
@@ -171,14 +176,14 @@
   async #callStoreLeader<T>(
     method: string,
     request: object,
-    timeouts = storeTimeouts.limitTimeouts(
+    options: replicaGroups.CallOptions = storeTimeouts.limitTimeouts(
       servingTimes.getServingTimeMs(this.#options),
     ),
   ): Promise<results.Result<T>> {
     return await controlHandlers.callStoreLeader<T>(
       this.#options.stores,
       { method, request },
-      timeouts,
+      options,
     );
   }
 }
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -200,13 +200,17 @@
  * @returns The client.
  */
 export function createLeaderCaller(
-  components: Pick<BoxComponents, "clock" | "log" | "directory" | "peers">,
+  components: Pick<
+    BoxComponents,
+    "clock" | "log" | "directory" | "peers" | "draw"
+  >,
   isMember: (box: fleet.BoxRecord) => boolean,
 ): replicaGroups.LeaderCaller {
-  const { clock, log, directory, peers } = components;
+  const { clock, log, directory, peers, draw } = components;
   return new replicaGroups.LeaderCaller({
     clock,
     log,
+    draw,
     listReplicas: () =>
       directory.listAlive().filter(isMember).map((box) => box.id),
     findLeader: () => findLeader(directory.listAll().filter(isMember))?.id,
--- a/src/fleet_daemon/control_handler.ts
+++ b/src/fleet_daemon/control_handler.ts
@@ -256,19 +256,19 @@
  *
  * @param stores Client of the store group.
  * @param call Method and request.
- * @param timeouts Timeouts of the whole call and of one attempt.
+ * @param options Timeouts of the whole call and of one attempt.
  * @returns The reply's value; `unknownStep` if the target does not exist;
  * `changeUnknown` or `noLeader` if no reply arrived in time.
  */
 export async function callStoreLeader<T>(
   stores: replicaGroups.LeaderCaller,
   call: StoreCall,
-  timeouts: replicaGroups.CallTimeouts,
+  options: replicaGroups.CallOptions,
 ): Promise<results.Result<T>> {
   const reply = await stores.call<submissions.LeaderReply<T>>(
     call.method,
     call.request,
-    timeouts,
+    options,
   );
   if (reply.kind === "failure") return reply;
   switch (reply.value.kind) {
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -9,6 +9,7 @@
 import * as usages from "../usage/mod.ts";
 import * as boxComponents from "./box_components.ts";
 import * as dutySettings from "./_duty_settings.ts";
+import * as storeTimeouts from "./_store_timeouts.ts";
 
 /** Log entries between snapshots of the store group. */
 const STORE_SNAPSHOT_ENTRIES = 4_096;
@@ -51,7 +52,7 @@
     const voterCount = 2 * settings.lossesToBear + 1;
     const group = new replicaGroups.ReplicaGroup({
       ...components,
-      name: "stores",
+      name: storeTimeouts.STORES_GROUP,
       id: settings.box.address,
       failureDomain: settings.box.failureDomain,
       dataFolder,
@@ -98,7 +99,7 @@
     const stateMachine = this.#stateMachine;
     const barrier = new replicaGroups.ReadBarrier({
       ...this.#components,
-      name: "stores",
+      name: storeTimeouts.STORES_GROUP,
       replica: this.#group,
       changed,
     });
--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -3,9 +3,7 @@
 import type * as logs from "../log/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as notLeaders from "./not_leader.ts";
-
-/** Pause between two attempts, in ms; well below the time of an election. */
-const RETRY_INTERVAL_MS = 40;
+import * as retryPauses from "./_retry_pause.ts";
 
 /** Last attempts of a failed call that its log line shows. */
 const MAX_LOGGED_ATTEMPTS = 4;
@@ -32,6 +30,8 @@
   readonly findLeader: () => string | undefined;
   /** Returns the RPC client of a replica, by id. */
   readonly getClient: (id: string) => rpc.Peer;
+  /** Returns a random number in [0, 1), to spread attempts of many callers. */
+  readonly draw?: () => number;
 }
 
 /** Timeouts of a call. */
@@ -42,6 +42,22 @@
   readonly tryMs: number;
 }
 
+/** Options of a call. */
+export interface CallOptions extends CallTimeouts {
+  /**
+   * Method that only a leader answers, for a call too large to be sent again to
+   * replicas that may not lead: after a refusal it is asked first.
+   */
+  readonly probeMethod?: string;
+}
+
+/** Options of one attempt. */
+interface AttemptOptions {
+  /** Method to call first; undefined for none. */
+  readonly probeMethod: string | undefined;
+  readonly timeoutMs: number;
+}
+
 /** The attempts of one call so far. */
 interface CallState {
   /** Whether any attempt may have been carried out. */
@@ -79,31 +95,51 @@
    *
    * @param method Name of the RPC method.
    * @param params Its parameters.
-   * @param timeouts Limits on the whole call and on each attempt.
+   * @param options Limits on the whole call and on each attempt.
    * @returns The answer; a failure `noLeader` if the call certainly did not run,
    * or `changeUnknown` if it may have.
    */
   async call<T extends { readonly kind: string }>(
     method: string,
     params: object,
-    timeouts: CallTimeouts,
+    options: CallOptions,
   ): Promise<results.Result<Exclude<T, RetryableAnswer>>> {
-    const { clock } = this.#options;
-    const deadlineMs = clock.getMonotonicMs() + timeouts.totalMs;
+    const { clock, draw } = this.#options;
+    const { totalMs, tryMs, probeMethod } = options;
+    const deadlineMs = clock.getMonotonicMs() + totalMs;
     let state = INITIAL_CALL_STATE;
     for (;;) {
       const remainingMs = deadlineMs - clock.getMonotonicMs();
       if (remainingMs <= 0) return this.#reportFailure(method, state);
       const replica = this.#pickReplica();
-      const answer = await this.#callOnce<T>(replica, method, params, {
-        timeoutMs: Math.min(timeouts.tryMs, remainingMs),
+      const answer = await this.#makeAttempt<T>(replica, method, params, {
+        probeMethod: state.attempts === 0 ? undefined : probeMethod,
+        timeoutMs: Math.min(tryMs, remainingMs),
       });
       if (answer.kind === "ok" && isFinal(answer.value)) {
         return results.createOk(answer.value as Exclude<T, RetryableAnswer>);
       }
       state = recordAttempt(state, replica, answer);
-      await clocks.sleep(clock, RETRY_INTERVAL_MS);
+      const pauseMs = retryPauses.computePauseMs(state.attempts, draw?.());
+      const leftMs = Math.max(0, deadlineMs - clock.getMonotonicMs());
+      await clocks.sleep(clock, Math.min(pauseMs, leftMs));
+    }
+  }
+
+  /** Makes one attempt, which may begin with a probe. */
+  async #makeAttempt<T extends { readonly kind: string }>(
+    id: string | undefined,
+    method: string,
+    params: object,
+    { probeMethod, timeoutMs }: AttemptOptions,
+  ): Promise<results.Result<T | RetryableAnswer>> {
+    if (probeMethod !== undefined) {
+      const probed = await this.#callOnce<T>(id, probeMethod, {}, timeoutMs);
+      // A probe changes nothing, so its outcome is never unknown.
+      if (probed.kind === "failure") return toNotRun(probed);
+      if (!isFinal(probed.value)) return probed;
     }
+    return await this.#callOnce<T>(id, method, params, timeoutMs);
   }
 
   /**
@@ -131,7 +167,7 @@
     id: string | undefined,
     method: string,
     params: object,
-    { timeoutMs }: { readonly timeoutMs: number },
+    timeoutMs: number,
   ): Promise<results.Result<T | RetryableAnswer>> {
     if (id === undefined) {
       return results.createFailure("noLeader", "Cannot find any replica");
@@ -199,6 +235,12 @@
   return reply.kind !== "notLeader" && reply.kind !== "unsure";
 }
 
+function toNotRun(
+  { failure }: results.Result<never> & { readonly kind: "failure" },
+): results.Result<never> {
+  return { kind: "failure", failure: { ...failure, outcome: "notRun" } };
+}
+
 /** Reports whether an attempt without a final answer may have run. */
 function hasUnknownOutcome(
   answer: results.Result<{ readonly kind: string }>,
--- a/src/replica_group/leader_caller_test.ts
+++ b/src/replica_group/leader_caller_test.ts
@@ -19,6 +19,7 @@
   let replicas = stores;
   let clock = new clocks.FakeClock(1_000);
   let called: string[] = [];
+  let methods: string[] = [];
   let leader = "s29";
   let reportedLeader: string | undefined;
   let unreachable: readonly string[] = [];
@@ -30,6 +31,7 @@
   beforeEach(() => {
     clock = new clocks.FakeClock(1_000);
     called = [];
+    methods = [];
     leader = "s29";
     reportedLeader = undefined;
     unreachable = [];
@@ -42,8 +44,9 @@
   function getClient(id: string): rpc.Peer {
     return {
       notify: () => {},
-      call: <T>() => {
+      call: <T>(method: string) => {
         called.push(id);
+        methods.push(method);
         if (unreachable.includes(id)) {
           return Promise.reject(new Error("the connection was not made"));
         }
@@ -69,9 +72,10 @@
 
   async function callOnce(
     caller: leaderCallers.LeaderCaller,
+    options: leaderCallers.CallOptions = TIMEOUTS,
   ): Promise<string> {
     let answer: string | undefined;
-    void caller.call<DoneReply>("read", {}, TIMEOUTS).then((result) => {
+    void caller.call<DoneReply>("read", {}, options).then((result) => {
       answer = result.kind === "ok" ? result.value.by : result.failure.code;
     });
     for (;;) {
@@ -216,4 +220,39 @@
     const last = called.slice(-12).map((id) => `${id}:notLeader`);
     chai.expect(lastAnswers).to.deep.equal(last);
   });
+
+  // Guards against callers that keep a late leader late by calling it without end.
+  it("calls a leader without authority ever more seldom", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    namedLeaders = { s0: "s0", s1: "s0", s2: "s0", s3: "s0" };
+    await callOnce(createCaller());
+    chai.expect(called.length).to.be.within(6, 12);
+  });
+
+  it("makes at most six attempts in the time of an operator's call", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "none";
+    await callOnce(createCaller(), { totalMs: 900, tryMs: 450 });
+    chai.expect(called.length).to.be.within(4, 6);
+  });
+
+  it("sends a large call again only to a leader", async () => {
+    replicas = ["s0", "s1", "s2", "s3"];
+    leader = "s2";
+    const options = { ...TIMEOUTS, probeMethod: "probe" };
+    chai.expect(await callOnce(createCaller(), options)).to.equal("s2");
+    chai.expect(methods).to.deep.equal(["read", "probe", "probe", "read"]);
+    chai.expect(called).to.deep.equal(["s0", "s1", "s2", "s2"]);
+  });
+
+  it("does not take a failed probe for a call that may have run", async () => {
+    replicas = ["s0", "s1"];
+    leader = "none";
+    const caller = createCaller();
+    const calling = callOnce(caller, { ...TIMEOUTS, probeMethod: "probe" });
+    await new Promise((resolve) => setImmediate(resolve));
+    unreachable = ["s0", "s1"];
+    chai.expect(await calling).to.equal("noLeader");
+  });
 });
--- a/src/replica_group/read_barrier.ts
+++ b/src/replica_group/read_barrier.ts
@@ -31,6 +31,11 @@
   | notLeaders.NotLeader
   | { readonly kind: "index"; readonly index: number };
 
+/** Returns the method that tells a leader's applied index and changes nothing. */
+export function getReadIndexMethod(group: string): string {
+  return `${group}.readIndex`;
+}
+
 /**
  * Provides linearizable reads on followers. A follower asks the leader, which
  * answers only under its lease, for its applied index. Once the follower has
@@ -42,7 +47,10 @@
 
   constructor(options: ReadBarrierOptions) {
     this.#options = options;
-    options.server.add(this.#getMethod(), () => this.#handleRequest());
+    options.server.add(
+      getReadIndexMethod(options.name),
+      () => this.#handleRequest(),
+    );
   }
 
   /**
@@ -65,10 +73,6 @@
     return true;
   }
 
-  #getMethod(): string {
-    return `${this.#options.name}.readIndex`;
-  }
-
   #handleRequest(): ReadIndexReply {
     const { replica } = this.#options;
     return replica.hasAuthority()
@@ -78,12 +82,12 @@
 
   /** Asks the leader for its applied index; undefined if it does not answer. */
   async #fetchReadIndex(timeoutMs: number): Promise<number | undefined> {
-    const { replica, peers } = this.#options;
+    const { replica, peers, name } = this.#options;
     const leader = replica.getLeader();
     if (leader === undefined) return undefined;
     try {
       const reply = await peers.get(leader).call<ReadIndexReply>(
-        this.#getMethod(),
+        getReadIndexMethod(name),
         {},
         timeoutMs,
       );
