Let other store boxes run items for a leader that is busy

Cause: the leader of the stores read the streams of all engines and made all scoring calls. No single task does: the longest section took 126 ms. The lost authority then sends all readers of results from followers to the leader, and all calls come again. Class: one process on the path of all data also holds the lease, and what fails adds to its load.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -3,9 +3,10 @@
 import type * as dialects from "../dialect/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
-import * as itemRuns from "../item_run/mod.ts";
+import type * as itemRuns from "../item_run/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
+import type * as remoteRuns from "../remote_run/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
@@ -49,6 +50,10 @@
   readonly engines: engineTables.EngineTable;
   readonly forwarder: forwarding.Forwarder;
   readonly crashGuard: itemCrashTrackers.ItemCrashTrackerOptions["crashGuard"];
+  /** Runs an item, here or at another box. */
+  readonly runItem: (
+    options: remoteRuns.SubmissionRun,
+  ) => Promise<itemRuns.RunOutcome>;
   /** Returns a random number in [0, 1). */
   readonly draw: () => number;
 }
@@ -192,10 +197,10 @@
     );
     engines.addRun(engine.lifetime);
     const model = task.getModel() ?? "";
-    let lastEventAtMs: number | undefined;
-    const end = await itemRuns.runItem({
+    const end = await this.#options.runItem({
       clock,
       dialect,
+      submission: submission.id,
       item,
       sender: submission.sender,
       host: submission.terms.host,
@@ -207,12 +212,10 @@
         ? STALL_TIMEOUT_MS
         : LOADING_STALL_TIMEOUT_MS,
       cancellation: runCancellation,
-      onEvent: () => {
-        const nowMs = clock.getMonotonicMs();
-        if (lastEventAtMs !== undefined) {
-          engines.recordInterval(engine, nowMs - lastEventAtMs);
+      onEvent: ({ intervalMs }) => {
+        if (intervalMs !== undefined) {
+          engines.recordInterval(engine, intervalMs);
         }
-        lastEventAtMs = nowMs;
         if (this.#crashTracker.recordEvent(task)) this.wake();
       },
       onVersion: (version) =>
@@ -224,8 +227,10 @@
     metrics.countItemRun(end.kind);
     await this.#crashTracker.recordRunEnd(task, engine, runStart, end);
     if (!task.isActive()) return;
-    if (isInterrupted(end) && runCancellation.isCancelled()) {
-      // The run was cancelled to move it, possibly before it had connected.
+    const isMoved = isInterrupted(end) && runCancellation.isCancelled();
+    if (isMoved || end.kind === "lost") {
+      // It was cancelled to move it, possibly before it had connected, or its
+      // box was lost: neither speaks against the engine.
       this.#enterPhase(task, "waiting");
     } else {
       engines.recordRunResult(engine.lifetime, isEngineSuccess(end));
@@ -260,7 +265,7 @@
   #handleRunEnd(
     task: itemTasks.ItemTask,
     engine: registry.RegisteredServer,
-    end: itemRuns.RunOutcome,
+    end: Exclude<itemRuns.RunOutcome, { readonly kind: "lost" }>,
   ): void {
     if (end.kind !== "finished" || end.isVerified === true) {
       this.#reportRunEnd(task, engine, end);
@@ -269,7 +274,7 @@
       case "finished":
         this.#lengthEstimator.recordLength(task);
         this.#enterPhase(task, "scoring");
-        void this.#itemFinisher.score(task);
+        void this.#itemFinisher.score(task, end.scored);
         return;
       case "failed":
         task.avoid(engine.lifetime);
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
 import * as logs from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
@@ -132,6 +133,7 @@
       engines,
       forwarder: {} as forwarding.Forwarder,
       crashGuard: guardFixtures.createCrashGuard(clock),
+      runItem: itemRuns.runItem,
       draw: () => 0,
     });
     const isRunning = new Promise<void>((resolve) => {
--- a/src/dispatch/item_crash_tracker.ts
+++ b/src/dispatch/item_crash_tracker.ts
@@ -149,7 +149,7 @@
     runStart: RunStart,
     end: itemRuns.RunOutcome,
   ): Promise<void> {
-    if (end.kind === "notRun") return;
+    if (end.kind === "notRun" || end.kind === "lost") return;
     const isWithoutEvent =
       task.progress.countGeneratedEvents() === runStart.eventsBefore;
     if (end.kind === "broken" && isWithoutEvent) {
--- a/src/dispatch/item_finisher.ts
+++ b/src/dispatch/item_finisher.ts
@@ -1,10 +1,10 @@
 import * as clocks from "../clock/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as submissions from "../submission/mod.ts";
 import type * as itemTasks from "./item_task.ts";
 import * as resultWriters from "./result_writer.ts";
-import * as scoreItem from "./score_item.ts";
 
 /** Minimum delay before a scoring call is retried, in ms. */
 const SCORING_RETRY_DELAY_MS = 60;
@@ -13,7 +13,7 @@
 
 /** Options of an item finisher. */
 export interface ItemFinisherOptions
-  extends scoreItem.ScoringOptions, resultWriters.ResultWriterOptions {
+  extends itemRuns.ScoringOptions, resultWriters.ResultWriterOptions {
   readonly log: logs.Log;
   readonly metrics: metrics.FleetMetrics;
 }
@@ -36,11 +36,19 @@
   /**
    * Scores a complete text and records its result. Unanswered calls are retried;
    * the item is given up after too many failed ones.
+   *
+   * @param first A first call that another box makes, if any.
    */
-  async score(task: itemTasks.ItemTask): Promise<void> {
+  async score(
+    task: itemTasks.ItemTask,
+    first?: Promise<itemRuns.ScoreOutcome>,
+  ): Promise<void> {
     if (task.item.scoring === undefined) return this.#complete(task, undefined);
+    let calling = first;
     while (task.isActive()) {
-      const outcome = await scoreItem.scoreItem(task, this.#options);
+      const outcome = await (calling ??
+        itemRuns.scoreItem(task, this.#options));
+      calling = undefined;
       if (!task.isActive()) return;
       switch (outcome.kind) {
         case "scored":
--- a/src/dispatch/item_starter_test.ts
+++ b/src/dispatch/item_starter_test.ts
@@ -6,6 +6,7 @@
 import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import type * as forwarding from "../forwarding/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
 import * as logs from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import * as registry from "../registry/mod.ts";
@@ -131,6 +132,7 @@
       engines,
       forwarder: {} as forwarding.Forwarder,
       crashGuard: guardFixtures.createCrashGuard(clock),
+      runItem: itemRuns.runItem,
       draw: () => 0,
     });
   });
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -22,7 +22,6 @@
 export * from "./plan_moves.ts";
 export * from "./result_writer.ts";
 export * from "./run_mover.ts";
-export * from "./score_item.ts";
 export * from "./step_progress.ts";
 export * from "./task_table.ts";
 export * from "./text_replicator.ts";
--- a/src/fleet_daemon/store_box.ts
+++ b/src/fleet_daemon/store_box.ts
@@ -3,6 +3,7 @@
 import * as csp from "../csp/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import * as duties from "../duty/mod.ts";
+import * as remoteRuns from "../remote_run/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as weightOrders from "../weight_orders/mod.ts";
@@ -28,6 +29,7 @@
 export class StoreBox {
   readonly #group: replicaGroups.ReplicaGroup;
   readonly #dispatcher: dispatch.Dispatcher;
+  readonly #runWorker: remoteRuns.RunWorker;
   readonly #duty: duties.DutyLease;
   readonly #usage: usages.UsageReporter | undefined;
   readonly #autoscaler: capacity.Autoscaler | undefined;
@@ -70,7 +72,17 @@
     this.#stateMachine = stateMachine;
     const engines = new dispatch.EngineTable(clock);
     const shared = { ...components, group, machine: stateMachine, engines };
-    this.#dispatcher = new dispatch.Dispatcher(shared);
+    const id = settings.box.address;
+    const runner = new remoteRuns.RemoteRunner({ ...shared, id });
+    this.#runWorker = new remoteRuns.RunWorker({
+      ...shared,
+      id,
+      stateChanged: changed,
+    });
+    this.#dispatcher = new dispatch.Dispatcher({
+      ...shared,
+      runItem: (options) => runner.run(options),
+    });
     this.#duty = new duties.DutyLease({
       ...shared,
       box: settings.box.name,
@@ -191,6 +203,7 @@
 
   /** Transfers the leadership to another store before a shutdown. */
   async setDraining(): Promise<void> {
+    this.#runWorker.stop();
     await this.#group.resign();
   }
 
@@ -221,6 +234,7 @@
   async stop(): Promise<void> {
     this.#isStopped = true;
     this.#dispatcher.stop();
+    this.#runWorker.stop();
     this.#duty.stop();
     this.#usage?.stop();
     this.#autoscaler?.stop();
--- a/src/item_run/mod.ts
+++ b/src/item_run/mod.ts
@@ -9,4 +9,5 @@
  * @module
  */
 export * from "./run_item.ts";
+export * from "./score_item.ts";
 export * from "./text_progress.ts";
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -8,6 +8,7 @@
 import type * as registry from "../registry/mod.ts";
 import * as serverCalls from "../server_call/mod.ts";
 import type * as submissions from "../submission/mod.ts";
+import type * as scoreItem from "./score_item.ts";
 import type * as textProgresses from "./text_progress.ts";
 
 /** Timeout of one run, in ms. */
@@ -43,11 +44,17 @@
   readonly stallTimeoutMs: number;
   readonly cancellation: csp.Cancellation;
   /** Called after each event that was appended. */
-  readonly onEvent: () => void;
+  readonly onEvent: (event: RunEvent) => void;
   /** Called with each valid weight version that the engine reports. */
   readonly onVersion: (version: number) => void;
 }
 
+/** An event of a run. */
+export interface RunEvent extends textProgresses.TextEvent {
+  /** Time since the run's event before, in ms; undefined for its first one. */
+  readonly intervalMs: number | undefined;
+}
+
 /** Outcome of a run. */
 export type RunOutcome =
   | {
@@ -57,6 +64,8 @@
      * that no crash ended it.
      */
     readonly isVerified?: true;
+    /** Set if the box that ran it makes the first scoring call, too. */
+    readonly scored?: Promise<scoreItem.ScoreOutcome>;
   }
   /** The engine reported that this attempt failed (status 500). */
   | { readonly kind: "failed" }
@@ -75,7 +84,9 @@
     readonly reason: string;
     /** Whether the engine closed or reset the connection before the end. */
     readonly isClosed: boolean;
-  };
+  }
+  /** The box that ran it was lost, which says nothing about the engine. */
+  | { readonly kind: "lost"; readonly reason: string };
 
 /** Reads the response stream of one run. */
 class ItemRun implements httpClient.ExchangeListener {
@@ -89,6 +100,8 @@
   #isFramed = false;
   #isNotRun = false;
   #version: number | undefined;
+  /** When the last event came, in monotonic ms. */
+  #lastEventAtMs: number | undefined;
   #isSettled = false;
 
   constructor(options: RunItemOptions, resolve: (outcome: RunOutcome) => void) {
@@ -243,19 +256,25 @@
     if (event.id === undefined || !Number.isInteger(id)) {
       return this.#abort("an event id is missing or not an integer");
     }
-    const isNext = progress.add({
-      id,
-      data: event.data,
-      version: this.#version,
-    });
-    if (!isNext) return this.#abort("an event id is out of sequence");
+    const textEvent = { id, data: event.data, version: this.#version };
+    if (!progress.add(textEvent)) {
+      return this.#abort("an event id is out of sequence");
+    }
     if (this.#hasTooManyEvents()) {
       progress.reset();
       return this.#abort("the text has more events than the item has tokens");
     }
     this.#limit.recordEvent();
     this.#restartStallTimer();
-    onEvent();
+    onEvent({ ...textEvent, intervalMs: this.#measureInterval() });
+  }
+
+  /** Returns the time since the event before, in ms. */
+  #measureInterval(): number | undefined {
+    const nowMs = this.#options.clock.getMonotonicMs();
+    const lastMs = this.#lastEventAtMs;
+    this.#lastEventAtMs = nowMs;
+    return lastMs === undefined ? undefined : nowMs - lastMs;
   }
 
   /** Whether the text can't be the item's, as each event has a token at least. */
--- a/src/dispatch/score_item.ts
+++ b/src/item_run/score_item.ts
@@ -1,13 +1,21 @@
 import type * as clocks from "../clock/mod.ts";
+import type * as csp from "../csp/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
-import type * as itemTasks from "./item_task.ts";
+import type * as submissions from "../submission/mod.ts";
+
+/** An item whose text is complete. */
+export interface CompletedItem {
+  readonly item: Pick<submissions.SubmissionItem, "scoring">;
+  /** Cancels the scoring call. */
+  readonly cancellation: csp.Cancellation;
+}
 
 /** Options for scoring. */
 export interface ScoringOptions {
   readonly clock: clocks.Clock;
-  readonly forwarder: forwarding.Forwarder;
-  readonly configuration: trafficConfig.ConfigurationHolder;
+  readonly forwarder: Pick<forwarding.Forwarder, "send">;
+  readonly configuration: Pick<trafficConfig.ConfigurationHolder, "get">;
   /** Returns a random number in [0, 1). */
   readonly draw: () => number;
 }
@@ -33,15 +41,15 @@
 /**
  * Scores a completed text with a call through the route of its scoring path.
  *
- * @param task The item.
+ * @param completed The item.
  * @param options Forwarder and configuration to send the call with.
  * @returns The scorer's receipt, or why there is none.
  */
 export async function scoreItem(
-  task: itemTasks.ItemTask,
+  { item, cancellation }: CompletedItem,
   options: ScoringOptions,
 ): Promise<ScoreOutcome> {
-  const { scoring } = task.item;
+  const { scoring } = item;
   const configuration = options.configuration.get();
   if (scoring === undefined || configuration === undefined) {
     return {
@@ -72,7 +80,7 @@
     isOwed: true,
     retriesErrors: false,
     hedgeMs: route.targetLatencyMs * HEDGE_RATIO,
-    cancellation: task.cancellation,
+    cancellation,
   });
   if (outcome.kind !== "answered") {
     const reason = "reason" in outcome ? outcome.reason : outcome.kind;
