Answer reads of results from any replica that holds further ones

Cause: a follower asks the leader before each read; once it can't confirm, the reader turns to the leader, which is late already. Results keep their positions and content, so a replica that holds results beyond the reader's position can answer without asking; only that there are none, or no such submission, is for the leader to say.

Test: read_results_test, red before (notLeader, one barrier call).

--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -102,9 +102,11 @@
   ): Promise<protocol.LeaderReply<protocol.ReadReply>> {
     const { group, stateChanged: changed, clock } = this.#options;
     const endMs = clock.getMonotonicMs() + request.waitMs;
+    const known = this.#readNewResults(request);
+    if (known !== undefined) return known;
     const isLeading = group.hasAuthority();
     if (!isLeading && !await this.#canReadAsFollower(request)) {
-      return group.createNotLeader();
+      return this.#readNewResults(request) ?? group.createNotLeader();
     }
     for (;;) {
       if (isLeading && !group.hasAuthority()) return group.createNotLeader();
@@ -113,14 +115,35 @@
       const leftMs = endMs - clock.getMonotonicMs();
       const hasNewResults = record.results.length > request.after;
       if (hasNewResults || leftMs <= 0 || record.isEnded) {
-        const page = resultPages.buildResultPage(record, request.after);
-        const nearReplica = this.#findReplicaIn(request.failureDomain);
-        return { kind: "done", value: { page, nearReplica } };
+        return { kind: "done", value: this.#createPage(record, request) };
       }
       await changed.wait(clock, leftMs);
     }
   }
 
+  /**
+   * Reads results beyond those that the sender has. Results keep their positions, so
+   * any replica can answer this, however old its state; that there are none, or no
+   * such submission, only the leader knows.
+   */
+  #readNewResults(
+    request: protocol.ReadRequest,
+  ): protocol.LeaderReply<protocol.ReadReply> | undefined {
+    const record = this.#findRecord(request);
+    if (record === undefined || record.results.length <= request.after) {
+      return undefined;
+    }
+    return { kind: "done", value: this.#createPage(record, request) };
+  }
+
+  #createPage(
+    record: stateMachines.SubmissionRecord,
+    { after, failureDomain }: protocol.ReadRequest,
+  ): protocol.ReadReply {
+    const page = resultPages.buildResultPage(record, after);
+    return { page, nearReplica: this.#findReplicaIn(failureDomain) };
+  }
+
   /** Finds a submission that the sender may access. */
   #findRecord(
     { id, sender }: Pick<protocol.ReadRequest, "id" | "sender">,
