--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -12,6 +12,7 @@
 import * as guardFixtures from "../fixtures/create_crash_guard.ts";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
+import * as submissionFixtures from "../submission/submission_fixture_test.ts";
 import * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import * as dispatchers from "./dispatcher.ts";
@@ -39,24 +40,9 @@
   setPlannedGroups: () => {},
 } as unknown as metrics.FleetMetrics;
 
-const SUBMISSION: submissions.Submission = {
-  id: "s-1",
-  model: "m",
-  step: 0,
-  minimumVersion: 1,
-  desired: 1,
-  items: [itemFixtures.createItem("item-1", { tokens: 10 })],
-  sender: { kind: "unasked" },
-  acceptedAtMs: 0,
-  terms: {
-    host: "a.example",
-    service: "lm",
-    attempts: 2,
-    keepMs: 60_000,
-    targetCompletionMs: 7_500,
-    isSingleVersion: false,
-  },
-};
+const SUBMISSION = submissionFixtures.createSubmission("s-1", [
+  itemFixtures.createItem("item-1", { tokens: 10 }),
+]);
 
 /** Maximum polls, 1 ms apart, until a finished run's result is recorded. */
 const MAX_POLLS = 500;
--- a/src/dispatch/item_starter_test.ts
+++ b/src/dispatch/item_starter_test.ts
@@ -12,6 +12,7 @@
 import * as registry from "../registry/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
 import * as itemFixtures from "../submission/item_fixture_test.ts";
+import * as submissionFixtures from "../submission/submission_fixture_test.ts";
 import * as submissions from "../submission/mod.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import * as dispatchers from "./dispatcher.ts";
@@ -30,27 +31,13 @@
 /** Longest time in which a leader may handle no other event, in ms. */
 const MAX_BLOCK_MS = 50;
 
-const SUBMISSION: submissions.Submission = {
-  id: "s-1",
-  model: "m",
-  step: 0,
-  minimumVersion: 1,
-  desired: ITEMS,
-  items: Array.from(
+const SUBMISSION = submissionFixtures.createSubmission(
+  "s-1",
+  Array.from(
     { length: ITEMS },
     (_, at) => itemFixtures.createItem(`item-${at}`),
   ),
-  sender: { kind: "unasked" },
-  acceptedAtMs: 0,
-  terms: {
-    host: "a.example",
-    service: "lm",
-    attempts: 2,
-    keepMs: 60_000,
-    targetCompletionMs: 7_500,
-    isSingleVersion: false,
-  },
-};
+);
 
 /** A clock that moves on only while work is done. */
 class WorkClock extends clocks.FakeClock {
--- a/src/remote_run/remote_run_fixture_test.ts
+++ b/src/remote_run/remote_run_fixture_test.ts
@@ -10,6 +10,7 @@
 import * as runFixtures from "../item_run/run_fixture_test.ts";
 import * as logs from "../log/mod.ts";
 import * as submissions from "../submission/mod.ts";
+import * as submissionFixtures from "../submission/submission_fixture_test.ts";
 import type * as trafficConfig from "../traffic_config/mod.ts";
 import * as fakeBoxes from "./fake_box_fixture_test.ts";
 import * as remoteRunners from "./remote_runner.ts";
@@ -33,24 +34,11 @@
   }],
 } as unknown as trafficConfig.Configuration;
 
-export const SUBMISSION: submissions.Submission = {
-  id: "s-1",
-  model: "m",
-  step: 0,
-  minimumVersion: 2,
-  desired: 1,
-  items: [runFixtures.ITEM],
-  sender: { kind: "unasked" },
-  acceptedAtMs: 0,
-  terms: {
-    host: "a.example",
-    service: "lm",
-    attempts: 2,
-    keepMs: 60_000,
-    targetCompletionMs: 7_500,
-    isSingleVersion: false,
-  },
-};
+export const SUBMISSION = submissionFixtures.createSubmission(
+  "s-1",
+  [runFixtures.ITEM],
+  { minimumVersion: 2 },
+);
 
 /** Formats events with consecutive ids. */
 export function formatEvents(first: number, last: number): string {
--- a/src/submission/read_results_test.ts
+++ b/src/submission/read_results_test.ts
@@ -7,27 +7,14 @@
 import * as itemFixtures from "./item_fixture_test.ts";
 import * as protocol from "./protocol.ts";
 import type * as submissions from "./submission.ts";
+import * as submissionFixtures from "./submission_fixture_test.ts";
 import * as stateMachines from "./submission_state_machine.ts";
 import * as services from "./submission_service.ts";
 
-const SUBMISSION: submissions.Submission = {
-  id: "s-1",
-  model: undefined,
-  step: undefined,
-  minimumVersion: 0,
-  desired: undefined,
-  items: [itemFixtures.createItem("i-1"), itemFixtures.createItem("i-2")],
-  sender: { kind: "unasked" },
-  acceptedAtMs: 0,
-  terms: {
-    host: "a.example",
-    service: "lm",
-    attempts: 2,
-    keepMs: 60_000,
-    targetCompletionMs: 7_500,
-    isSingleVersion: false,
-  },
-};
+const SUBMISSION = submissionFixtures.createSubmission("s-1", [
+  itemFixtures.createItem("i-1"),
+  itemFixtures.createItem("i-2"),
+]);
 
 const RESULT: submissions.ItemResult = {
   id: "i-1",
