--- a/src/remote_run/_start_queue.ts
+++ b/src/remote_run/_start_queue.ts
@@ -19,6 +19,17 @@
   readonly peers: fleet.Peers;
 }
 
+/** Runs to be started at one box. */
+interface StartBatch {
+  readonly orders: protocol.RunOrder[];
+  readonly sent: Promise<BatchOutcome>;
+}
+
+/** Outcome of a request with all runs of a batch. */
+type BatchOutcome =
+  | { readonly kind: "answered"; readonly reply: protocol.StartReply }
+  | { readonly kind: "unanswered"; readonly reason: string };
+
 /** Sends what is to be started at a box in one turn of the event loop together. */
 export class StartQueue {
   readonly #options: StartQueueOptions;
@@ -70,17 +81,6 @@
   }
 }
 
-/** Runs to be started at one box. */
-interface StartBatch {
-  readonly orders: protocol.RunOrder[];
-  readonly sent: Promise<BatchOutcome>;
-}
-
-/** Outcome of a request with all runs of a batch. */
-type BatchOutcome =
-  | { readonly kind: "answered"; readonly reply: protocol.StartReply }
-  | { readonly kind: "unanswered"; readonly reason: string };
-
 function findOutcome(run: string, batch: BatchOutcome): StartOutcome {
   if (batch.kind === "unanswered") {
     return { kind: "unknown", reason: batch.reason };
