--- a/src/replica_group/leader_caller.ts
+++ b/src/replica_group/leader_caller.ts
@@ -126,20 +126,26 @@
     }
   }
 
-  /** Makes one attempt, which may begin with a probe. */
+  /** Makes one attempt, which may begin with a probe in the same time. */
   async #makeAttempt<T extends { readonly kind: string }>(
     id: string | undefined,
     method: string,
     params: object,
     { probeMethod, timeoutMs }: AttemptOptions,
   ): Promise<results.Result<T | RetryableAnswer>> {
+    const { clock } = this.#options;
+    const endMs = clock.getMonotonicMs() + timeoutMs;
     if (probeMethod !== undefined) {
       const probed = await this.#callOnce<T>(id, probeMethod, {}, timeoutMs);
       // A probe changes nothing, so its outcome is never unknown.
       if (probed.kind === "failure") return toNotRun(probed);
       if (!isFinal(probed.value)) return probed;
     }
-    return await this.#callOnce<T>(id, method, params, timeoutMs);
+    const leftMs = endMs - clock.getMonotonicMs();
+    if (leftMs <= 0) {
+      return results.createFailure("noLeader", "The probe took all the time");
+    }
+    return await this.#callOnce<T>(id, method, params, leftMs);
   }
 
   /**
--- a/src/replica_group/leader_caller_test.ts
+++ b/src/replica_group/leader_caller_test.ts
@@ -20,6 +20,10 @@
   let clock = new clocks.FakeClock(1_000);
   let called: string[] = [];
   let methods: string[] = [];
+  /** When the timeout of each call ends, in monotonic ms. */
+  let ends: number[] = [];
+  /** Time that a probe takes, in ms. */
+  let probeMs = 0;
   let leader = "s29";
   let reportedLeader: string | undefined;
   let unreachable: readonly string[] = [];
@@ -32,6 +36,8 @@
     clock = new clocks.FakeClock(1_000);
     called = [];
     methods = [];
+    ends = [];
+    probeMs = 0;
     leader = "s29";
     reportedLeader = undefined;
     unreachable = [];
@@ -44,9 +50,11 @@
   function getClient(id: string): rpc.Peer {
     return {
       notify: () => {},
-      call: <T>(method: string) => {
+      call: <T>(method: string, _params: object, timeoutMs: number) => {
         called.push(id);
         methods.push(method);
+        if (method === "probe") clock.advance(probeMs);
+        ends.push(clock.getMonotonicMs() + timeoutMs);
         if (unreachable.includes(id)) {
           return Promise.reject(new Error("the connection was not made"));
         }
@@ -246,6 +254,23 @@
     chai.expect(called).to.deep.equal(["s0", "s1", "s2", "s2"]);
   });
 
+  // Guards against a call that outlasts its time by that of its probe.
+  it("ends within its time although a probe is slow", async () => {
+    replicas = ["s0"];
+    leader = "s0";
+    namedLeaders = {};
+    const caller = createCaller();
+    unreachable = ["s0"];
+    const options = { totalMs: 600, tryMs: 500, probeMethod: "probe" };
+    probeMs = 200;
+    const calling = callOnce(caller, options);
+    await new Promise((resolve) => setImmediate(resolve));
+    unreachable = [];
+    chai.expect(await calling).to.equal("s0");
+    chai.expect(methods).to.deep.equal(["read", "probe", "read"]);
+    chai.expect(ends.at(-1)).to.be.at.most(1_000 + options.totalMs);
+  });
+
   it("does not take a failed probe for a call that may have run", async () => {
     replicas = ["s0", "s1"];
     leader = "none";
