One reading of what a submission decides about its runs

The leader and the box that runs an item for it picked the same four terms of the submission apart, side by side. Behaviour is as before.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -3,7 +3,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
-import type * as itemRuns from "../item_run/mod.ts";
+import * as itemRuns from "../item_run/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as registry from "../registry/mod.ts";
 import type * as remoteRuns from "../remote_run/mod.ts";
@@ -202,11 +202,8 @@
       dialect,
       submission: submission.id,
       item,
-      sender: submission.sender,
-      host: submission.terms.host,
+      ...itemRuns.createRunTerms(submission),
       engine,
-      minimumVersion: submission.minimumVersion,
-      isSingleVersion: submission.terms.isSingleVersion,
       progress,
       stallTimeoutMs: engines.getLoadingModel(engine.lifetime) === undefined
         ? STALL_TIMEOUT_MS
--- a/src/item_run/run_item.ts
+++ b/src/item_run/run_item.ts
@@ -49,6 +49,19 @@
   readonly onVersion: (version: number) => void;
 }
 
+/** What the submission of an item decides about its runs. */
+export type RunTerms = Pick<
+  RunItemOptions,
+  "sender" | "host" | "minimumVersion" | "isSingleVersion"
+>;
+
+/** Returns what a submission decides about the runs of its items. */
+export function createRunTerms(submission: submissions.Submission): RunTerms {
+  const { sender, minimumVersion, terms } = submission;
+  const { host, isSingleVersion } = terms;
+  return { sender, host, minimumVersion, isSingleVersion };
+}
+
 /** An event of a run. */
 export interface RunEvent extends textProgresses.TextEvent {
   /** Time since the run's event before, in ms; undefined for its first one. */
--- a/src/remote_run/run_worker.ts
+++ b/src/remote_run/run_worker.ts
@@ -124,12 +124,9 @@
     const outcome = await itemRuns.runItem({
       clock,
       dialect,
+      ...itemRuns.createRunTerms(submission),
       item,
-      sender: submission.sender,
-      host: submission.terms.host,
       engine,
-      minimumVersion: submission.minimumVersion,
-      isSingleVersion: submission.terms.isSingleVersion,
       progress,
       stallTimeoutMs,
       cancellation,
