--- a/tools/check/run_checks.ts
+++ b/tools/check/run_checks.ts
@@ -25,6 +25,8 @@
 const REPORT_FILE = "out/tests.json";
 /** Maximum number of entries in KNOWN-RED.txt; raised before one is left out. */
 const MAX_KNOWN_RED = 12;
+/** Issue whose entries in KNOWN-RED.txt the users don't count: a test a line. */
+const UNCOUNTED_ISSUE = "issue 77";
 
 function runStep(name: string, args: readonly string[]): boolean {
   console.log(`check: ${name}`);
@@ -78,8 +80,9 @@
   console.log(
     `tests: ${report.stats.passes} passed, ${unexpected.length} failed`,
   );
+  const counted = known.filter((line) => !line.endsWith(UNCOUNTED_ISSUE));
   return unexpected.length === 0 && report.stats.passes > 0 &&
-    known.length <= MAX_KNOWN_RED;
+    counted.length <= MAX_KNOWN_RED;
 }
 
 function runChecks(): boolean {
