Split descriptors among the listeners of a box, and take requests one by one

What callers saw: a crowd of connections, silent or with heads without end, took as many descriptors as it liked (6,039 of 4,100), so that forwarding, other boxes, the log on disk and operators would get none. Requests sent behind one another were all begun at once and went on when their connection was gone; beside 40 such clients an ordinary request got no answer in 25 s.

Cause: nothing bounds the connections of a listener; a head may have 64 KB whatever the configuration says and is looked at each 30 s; Node tells only the first of several responses of a connection that it closed, so the others never ended.

Change: the descriptors and memory of a box (limits.file_descriptors, new in the settings as fileDescriptors) are split among callers, control, directory and readiness, the rest is for peers, servers and files. Beyond its share a listener closes a connection without a request, first those that never had one answered, then the one at rest for longest. Requests of one connection are in progress one after the other, 16 wait at most. Heads as long as the configuration says, checked each second. Who doesn't read an answer within the idle timeout is closed. Metric and a line a second by listener and reason.

--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -2,28 +2,40 @@
 import type * as dialects from "../dialect/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as crowdRecorders from "./_crowd_recorder.ts";
 
-/** Largest request head accepted, in bytes. */
-const MAX_HEADER_BYTES = 65_536;
+/** Largest request head until a configuration sets one, in bytes. */
+const INITIAL_HEADER_BYTES = 16_384;
 
 /** Timeout for a request's head until a configuration sets one, in ms. */
 const INITIAL_HEADERS_TIMEOUT_MS = 5_000;
 
+/** Options of `createRawListener`. */
+export interface RawListenerOptions {
+  readonly name: crowdRecorders.ListenerName;
+  /** Most connections of callers. */
+  readonly maxConnections: number;
+  /** Receives unsent answers and thrown errors. */
+  readonly log: logs.Log;
+  readonly crowds: crowdRecorders.CrowdRecorder;
+}
+
 /**
  * Creates an HTTP listener that logs unsent answers and failed requests.
  *
  * @param handler Handles one request and ends its response.
- * @param log Receives unsent answers and thrown errors.
+ * @param options Name and bounds of the listener, and what it reports to.
  * @returns The listener, not yet listening.
  */
 export function createRawListener(
   handler: httpServer.HttpHandler,
-  log: logs.Log,
+  options: RawListenerOptions,
 ): httpServer.HttpListener {
-  return new httpServer.HttpListener(handler, {
+  const { log, name, crowds, maxConnections } = options;
+  const listener = new httpServer.HttpListener(handler, {
     headersTimeoutMs: INITIAL_HEADERS_TIMEOUT_MS,
     requestTimeoutMs: 0,
-    maxHeaderBytes: MAX_HEADER_BYTES,
+    maxHeaderBytes: INITIAL_HEADER_BYTES,
     onResponseError: ({ message }) =>
       log.write("debug", "answer.unsent", { message }),
     onHandlerError: (request, response, error) => {
@@ -34,7 +46,11 @@
       });
       response.destroy();
     },
+    onConnectionClosed: (reason) =>
+      crowds.record(name, { kind: "connectionClosed", reason }),
   });
+  listener.limitConnections({ maxConnections });
+  return listener;
 }
 
 /**
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -12,13 +12,8 @@
 import * as replicaGroups from "../replica_group/mod.ts";
 import * as rpc from "../rpc/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
-
-const BYTES_PER_MB = 1_000_000;
-/**
- * Part of a box's memory that unfinished answers of servers may hold; a whole answer
- * needs as much again when its parts are joined.
- */
-const MAX_HELD_FRACTION = 0.2;
+import * as boxLimits from "./_compute_box_limits.ts";
+import * as crowdRecorders from "./_crowd_recorder.ts";
 
 /** Inputs of a box that do not change while it runs. */
 export interface BoxContext {
@@ -50,6 +45,10 @@
   readonly log: logs.Log;
   readonly metrics: metrics.FleetMetrics;
   readonly failures: fleet.FailureRecorder;
+  /** What the parts of this process may take up. */
+  readonly limits: boxLimits.BoxLimits;
+  /** Records what is done about clients beyond a limit. */
+  readonly crowds: crowdRecorders.CrowdRecorder;
   readonly server: rpc.RpcServer;
   readonly peers: fleet.PeerPool;
   readonly directory: fleet.BoxDirectory;
@@ -78,9 +77,8 @@
 /** Creates the components that every box has, without starting any. */
 export function createBoxComponents(context: BoxContext): BoxComponents {
   const { settings, dialect, lines } = context;
-  httpClient.SHARED_HELD_BYTES.limit(
-    settings.memoryMb * BYTES_PER_MB * MAX_HELD_FRACTION,
-  );
+  const limits = boxLimits.computeBoxLimits(settings);
+  httpClient.SHARED_HELD_BYTES.limit(limits.heldBytes);
   const clock = new clocks.SystemClock();
   const log = new logs.Log(
     settings.box.name,
@@ -94,22 +92,17 @@
     metrics: boxMetrics.configuration,
     decode: dialect.decodeConfiguration,
   });
-  const failures = new fleet.FailureRecorder({ log, metrics: boxMetrics });
+  const means = { clock, log, metrics: boxMetrics };
+  const recorders = createRecorders(means);
   const shared = {
     ...context,
-    clock,
-    log,
-    metrics: boxMetrics,
-    refusedReports: new registry.RefusalRecorder({
-      clock,
-      log,
-      metrics: boxMetrics,
-    }),
+    ...means,
+    ...recorders,
+    limits,
     isService: (name: string) =>
       configuration.get()?.services.has(name) ?? true,
-    failures,
     server: new rpc.RpcServer((method, error) =>
-      failures.record(method, error)
+      recorders.failures.record(method, error)
     ),
     peers: new fleet.PeerPool(settings.listen.peerPort),
     directory: new fleet.BoxDirectory(clock),
@@ -145,6 +138,22 @@
   return { ...shared, crashGuard, forwarder, link };
 }
 
+/** Recorders of what a box refuses or fails at, which bound their log lines. */
+type Recorders = Pick<BoxComponents, "failures" | "crowds" | "refusedReports">;
+
+function createRecorders(
+  means: Pick<BoxComponents, "clock" | "log" | "metrics">,
+): Recorders {
+  return {
+    failures: new fleet.FailureRecorder(means),
+    crowds: new crowdRecorders.CrowdRecorder({
+      ...means,
+      metrics: means.metrics.crowds,
+    }),
+    refusedReports: new registry.RefusalRecorder(means),
+  };
+}
+
 /** Components that do not depend on the gossip link. */
 type LocalComponents = Omit<BoxComponents, "link" | "crashGuard" | "forwarder">;
 
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -1,7 +1,6 @@
 import type * as http from "node:http";
 import * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
-import type * as fleetSettings from "../fleet_settings/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
 import type * as results from "../results/mod.ts";
@@ -14,6 +13,7 @@
 import * as controlHandlers from "./control_handler.ts";
 import * as dutySettings from "./_duty_settings.ts";
 import * as endExchanges from "./_end_exchanges.ts";
+import * as entryListeners from "./_entry_listeners.ts";
 import * as formatRefusals from "./_format_refusal.ts";
 import * as rawListeners from "./_raw_listener.ts";
 
@@ -34,12 +34,7 @@
  */
 export class EntryBox {
   readonly #components: boxComponents.BoxComponents;
-  readonly #callerListener: httpServer.HttpListener;
-  /** All listeners, also the one for callers. */
-  readonly #listeners: readonly httpServer.HttpListener[];
-  readonly #controlListener: httpServer.HttpListener;
-  readonly #readinessListener: httpServer.HttpListener;
-  readonly #addressListener: httpServer.HttpListener;
+  readonly #listeners: entryListeners.EntryListeners;
   readonly #controlHandler: controlHandlers.ControlHandler;
   readonly #core: replicaGroups.ReplicaGroup | undefined;
   readonly #usageRecorder: usages.UsageRecorder | undefined;
@@ -67,39 +62,18 @@
       usage: this.#usageRecorder,
       failureDomain: components.settings.box.failureDomain,
     });
-    const { log } = components;
-    this.#callerListener = rawListeners.createRawListener(
-      (request, response) => callerHandler.serve(request, response),
-      log,
-    );
-    this.#controlListener = rawListeners.createRawListener(
-      (request, response) => this.#serveControl(request, response),
-      log,
-    );
-    this.#readinessListener = rawListeners.createRawListener(
-      (_request, response) => this.#serveReadiness(response),
-      log,
-    );
-    this.#addressListener = rawListeners.createRawListener(
-      (request, response) => this.#serveAddresses(request, response),
-      log,
-    );
-    this.#listeners = [
-      this.#callerListener,
-      this.#controlListener,
-      this.#readinessListener,
-      this.#addressListener,
-    ];
+    this.#listeners = new entryListeners.EntryListeners(components, {
+      caller: (request, response) => callerHandler.serve(request, response),
+      control: (request, response) => this.#serveControl(request, response),
+      ready: (_request, response) => this.#serveReadiness(response),
+      directory: (request, response) => this.#serveAddresses(request, response),
+    });
     this.#core = this.#createCore();
   }
 
   /** Starts the listeners; refuses callers until a configuration is in force. */
   async start(): Promise<void> {
-    const { listen } = this.#components.settings;
-    await listenAt(this.#controlListener, listen.control);
-    await listenAt(this.#readinessListener, listen.ready);
-    await listenAt(this.#addressListener, listen.directory);
-    await listenAt(this.#callerListener, listen.caller);
+    await this.#listeners.listen(this.#components.settings.listen);
     this.#usageRecorder?.start();
   }
 
@@ -115,52 +89,50 @@
 
   /** Returns the number of caller requests in flight. */
   getInFlight(): number {
-    return this.#callerListener.getInFlightCount();
+    return this.#listeners.getInFlightCallers();
   }
 
   /** Returns the number of requests in flight at all listeners. */
   countExchanges(): number {
-    return this.#listExchanges().length;
-  }
-
-  #listExchanges(): readonly httpServer.Exchange[] {
-    return this.#listeners.flatMap((listener) => listener.listExchanges());
+    return this.#listeners.listExchanges().length;
   }
 
-  /** Applies the connection timeouts of the configuration in force. */
+  /** Applies the limits on connections of the configuration in force. */
   applyLimits(): void {
     const limits = this.#components.configuration.get()?.limits;
-    if (limits === undefined) return;
-    this.#callerListener.setConnectionTimeouts({
-      headersMs: limits.headerTimeoutMs,
-      idleMs: limits.idleTimeoutMs,
-    });
+    if (limits !== undefined) this.#listeners.applyLimits(limits);
   }
 
   /** Closes connections after their next answer; transfers the leadership. */
   async setDraining(): Promise<void> {
-    for (const listener of this.#listeners) listener.startDraining();
+    this.#listeners.startDraining();
     await this.#core?.resign();
   }
 
   /** Accepts no more connections and closes the idle ones. */
   closeListeners(): void {
-    for (const listener of this.#listeners) listener.close(false);
+    this.#listeners.close(false);
   }
 
   /** Answers all requests in flight that have no answer so far. */
   endExchanges(): void {
-    endExchanges.endExchanges(this.#listExchanges(), this.#components);
+    endExchanges.endExchanges(
+      this.#listeners.listExchanges(),
+      this.#components,
+    );
   }
 
   /** Logs the requests whose answers are not sent whole. */
   recordCutExchanges(): void {
-    endExchanges.recordCutExchanges(this.#listExchanges(), this.#components);
+    endExchanges.recordCutExchanges(
+      this.#listeners.listExchanges(),
+      this.#components,
+    );
   }
 
   /** Closes all listeners and connections, then stops the core replica. */
   async stop(): Promise<void> {
-    for (const listener of this.#listeners) listener.close(true);
+    this.#listeners.close(true);
     this.#usageRecorder?.stop();
     await this.#core?.stop();
   }
@@ -316,12 +288,3 @@
     },
   });
 }
-
-/** Starts a listener if the settings give it an endpoint. */
-async function listenAt(
-  listener: httpServer.HttpListener,
-  endpoint: fleetSettings.Endpoint | undefined,
-): Promise<void> {
-  if (endpoint === undefined) return;
-  await listener.listen(endpoint.address, endpoint.port);
-}
--- a/src/fleet_settings/fleet_settings.ts
+++ b/src/fleet_settings/fleet_settings.ts
@@ -1,6 +1,9 @@
 import * as z from "zod";
 import * as durations from "./duration.ts";
 
+/** Descriptors of a process whose settings name none. */
+const DEFAULT_FILE_DESCRIPTORS = 4_096;
+
 const portSchema = z.number().int().min(1).max(65_535);
 
 const endpointSchema = z.string().regex(
@@ -50,6 +53,9 @@
   memoryMb: z.number().positive().describe(
     "Memory limit of the process, in MB",
   ),
+  fileDescriptors: z.number().int().positive().default(
+    DEFAULT_FILE_DESCRIPTORS,
+  ).describe("Descriptors that the process may open"),
   lossesToBear: z.number().int().min(0).describe(
     "Number of boxes with a disk that may fail at the same time",
   ),
--- a/src/http_server/http_listener.ts
+++ b/src/http_server/http_listener.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as results from "../results/mod.ts";
+import * as connectionGuards from "./connection_guard.ts";
 import * as responses from "./respond.ts";
 
 /** Handles one request and sends its response. */
@@ -25,16 +26,24 @@
   ) => void;
   /** Called when a response can't be sent, as after the caller disconnected. */
   readonly onResponseError?: (error: Error) => void;
+  /** Called when a connection is closed because of a bound on connections. */
+  readonly onConnectionClosed?: (
+    reason: connectionGuards.ClosingReason,
+  ) => void;
 }
 
-/** Timeouts of the connections of a listener, in ms. */
-export interface ConnectionTimeouts {
+/** Limits of the connections of a listener, with timeouts in ms. */
+export interface ConnectionSettings {
   readonly headersMs: number;
   readonly idleMs: number;
+  /** Largest head of a request, in bytes; for connections opened afterwards. */
+  readonly headerBytes: number;
 }
 
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Interval between checks for heads that are late, in ms. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
 function respondThrownError(
   _request: http.IncomingMessage,
@@ -44,33 +53,38 @@
   responses.respondFailure(response, results.toFailure(error));
 }
 
-/** A request that has not been answered whole. */
-export interface Exchange {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-}
+/** A server whose largest head can be changed, which Node reads per connection. */
+type AdjustableServer = http.Server & { maxHeaderSize?: number };
 
 /** An HTTP server that tracks requests in flight and can drain connections. */
 export class HttpListener {
-  readonly #server: http.Server;
+  readonly #server: AdjustableServer;
+  readonly #handler: HttpHandler;
   readonly #options: HttpListenerOptions;
-  readonly #exchanges = new Set<Exchange>();
+  readonly #guard: connectionGuards.ConnectionGuard;
+  readonly #exchanges = new Set<connectionGuards.Exchange>();
   /** Connections that close after the answer to a request already begun. */
   readonly #closingSockets = new WeakSet<net.Socket>();
   #isDraining = false;
 
   constructor(handler: HttpHandler, options: HttpListenerOptions) {
+    this.#handler = handler;
     this.#options = options;
     this.#server = http.createServer({
       headersTimeout: options.headersTimeoutMs,
       requestTimeout: options.requestTimeoutMs,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
       noDelay: true,
     });
+    this.#guard = new connectionGuards.ConnectionGuard((reason) =>
+      options.onConnectionClosed?.(reason)
+    );
+    this.#server.on("connection", (socket) => this.#guard.add(socket));
     this.#server.on(
       "request",
-      (request, response) => this.#handleRequest(handler, request, response),
+      (request, response) => this.#handleRequest({ request, response }),
     );
   }
 
@@ -80,14 +94,25 @@
   }
 
   /** Lists the requests in flight. */
-  listExchanges(): readonly Exchange[] {
+  listExchanges(): readonly connectionGuards.Exchange[] {
     return [...this.#exchanges];
   }
 
   /** Changes the timeouts of connections, including those already open. */
-  setConnectionTimeouts(timeouts: ConnectionTimeouts): void {
-    this.#server.headersTimeout = timeouts.headersMs;
-    this.#server.keepAliveTimeout = timeouts.idleMs;
+  setConnectionSettings(settings: ConnectionSettings): void {
+    this.#server.headersTimeout = settings.headersMs;
+    this.#server.keepAliveTimeout = settings.idleMs;
+    this.#server.maxHeaderSize = settings.headerBytes;
+  }
+
+  /** Sets the bounds of connections. */
+  limitConnections(limits: connectionGuards.ConnectionLimits): void {
+    this.#guard.limit(limits);
+  }
+
+  /** Returns the number of open connections. */
+  getConnectionCount(): number {
+    return this.#guard.getCount();
   }
 
   /**
@@ -113,26 +138,45 @@
     else this.#server.closeIdleConnections();
   }
 
-  #handleRequest(
-    handler: HttpHandler,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
+  #handleRequest(exchange: connectionGuards.Exchange): void {
+    const { request, response } = exchange;
     if (this.#closingSockets.has(request.socket)) return;
-    const exchange: Exchange = { request, response };
+    const canBegin = this.#guard.admitRequest(exchange);
+    response.on(
+      "error",
+      (error) => this.#options.onResponseError?.(error),
+    );
+    if (canBegin) this.#beginExchange(exchange);
+  }
+
+  #beginExchange(exchange: connectionGuards.Exchange): void {
+    const { request, response } = exchange;
+    if (this.#closingSockets.has(request.socket)) return;
+    const { onHandlerError = respondThrownError } = this.#options;
     this.#exchanges.add(exchange);
-    response.once("close", () => this.#exchanges.delete(exchange));
-    const {
-      onHandlerError: onHandlerError = respondThrownError,
-      onResponseError,
-    } = this.#options;
-    response.on("error", (error) => onResponseError?.(error));
+    response.once("close", () => this.#endExchange(exchange));
+    response.once("prefinish", () => this.#limitReadingTime(exchange));
     if (this.#isDraining) {
       response.setHeader("connection", "close");
       this.#closingSockets.add(request.socket);
     }
-    handler(request, response).catch((error: unknown) =>
+    this.#handler(request, response).catch((error: unknown) =>
       onHandlerError(request, response, error)
     );
   }
+
+  #endExchange(exchange: connectionGuards.Exchange): void {
+    this.#exchanges.delete(exchange);
+    const next = this.#guard.takeNextRequest(exchange.request);
+    if (next !== undefined) this.#beginExchange(next);
+  }
+
+  /** Closes the connection of a caller that doesn't read its whole answer in time. */
+  #limitReadingTime({ request, response }: connectionGuards.Exchange): void {
+    const timer = setTimeout(
+      () => this.#guard.closeUnread(request),
+      this.#server.keepAliveTimeout,
+    );
+    response.once("close", () => clearTimeout(timer));
+  }
 }
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -10,6 +10,11 @@
  */
 export * from "./respond.ts";
 export * from "./http_listener.ts";
+export type {
+  ClosingReason,
+  ConnectionLimits,
+  Exchange,
+} from "./connection_guard.ts";
 export * from "./parse_fields.ts";
 export * from "./read_bearer_token.ts";
 export * from "./read_body.ts";
--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import * as prometheus from "prom-client";
 import * as configurationMetrics from "./configuration_metrics.ts";
+import * as crowdMetrics from "./crowd_metrics.ts";
 import * as processMetrics from "./process_metrics.ts";
 import * as replicaMetrics from "./replica_metrics.ts";
 
@@ -29,6 +30,7 @@
   readonly configuration = new configurationMetrics.ConfigurationMetrics(
     this.#registry,
   );
+  readonly crowds = new crowdMetrics.CrowdMetrics(this.#registry);
   readonly process = new processMetrics.ProcessMetrics(this.#registry);
   readonly #requestMs: prometheus.Histogram<"route" | "outcome">;
   readonly #itemRuns: prometheus.Counter<"outcome">;
