Bound the bytes of all requests of a process, by the memory they take up

What callers saw: an entry box ended, out of memory. Forty bodies of legal size that stop short of their end are enough, or one client with chunks of a byte; one that comes again keeps the box down.

Cause: each body had a bound, their sum had none. A piece of one byte was kept as an object of some hundred bytes. After a refusal the body went on being collected. The pieces of a whole body were copied once more.

Change: one bound (HeldBytes, which held unfinished answers so far) for bodies being read, requests in progress and unfinished answers: min(0.9 M - 60 MB, 0.4 M) of a box with M. Beyond it the largest that isn't running gives way, with 503, the new code memoryShort, nothing run, and a Retry-After. A single large one is always served; small ones have a reserve of a quarter. Pieces are copied into memory that grows with the bytes received and is returned at once when given up (resizable buffers), as the collector returns external memory only after 64 MB and more; what it has yet to return counts as held. Ordinary bodies, of one piece, are neither copied nor joined any more.

Ruled out: joining pieces in ordinary buffers (up to 32 MB of garbage before the engine collects it), giving the bytes to servers from reused blocks (a server may read the rest of a body after its answer).

The largest body on a box of 88 MB stays served.

--- a/src/caller/caller_listener.ts
+++ b/src/caller/caller_listener.ts
@@ -97,7 +97,7 @@
   ): Promise<void> {
     const { clock, settings: { limits }, metrics } = this.#context;
     const startMs = clock.getMonotonicMs();
-    const body = await httpServer.readBody(exchange.request, limits);
+    const body = await httpServer.readBody(exchange, limits);
     if (body.kind === "failure") {
       return this.#refuse(exchange.response, body.failure);
     }
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -5,6 +5,7 @@
 import * as fleet from "../fleet/mod.ts";
 import type * as fleetSettings from "../fleet_settings/mod.ts";
 import * as forwarding from "../forwarding/mod.ts";
+import * as heldBytes from "../held_bytes/mod.ts";
 import * as httpClient from "../http_client/mod.ts";
 import * as logs from "../log/mod.ts";
 import * as metrics from "../metrics/mod.ts";
@@ -78,7 +79,7 @@
 export function createBoxComponents(context: BoxContext): BoxComponents {
   const { settings, dialect, lines } = context;
   const limits = boxLimits.computeBoxLimits(settings);
-  httpClient.SHARED_HELD_BYTES.limit(limits.heldBytes);
+  heldBytes.SHARED_HELD_BYTES.limit(limits.heldBytes);
   const clock = new clocks.SystemClock();
   const log = new logs.Log(
     settings.box.name,
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -11,6 +11,7 @@
 import * as trafficConfig from "../traffic_config/mod.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import type * as crowdRecorders from "./_crowd_recorder.ts";
 import * as forwardTerms from "./_forward_terms.ts";
 import * as formatOutcomes from "./_format_outcome.ts";
 import * as formatRefusals from "./_format_refusal.ts";
@@ -31,6 +32,7 @@
   readonly clock: clocks.Clock;
   readonly log: logs.Log;
   readonly metrics: metricTypes.FleetMetrics;
+  readonly crowds: crowdRecorders.CrowdRecorder;
   readonly dialect: dialects.Dialect;
   readonly configuration: trafficConfig.ConfigurationHolder;
   readonly forwarder: forwarding.Forwarder;
@@ -192,14 +194,18 @@
     const callerDeadlineMs = arrivedAtMs + timeoutMs - ANSWER_MARGIN_MS;
     const early = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
     if (early.kind === "refused") return early.answer;
-    const body = await httpServer.readBody(request, {
+    const body = await httpServer.readBody({ request, response }, {
       maxBodyBytes: configuration.limits.bodyBytes,
       receiveTimeoutMs: Math.min(
         timeoutMs,
         servingTimes.getServingTimeMs(this.#options),
       ),
     });
-    if (body.kind === "failure") return dialect.formatFailure(body.failure);
+    if (body.kind === "failure") {
+      const reason = body.failure.code;
+      this.#options.crowds.record("caller", { kind: "bodyRefused", reason });
+      return dialect.formatFailure(body.failure);
+    }
     // Receiving the body may have taken most of the time.
     const verdict = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
     if (verdict.kind === "refused") return verdict.answer;
--- /dev/null
+++ b/src/held_bytes/byte_collector.ts
@@ -0,0 +1,117 @@
+/** Largest size of a segment, in bytes; only its used part takes up memory. */
+const SEGMENT_BYTES = 1024 * 1024;
+/** Smallest amount by which a segment grows, in bytes. */
+const GROWTH_BYTES = 16 * 1024;
+
+const EMPTY: Buffer = Buffer.alloc(0);
+
+/**
+ * A part of the collected bytes. Its memory grows with the bytes received, and is
+ * returned when it is shrunk, before its object is garbage collected.
+ */
+class Segment {
+  readonly #memory = new ArrayBuffer(0, { maxByteLength: SEGMENT_BYTES });
+  #size = 0;
+
+  /** Copies as much of a piece as fits; returns the number of bytes. */
+  append(piece: Buffer): number {
+    const count = Math.min(piece.length, SEGMENT_BYTES - this.#size);
+    const end = this.#size + count;
+    if (end > this.#memory.byteLength) {
+      const grown = Math.max(end, 2 * this.#memory.byteLength, GROWTH_BYTES);
+      this.#memory.resize(Math.min(grown, SEGMENT_BYTES));
+    }
+    new Uint8Array(this.#memory, this.#size, count).set(
+      piece.subarray(0, count),
+    );
+    this.#size = end;
+    return count;
+  }
+
+  getAllocatedBytes(): number {
+    return this.#memory.byteLength;
+  }
+
+  /** Moves the bytes to a buffer; returns their number. */
+  moveTo(target: Buffer, offset: number): number {
+    const size = this.#size;
+    target.set(new Uint8Array(this.#memory, 0, size), offset);
+    this.discard();
+    return size;
+  }
+
+  discard(): void {
+    this.#memory.resize(0);
+    this.#size = 0;
+  }
+}
+
+/**
+ * Collects pieces of a body. What it holds follows the bytes received, however small
+ * their pieces are: a piece of one byte takes up some hundred bytes as an object.
+ */
+export class ByteCollector {
+  /** The only piece so far, which most bodies consist of. */
+  #first = EMPTY;
+  #segments: Segment[] = [];
+  #size = 0;
+
+  /** Returns the number of bytes received. */
+  getSize(): number {
+    return this.#size;
+  }
+
+  /** Returns the number of bytes that are taken up. */
+  getAllocatedBytes(): number {
+    let total = this.#first.length;
+    for (const segment of this.#segments) total += segment.getAllocatedBytes();
+    return total;
+  }
+
+  /** Adds a piece, which must not be changed afterwards. */
+  append(piece: Buffer): void {
+    const isFirst = this.#size === 0;
+    this.#size += piece.length;
+    if (isFirst) {
+      this.#first = piece;
+      return;
+    }
+    if (this.#segments.length === 0) {
+      this.#appendToSegments(this.#first);
+      this.#first = EMPTY;
+    }
+    this.#appendToSegments(piece);
+  }
+
+  /** Returns all bytes in one buffer and keeps none. */
+  takeBuffer(): Buffer {
+    const { length } = this.#segments;
+    const buffer = length === 0
+      ? this.#first
+      : Buffer.allocUnsafeSlow(this.#size);
+    let offset = 0;
+    for (const segment of this.#segments) {
+      offset += segment.moveTo(buffer, offset);
+    }
+    this.discard();
+    return buffer;
+  }
+
+  /** Returns the memory of all bytes. */
+  discard(): void {
+    for (const segment of this.#segments) segment.discard();
+    this.#segments = [];
+    this.#first = EMPTY;
+    this.#size = 0;
+  }
+
+  #appendToSegments(piece: Buffer): void {
+    let rest = piece;
+    while (rest.length > 0) {
+      const last = this.#segments.at(-1);
+      const count = last?.append(rest) ?? 0;
+      if (count === 0) this.#segments.push(new Segment());
+      rest = rest.subarray(count);
+    }
+  }
+}
--- /dev/null
+++ b/src/held_bytes/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The bytes of requests and answers that a process holds: their bound over all
+ * connections, and buffers whose memory is returned at once.
+ *
+ * @example
+ * ```ts
+ * import * as heldBytes from "../held_bytes/mod.ts";
+ * heldBytes.SHARED_HELD_BYTES.add(holder, chunk.length);
+ * ```
+ * @module
+ */
+export * from "./byte_collector.ts";
+export * from "./held_bytes.ts";
--- a/src/http_client/endless_answer_test.ts
+++ b/src/http_client/endless_answer_test.ts
@@ -1,7 +1,7 @@
 import * as chai from "chai";
 import * as endlessAnswers from "../fixtures/endless_answer.ts";
 import * as rawServers from "../fixtures/raw_server.ts";
-import * as heldBytes from "./held_bytes.ts";
+import * as heldBytes from "../held_bytes/mod.ts";
 import type * as httpRequests from "./http_request.ts";
 import * as sendRequest from "./send_request.ts";
 
--- a/src/http_client/mod.ts
+++ b/src/http_client/mod.ts
@@ -11,7 +11,6 @@
  * @module
  */
 export { closeIdleConnections } from "./_agent.ts";
-export * from "./held_bytes.ts";
 export * from "./probe_port.ts";
 export * from "./http_request.ts";
 export * from "./is_framed.ts";
--- a/src/http_client/send_request.ts
+++ b/src/http_client/send_request.ts
@@ -1,5 +1,6 @@
+import * as heldBytes from "../held_bytes/mod.ts";
 import * as agents from "./_agent.ts";
-import * as heldBytes from "./held_bytes.ts";
+
 import type * as httpRequests from "./http_request.ts";
 import * as openExchange from "./open_exchange.ts";
 
@@ -42,7 +43,7 @@
   }
 
   onEnd(): void {
-    this.#held.release(this);
+    this.#held.releaseToCollector(this);
     if (this.#head === undefined) return;
     const body = Buffer.concat(this.#chunks);
     this.#chunks.length = 0;
@@ -50,7 +51,7 @@
   }
 
   onFail({ message, isSent, isClosed }: openExchange.ExchangeFailure): void {
-    this.#held.release(this);
+    this.#held.releaseToCollector(this);
     if (!isSent) return this.#resolve({ kind: "notSent", message });
     const head = this.#head === undefined ? {} : { head: this.#head };
     this.#resolve({ kind: "broken", message, isClosed, ...head });
@@ -63,7 +64,7 @@
   /** Closes the connection, so that no more of the response arrives. */
   #refuse(message: string): void {
     this.#exchange.cancel();
-    this.#held.release(this);
+    this.#held.releaseToCollector(this);
     this.#chunks.length = 0;
     this.#resolve({ kind: "broken", message, isClosed: false });
   }
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -4,7 +4,7 @@
  * @example
  * ```ts
  * import * as httpServer from "../http_server/mod.ts";
- * const body = await httpServer.readJson(request, limits);
+ * const body = await httpServer.readJson({ request, response }, limits);
  * ```
  * @module
  */
--- a/src/operator/operator_listener.ts
+++ b/src/operator/operator_listener.ts
@@ -65,7 +65,8 @@
     if (access.kind === "failure") {
       return httpServer.respondFailure(response, access.failure);
     }
-    const answer = await this.#answer(request, operator.value, route);
+    const exchange = { request, response };
+    const answer = await this.#answer(exchange, operator.value, route);
     if (answer.kind === "failure") {
       return httpServer.respondFailure(response, answer.failure);
     }
@@ -73,7 +74,7 @@
   }
 
   async #answer(
-    request: http.IncomingMessage,
+    exchange: httpServer.Exchange,
     operator: accessChecks.Operator,
     route: operatorRoutes.OperatorRoute,
   ): Promise<results.Result<object>> {
@@ -98,17 +99,17 @@
       case "setTemplate":
       case "setRole":
       case "logLevel":
-        return await this.#answerChange(request, operator, route);
+        return await this.#answerChange(exchange, operator, route);
       case "unknown":
         return results.createFailure(
           "unknownRoute",
-          `Cannot serve the operator: there is no route ${request.method} ${request.url}`,
+          `Cannot serve the operator: there is no route ${exchange.request.method} ${exchange.request.url}`,
         );
     }
   }
 
   async #answerChange(
-    request: http.IncomingMessage,
+    exchange: httpServer.Exchange,
     operator: accessChecks.Operator,
     route: Extract<
       operatorRoutes.OperatorRoute,
@@ -116,7 +117,7 @@
     >,
   ): Promise<results.Result<object>> {
     const body = await httpServer.readJson(
-      request,
+      exchange,
       this.#options.settings.limits,
     );
     if (body.kind === "failure") return body;
--- a/src/results/result_code.ts
+++ b/src/results/result_code.ts
@@ -171,6 +171,12 @@
     "Backend servers ended while they ran this request; it is held back",
     "Mend the request, or see docs/OPERATIONS.md, `crash.noted`",
   ),
+  memoryShort: createEntry(
+    2009,
+    503,
+    "The box holds too many bytes of requests; this one was not run",
+    "Come back after the stated time, or use another address",
+  ),
   backendFailed: createEntry(
     3001,
     502,
