Collect garbage by the memory of the box; forward nothing for callers that left

What callers saw: a box of 88 MB may be filled by garbage alone, as the engine is given 120 MB whatever the box has. A request whose connection closed while its body was read was still forwarded, and nobody cancelled it.

Change: from 0.7 of a box's memory on, garbage is collected, twice a second at most. A request whose response is closed is not forwarded.

--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -71,6 +71,7 @@
   readonly status: BoxStatus;
   /** How busy this process is. */
   readonly busyMonitor: clocks.BusyMonitor;
+  readonly memoryGuard: heldBytes.MemoryGuard;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
 }
@@ -122,6 +123,10 @@
       ledTerm: 0,
     },
     busyMonitor: new clocks.BusyMonitor(),
+    memoryGuard: new heldBytes.MemoryGuard({
+      clock,
+      maxBytes: limits.memoryBytes,
+    }),
     draw: Math.random,
   };
   const link: fleet.FleetGossip = createLink(
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -206,6 +206,7 @@
       this.#options.crowds.record("caller", { kind: "bodyRefused", reason });
       return dialect.formatFailure(body.failure);
     }
+    if (response.closed) return undefined;
     // Receiving the body may have taken most of the time.
     const verdict = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
     if (verdict.kind === "refused") return verdict.answer;
--- a/src/fleet_daemon/fleet_daemon.ts
+++ b/src/fleet_daemon/fleet_daemon.ts
@@ -117,6 +117,7 @@
     const { configuration, status, link, clock, log, lines, metrics } =
       this.#components;
     if (this.#isEnded) return;
+    this.#components.memoryGuard.check();
     this.#reportStall();
     this.#reportOverload();
     metrics.process.setDroppedLogLines(lines.getDroppedCount());
--- /dev/null
+++ b/src/held_bytes/memory_guard.ts
@@ -0,0 +1,38 @@
+import type * as clocks from "../clock/mod.ts";
+import * as collectGarbage from "./collect_garbage.ts";
+
+/** Part of a machine's memory from which the process collects its garbage. */
+const COLLECTED_FRACTION = 0.7;
+/** Shortest interval between two collections, in ms. */
+const COLLECTION_INTERVAL_MS = 500;
+
+/** Dependencies of a `MemoryGuard`. */
+export interface MemoryGuardOptions {
+  readonly clock: clocks.Clock;
+  /** Most bytes that the process may use. */
+  readonly maxBytes: number;
+}
+
+/**
+ * Keeps garbage from filling a machine. The engine collects it when its own limits are
+ * reached, and these are the same on machines of all sizes.
+ */
+export class MemoryGuard {
+  readonly #options: MemoryGuardOptions;
+  #collectedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: MemoryGuardOptions) {
+    this.#options = options;
+  }
+
+  /** Collects garbage if the process uses much of its memory. */
+  check(): void {
+    const { clock, maxBytes } = this.#options;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs - this.#collectedAtMs < COLLECTION_INTERVAL_MS) return;
+    const { heapTotal, external } = process.memoryUsage();
+    if (heapTotal + external < maxBytes * COLLECTED_FRACTION) return;
+    collectGarbage.collectAllGarbage();
+    this.#collectedAtMs = nowMs;
+  }
+}
--- a/src/held_bytes/mod.ts
+++ b/src/held_bytes/mod.ts
@@ -11,3 +11,4 @@
  */
 export * from "./byte_collector.ts";
 export * from "./held_bytes.ts";
+export * from "./memory_guard.ts";
