Hold a large submission in fewer forms, one at a time, and refuse what has no room

Cause: some seven forms of one submission lived together: pieces, joined body, text, objects, JSON, bytes, frame; at the store a list of chunks, their joint, text, objects, JSON, record, joint of records. The engine kept the earlier forms as garbage, as its own limits were not reached.

Change: nothing keeps the body once it is parsed; large requests are encoded in parts straight into their frame; frames are collected in memory that follows the bytes received, and count as held, at the rpc port too; a large message is delivered after its frame was collected; records are joined once. Submissions from 1 MB on are handled one after the other at an entry box, and only if their forms fit into 0.9 of the box, else 503 memoryShort with a Retry-After; a store that has no room answers that nothing was accepted.

--- a/src/fleet_daemon/_submission_handler.ts
+++ b/src/fleet_daemon/_submission_handler.ts
@@ -2,13 +2,16 @@
 import type * as clocks from "../clock/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as heldBytes from "../held_bytes/mod.ts";
 import type * as logs from "../log/mod.ts";
 import * as replicaGroups from "../replica_group/mod.ts";
 import type * as results from "../results/mod.ts";
+import * as rpc from "../rpc/mod.ts";
 import * as submissions from "../submission/mod.ts";
 import * as trafficConfig from "../traffic_config/mod.ts";
 import type * as boxComponents from "./box_components.ts";
 import * as controlHandlers from "./control_handler.ts";
+import * as formatRefusals from "./_format_refusal.ts";
 import * as replicaReaders from "./_replica_reader.ts";
 import * as pollResults from "./_poll_results.ts";
 import * as servingTimes from "./_serving_time.ts";
@@ -16,6 +19,10 @@
 
 /** Retry delay sent to callers whose read no leader answered, in ms. */
 const READ_RETRY_MS = 150;
+/** Retry delay sent to callers whose submission finds no room, in ms. */
+const MEMORY_RETRY_MS = 1_000;
+/** Forms of a body that are held beside it while it is parsed and sent. */
+const FURTHER_FORMS = 2;
 
 /** Dependencies of `SubmissionHandler`. */
 export interface SubmissionHandlerOptions {
@@ -26,6 +33,7 @@
   readonly peers: fleet.Peers;
   readonly failureDomain: string;
   readonly status: Pick<boxComponents.BoxStatus, "servesUntilMs">;
+  readonly memoryGuard: Pick<heldBytes.MemoryGuard, "hasRoomFor">;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
 }
@@ -46,25 +54,71 @@
   readonly deadlineAtMs: number;
 }
 
+/** What is known of a submission beside its body. */
+type SubmissionTerms = Omit<IncomingSubmission, "body">;
+
 /** Handles caller requests that create, read or end submissions. */
 export class SubmissionHandler {
   readonly #options: SubmissionHandlerOptions;
   readonly #reader: replicaReaders.ReplicaReader;
+  readonly #largeGate = new heldBytes.SerialGate();
 
   constructor(options: SubmissionHandlerOptions) {
     this.#options = options;
     this.#reader = new replicaReaders.ReplicaReader(options);
   }
 
-  /** Parses a submission and has the store group accept it for execution. */
-  async accept(incoming: IncomingSubmission): Promise<dialects.RawAnswer> {
+  /**
+   * Parses a submission and has the store group accept it for execution. Large ones
+   * are handled one after the other, as each is held in several forms meanwhile.
+   */
+  accept(incoming: IncomingSubmission): Promise<dialects.RawAnswer> {
+    const isLarge = incoming.body.length >= submissions.LARGE_SUBMISSION_BYTES;
+    if (!isLarge) return this.#parseAndSend(incoming);
+    return this.#largeGate.run(() => this.#acceptLarge(incoming));
+  }
+
+  #acceptLarge(incoming: IncomingSubmission): Promise<dialects.RawAnswer> {
+    const { clock, memoryGuard } = this.#options;
+    const neededBytes = incoming.body.length * FURTHER_FORMS;
+    const isLate = clock.getMonotonicMs() >= incoming.deadlineAtMs;
+    if (!isLate && memoryGuard.hasRoomFor(neededBytes)) {
+      return this.#parseAndSend(incoming);
+    }
+    return Promise.resolve(this.#refuseForMemory());
+  }
+
+  #refuseForMemory(): dialects.RawAnswer {
+    return formatRefusals.formatRefusal(
+      this.#options.dialect,
+      "memoryShort",
+      "Cannot accept: the box has no room for so large a submission",
+      { retryAfterMs: MEMORY_RETRY_MS },
+    );
+  }
+
+  /** Doesn't wait itself, so that nothing here keeps the body while it is sent. */
+  #parseAndSend(
+    { body, ...terms }: IncomingSubmission,
+  ): Promise<dialects.RawAnswer> {
+    const { dialect } = this.#options;
+    const draft = dialect.parseSubmission(terms.requestId, body);
+    if (draft.kind === "failure") {
+      return Promise.resolve(dialect.formatFailure(draft.failure));
+    }
+    return this.#send(terms, draft.value, body.length);
+  }
+
+  async #send(
+    incoming: SubmissionTerms,
+    draft: submissions.SubmissionDraft,
+    bodyBytes: number,
+  ): Promise<dialects.RawAnswer> {
     const { dialect, clock, draw, log } = this.#options;
-    const { route, requestId, sender, body } = incoming;
-    const draft = dialect.parseSubmission(requestId, body);
-    if (draft.kind === "failure") return dialect.formatFailure(draft.failure);
+    const { route, requestId, sender } = incoming;
     const request: submissions.AcceptRequest = {
       submission: {
-        ...draft.value,
+        ...draft,
         sender,
         acceptedAtMs: clock.getWallMs(),
         terms: {
@@ -78,6 +132,10 @@
         },
       },
     };
+    if (bodyBytes >= submissions.LARGE_SUBMISSION_BYTES) {
+      rpc.markLarge(request);
+      await heldBytes.collectAfterMessage(bodyBytes);
+    }
     const accepted = await this.#callStoreLeader<null>(
       submissions.METHODS.accept,
       request,
@@ -93,7 +151,7 @@
     log.write("info", "submission.sent", {
       submission: requestId,
       account: sender.kind === "account" ? sender.name : undefined,
-      items: draft.value.items.length,
+      items: draft.items.length,
       outcome: accepted.kind === "ok" ? "accepted" : accepted.failure.code,
     });
     if (accepted.kind === "ok") return dialect.formatAccepted();
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -4,6 +4,7 @@
 import * as csp from "../csp/mod.ts";
 import type * as dialects from "../dialect/mod.ts";
 import type * as forwarding from "../forwarding/mod.ts";
+import type * as heldBytes from "../held_bytes/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as replicaGroups from "../replica_group/mod.ts";
@@ -40,6 +41,7 @@
   readonly peers: fleet.Peers;
   readonly failureDomain: string;
   readonly status: Pick<boxComponents.BoxStatus, "servesUntilMs">;
+  readonly memoryGuard: Pick<heldBytes.MemoryGuard, "hasRoomFor">;
   /** Counts usage per account; undefined where usage is not reported. */
   readonly usage: usages.UsageRecorder | undefined;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -220,19 +222,21 @@
       deadlineAtMs: verdict.deadlineAtMs,
     };
     if (route.kind === "submission") {
-      return await this.#sendSubmission(routed, body.value);
+      return this.#sendSubmission(routed, body.value);
     }
     return await this.#forward(routed, body.value, response);
   }
 
-  async #sendSubmission(
+  /** Doesn't wait itself, so that nothing here keeps the body while it is sent. */
+  #sendSubmission(
     routed: RoutedRequest,
     body: Buffer,
   ): Promise<dialects.RawAnswer> {
-    const answer = await this.#submissions.accept({ ...routed, body });
-    const durationMs = this.#getDurationMs(routed);
-    this.#stopGate.recordDuration(routed.route, durationMs);
-    return answer;
+    return this.#submissions.accept({ ...routed, body }).then((answer) => {
+      const durationMs = this.#getDurationMs(routed);
+      this.#stopGate.recordDuration(routed.route, durationMs);
+      return answer;
+    });
   }
 
   #getDurationMs({ arrivedAtMs }: RoutedRequest): number {
--- a/src/held_bytes/byte_collector.ts
+++ b/src/held_bytes/byte_collector.ts
@@ -32,12 +32,10 @@
     return this.#memory.byteLength;
   }
 
-  /** Moves the bytes to a buffer; returns their number. */
-  moveTo(target: Buffer, offset: number): number {
-    const size = this.#size;
-    target.set(new Uint8Array(this.#memory, 0, size), offset);
-    this.discard();
-    return size;
+  /** Copies the bytes to a buffer; returns their number. */
+  writeTo(target: Buffer, offset: number): number {
+    target.set(new Uint8Array(this.#memory, 0, this.#size), offset);
+    return this.#size;
   }
 
   discard(): void {
@@ -46,6 +44,18 @@
   }
 }
 
+/** Most unused segments that are kept to be used again. */
+const MAX_UNUSED_SEGMENTS = 64;
+
+/** Segments without memory; each new one would take up addresses until collected. */
+const unusedSegments: Segment[] = [];
+
+/** Returns the memory of a segment, which must not be used any more. */
+function retireSegment(segment: Segment): void {
+  segment.discard();
+  if (unusedSegments.length < MAX_UNUSED_SEGMENTS) unusedSegments.push(segment);
+}
+
 /**
  * Collects pieces of a body. What it holds follows the bytes received, however small
  * their pieces are: a piece of one byte takes up some hundred bytes as an object.
@@ -91,15 +101,17 @@
       : Buffer.allocUnsafeSlow(this.#size);
     let offset = 0;
     for (const segment of this.#segments) {
-      offset += segment.moveTo(buffer, offset);
+      offset += segment.writeTo(buffer, offset);
+      retireSegment(segment);
     }
+    this.#segments = [];
     this.discard();
     return buffer;
   }
 
   /** Returns the memory of all bytes. */
   discard(): void {
-    for (const segment of this.#segments) segment.discard();
+    for (const segment of this.#segments) retireSegment(segment);
     this.#segments = [];
     this.#first = EMPTY;
     this.#size = 0;
@@ -110,7 +122,9 @@
     while (rest.length > 0) {
       const last = this.#segments.at(-1);
       const count = last?.append(rest) ?? 0;
-      if (count === 0) this.#segments.push(new Segment());
+      if (count === 0) {
+        this.#segments.push(unusedSegments.pop() ?? new Segment());
+      }
       rest = rest.subarray(count);
     }
   }
--- a/src/held_bytes/memory_guard.ts
+++ b/src/held_bytes/memory_guard.ts
@@ -3,6 +3,10 @@
 
 /** Part of a machine's memory from which the process collects its garbage. */
 const COLLECTED_FRACTION = 0.7;
+/** Part of a machine's memory up to which new work is begun. */
+const USABLE_FRACTION = 0.9;
+/** Memory of a process outside the engine's heap and its buffers, in bytes. */
+const PROCESS_BYTES = 25_000_000;
 /** Shortest interval between two collections, in ms. */
 const COLLECTION_INTERVAL_MS = 500;
 
@@ -32,7 +36,24 @@
     if (nowMs - this.#collectedAtMs < COLLECTION_INTERVAL_MS) return;
     const { heapTotal, external } = process.memoryUsage();
     if (heapTotal + external < maxBytes * COLLECTED_FRACTION) return;
+    this.#collect();
+  }
+
+  /** Tells whether so many more bytes fit, after garbage was collected if need be. */
+  hasRoomFor(bytes: number): boolean {
+    const maxUsedBytes = this.#options.maxBytes * USABLE_FRACTION - bytes;
+    if (getUsedBytes() <= maxUsedBytes) return true;
+    this.#collect();
+    return getUsedBytes() <= maxUsedBytes;
+  }
+
+  #collect(): void {
     collectGarbage.collectAllGarbage();
-    this.#collectedAtMs = nowMs;
+    this.#collectedAtMs = this.#options.clock.getMonotonicMs();
   }
 }
+
+function getUsedBytes(): number {
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external + PROCESS_BYTES;
+}
--- a/src/held_bytes/mod.ts
+++ b/src/held_bytes/mod.ts
@@ -10,5 +10,7 @@
  * @module
  */
 export * from "./byte_collector.ts";
+export { collectAfterMessage, LARGE_MESSAGE_BYTES } from "./collect_garbage.ts";
 export * from "./held_bytes.ts";
+export * from "./serial_gate.ts";
 export * from "./memory_guard.ts";
--- a/src/replica_group/simulated_cases_test.ts
+++ b/src/replica_group/simulated_cases_test.ts
@@ -108,6 +108,7 @@
     stateMachine: stateMachine as unknown as submissions.SubmissionStateMachine,
     stateChanged: new csp.Signal(),
     wantedVoters: MAX_VOTERS,
+    memoryGuard: { hasRoomFor: () => true },
     listStoreIds: () => cluster.listIds(),
   });
   const read = methods.get(submissions.METHODS.readRetire);
--- a/src/rpc/_framing.ts
+++ b/src/rpc/_framing.ts
@@ -1,6 +1,8 @@
 import type * as net from "node:net";
 import * as zlib from "node:zlib";
+import * as heldBytes from "../held_bytes/mod.ts";
 import * as compressionDictionary from "./_compression_dictionary.ts";
+import * as encodeInParts from "./_encode_in_parts.ts";
 
 /** Largest message in bytes, both as a payload and after decompression. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
@@ -13,7 +15,7 @@
  * payload. The payload is one JSON text, compressed unless it is long, to reduce
  * the traffic between failure domains.
  */
-const HEADER_BYTES = 5;
+export const HEADER_BYTES = 5;
 const UNCOMPRESSED_FORMAT = 0;
 const DEFLATE_FORMAT = 1;
 /** DEFLATE with `COMPRESSION_DICTIONARY` as the preset dictionary. */
@@ -37,70 +39,36 @@
 const MAX_DEFLATE_BYTES = 512 * 1_024;
 const DEFLATE_LEVEL = 1;
 
-/**
- * Reads messages from a socket, and destroys it on an invalid frame.
- *
- * @param socket The socket.
- * @param onMessage Called with each parsed message.
- */
-export function readMessages(
-  socket: net.Socket,
-  onMessage: (message: unknown) => void,
-): void {
-  let chunks: Buffer[] = [];
-  let size = 0;
-  let neededBytes = HEADER_BYTES;
-  socket.on("data", (chunk: Buffer) => {
-    chunks.push(chunk);
-    size += chunk.length;
-    if (size < neededBytes) return;
-    const read = readFrames(Buffer.concat(chunks, size), onMessage);
-    if (read === undefined) return void socket.destroy();
-    chunks = [read.remainder];
-    size = read.remainder.length;
-    neededBytes = read.neededBytes;
-  });
-}
-
-interface FrameReadResult {
-  /** Bytes of an incomplete frame. */
-  readonly remainder: Buffer;
-  /** Size that `remainder` must reach before reading can continue. */
-  readonly neededBytes: number;
-}
-
-/** Reads all complete frames; undefined if a frame is invalid. */
-function readFrames(
-  bytes: Buffer,
-  onMessage: (message: unknown) => void,
-): FrameReadResult | undefined {
-  let offset = 0;
-  while (bytes.length - offset >= HEADER_BYTES) {
-    const length = bytes.readUInt32BE(offset);
-    if (length > MAX_MESSAGE_BYTES) return undefined;
-    const end = offset + HEADER_BYTES + length;
-    if (end > bytes.length) {
-      return { remainder: bytes.subarray(offset), neededBytes: end - offset };
-    }
-    const format = bytes.readUInt8(offset + HEADER_BYTES - 1);
-    const payload = bytes.subarray(offset + HEADER_BYTES, end);
-    if (!deliverMessage(format, payload, onMessage)) return undefined;
-    offset = end;
+/** The next frame of received bytes. */
+export type FrameReadResult =
+  /** Reading can continue once there are so many bytes. */
+  | { readonly kind: "partial"; readonly neededBytes: number }
+  | { readonly kind: "invalid" }
+  | {
+    readonly kind: "whole";
+    readonly message: unknown;
+    /** Size of the whole frame, in bytes. */
+    readonly frameBytes: number;
+  };
+
+/** Reads the frame at the start of received bytes and decodes its message. */
+export function readFrame(bytes: Buffer): FrameReadResult {
+  if (bytes.length < HEADER_BYTES) {
+    return { kind: "partial", neededBytes: HEADER_BYTES };
   }
-  return { remainder: bytes.subarray(offset), neededBytes: HEADER_BYTES };
-}
-
-/** Decodes a payload for `onMessage`; false if either throws. */
-function deliverMessage(
-  format: number,
-  payload: Buffer,
-  onMessage: (message: unknown) => void,
-): boolean {
+  const length = bytes.readUInt32BE(0);
+  if (length > MAX_MESSAGE_BYTES) return { kind: "invalid" };
+  const frameBytes = HEADER_BYTES + length;
+  if (bytes.length < frameBytes) {
+    return { kind: "partial", neededBytes: frameBytes };
+  }
+  const format = bytes.readUInt8(HEADER_BYTES - 1);
+  const payload = bytes.subarray(HEADER_BYTES, frameBytes);
   try {
-    onMessage(JSON.parse(decodePayload(format, payload).toString("utf8")));
-    return true;
+    const text = decodePayload(format, payload).toString("utf8");
+    return { kind: "whole", message: JSON.parse(text), frameBytes };
   } catch {
-    return false;
+    return { kind: "invalid" };
   }
 }
 
@@ -139,6 +107,18 @@
   uncompressedParams.add(params);
 }
 
+/** Parameters of messages that are encoded in parts. */
+const largeParams = new WeakSet<object>();
+
+/**
+ * Marks a message to be encoded in parts, which takes less memory and more time.
+ *
+ * @param params The parameters object of the message.
+ */
+export function markLarge(params: object): void {
+  largeParams.add(params);
+}
+
 /** The fields of a JSON-RPC message that identify a notification. */
 interface Envelope {
   readonly id?: unknown;
@@ -171,18 +151,45 @@
 }
 
 function createFrame(message: unknown): Buffer {
-  const text = Buffer.from(JSON.stringify(message));
+  const { params: anyParams } = message as Envelope;
+  if (largeParams.has(anyParams as object)) return createFrameInParts(message);
+  const text = JSON.stringify(message);
   const params = getNotificationParams(message as Envelope);
   const isUncompressed = params !== undefined && uncompressedParams.has(params);
-  const { format, payload } = isUncompressed
-    ? { format: UNCOMPRESSED_FORMAT, payload: text }
-    : encodePayload(text);
+  if (isUncompressed || text.length > MAX_DEFLATE_BYTES) {
+    return createUncompressedFrame(text);
+  }
+  const { format, payload } = encodePayload(Buffer.from(text));
   const header = Buffer.alloc(HEADER_BYTES);
-  header.writeUInt32BE(payload.length, 0);
-  header.writeUInt8(format, HEADER_BYTES - 1);
+  writeHeader(header, format, payload.length);
   return Buffer.concat([header, payload]);
 }
 
+/** Encodes a message that would take up too much memory as one string. */
+function createFrameInParts(message: unknown): Buffer {
+  const frame = encodeInParts.encodeInParts(
+    Buffer.alloc(HEADER_BYTES),
+    message,
+  );
+  writeHeader(frame, UNCOMPRESSED_FORMAT, frame.length - HEADER_BYTES);
+  return frame;
+}
+
+/** Encodes a text into its frame at once: a copy may be as large as a submission. */
+function createUncompressedFrame(text: string): Buffer {
+  const length = Buffer.byteLength(text);
+  const frame = Buffer.allocUnsafeSlow(HEADER_BYTES + length);
+  writeHeader(frame, UNCOMPRESSED_FORMAT, length);
+  frame.write(text, HEADER_BYTES);
+  void heldBytes.collectAfterMessage(length);
+  return frame;
+}
+
+function writeHeader(target: Buffer, format: number, length: number): void {
+  target.writeUInt32BE(length, 0);
+  target.writeUInt8(format, HEADER_BYTES - 1);
+}
+
 /** The payload of a frame and its format. */
 interface EncodedPayload {
   readonly format: number;
--- a/src/rpc/mod.ts
+++ b/src/rpc/mod.ts
@@ -8,6 +8,6 @@
  * ```
  * @module
  */
-export { disableCompression } from "./_framing.ts";
+export { disableCompression, markLarge } from "./_framing.ts";
 export * from "./rpc_client.ts";
 export * from "./rpc_server.ts";
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -2,6 +2,7 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as results from "../results/mod.ts";
 import * as framing from "./_framing.ts";
+import * as messageReaders from "./_message_reader.ts";
 
 /** Address on which a box listens for its peers. */
 export interface PeerAddress {
@@ -139,7 +140,7 @@
         socket,
         isConnected ? "the connection closed" : NOT_CONNECTED_REASON,
       ));
-    framing.readMessages(
+    messageReaders.readMessages(
       socket,
       (message) => this.#client.receive(message as jsonRpc.JSONRPCResponse),
     );
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -1,6 +1,7 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
 import * as framing from "./_framing.ts";
+import * as messageReaders from "./_message_reader.ts";
 
 /** Handles calls of a method; a returned promise is awaited. */
 export type RpcHandler = (params: never) => unknown;
@@ -73,7 +74,7 @@
         [...this.#sockets].filter((other) => other !== socket),
       );
     });
-    framing.readMessages(
+    messageReaders.readMessages(
       socket,
       (message) => void this.#answerMessage(socket, message),
     );
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -2,6 +2,7 @@
 import * as stream from "node:stream";
 import * as chai from "chai";
 import * as framing from "./_framing.ts";
+import * as messageReaders from "./_message_reader.ts";
 import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as rpcClients from "./rpc_client.ts";
 import * as rpcServers from "./rpc_server.ts";
@@ -162,7 +163,7 @@
     }));
     const socket = new stream.PassThrough();
     const received: unknown[] = [];
-    framing.readMessages(
+    messageReaders.readMessages(
       socket as unknown as net.Socket,
       (message) => received.push(message),
     );
--- a/src/storage/_encode_records.ts
+++ b/src/storage/_encode_records.ts
@@ -25,12 +25,12 @@
     buffers.push(buffers.length === 0 ? ARRAY_START : ARRAY_SEPARATOR, bytes);
     size += bytes.length;
     if (size < BATCH_BYTES) continue;
-    yield records.encodeRecord(Buffer.concat([...buffers, ARRAY_END]));
+    yield records.encodeRecordOf([...buffers, ARRAY_END]);
     buffers = [];
     size = 0;
   }
   if (size === 0) return;
-  yield records.encodeRecord(Buffer.concat([...buffers, ARRAY_END]));
+  yield records.encodeRecordOf([...buffers, ARRAY_END]);
 }
 
 /** Encodes each value as a record and joins the records into larger chunks. */
--- a/src/storage/record.ts
+++ b/src/storage/record.ts
@@ -22,11 +22,23 @@
  * @returns The encoded record.
  */
 export function encodeRecord(payload: Buffer): Buffer {
+  return encodeRecordOf([payload]);
+}
+
+/**
+ * Encodes a record of a payload in parts.
+ *
+ * @param parts The parts of the payload, in order; they are joined only once.
+ * @returns The encoded record.
+ */
+export function encodeRecordOf(parts: readonly Buffer[]): Buffer {
+  const length = parts.reduce((total, part) => total + part.length, 0);
+  const checksum = parts.reduce((sum, part) => zlib.crc32(part, sum), 0);
   const header = Buffer.alloc(HEADER_BYTES);
   header.writeUInt32BE(MAGIC, 0);
-  header.writeUInt32BE(payload.length, 4);
-  header.writeUInt32BE(zlib.crc32(payload), 8);
-  return Buffer.concat([header, payload]);
+  header.writeUInt32BE(length, 4);
+  header.writeUInt32BE(checksum, 8);
+  return Buffer.concat([header, ...parts]);
 }
 
 /**
--- a/src/submission/protocol.ts
+++ b/src/submission/protocol.ts
@@ -13,6 +13,9 @@
   readRetire: "submission.readRetire",
 } as const;
 
+/** Size of a submission, in bytes, from which its several forms need room. */
+export const LARGE_SUBMISSION_BYTES = 1024 * 1024;
+
 /** Request to store a submission and run it. */
 export interface AcceptRequest {
   readonly submission: submissions.Submission;
--- a/src/submission/read_results_test.ts
+++ b/src/submission/read_results_test.ts
@@ -74,6 +74,7 @@
       stateMachine: machine,
       stateChanged: new csp.Signal(),
       wantedVoters: 3,
+      memoryGuard: { hasRoomFor: () => true },
       listStoreIds: () => [],
     });
     const handle = methods.get(protocol.METHODS.read);
--- a/src/submission/read_retire_test.ts
+++ b/src/submission/read_retire_test.ts
@@ -64,6 +64,7 @@
     stateMachine: machine,
     stateChanged: new csp.Signal(),
     wantedVoters: 3,
+    memoryGuard: { hasRoomFor: () => true },
     listStoreIds: () => ["a", "b", "c"],
   });
   return methods.get(protocol.METHODS.readRetire)?.({ box: RETIRED } as never);
