Store a submission of 24 MB in a fleet: propose it once, write and read it whole

Cause, beside what the commit before mends: the leader proposed the submission again with each call while the first was still being stored; a message with it, and its record, were encoded as one string; a process that starts read a record of 24 MB in chunks of 1 MB and joined them each time, some 300 MB of garbage.

Change: a large submission is proposed once in 10 s, repeated calls wait for it; messages and records of 8 MB and more are encoded in parts; a record is read at its length. Formats of messages and files are unchanged.

Found beside it: heads are looked at each second now, so a connection that had sent nothing got a 408 after its time, which a caller could take for an answer to the request that crosses it. It is closed without an answer now, as is one whose request is in progress when something invalid follows it (drain_test was red on: the caller did not read that answer).

--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -10,6 +10,7 @@
  * ```
  * @module
  */
+export { estimateBytes } from "./_entry_size.ts";
 export * from "./initialize_data_folder.ts";
 export * from "./leader_lease.ts";
 export * from "./message.ts";
--- a/src/http_server/connection_guard.ts
+++ b/src/http_server/connection_guard.ts
@@ -63,6 +63,11 @@
     return this.#connections.size;
   }
 
+  /** Reports whether a request of a connection is in progress. */
+  isBusy(socket: net.Socket): boolean {
+    return this.#connections.get(socket)?.isBusy ?? false;
+  }
+
   /** Adds a connection that was accepted. */
   add(socket: net.Socket): void {
     this.#connections.set(socket, NEW_CONNECTION);
--- a/src/http_server/http_listener.ts
+++ b/src/http_server/http_listener.ts
@@ -2,6 +2,7 @@
 import type * as net from "node:net";
 import * as results from "../results/mod.ts";
 import * as connectionGuards from "./connection_guard.ts";
+import * as clientErrors from "./_respond_client_error.ts";
 import * as responses from "./respond.ts";
 
 /** Handles one request and sends its response. */
@@ -82,6 +83,15 @@
       options.onConnectionClosed?.(reason)
     );
     this.#server.on("connection", (socket) => this.#guard.add(socket));
+    this.#server.on("clientError", (error, socket) => {
+      // The sockets of an HTTP server are those of TCP connections.
+      const connection = socket as net.Socket;
+      clientErrors.respondClientError(
+        error,
+        connection,
+        this.#guard.isBusy(connection),
+      );
+    });
     this.#server.on(
       "request",
       (request, response) => this.#handleRequest({ request, response }),
--- a/src/rpc/_encode_in_parts.ts
+++ b/src/json_parts/encode_in_parts.ts
@@ -1,7 +1,9 @@
 import * as heldBytes from "../held_bytes/mod.ts";
 
-/** Levels of a message whose parts are encoded one by one: down to list elements. */
-const MAX_DEPTH = 4;
+/** Levels of a value whose parts are encoded one by one. */
+const MAX_DEPTH = 8;
+/** Length of text from which it is added to the bytes, in characters. */
+const BLOCK_CHARACTERS = 65_536;
 
 /**
  * Encodes a large JSON value part by part, so that it is never held as one string
@@ -14,9 +16,14 @@
 export function encodeInParts(start: Buffer, value: unknown): Buffer {
   const collector = new heldBytes.ByteCollector();
   collector.append(start);
+  let block = "";
   for (const part of listParts(value, MAX_DEPTH)) {
-    collector.append(Buffer.from(part));
+    block += part;
+    if (block.length < BLOCK_CHARACTERS) continue;
+    collector.append(Buffer.from(block));
+    block = "";
   }
+  collector.append(Buffer.from(block));
   return collector.takeBuffer();
 }
 
--- a/src/rpc/encode_in_parts_test.ts
+++ b/src/json_parts/encode_in_parts_test.ts
@@ -1,6 +1,6 @@
 import * as chai from "chai";
 import * as fastCheck from "fast-check";
-import * as encodeInParts from "./_encode_in_parts.ts";
+import * as encodeInParts from "./encode_in_parts.ts";
 
 const SEED = 7;
 
--- a/src/replica_group/replica_group.ts
+++ b/src/replica_group/replica_group.ts
@@ -2,6 +2,7 @@
 import * as clocks from "../clock/mod.ts";
 import * as consensus from "../consensus/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as heldBytes from "../held_bytes/mod.ts";
 import type * as logs from "../log/mod.ts";
 import type * as metricTypes from "../metrics/mod.ts";
 import * as results from "../results/mod.ts";
@@ -255,6 +256,7 @@
     };
     this.#envelopes.set(message, envelope);
     if (isBulk.isBulk(message)) rpc.disableCompression(envelope);
+    if (hasLargeEntry(message)) rpc.markLarge(envelope);
     return envelope;
   }
 
@@ -266,3 +268,11 @@
     this.#options.clock.startTimer(PLAN_INTERVAL_MS, () => this.#runPlanner());
   }
 }
+
+/** Reports whether a message carries an entry to be encoded in parts. */
+function hasLargeEntry(message: consensus.DriverMessage): boolean {
+  return message.kind === "appendRequest" &&
+    message.entries.some((entry) =>
+      consensus.estimateBytes(entry) >= heldBytes.LARGE_MESSAGE_BYTES
+    );
+}
--- a/src/rpc/_framing.ts
+++ b/src/rpc/_framing.ts
@@ -1,8 +1,8 @@
 import type * as net from "node:net";
 import * as zlib from "node:zlib";
 import * as heldBytes from "../held_bytes/mod.ts";
+import * as jsonParts from "../json_parts/mod.ts";
 import * as compressionDictionary from "./_compression_dictionary.ts";
-import * as encodeInParts from "./_encode_in_parts.ts";
 
 /** Largest message in bytes, both as a payload and after decompression. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
@@ -167,7 +167,7 @@
 
 /** Encodes a message that would take up too much memory as one string. */
 function createFrameInParts(message: unknown): Buffer {
-  const frame = encodeInParts.encodeInParts(
+  const frame = jsonParts.encodeInParts(
     Buffer.alloc(HEADER_BYTES),
     message,
   );
--- a/src/storage/_encode_records.ts
+++ b/src/storage/_encode_records.ts
@@ -1,3 +1,4 @@
+import * as jsonParts from "../json_parts/mod.ts";
 import * as records from "./record.ts";
 
 /** Minimum size of a chunk unless it is the last one, in bytes. */
@@ -10,7 +11,7 @@
 const ARRAY_END = Buffer.from("]");
 
 function encodeValue(value: unknown): Buffer {
-  return records.encodeRecord(Buffer.from(JSON.stringify(value)));
+  return records.encodeRecord(jsonParts.encodeJson(value));
 }
 
 /**
@@ -21,7 +22,7 @@
   let buffers: Buffer[] = [];
   let size = 0;
   for (const value of values) {
-    const bytes = Buffer.from(JSON.stringify(value));
+    const bytes = jsonParts.encodeJson(value);
     buffers.push(buffers.length === 0 ? ARRAY_START : ARRAY_SEPARATOR, bytes);
     size += bytes.length;
     if (size < BATCH_BYTES) continue;
--- a/src/storage/_read_records.ts
+++ b/src/storage/_read_records.ts
@@ -1,7 +1,7 @@
 import * as fs from "node:fs";
 import * as records from "./record.ts";
 
-/** Number of bytes read from a file at a time. */
+/** Number of bytes read from a file at a time, unless a record is longer. */
 const CHUNK_BYTES = 1024 * 1024;
 
 /** Result of reading a file of records. */
@@ -41,7 +41,8 @@
   let trailing: Buffer = Buffer.alloc(0);
   let validBytes = 0;
   for (;;) {
-    const chunk = readChunk(descriptor);
+    const neededBytes = records.getRecordBytes(trailing) - trailing.length;
+    const chunk = readChunk(descriptor, Math.max(neededBytes, CHUNK_BYTES));
     if (chunk.length === 0) {
       const isCorrupt = records.hasRecordFrom(trailing, 0);
       return {
@@ -63,8 +64,9 @@
   }
 }
 
-function readChunk(descriptor: number): Buffer {
-  const chunk = Buffer.allocUnsafe(CHUNK_BYTES);
-  const length = fs.readSync(descriptor, chunk, 0, CHUNK_BYTES, null);
+function readChunk(descriptor: number, size: number): Buffer {
+  const { size: fileBytes } = fs.fstatSync(descriptor);
+  const chunk = Buffer.allocUnsafe(Math.min(size, fileBytes));
+  const length = fs.readSync(descriptor, chunk, 0, chunk.length, null);
   return chunk.subarray(0, length);
 }
--- a/src/storage/durable_log.ts
+++ b/src/storage/durable_log.ts
@@ -3,6 +3,7 @@
 import * as path from "node:path";
 import * as results from "../results/mod.ts";
 import * as readRecords from "./_read_records.ts";
+import * as heldBytes from "../held_bytes/mod.ts";
 import * as encodeRecords from "./_encode_records.ts";
 
 const FORMAT_VERSION = 3;
@@ -119,17 +120,20 @@
    */
   async append(records: readonly unknown[]): Promise<void> {
     let validBytes = this.#validBytes;
+    let largestBytes = 0;
     try {
       for (const bytes of encodeRecords.encodeBatches(records)) {
         await this.#file.appendFile(bytes);
         await this.#file.datasync();
         validBytes += bytes.length;
+        largestBytes = Math.max(largestBytes, bytes.length);
       }
     } catch (error) {
       await this.#file.truncate(this.#validBytes);
       throw error;
     }
     this.#validBytes = validBytes;
+    void heldBytes.collectAfterMessage(largestBytes);
   }
 
   /**
--- a/src/storage/record.ts
+++ b/src/storage/record.ts
@@ -41,6 +41,17 @@
   return Buffer.concat([header, ...parts]);
 }
 
+/**
+ * Returns the size of the record that begins the bytes.
+ *
+ * @param bytes The bytes, which may end before the record does.
+ * @returns Its size in bytes; 0 if no header of a record begins them.
+ */
+export function getRecordBytes(bytes: Buffer): number {
+  if (bytes.length < HEADER_BYTES || bytes.readUInt32BE(0) !== MAGIC) return 0;
+  return HEADER_BYTES + bytes.readUInt32BE(4);
+}
+
 /**
  * Decodes the record at an offset.
  *
--- a/src/submission/submission_service.ts
+++ b/src/submission/submission_service.ts
@@ -6,10 +6,10 @@
 import type * as results from "../results/mod.ts";
 import type * as rpc from "../rpc/mod.ts";
 import * as accessChecks from "./can_access.ts";
+import * as largeProposals from "./_large_proposals.ts";
 import * as resultPages from "./build_result_page.ts";
 import * as protocol from "./protocol.ts";
 import type * as commands from "./submission_command.ts";
-import type * as submissions from "./submission.ts";
 import type * as stateMachines from "./submission_state_machine.ts";
 
 /** Timeout of a commit, in ms; below the second after which callers retry. */
@@ -24,11 +24,6 @@
 /** Maximum silence of a voter that reads are redirected to, in ms. */
 const MAX_READER_SILENCE_MS = 400;
 
-/** Forms of a submission that are held beside it while it is stored. */
-const FURTHER_FORMS = 3;
-/** Reply to a submission that was not accepted, and won't be. */
-const NO_ROOM = { kind: "unsure", mayHaveRun: false } as const;
-
 /** Options of a submission service. */
 export interface SubmissionServiceOptions {
   readonly clock: clocks.Clock;
@@ -53,9 +48,16 @@
 /** Serves the RPC methods of the store boxes for submissions. */
 export class SubmissionService {
   readonly #options: SubmissionServiceOptions;
+  readonly #largeProposals: largeProposals.LargeProposals;
 
   constructor(options: SubmissionServiceOptions) {
     this.#options = options;
+    this.#largeProposals = new largeProposals.LargeProposals({
+      ...options,
+      awaitMs: COMMIT_TIMEOUT_MS,
+      propose: (submission) =>
+        this.#propose({ kind: "acceptSubmission", submission }),
+    });
     const { server } = options;
     server.add(
       protocol.METHODS.accept,
@@ -91,9 +93,9 @@
     request: protocol.AcceptRequest,
   ): Promise<protocol.LeaderReply<null>> {
     const { submission } = request;
-    const reply = this.#hasRoomFor(submission)
-      ? await this.#propose({ kind: "acceptSubmission", submission })
-      : NO_ROOM;
+    const reply = largeProposals.isLarge(submission)
+      ? await this.#largeProposals.accept(submission)
+      : await this.#propose({ kind: "acceptSubmission", submission });
     this.#options.log.write("info", "submission.accepted", {
       submission: submission.id,
       items: submission.items.length,
@@ -104,13 +106,6 @@
     return toEmptyReply(reply);
   }
 
-  /** Tells whether a submission fits, as it is held in several forms meanwhile. */
-  #hasRoomFor({ items }: submissions.Submission): boolean {
-    const bytes = items.reduce((total, { body }) => total + body.length, 0);
-    if (bytes < protocol.LARGE_SUBMISSION_BYTES) return true;
-    return this.#options.memoryGuard.hasRoomFor(bytes * FURTHER_FORMS);
-  }
-
   async #read(
     request: protocol.ReadRequest,
   ): Promise<protocol.LeaderReply<protocol.ReadReply>> {
