Linger on each connection closed by an early answer; tests of the bounds

What callers saw: nothing yet. A refusal that closes its connection for another reason than a long body (408) was still reset at once where bytes were unread.

Change: each answer before the end of its body lingers when its connection closes, and a half-closed connection is destroyed after a second at last.

The case of a 408 on a connection that then sends on showed the fault (EPIPE).

--- a/src/http_server/_early_answer.ts
+++ b/src/http_server/_early_answer.ts
@@ -22,10 +22,14 @@
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
   if (declaredBytes > MAX_DISCARDED_BYTES) {
     response.setHeader("connection", "close");
-    const { socket } = request;
-    // A connection closed with unread bytes is reset, and its answer may be lost.
-    socket.destroySoon = () => void socket.end();
   }
+  const { socket } = request;
+  const destroySoon = socket.destroySoon;
+  // A connection closed with unread bytes is reset, and its answer may be lost.
+  socket.destroySoon = () => void socket.end();
+  request.once("end", () => {
+    socket.destroySoon = destroySoon;
+  });
   discardRest(request);
 }
 
@@ -40,7 +44,9 @@
   let discardedBytes = 0;
   const timer = setTimeout(() => socket.destroy(), LINGER_MS);
   socket.once("close", () => clearTimeout(timer));
-  request.once("end", () => clearTimeout(timer));
+  request.once("end", () => {
+    if (!socket.writableEnded) clearTimeout(timer);
+  });
   request.on("data", (piece: Buffer) => {
     discardedBytes += piece.length;
     if (discardedBytes > MAX_DISCARDED_BYTES) socket.destroy();
