Bound the connections to the rpc port and to the metrics

Cause: the guard stood at the listeners of callers, operators and servers only.

Change: other boxes get a share of 0.12 of the descriptors, where a connection that never sent a message gives way first; the metrics 32 connections, served by the listener with its timeouts.

--- a/src/fleet_daemon/_compute_box_limits.ts
+++ b/src/fleet_daemon/_compute_box_limits.ts
@@ -12,11 +12,12 @@
 const CONNECTIONS_PER_MB = 10;
 /** Descriptors for files and for the process itself. */
 const FILE_DESCRIPTORS = 264;
-/** Parts of the other descriptors; what is left is for peers and servers. */
+/** Parts of the other descriptors; what is left is for own connections. */
 const CALLER_SHARE = 0.4;
 const CONTROL_SHARE = 0.15;
 const DIRECTORY_SHARE = 0.1;
 const READINESS_SHARE = 0.03;
+const PEER_SHARE = 0.12;
 
 /** What the listeners and requests of one process may take up. */
 export interface BoxLimits {
@@ -26,6 +27,8 @@
   readonly heldBytes: number;
   /** Most connections of each listener. */
   readonly connections: Readonly<Record<crowdRecorders.ListenerName, number>>;
+  /** Most connections that other boxes open to this one. */
+  readonly peerConnections: number;
 }
 
 /**
@@ -50,6 +53,7 @@
   return {
     memoryBytes: memoryMb * BYTES_PER_MB,
     heldBytes: Math.max(0, heldMb) * BYTES_PER_MB,
+    peerConnections: Math.ceil(sockets * PEER_SHARE),
     connections: {
       caller: Math.ceil(
         Math.min(sockets * CALLER_SHARE, memoryMb * CONNECTIONS_PER_MB),
--- a/src/fleet_daemon/box_components.ts
+++ b/src/fleet_daemon/box_components.ts
@@ -103,9 +103,7 @@
     limits,
     isService: (name: string) =>
       configuration.get()?.services.has(name) ?? true,
-    server: new rpc.RpcServer((method, error) =>
-      recorders.failures.record(method, error)
-    ),
+    server: createRpcServer(recorders, limits),
     peers: new fleet.PeerPool(settings.listen.peerPort),
     directory: new fleet.BoxDirectory(clock),
     servers: new registry.ServerRegistry(
@@ -160,6 +158,17 @@
   };
 }
 
+function createRpcServer(
+  { failures }: Pick<Recorders, "failures">,
+  limits: boxLimits.BoxLimits,
+): rpc.RpcServer {
+  const server = new rpc.RpcServer((method, error) =>
+    failures.record(method, error)
+  );
+  server.limitConnections(limits.peerConnections);
+  return server;
+}
+
 /** Components that do not depend on the gossip link. */
 type LocalComponents = Omit<BoxComponents, "link" | "crashGuard" | "forwarder">;
 
--- a/src/http_server/connection_guard.ts
+++ b/src/http_server/connection_guard.ts
@@ -107,6 +107,12 @@
     return next;
   }
 
+  /** Notes that a connection without requests was used, as by another box. */
+  recordUse(socket: net.Socket): void {
+    const state = this.#connections.get(socket);
+    if (state !== undefined) this.#update(socket, { ...state, isProven: true });
+  }
+
   /** Closes a connection whose caller doesn't read its answer. */
   closeUnread({ socket }: http.IncomingMessage): void {
     this.#close(socket, "unread");
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -15,6 +15,7 @@
   ConnectionLimits,
   Exchange,
 } from "./connection_guard.ts";
+export { ConnectionGuard } from "./connection_guard.ts";
 export { holdAnswer } from "./hold_answer.ts";
 export { prepareEarlyAnswer } from "./_early_answer.ts";
 export * from "./parse_fields.ts";
--- a/src/metrics/fleet_metrics.ts
+++ b/src/metrics/fleet_metrics.ts
@@ -1,5 +1,5 @@
-import * as http from "node:http";
 import * as prometheus from "prom-client";
+import * as httpServer from "../http_server/mod.ts";
 import * as configurationMetrics from "./configuration_metrics.ts";
 import * as crowdMetrics from "./crowd_metrics.ts";
 import * as processMetrics from "./process_metrics.ts";
@@ -21,6 +21,11 @@
   12_800,
 ];
 
+/** Most connections to the metrics. */
+const MAX_READERS = 32;
+/** Timeout to receive a request for the metrics, in ms. */
+const READ_TIMEOUT_MS = 3_000;
+
 /** Prometheus metrics of a box, served over HTTP. */
 export class FleetMetrics {
   readonly #registry = new prometheus.Registry();
@@ -43,7 +48,7 @@
   readonly #unreportedUsageMs: prometheus.Gauge<string>;
   readonly #capacityOrders: prometheus.Counter<"outcome">;
   readonly #crashEvents: prometheus.Counter<"event">;
-  #server: http.Server | undefined;
+  #listener: httpServer.HttpListener | undefined;
 
   constructor() {
     const registers = [this.#registry];
@@ -168,17 +173,20 @@
 
   /** Serves the metrics as text on every path of a port. */
   listen(address: string, port: number): void {
-    this.#server = http.createServer((_request, response) => {
-      this.#registry.metrics().then((text) => {
+    this.#listener = new httpServer.HttpListener(
+      async (_request, response) => {
+        const text = await this.#registry.metrics();
         response.setHeader("content-type", this.#registry.contentType);
         response.end(text);
-      }, () => response.destroy());
-    });
-    this.#server.listen(port, address);
+      },
+      { headersTimeoutMs: READ_TIMEOUT_MS, requestTimeoutMs: READ_TIMEOUT_MS },
+    );
+    this.#listener.limitConnections({ maxConnections: MAX_READERS });
+    void this.#listener.listen(address, port);
   }
 
   close(): void {
-    this.#server?.close();
+    this.#listener?.close(true);
   }
 }
 
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -1,5 +1,6 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
+import * as httpServer from "../http_server/mod.ts";
 import * as framing from "./_framing.ts";
 import * as messageReaders from "./_message_reader.ts";
 
@@ -20,6 +21,8 @@
   readonly #server: net.Server;
   readonly #rpc = new jsonRpc.JSONRPCServer({ errorListener: () => {} });
   readonly #onHandlerError: HandlerErrorListener;
+  /** Closes connections that send no message, if there are too many. */
+  readonly #guard = new httpServer.ConnectionGuard(() => {});
   #sockets: ReadonlySet<net.Socket> = new Set();
 
   /**
@@ -52,6 +55,11 @@
     }
   }
 
+  /** Sets the most connections of other boxes. */
+  limitConnections(maxConnections: number): void {
+    this.#guard.limit({ maxConnections });
+  }
+
   /** Listens on an address; rejects if that fails. */
   listen(address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
@@ -74,10 +82,11 @@
         [...this.#sockets].filter((other) => other !== socket),
       );
     });
-    messageReaders.readMessages(
-      socket,
-      (message) => void this.#answerMessage(socket, message),
-    );
+    this.#guard.add(socket);
+    messageReaders.readMessages(socket, (message) => {
+      this.#guard.recordUse(socket);
+      void this.#answerMessage(socket, message);
+    });
   }
 
   async #answerMessage(socket: net.Socket, message: unknown): Promise<void> {
