--- a/src/held_bytes/memory_guard.ts
+++ b/src/held_bytes/memory_guard.ts
@@ -1,3 +1,4 @@
+import * as v8 from "node:v8";
 import type * as clocks from "../clock/mod.ts";
 import * as collectGarbage from "./collect_garbage.ts";
 
@@ -34,8 +35,9 @@
     const { clock, maxBytes } = this.#options;
     const nowMs = clock.getMonotonicMs();
     if (nowMs - this.#collectedAtMs < COLLECTION_INTERVAL_MS) return;
-    const { heapTotal, external } = process.memoryUsage();
-    if (heapTotal + external < maxBytes * COLLECTED_FRACTION) return;
+    const { total_heap_size: heap, external_memory: external } = v8
+      .getHeapStatistics();
+    if (heap + external < maxBytes * COLLECTED_FRACTION) return;
     this.#collect();
   }
 
@@ -54,6 +56,7 @@
 }
 
 function getUsedBytes(): number {
-  const { heapUsed, external } = process.memoryUsage();
-  return heapUsed + external + PROCESS_BYTES;
+  const { used_heap_size: heap, external_memory: external } = v8
+    .getHeapStatistics();
+  return heap + external + PROCESS_BYTES;
 }
--- a/tools/soak/run_soak.ts
+++ b/tools/soak/run_soak.ts
@@ -79,6 +79,11 @@
     type: "string",
     describe: "JSON file with a plan that goes before the seed",
   })
+  .option("crowd", {
+    type: "number",
+    default: 0,
+    describe: "clients that send requests without end all the while",
+  })
   .option("series", {
     type: "boolean",
     default: false,
@@ -110,6 +115,7 @@
     eventBytes: options.eventBytes,
     catchUpMs: options.catchUpMs,
     startSpreadMs: options.spreadMs,
+    crowdClients: options.crowd,
     maxStartDelayMs: options.slowStartMs,
     recoveryTimeoutMs: options.boundS * 1_000,
   });
--- a/tools/soak/soak_scenario.ts
+++ b/tools/soak/soak_scenario.ts
@@ -8,6 +8,7 @@
 import * as throttles from "./cpu_throttle.ts";
 import * as callers from "./soak_callers.ts";
 import * as clients from "./soak_client.ts";
+import * as crowds from "./soak_crowd.ts";
 import * as fleets from "./soak_fleet.ts";
 import * as operators from "./soak_operator.ts";
 import * as trainers from "./soak_trainer.ts";
@@ -41,6 +42,8 @@
   readonly recoveryTimeoutMs: number;
   /** Longest suspension of a new process before it runs, in ms. */
   readonly maxStartDelayMs: number;
+  /** Clients that send requests without end; 0 for none. */
+  readonly crowdClients: number;
 }
 
 /** Admission of a box to the replica group after a start with an empty disk. */
@@ -67,6 +70,8 @@
   /** Answers that only an older configuration allows. */
   readonly outdated: readonly string[];
   readonly probes: number;
+  /** Connections that clients without end have begun. */
+  readonly crowdConnections: number;
   /** Requests of callers that were cut, or refused though they had run. */
   readonly lost: readonly string[];
   /** Whole answers to callers, and those from boxes that were being stopped. */
@@ -97,6 +102,7 @@
   readonly #trainer: trainers.SoakTrainer;
   readonly #checker: checkers.ConfigurationChecker;
   readonly #callers: callers.SoakCallers;
+  readonly #crowd: crowds.SoakCrowd;
   readonly #storeLogs: storeLogReaders.StoreLogReader;
   readonly #injector: faultInjectors.FaultInjector;
   readonly #startMs = Date.now();
@@ -142,6 +148,11 @@
       standIns: this.#standIns,
       getSubmission: () => this.#trainer.getNewestSubmission(),
     });
+    this.#crowd = new crowds.SoakCrowd({
+      seed,
+      clients: options.crowdClients,
+      entries,
+    });
     this.#storeLogs = new storeLogReaders.StoreLogReader(folder);
     this.#injector = new faultInjectors.FaultInjector({
       ...options,
@@ -162,12 +173,14 @@
       if (this.#isChecked()) {
         load.push(this.#checker.run(), this.#callers.run());
       }
+      this.#crowd.start();
       await sleeps.sleep(this.#options.warmUpMs);
       const stops = stopPlans.createStops(this.#options.seed);
       await this.#injector.run(this.#plan, stops);
       this.#trainer.stop();
       return await this.#createReport();
     } finally {
+      this.#crowd.stop();
       this.#callers.stop();
       this.#checker.stop();
       this.#trainer.stop();
@@ -227,6 +240,7 @@
       ended,
       outdated,
       probes,
+      crowdConnections: this.#crowd.countConnections(),
       lost,
       answers,
       leaderMs: leaderAtMs === undefined
