Leave no listener on a connection for each early answer

What callers saw: nothing yet; a kept connection whose requests are refused before their body is parsed gathered a listener each (MaxListenersExceeded, a leak as long as the connection).

Evidence: the new case of early_answer_test, red before, green now.

--- a/src/http_server/_early_answer.ts
+++ b/src/http_server/_early_answer.ts
@@ -42,8 +42,8 @@
 function discardRest(request: http.IncomingMessage): void {
   const { socket } = request;
   let discardedBytes = 0;
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-  socket.once("close", () => clearTimeout(timer));
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  // Once this side has closed, the timer also ends a connection that stays half open.
   request.once("end", () => {
     if (!socket.writableEnded) clearTimeout(timer);
   });
--- a/src/http_server/early_answer_test.ts
+++ b/src/http_server/early_answer_test.ts
@@ -150,4 +150,29 @@
     socket.destroy();
     chai.expect(outcomes).to.deep.equal(["ok"]);
   });
+
+  // Guards against listeners that pile up on a connection that is kept.
+  it("leaves nothing on its connection, however often that happens", async () => {
+    const warnings: string[] = [];
+    function onWarning({ name }: Error): void {
+      warnings.push(name);
+    }
+    process.on("warning", onWarning);
+    const socket = net.connect(PORT, ADDRESS);
+    let text = "";
+    socket.setEncoding("latin1").on("data", (data: string) => {
+      text += data;
+    });
+    for (let count = 1; count <= 30; count += 1) {
+      socket.write(
+        "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+      );
+      while ((text.match(/503/g)?.length ?? 0) < count) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    }
+    socket.destroy();
+    process.off("warning", onWarning);
+    chai.expect(warnings).to.deep.equal([]);
+  });
 });
