Read again: one growth of collected bytes, one preparation of an answer

The whole change was read once more; behaviour stays as it is. - What a body and a frame add to the bytes held was worked out twice, over all segments, for each piece: ByteCollector.append tells it now. - Both ways to send an answer prepared it with the same two calls: prepareAnswer. - Two lingering closes: limitLinger. Two records of a refused body: recordBody. - HttpListener.getConnectionCount had no caller.

--- a/src/fleet_daemon/_crowd_recorder.ts
+++ b/src/fleet_daemon/_crowd_recorder.ts
@@ -56,6 +56,13 @@
     });
   }
 
+  /** Records that a body was refused, if reading it failed. */
+  recordBody(listener: ListenerName, body: results.Result<Buffer>): void {
+    if (body.kind === "ok") return;
+    const reason = body.failure.code;
+    this.record(listener, { kind: "bodyRefused", reason });
+  }
+
   #count(listener: ListenerName, event: CrowdEvent): void {
     const { metrics } = this.#options;
     switch (event.kind) {
--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -65,11 +65,10 @@
   answer: dialects.RawAnswer,
 ): void {
   if (response.headersSent || response.destroyed) return;
-  httpServer.prepareEarlyAnswer(response.req, response);
   const body = typeof answer.body === "string"
     ? Buffer.from(answer.body)
     : answer.body;
-  httpServer.holdAnswer(response, body);
+  httpServer.prepareAnswer(response, body);
   if (answer.isCloseDelimited === true) {
     response.useChunkedEncodingByDefault = false;
     response.writeHead(answer.status, {
--- a/src/fleet_daemon/caller_handler.ts
+++ b/src/fleet_daemon/caller_handler.ts
@@ -203,11 +203,8 @@
         servingTimes.getServingTimeMs(this.#options),
       ),
     });
-    if (body.kind === "failure") {
-      const reason = body.failure.code;
-      this.#options.crowds.record("caller", { kind: "bodyRefused", reason });
-      return dialect.formatFailure(body.failure);
-    }
+    this.#options.crowds.recordBody("caller", body);
+    if (body.kind === "failure") return dialect.formatFailure(body.failure);
     if (response.closed) return undefined;
     // Receiving the body may have taken most of the time.
     const verdict = this.#stopGate.admitRouted(name, route, callerDeadlineMs);
--- a/src/fleet_daemon/entry_box.ts
+++ b/src/fleet_daemon/entry_box.ts
@@ -192,7 +192,7 @@
       maxBodyBytes: MAX_CONTROL_BODY_BYTES,
       receiveTimeoutMs: CONTROL_BODY_TIMEOUT_MS,
     });
-    this.#recordRefusedBody(body);
+    this.#components.crowds.recordBody("control", body);
     const raw = rawListeners.toRawRequest(request);
     const answer = body.kind === "ok"
       ? await this.#controlHandler.answer(raw, body.value)
@@ -200,13 +200,6 @@
     rawListeners.writeAnswer(response, answer);
   }
 
-  #recordRefusedBody(body: results.Result<Buffer>): void {
-    if (body.kind === "ok") return;
-    const { crowds } = this.#components;
-    const reason = body.failure.code;
-    crowds.record("control", { kind: "bodyRefused", reason });
-  }
-
   #serveReadiness(response: http.ServerResponse): Promise<void> {
     const { dialect, status } = this.#components;
     rawListeners.writeAnswer(
--- a/src/held_bytes/byte_collector.ts
+++ b/src/held_bytes/byte_collector.ts
@@ -32,6 +32,10 @@
     return this.#memory.byteLength;
   }
 
+  isFull(): boolean {
+    return this.#size === SEGMENT_BYTES;
+  }
+
   /** Copies the bytes to a buffer; returns their number. */
   writeTo(target: Buffer, offset: number): number {
     target.set(new Uint8Array(this.#memory, 0, this.#size), offset);
@@ -65,6 +69,7 @@
   #first = EMPTY;
   #segments: Segment[] = [];
   #size = 0;
+  #allocatedBytes = 0;
 
   /** Returns the number of bytes received. */
   getSize(): number {
@@ -73,24 +78,35 @@
 
   /** Returns the number of bytes that are taken up. */
   getAllocatedBytes(): number {
-    let total = this.#first.length;
-    for (const segment of this.#segments) total += segment.getAllocatedBytes();
-    return total;
+    return this.#allocatedBytes;
   }
 
-  /** Adds a piece, which must not be changed afterwards. */
-  append(piece: Buffer): void {
+  /**
+   * Adds a piece, which must not be changed afterwards.
+   *
+   * @param piece The piece.
+   * @returns The number of bytes that are taken up in addition.
+   */
+  append(piece: Buffer): number {
+    const before = this.#allocatedBytes;
     const isFirst = this.#size === 0;
     this.#size += piece.length;
     if (isFirst) {
       this.#first = piece;
-      return;
+      this.#allocatedBytes = piece.length;
+    } else {
+      this.#moveFirst();
+      this.#appendToSegments(piece);
     }
-    if (this.#segments.length === 0) {
-      this.#appendToSegments(this.#first);
-      this.#first = EMPTY;
-    }
-    this.#appendToSegments(piece);
+    return this.#allocatedBytes - before;
+  }
+
+  /** Moves the first piece to a segment, once it is not the only one. */
+  #moveFirst(): void {
+    if (this.#segments.length > 0) return;
+    this.#allocatedBytes = 0;
+    this.#appendToSegments(this.#first);
+    this.#first = EMPTY;
   }
 
   /** Returns all bytes in one buffer and keeps none. */
@@ -115,17 +131,25 @@
     this.#segments = [];
     this.#first = EMPTY;
     this.#size = 0;
+    this.#allocatedBytes = 0;
   }
 
   #appendToSegments(piece: Buffer): void {
     let rest = piece;
     while (rest.length > 0) {
-      const last = this.#segments.at(-1);
-      const count = last?.append(rest) ?? 0;
-      if (count === 0) {
-        this.#segments.push(unusedSegments.pop() ?? new Segment());
-      }
-      rest = rest.subarray(count);
+      const last = this.#getOpenSegment();
+      const before = last.getAllocatedBytes();
+      rest = rest.subarray(last.append(rest));
+      this.#allocatedBytes += last.getAllocatedBytes() - before;
     }
   }
+
+  /** Returns the last segment, a new one if that is full. */
+  #getOpenSegment(): Segment {
+    const last = this.#segments.at(-1);
+    if (last !== undefined && !last.isFull()) return last;
+    const added = unusedSegments.pop() ?? new Segment();
+    this.#segments.push(added);
+    return added;
+  }
 }
--- a/src/http_client/send_request.ts
+++ b/src/http_client/send_request.ts
@@ -1,6 +1,5 @@
 import * as heldBytes from "../held_bytes/mod.ts";
 import * as agents from "./_agent.ts";
-
 import type * as httpRequests from "./http_request.ts";
 import * as openExchange from "./open_exchange.ts";
 
--- a/src/http_server/_early_answer.ts
+++ b/src/http_server/_early_answer.ts
@@ -1,9 +1,8 @@
 import type * as http from "node:http";
+import * as limitLingers from "./_limit_linger.ts";
 
 /** Most bytes of a body that are discarded after an answer to its request. */
 const MAX_DISCARDED_BYTES = 256 * 1024;
-/** Time for which a connection lingers after such an answer, in ms. */
-const LINGER_MS = 1_000;
 
 /**
  * Prepares to answer a request whose body may not have arrived whole. If much of it is
@@ -42,7 +41,7 @@
 function discardRest(request: http.IncomingMessage): void {
   const { socket } = request;
   let discardedBytes = 0;
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  const timer = limitLingers.limitLinger(socket);
   // Once this side has closed, the timer also ends a connection that stays half open.
   request.once("end", () => {
     if (!socket.writableEnded) clearTimeout(timer);
--- a/src/http_server/_respond_client_error.ts
+++ b/src/http_server/_respond_client_error.ts
@@ -1,7 +1,5 @@
 import type * as net from "node:net";
-
-/** Time for which a connection lingers after the answer, in ms. */
-const LINGER_MS = 1_000;
+import * as limitLingers from "./_limit_linger.ts";
 
 /** An error of Node's parser or of its timeouts. */
 export type ClientError = Error & { readonly code?: string };
@@ -26,7 +24,7 @@
   socket.end(
     `HTTP/1.1 ${getStatusLine(error)}\r\nConnection: close\r\n\r\n`,
   );
-  setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  limitLingers.limitLinger(socket);
 }
 
 function getStatusLine({ code }: ClientError): string {
--- a/src/http_server/http_listener.ts
+++ b/src/http_server/http_listener.ts
@@ -120,11 +120,6 @@
     this.#guard.limit(limits);
   }
 
-  /** Returns the number of open connections. */
-  getConnectionCount(): number {
-    return this.#guard.getCount();
-  }
-
   /**
    * Makes every later response close its connection. Requests that were sent
    * behind such a one on its connection are not handled.
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -16,8 +16,7 @@
   Exchange,
 } from "./connection_guard.ts";
 export { ConnectionGuard } from "./connection_guard.ts";
-export { holdAnswer } from "./hold_answer.ts";
-export { prepareEarlyAnswer } from "./_early_answer.ts";
+export * from "./prepare_answer.ts";
 export * from "./parse_fields.ts";
 export * from "./read_bearer_token.ts";
 export * from "./read_body.ts";
--- a/src/http_server/read_body.ts
+++ b/src/http_server/read_body.ts
@@ -76,9 +76,7 @@
     if (this.#collector.getSize() + piece.length > limits.maxBodyBytes) {
       return this.#fail(createSizeFailure(limits));
     }
-    const before = this.#collector.getAllocatedBytes();
-    this.#collector.append(piece);
-    const added = this.#collector.getAllocatedBytes() - before;
+    const added = this.#collector.append(piece);
     if (this.#collector.getAllocatedBytes() > piece.length) {
       held.recordCopied(piece.length);
     }
--- a/src/http_server/respond.ts
+++ b/src/http_server/respond.ts
@@ -1,6 +1,5 @@
 import type * as http from "node:http";
-import * as earlyAnswers from "./_early_answer.ts";
-import * as holdAnswers from "./hold_answer.ts";
+import * as prepareAnswers from "./prepare_answer.ts";
 import * as results from "../results/mod.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -44,9 +43,8 @@
   value: unknown,
 ): void {
   if (response.headersSent || response.destroyed) return;
-  earlyAnswers.prepareEarlyAnswer(response.req, response);
   const body = Buffer.from(`${JSON.stringify(value)}\n`);
-  holdAnswers.holdAnswer(response, body);
+  prepareAnswers.prepareAnswer(response, body);
   response.writeHead(status, {
     "content-type": "application/json",
     "content-length": String(body.length),
--- a/src/rpc/_message_reader.ts
+++ b/src/rpc/_message_reader.ts
@@ -52,9 +52,7 @@
   }
 
   #append(piece: Buffer): void {
-    const before = this.#collector.getAllocatedBytes();
-    this.#collector.append(piece);
-    const added = this.#collector.getAllocatedBytes() - before;
+    const added = this.#collector.append(piece);
     if (added > 0) heldBytes.SHARED_HELD_BYTES.add(this, added);
   }
 
