Take no part of an answer for the whole after a reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection; the caller got that part as a complete answer (MIXED). An item's text that was reset between two events was listed as completed where its server lives on, since the read that verifies it finds the same lifetime.

Cause: where data and a reset arrive together, libuv reports the data and the end of the stream, not the error. An answer without a length ends with its connection, so Node takes that end for its own, and `response.complete` is true.

Change: before Node's own listeners see the end of a connection that ends a response, openExchange writes no bytes. That sends nothing after an orderly end and fails at once after a reset, because the kernel keeps the error that libuv did not read. A request that is not wholly written by then proves that its end can't be told from a reset: broken as well.

openExchange reads all answers, so this holds for forwarded requests, items, scoring calls, reads of a state, orders, probes, the infrastructure and the product's own engines. Shown on x86-64 only.

--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -83,6 +83,11 @@
   });
 
   const broken: Readonly<Record<string, fixtures.RequestHandler>> = {
+    "a part of an answer without a length, then a reset": (request) => {
+      const head = "HTTP/1.1 200 OK\r\nid: job\r\nreceipt: r\r\n\r\n";
+      request.socket.write(`${head}part`);
+      request.socket.resetAndDestroy();
+    },
     "an answer to another request": fixtures.answer(200, { id: "other" }),
     "an answer without a receipt": (_request, response) => {
       response.writeHead(200, { id: "job" });
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -3,7 +3,9 @@
 import type * as csp from "../csp/mod.ts";
 import * as agents from "./_agent.ts";
 import type * as httpRequests from "./http_request.ts";
+import * as isFramed from "./is_framed.ts";
 import * as misdirected from "./misdirected_status.ts";
+import * as probeResets from "./_probe_reset.ts";
 
 /** Events of an exchange; the last is one call of `onEnd` or `onFail`. */
 export interface ExchangeListener {
@@ -139,6 +141,7 @@
       if (!response.complete) this.#fail("the answer ended early", true);
     });
     response.on("end", () => this.#finish(response.complete));
+    if (!isFramed.isFramed(head)) this.#watchConnectionEnd(response);
     // No request may follow on the connection: a surplus copy of such an answer
     // may name no request.
     if (head.status === misdirected.MISDIRECTED_STATUS) {
@@ -147,6 +150,30 @@
     }
   }
 
+  /**
+   * Checks the end of the connection under a response without a length, before Node's
+   * own listeners end the response and this side of the connection.
+   */
+  #watchConnectionEnd(response: http.IncomingMessage): void {
+    const { socket } = response;
+    const check = this.#checkConnectionEnd.bind(this, socket);
+    socket.prependOnceListener("end", check);
+    response.once("close", () => socket.off("end", check));
+  }
+
+  /**
+   * Fails the response unless its connection ended in order, after the whole request
+   * was written; Node takes any end for that of the response.
+   */
+  #checkConnectionEnd(socket: net.Socket): void {
+    if (this.#isSettled) return;
+    if (!this.#request.writableFinished) {
+      return this.#fail("the connection ended before the request", true);
+    }
+    if (!probeResets.probeReset(socket)) return;
+    this.#fail("the connection was reset", true);
+  }
+
   #finish(isComplete: boolean): void {
     if (this.#isSettled) return;
     if (!isComplete) return this.#fail("the answer ended early", true);
--- a/src/item_run/cut_streams_test.ts
+++ b/src/item_run/cut_streams_test.ts
@@ -150,6 +150,27 @@
     });
   }
 
+  // Guards against a part of a text that a reset cut short between two events, by a
+  // server that lives, being listed as completed.
+  it("breaks off between two events, without a length, if it is reset", async () => {
+    const answer = formatUnframed(Buffer.from(FIRST_EVENT));
+    engine.handle = ({ head, socket }) => {
+      if (head.includes(runFixtures.STATE_TARGET)) {
+        const state = rawServers.formatRawAnswer(200, {}, `{"born":1}`);
+        return void socket.write(state);
+      }
+      socket.write(answer);
+      socket.resetAndDestroy();
+    };
+    const progress = new textProgresses.TextProgress();
+    chai.expect(await run(progress)).to.deep.equal({
+      kind: "broken",
+      reason: "the connection was reset",
+      isClosed: true,
+    });
+    chai.expect(progress.getText()).to.equal("a");
+  });
+
   it("goes on after an unverified end and takes an empty rest for the end", async () => {
     endStreamThen(({ socket }) => socket.resetAndDestroy());
     const progress = new textProgresses.TextProgress();
