Take no answer whose status is outside 200 to 599

What callers saw: a server in trouble answered with the status 000; the caller's connection was closed without an answer, because writeHead throws on it, and no other server was tried. 600 and 999 were passed on, as was 101 with an empty body; a 101 with `Upgrade` held the request until its deadline.

Cause: Node's parser takes any three digits for a status, and nothing here checked it. For a change of protocol Node emits an event of its own and, without a listener, drops the connection and reports nothing.

Change: validateHead, called by openExchange for each response, so wherever answers are read; the exchange fails as one that may have run, its connection is closed, and what may be repeated is tried elsewhere.

--- a/src/forwarding/forwarding_test.ts
+++ b/src/forwarding/forwarding_test.ts
@@ -88,6 +88,10 @@
       request.socket.write(`${head}part`);
       request.socket.resetAndDestroy();
     },
+    "an answer with the status 000": (request) => {
+      const head = "HTTP/1.1 000 X\r\nid: job\r\nreceipt: r\r\n";
+      request.socket.write(`${head}content-length: 5\r\n\r\nwhole`);
+    },
     "an answer to another request": fixtures.answer(200, { id: "other" }),
     "an answer without a receipt": (_request, response) => {
       response.writeHead(200, { id: "job" });
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -6,6 +6,7 @@
 import * as isFramed from "./is_framed.ts";
 import * as misdirected from "./misdirected_status.ts";
 import * as probeResets from "./_probe_reset.ts";
+import * as validateHeads from "./_validate_head.ts";
 
 /** Events of an exchange; the last is one call of `onEnd` or `onFail`. */
 export interface ExchangeListener {
@@ -98,6 +99,10 @@
     this.#request.on("error", (error) => this.#failWithError(error));
     this.#request.on("information", () => this.#countInterim());
     this.#request.on("response", (response) => this.#readResponse(response));
+    this.#request.on("upgrade", (_response, socket) => {
+      socket.destroy();
+      this.#fail("the server changed the protocol");
+    });
     this.#cancellation?.addListener(this.#onCancel);
     if (this.#cancellation?.isCancelled() === true) this.#onCancel();
   }
@@ -130,7 +135,8 @@
       status: response.statusCode ?? 0,
       headers: response.headers,
     };
-    const problem = this.#checkHead?.(head);
+    const problem = validateHeads.validateHead(response) ??
+      this.#checkHead?.(head);
     if (problem !== undefined) return this.#fail(problem);
     this.#listener.onHead(head);
     response.on("data", (chunk: Buffer) => {
