Take no answer whose status line breaks the grammar; tests of heads

What callers saw: a server in trouble answered with `HTTP/2.0 200 OK` or with a control byte in the reason phrase; the caller got it as an answer.

Cause: Node's parser takes the versions 0.9 and 2.0 and any byte in the phrase.

Evidence: broken_head_test, 4 rows red before (two versions, 0x01, 0x7F), green now.

Change: validateHead refuses a major version other than 1 and a phrase with control characters. HTTP/1.0 stays an answer.

A blank doubled within the status line stays allowed: Node does not tell it, and RFC 9112 lets a recipient take it.

--- a/src/http_client/_validate_head.ts
+++ b/src/http_client/_validate_head.ts
@@ -4,8 +4,15 @@
 const MIN_STATUS = 200;
 const MAX_STATUS = 599;
 
+/** A reason phrase (RFC 9112, section 4): no control characters but tabs. */
+const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
+const MAJOR_VERSION = 1;
+
 /** The parts of a response that {@linkcode validateHead} checks. */
-export type ParsedHead = Pick<http.IncomingMessage, "statusCode">;
+export type ParsedHead = Pick<
+  http.IncomingMessage,
+  "httpVersion" | "httpVersionMajor" | "statusCode" | "statusMessage"
+>;
 
 /**
  * Checks what Node's parser lets pass in the head of a final response.
@@ -18,5 +25,11 @@
   if (status < MIN_STATUS || status > MAX_STATUS) {
     return `the status ${status} is not that of an answer`;
   }
+  if (head.httpVersionMajor !== MAJOR_VERSION) {
+    return `the protocol version is ${head.httpVersion}`;
+  }
+  if (!REASON_PHRASE.test(head.statusMessage ?? "")) {
+    return "the reason phrase holds a control character";
+  }
   return undefined;
 }
--- a/src/http_client/broken_head_test.ts
+++ b/src/http_client/broken_head_test.ts
@@ -58,4 +58,61 @@
         ));
     }
   });
+
+  describe("with a status line that breaks the grammar", () => {
+    const statusLines = [
+      "HTTP/2.0 200 OK",
+      "HTTP/0.9 200 OK",
+      "HTTP/1.1 200 O\x01K",
+      "HTTP/1.1 200 O\x7fK",
+      "HTTP/1.1 20 OK",
+      "HTTP/1.1 2000 OK",
+    ];
+    for (const line of statusLines) {
+      it(`is broken: ${JSON.stringify(line)}`, () =>
+        assertBroken(`${line}\r\ncontent-length: 5\r\n\r\nwhole`));
+    }
+  });
+
+  describe("with a header that breaks the grammar", () => {
+    const lines = [
+      "x y: 1",
+      "x\ty: 1",
+      "x\x00y: 1",
+      "x\x01y: 1",
+      "x\x7fy: 1",
+      "x\x80y: 1",
+      "x\ry: 1",
+      "x : 1",
+      ": 1",
+      "no colon",
+      " folded: 1",
+      "x: a\x00b",
+      "x: a\x01b",
+      "x: a\x7fb",
+      "x: a\rb",
+      "content-length: 4",
+      "content-length: +5",
+      "transfer-encoding: chunked",
+    ];
+    for (const line of lines) {
+      it(`is broken: ${JSON.stringify(line)}`, () =>
+        assertBroken(
+          `HTTP/1.1 200 OK\r\ncontent-length: 5\r\n${line}\r\n\r\nwhole`,
+        ));
+    }
+  });
+
+  describe("that ends inside its head", () => {
+    const HEAD = "HTTP/1.1 200 OK\r\nx-a: 1\r\ncontent-length: 0\r\n\r\n";
+    for (let length = 0; length < HEAD.length; length += 1) {
+      it(`is broken after ${length} bytes`, async () => {
+        for (const end of ["end", "reset"] as const) {
+          const bytes = HEAD.slice(0, length);
+          server.answer = { bytes, end, readsBody: true };
+          chai.expect((await ask()).kind).to.equal("broken");
+        }
+      });
+    }
+  });
 });
