Take no answer in a transfer coding other than chunked

Cause: such a body ends with its connection for Node's parser, while isFramed took any such field for chunks, so nothing checked its end. What is coded can't be read here in any case.

Evidence: broken_head_test, 6 of 6 codings red before, green now; a body in chunks, in any case of the letters, is an answer as before.

Change: validateHead refuses a transfer coding that is not just `chunked`, so that isFramed is true of the rest.

--- a/src/http_client/_validate_head.ts
+++ b/src/http_client/_validate_head.ts
@@ -7,11 +7,17 @@
 /** A reason phrase (RFC 9112, section 4): no control characters but tabs. */
 const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
 const MAJOR_VERSION = 1;
+/** The only transfer coding that is read; any other hides where the body ends. */
+const CHUNKED = "chunked";
 
 /** The parts of a response that {@linkcode validateHead} checks. */
 export type ParsedHead = Pick<
   http.IncomingMessage,
-  "httpVersion" | "httpVersionMajor" | "statusCode" | "statusMessage"
+  | "headers"
+  | "httpVersion"
+  | "httpVersionMajor"
+  | "statusCode"
+  | "statusMessage"
 >;
 
 /**
@@ -31,5 +37,9 @@
   if (!REASON_PHRASE.test(head.statusMessage ?? "")) {
     return "the reason phrase holds a control character";
   }
+  const { "transfer-encoding": coding } = head.headers;
+  if (coding !== undefined && coding.toLowerCase() !== CHUNKED) {
+    return "the transfer coding is not chunked";
+  }
   return undefined;
 }
--- a/src/http_client/broken_head_test.ts
+++ b/src/http_client/broken_head_test.ts
@@ -103,6 +103,33 @@
     }
   });
 
+  describe("in a transfer coding other than chunks", () => {
+    const codings = [
+      "gzip",
+      "xchunked",
+      "chunked, gzip",
+      "gzip, chunked",
+      "identity",
+      "",
+    ];
+    for (const coding of codings) {
+      it(`is broken: ${JSON.stringify(coding)}`, () =>
+        assertBroken(
+          `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`,
+        ));
+    }
+
+    it("is whole in chunks", async () => {
+      server.answer = {
+        bytes:
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        end: "none",
+        readsBody: true,
+      };
+      chai.expect((await ask()).kind).to.equal("answered");
+    });
+  });
+
   describe("that ends inside its head", () => {
     const HEAD = "HTTP/1.1 200 OK\r\nx-a: 1\r\ncontent-length: 0\r\n\r\n";
     for (let length = 0; length < HEAD.length; length += 1) {
