End no process when a connection to a server fails after its answer

What callers saw: a server answered whole, at once, and reset the connection while a long upload was still being written.

Cause: once an answer is complete, Node detaches the request and hands the connection to the agent, which destroys it; the rest of the request then fails, and its error is emitted on a connection that nobody listens to. The same holds for a connection that no request has yet, or has any more.

A port that resets its probes ended no process before either.

Change: the agents make each connection with a listener for errors that stays for its life, and requests that keep no connection have an agent of their own in place of Node's. Nothing is hidden: while an exchange runs it gets the error as before, and its answer is complete afterwards. No handler of uncaught exceptions.

--- a/src/http_client/_agent.ts
+++ b/src/http_client/_agent.ts
@@ -17,11 +17,27 @@
   this.destroy();
 }
 
+/** The exchange on a connection tells of its failure; what comes later is lost. */
+function discardError(): void {}
+
+/**
+ * Makes connections whose errors end no process, also while no request has them: the
+ * rest of a request may fail after its answer is complete.
+ */
+class SafeAgent extends http.Agent {
+  override createConnection(
+    ...parameters: Parameters<http.Agent["createConnection"]>
+  ): ReturnType<http.Agent["createConnection"]> {
+    const socket = super.createConnection(...parameters);
+    return socket?.on("error", discardError);
+  }
+}
+
 /**
  * Closes a pooled connection on which something arrives while no request waits: a
  * surplus answer, which the next request on it would get for its own.
  */
-abstract class CheckedAgent extends http.Agent {
+abstract class CheckedAgent extends SafeAgent {
   override keepSocketAlive(socket: stream.Duplex): void {
     if (!this.canKeep(socket)) return refuseToKeep();
     // The type declaration lacks the result: whether to keep the socket.
@@ -109,6 +125,8 @@
   }
 }
 
+/** Makes a connection for each request, and keeps none. */
+const FRESH_AGENT = new SafeAgent();
 const REQUEST_AGENT = new RequestAgent();
 const READ_AGENT = new ReadAgent(new clocks.SystemClock());
 
@@ -127,15 +145,17 @@
  * only reads share connections, for a short time.
  *
  * @param demand The request.
- * @returns The pool, or false for a new connection that is not kept.
+ * @returns The pool, or the agent of new connections that are not kept.
  */
-export function chooseAgent(demand: ConnectionDemand): http.Agent | false {
+export function chooseAgent(demand: ConnectionDemand): http.Agent {
   const { address, port, method, requestId, isFreshConnection } = demand;
-  if (isFreshConnection === true) return false;
-  if (requestId === undefined) return method === "GET" ? READ_AGENT : false;
+  if (isFreshConnection === true) return FRESH_AGENT;
+  if (requestId === undefined) {
+    return method === "GET" ? READ_AGENT : FRESH_AGENT;
+  }
   return REQUEST_AGENT.canSend(address, port, requestId)
     ? REQUEST_AGENT
-    : false;
+    : FRESH_AGENT;
 }
 
 /**
