Take no answer in a content coding that its request did not ask for

Change: validateHead refuses a content coding unless the request's `accept-encoding`, which goes to the server as the caller sent it, names it. So a caller that does ask for a coding still gets it.

--- a/src/http_client/_validate_head.ts
+++ b/src/http_client/_validate_head.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as canAcceptCodings from "./_can_accept_coding.ts";
 
 /** Statuses of final responses (RFC 9110, section 15). */
 const MIN_STATUS = 200;
@@ -24,22 +25,42 @@
  * Checks what Node's parser lets pass in the head of a final response.
  *
  * @param head The head.
+ * @param acceptEncoding Value of the request's `accept-encoding` header, if any.
  * @returns Why the response is no answer to its request, or undefined if it is one.
  */
-export function validateHead(head: ParsedHead): string | undefined {
-  const { statusCode: status = 0 } = head;
+export function validateHead(
+  head: ParsedHead,
+  acceptEncoding: string | undefined,
+): string | undefined {
+  return findStatusLineProblem(head) ??
+    findCodingProblem(head, acceptEncoding);
+}
+
+function findStatusLineProblem(head: ParsedHead): string | undefined {
+  const { statusCode: status = 0, statusMessage = "" } = head;
   if (status < MIN_STATUS || status > MAX_STATUS) {
     return `the status ${status} is not that of an answer`;
   }
   if (head.httpVersionMajor !== MAJOR_VERSION) {
     return `the protocol version is ${head.httpVersion}`;
   }
-  if (!REASON_PHRASE.test(head.statusMessage ?? "")) {
+  if (!REASON_PHRASE.test(statusMessage)) {
     return "the reason phrase holds a control character";
   }
-  const { "transfer-encoding": coding } = head.headers;
-  if (coding !== undefined && coding.toLowerCase() !== CHUNKED) {
+  return undefined;
+}
+
+function findCodingProblem(
+  { headers }: ParsedHead,
+  acceptEncoding: string | undefined,
+): string | undefined {
+  const transferCoding = headers["transfer-encoding"] ?? CHUNKED;
+  if (transferCoding.toLowerCase() !== CHUNKED) {
     return "the transfer coding is not chunked";
   }
-  return undefined;
+  const contentCoding = headers["content-encoding"];
+  if (contentCoding === undefined) return undefined;
+  return canAcceptCodings.canAcceptCoding(acceptEncoding, contentCoding)
+    ? undefined
+    : "the content coding was not asked for";
 }
--- a/src/http_client/broken_head_test.ts
+++ b/src/http_client/broken_head_test.ts
@@ -17,13 +17,16 @@
 
   afterEach(() => server.stop());
 
-  function ask(): Promise<httpRequests.HttpOutcome> {
+  function ask(
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<httpRequests.HttpOutcome> {
     count += 1;
     return sendRequest.sendRequest({
       address: "127.0.0.1",
       port: server.getPort(),
       method: "POST",
       path: "/x",
+      headers,
       body: "abc",
       requestId: `id-${count}`,
       timeoutMs: 10_000,
@@ -130,6 +133,47 @@
     });
   });
 
+  describe("in a content coding", () => {
+    function formatCoded(coding: string): string {
+      return `HTTP/1.1 200 OK\r\ncontent-encoding: ${coding}\r\ncontent-length: 5\r\n\r\nwhole`;
+    }
+
+    for (const coding of ["gzip", "x, gzip", "identity", ""]) {
+      it(`is broken if none was asked for: ${JSON.stringify(coding)}`, () =>
+        assertBroken(formatCoded(coding)));
+    }
+
+    const ACCEPTED: Readonly<Record<string, string>> = {
+      "gzip": "deflate, GZIP;q=0.5",
+      "br, gzip": "gzip, br",
+      "zstd": "*",
+    };
+    for (const [coding, accepted] of Object.entries(ACCEPTED)) {
+      it(`is whole if it was asked for: ${coding}`, async () => {
+        server.answer = {
+          bytes: formatCoded(coding),
+          end: "none",
+          readsBody: true,
+        };
+        const outcome = await ask({ "accept-encoding": accepted });
+        chai.expect(outcome.kind).to.equal("answered");
+      });
+    }
+
+    const REFUSED = ["identity", "br", "gzip;q=0", "gzip ; q=0.000"];
+    for (const accepted of REFUSED) {
+      it(`is broken if another was asked for: ${accepted}`, async () => {
+        server.answer = {
+          bytes: formatCoded("gzip"),
+          end: "none",
+          readsBody: true,
+        };
+        const outcome = await ask({ "accept-encoding": accepted });
+        chai.expect(outcome.kind).to.equal("broken");
+      });
+    }
+  });
+
   describe("that ends inside its head", () => {
     const HEAD = "HTTP/1.1 200 OK\r\nx-a: 1\r\ncontent-length: 0\r\n\r\n";
     for (let length = 0; length < HEAD.length; length += 1) {
