Send each answer with its length, so that one that breaks off can be told

What callers saw: an answer whose server had sent no length was passed on as one that ends with its connection.

Cause: the missing length was kept as a hint that the server's body might be cut. No caller reads it so: an orderly end is a whole answer in HTTP. The box holds the whole body before it sends any of it.

Change: writeAnswer sends the length in each case. What remains, a crash whose end of the connection looks orderly, could not be told by callers before either.

Answers to HEAD and with 204 or 304 get no length: before, a HEAD got one of 0.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -22,11 +22,6 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string | Buffer;
-  /**
-   * Whether the body has no known length and is ended by closing the
-   * connection.
-   */
-  readonly isCloseDelimited?: boolean;
 }
 
 /** A call by a server, an operator or a trainer to the control address. */
--- a/src/fleet_daemon/_format_outcome.ts
+++ b/src/fleet_daemon/_format_outcome.ts
@@ -16,12 +16,11 @@
 ): dialects.RawAnswer | undefined {
   switch (outcome.kind) {
     case "answered": {
-      const { status, headers, body, isFramed } = outcome.answer;
+      const { status, headers, body } = outcome.answer;
       return {
         status,
         headers: endToEndHeaders.toEndToEndHeaders(headers),
         body,
-        isCloseDelimited: !isFramed,
       };
     }
     case "notRun":
--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -10,6 +10,9 @@
 /** Timeout for a request's head until a configuration sets one, in ms. */
 const INITIAL_HEADERS_TIMEOUT_MS = 5_000;
 
+/** No Content and Not Modified. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** Options of `createRawListener`. */
 export interface RawListenerOptions {
   readonly name: crowdRecorders.ListenerName;
@@ -54,11 +57,12 @@
 }
 
 /**
- * Writes an answer and ends the response. Does nothing if the response was
- * begun or its connection closed.
+ * Writes an answer and ends the response, with the length of its body, so that one that
+ * breaks off does not look whole. Does nothing if the response was begun or its
+ * connection closed.
  *
  * @param response The response to write to.
- * @param answer The answer; without `endsWithConnection` its length is sent.
+ * @param answer The answer.
  */
 export function writeAnswer(
   response: http.ServerResponse,
@@ -69,21 +73,21 @@
     ? Buffer.from(answer.body)
     : answer.body;
   httpServer.prepareAnswer(response, body);
-  if (answer.isCloseDelimited === true) {
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(answer.status, {
-      ...answer.headers,
-      "connection": "close",
-    });
-    return void response.end(body);
-  }
-  response.writeHead(answer.status, {
-    ...answer.headers,
-    "content-length": String(body.length),
-  });
+  const { status, headers } = answer;
+  response.writeHead(
+    status,
+    hasBody(response.req, status)
+      ? { ...headers, "content-length": String(body.length) }
+      : headers,
+  );
   response.end(body);
 }
 
+/** Tells whether an answer has a body, even an empty one (RFC 9110, section 6.4.1). */
+function hasBody({ method }: http.IncomingMessage, status: number): boolean {
+  return method !== "HEAD" && !STATUSES_WITHOUT_BODY.has(status);
+}
+
 /**
  * Converts a request to the form that dialects parse.
  *
--- a/src/forwarding/forward_job.ts
+++ b/src/forwarding/forward_job.ts
@@ -60,7 +60,7 @@
   readonly body: Buffer;
   /**
    * Whether the body is delimited by a length or chunked encoding. If it ends
-   * with the connection instead, a truncated body cannot be detected.
+   * with the connection instead, a crash of the server can look like its end.
    */
   readonly isFramed: boolean;
 }
