Answer a request whose handler throws, in place of closing its connection

What callers saw: an answer with the status 000 made writeHead throw, and the caller's connection was closed without an answer to a request that had run (LOST, where it had been read whole).

Cause: the listeners of a box answered a thrown error by closing the connection. The status is held back since it is checked where answers are read; by reading, no other bytes of a server reach writeHead so that it throws (the parser refuses such names and values, and the fields of framing are not passed on). Should one remain, an answer is owed.

Evidence: handler_error_test, the first case red before (fetch failed: other side closed), green now. An answer that was begun is still cut, so that it does not look whole.

Change: 500 internal, outcome unknown; never a status that promises that nothing ran.

--- a/src/fleet_daemon/_raw_listener.ts
+++ b/src/fleet_daemon/_raw_listener.ts
@@ -2,6 +2,7 @@
 import type * as dialects from "../dialect/mod.ts";
 import * as httpServer from "../http_server/mod.ts";
 import type * as logs from "../log/mod.ts";
+import type * as results from "../results/mod.ts";
 import type * as crowdRecorders from "./_crowd_recorder.ts";
 
 /** Largest request head until a configuration sets one, in bytes. */
@@ -10,6 +11,13 @@
 /** Timeout for a request's head until a configuration sets one, in ms. */
 const INITIAL_HEADERS_TIMEOUT_MS = 5_000;
 
+/** Answer to a request whose handler threw: whether it ran is not known. */
+const INTERNAL_FAILURE: results.Failure = {
+  code: "internal",
+  message: "Cannot answer: an internal error",
+  outcome: "unknown",
+};
+
 /** No Content and Not Modified. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -24,7 +32,8 @@
 }
 
 /**
- * Creates an HTTP listener that logs unsent answers and failed requests.
+ * Creates an HTTP listener that logs unsent answers and failed requests. A request whose
+ * handler throws is answered as failed.
  *
  * @param handler Handles one request and ends its response.
  * @param options Name and bounds of the listener, and what it reports to.
@@ -47,7 +56,7 @@
         target: request.url,
         message: stack ?? message,
       });
-      response.destroy();
+      httpServer.respondFailure(response, INTERNAL_FAILURE);
     },
     onConnectionClosed: (reason) =>
       crowds.record(name, { kind: "connectionClosed", reason }),
