End no process when a connection can't be accepted

Seen by reading only, while looking for the class of unheard errors: a server that listened kept the listener of its start, which lost the first error of an accept, and had none for the second, which Node throws. Nothing provoked it on a real process.

Change: startListening, one function for the listeners of HTTP and of the rpc, which doubled it. Each such error is logged and counted (`connection.closed reason=acceptFailed`, `message.failed method=accept`), and the server listens on.

--- a/src/http_server/connection_guard.ts
+++ b/src/http_server/connection_guard.ts
@@ -2,7 +2,7 @@
 import type * as net from "node:net";
 
 /** Why a connection was closed before its caller closed it. */
-export type ClosingReason = "share" | "pipelined" | "unread";
+export type ClosingReason = "share" | "pipelined" | "unread" | "acceptFailed";
 
 /** Bounds of the connections of a listener. */
 export interface ConnectionLimits {
--- a/src/http_server/http_listener.ts
+++ b/src/http_server/http_listener.ts
@@ -4,6 +4,7 @@
 import * as connectionGuards from "./connection_guard.ts";
 import * as clientErrors from "./_respond_client_error.ts";
 import * as responses from "./respond.ts";
+import * as startListenings from "./start_listening.ts";
 
 /** Handles one request and sends its response. */
 export type HttpHandler = (
@@ -27,7 +28,7 @@
   ) => void;
   /** Called when a response can't be sent, as after the caller disconnected. */
   readonly onResponseError?: (error: Error) => void;
-  /** Called when a connection is closed because of a bound on connections. */
+  /** Called when a connection is closed because of a bound, or can't be accepted. */
   readonly onConnectionClosed?: (
     reason: connectionGuards.ClosingReason,
   ) => void;
@@ -130,9 +131,10 @@
 
   /** Listens on an address; rejects if that fails. */
   listen(address: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address, () => resolve());
+    return startListenings.startListening(this.#server, {
+      address,
+      port,
+      onAcceptError: () => this.#options.onConnectionClosed?.("acceptFailed"),
     });
   }
 
--- a/src/http_server/mod.ts
+++ b/src/http_server/mod.ts
@@ -20,3 +20,4 @@
 export * from "./parse_fields.ts";
 export * from "./read_bearer_token.ts";
 export * from "./read_body.ts";
+export * from "./start_listening.ts";
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -13,6 +13,9 @@
   add(method: string, handler: RpcHandler): void;
 }
 
+/** Stands for a method where a connection could not be accepted. */
+const ACCEPT_STEP = "accept";
+
 /** Called with the method and the error of a handler that threw. */
 export type HandlerErrorListener = (method: string, error: unknown) => void;
 
@@ -62,9 +65,10 @@
 
   /** Listens on an address; rejects if that fails. */
   listen(address: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address, () => resolve());
+    return httpServer.startListening(this.#server, {
+      address,
+      port,
+      onAcceptError: (error) => this.#onHandlerError(ACCEPT_STEP, error),
     });
   }
 
