Take an answer without a body for whole, however its connection ends

An answer with 204 or 304, or to HEAD, has no length and is complete with its head, so the end of its connection says nothing of it.

The request after it takes a new connection, as a kept one may meet the reset.

--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -165,17 +165,18 @@
    */
   #watchConnectionEnd(response: http.IncomingMessage): void {
     const { socket } = response;
-    const check = this.#checkConnectionEnd.bind(this, socket);
+    const check = this.#checkConnectionEnd.bind(this, response);
     socket.prependOnceListener("end", check);
     response.once("close", () => socket.off("end", check));
   }
 
   /**
    * Fails the response unless its connection ended in order, after the whole request
-   * was written; Node takes any end for that of the response.
+   * was written; Node takes any end for that of the response. One without a body is
+   * complete before.
    */
-  #checkConnectionEnd(socket: net.Socket): void {
-    if (this.#isSettled) return;
+  #checkConnectionEnd({ socket, complete }: http.IncomingMessage): void {
+    if (this.#isSettled || complete) return;
     if (!this.#request.writableFinished) {
       return this.#fail("the connection ended before the request", true);
     }
--- a/src/http_client/reset_answer_test.ts
+++ b/src/http_client/reset_answer_test.ts
@@ -6,6 +6,9 @@
 const MB = 1_000_000;
 const SHORT_BODY = "abc";
 const CLOSE_DELIMITED = "HTTP/1.1 200 OK\r\n\r\npart";
+/** On a kept connection the next request may meet the reset. */
+const FRESH = { isFreshConnection: true };
+const HEAD_ANSWER = "HTTP/1.1 200 OK\r\n\r\n";
 /** Requests in a row where what is looked for depends on the scheduling. */
 const REPETITIONS = 12;
 
@@ -54,6 +57,7 @@
 
   describe("without a length", () => {
     const BODIES: Readonly<Record<string, Buffer | string>> = {
+      "an empty upload": "",
       "a short upload": SHORT_BODY,
       "an upload of 3 MB": Buffer.alloc(3 * MB),
       "an upload of 12 MB": Buffer.alloc(12 * MB),
@@ -101,6 +105,24 @@
       }
     });
 
+    for (const status of [204, 304]) {
+      it(`is whole with status ${status}, which has no body, if it is reset`, async () => {
+        server.answer = {
+          bytes: `HTTP/1.1 ${status} X\r\n\r\n`,
+          end: "reset",
+          readsBody: true,
+        };
+        const kinds = await askRepeatedly(Buffer.alloc(3 * MB), FRESH);
+        chai.expect([...kinds]).to.deep.equal(["answered"]);
+      });
+    }
+
+    it("is whole as an answer to HEAD if it is reset", async () => {
+      server.answer = { bytes: HEAD_ANSWER, end: "reset", readsBody: true };
+      const kinds = await askRepeatedly("", { ...FRESH, method: "HEAD" });
+      chai.expect([...kinds]).to.deep.equal(["answered"]);
+    });
+
     it("tells that the server closed the connection", async () => {
       server.answer = { bytes: CLOSE_DELIMITED, end: "reset", readsBody: true };
       chai.expect(await ask()).to.deep.include({
