--- a/src/http_client/broken_head_test.ts
+++ b/src/http_client/broken_head_test.ts
@@ -1,14 +1,12 @@
 import * as chai from "chai";
 import * as brokenServers from "../fixtures/broken_server.ts";
-import type * as httpRequests from "./http_request.ts";
-import * as sendRequest from "./send_request.ts";
+import * as fixtures from "./ask_fixture_test.ts";
 
 // Guards against bytes that are no answer being taken for one. Servers in trouble sent
 // the status 000, names of fields with a blank or a control byte, codings of the body
 // that are not known, and heads that were cut; callers got them as answers.
 describe("answer whose head is broken", () => {
   let server = new brokenServers.BrokenServer();
-  let count = 0;
 
   beforeEach(async () => {
     server = new brokenServers.BrokenServer();
@@ -17,27 +15,11 @@
 
   afterEach(() => server.stop());
 
-  function ask(
-    headers: Readonly<Record<string, string>> = {},
-  ): Promise<httpRequests.HttpOutcome> {
-    count += 1;
-    return sendRequest.sendRequest({
-      address: "127.0.0.1",
-      port: server.getPort(),
-      method: "POST",
-      path: "/x",
-      headers,
-      body: "abc",
-      requestId: `id-${count}`,
-      timeoutMs: 10_000,
-    });
-  }
-
   /** Asserts that bytes fail at once, however their connection ends. */
   async function assertBroken(bytes: string): Promise<void> {
     for (const end of ["none", "end", "reset"] as const) {
       server.answer = { bytes, end, readsBody: true };
-      const outcome = await ask();
+      const outcome = await fixtures.ask(server);
       chai.expect(outcome).to.include({ kind: "broken" });
       chai.expect(outcome).not.to.include({ message: "the deadline passed" });
     }
@@ -129,7 +111,7 @@
         end: "none",
         readsBody: true,
       };
-      chai.expect((await ask()).kind).to.equal("answered");
+      chai.expect((await fixtures.ask(server)).kind).to.equal("answered");
     });
   });
 
@@ -155,7 +137,9 @@
           end: "none",
           readsBody: true,
         };
-        const outcome = await ask({ "accept-encoding": accepted });
+        const outcome = await fixtures.ask(server, {
+          headers: { "accept-encoding": accepted },
+        });
         chai.expect(outcome.kind).to.equal("answered");
       });
     }
@@ -168,7 +152,9 @@
           end: "none",
           readsBody: true,
         };
-        const outcome = await ask({ "accept-encoding": accepted });
+        const outcome = await fixtures.ask(server, {
+          headers: { "accept-encoding": accepted },
+        });
         chai.expect(outcome.kind).to.equal("broken");
       });
     }
@@ -181,7 +167,7 @@
         for (const end of ["end", "reset"] as const) {
           const bytes = HEAD.slice(0, length);
           server.answer = { bytes, end, readsBody: true };
-          chai.expect((await ask()).kind).to.equal("broken");
+          chai.expect((await fixtures.ask(server)).kind).to.equal("broken");
         }
       });
     }
--- a/src/http_client/failed_connection_test.ts
+++ b/src/http_client/failed_connection_test.ts
@@ -2,9 +2,8 @@
 import * as chai from "chai";
 import * as brokenServers from "../fixtures/broken_server.ts";
 import * as agents from "./_agent.ts";
-import type * as httpRequests from "./http_request.ts";
+import * as fixtures from "./ask_fixture_test.ts";
 import * as probePorts from "./probe_port.ts";
-import * as sendRequest from "./send_request.ts";
 
 const MB = 1_000_000;
 const ADDRESS = "127.0.0.1";
@@ -18,7 +17,6 @@
 // entry boxes ended, as the callers' repeats carried it from box to box.
 describe("connection that fails", () => {
   let server = new brokenServers.BrokenServer();
-  let count = 0;
 
   beforeEach(async () => {
     server = new brokenServers.BrokenServer();
@@ -27,21 +25,6 @@
 
   afterEach(() => server.stop());
 
-  function ask(
-    changes: Partial<httpRequests.HttpRequest>,
-  ): Promise<httpRequests.HttpOutcome> {
-    count += 1;
-    return sendRequest.sendRequest({
-      address: ADDRESS,
-      port: server.getPort(),
-      method: "POST",
-      path: "/x",
-      requestId: `id-${count}`,
-      timeoutMs: 10_000,
-      ...changes,
-    });
-  }
-
   for (const isFreshConnection of [false, true]) {
     const way = isFreshConnection ? "a new" : "a pooled";
     for (const size of [4 * MB, 8 * MB, 16 * MB]) {
@@ -53,12 +36,18 @@
           server.answer = { bytes: WHOLE, end: "reset", readsBody: false };
           const body = Buffer.alloc(size);
           for (let at = 0; at < REPETITIONS; at += 1) {
-            const outcome = await ask({ body, isFreshConnection });
+            const outcome = await fixtures.ask(server, {
+              body,
+              isFreshConnection,
+            });
             // The upload may fail before the answer is read, or after it.
             chai.expect(outcome.kind).to.be.oneOf(["answered", "broken"]);
           }
           server.answer = { bytes: WHOLE, end: "none", readsBody: true };
-          const { kind } = await ask({ body: "abc", isFreshConnection: true });
+          const { kind } = await fixtures.ask(server, {
+            body: "abc",
+            isFreshConnection: true,
+          });
           chai.expect(kind).to.equal("answered");
         },
       );
--- a/src/http_client/reset_answer_test.ts
+++ b/src/http_client/reset_answer_test.ts
@@ -1,7 +1,7 @@
 import * as chai from "chai";
 import * as brokenServers from "../fixtures/broken_server.ts";
+import * as fixtures from "./ask_fixture_test.ts";
 import type * as httpRequests from "./http_request.ts";
-import * as sendRequest from "./send_request.ts";
 
 const MB = 1_000_000;
 const SHORT_BODY = "abc";
@@ -17,7 +17,6 @@
 // body and reset the connection; its caller got that part as a complete answer.
 describe("answer of a server that resets the connection", () => {
   let server = new brokenServers.BrokenServer();
-  let count = 0;
 
   beforeEach(async () => {
     server = new brokenServers.BrokenServer();
@@ -26,23 +25,6 @@
 
   afterEach(() => server.stop());
 
-  function ask(
-    body: Buffer | string = SHORT_BODY,
-    changes: Partial<httpRequests.HttpRequest> = {},
-  ): Promise<httpRequests.HttpOutcome> {
-    count += 1;
-    return sendRequest.sendRequest({
-      address: "127.0.0.1",
-      port: server.getPort(),
-      method: "POST",
-      path: "/x",
-      body,
-      requestId: `id-${count}`,
-      timeoutMs: 10_000,
-      ...changes,
-    });
-  }
-
   /** Asks several times and returns the kinds of the outcomes. */
   async function askRepeatedly(
     body: Buffer | string,
@@ -50,7 +32,7 @@
   ): Promise<ReadonlySet<string>> {
     const kinds = new Set<string>();
     for (let at = 0; at < REPETITIONS; at += 1) {
-      kinds.add((await ask(body, changes)).kind);
+      kinds.add((await fixtures.ask(server, { body, ...changes })).kind);
     }
     return kinds;
   }
@@ -125,7 +107,7 @@
 
     it("tells that the server closed the connection", async () => {
       server.answer = { bytes: CLOSE_DELIMITED, end: "reset", readsBody: true };
-      chai.expect(await ask()).to.deep.include({
+      chai.expect(await fixtures.ask(server)).to.deep.include({
         kind: "broken",
         isClosed: true,
       });
