--- a/src/http_client/_validate_head.ts
+++ b/src/http_client/_validate_head.ts
@@ -30,7 +30,7 @@
  */
 export function validateHead(
   head: ParsedHead,
-  acceptEncoding: string | undefined,
+  acceptEncoding: http.OutgoingHttpHeader | undefined,
 ): string | undefined {
   return findStatusLineProblem(head) ??
     findCodingProblem(head, acceptEncoding);
@@ -52,7 +52,7 @@
 
 function findCodingProblem(
   { headers }: ParsedHead,
-  acceptEncoding: string | undefined,
+  acceptEncoding: http.OutgoingHttpHeader | undefined,
 ): string | undefined {
   const transferCoding = headers["transfer-encoding"] ?? CHUNKED;
   if (transferCoding.toLowerCase() !== CHUNKED) {
@@ -60,7 +60,10 @@
   }
   const contentCoding = headers["content-encoding"];
   if (contentCoding === undefined) return undefined;
-  return canAcceptCodings.canAcceptCoding(acceptEncoding, contentCoding)
+  return canAcceptCodings.canAcceptCoding(
+      String(acceptEncoding ?? ""),
+      contentCoding,
+    )
     ? undefined
     : "the content coding was not asked for";
 }
--- a/src/http_client/open_exchange.ts
+++ b/src/http_client/open_exchange.ts
@@ -52,7 +52,6 @@
   #isSent = false;
   readonly #cancellation: csp.Cancellation | undefined;
   readonly #checkHead: httpRequests.HttpRequest["checkHead"];
-  readonly #acceptEncoding: string | undefined;
   readonly #onCancel: () => void;
   #timer: NodeJS.Timeout | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -65,7 +64,6 @@
     this.#listener = listener;
     this.#cancellation = options.cancellation;
     this.#checkHead = options.checkHead;
-    this.#acceptEncoding = options.headers?.["accept-encoding"];
     this.#onCancel = () => this.#fail("it was cancelled");
     this.#request = http.request({
       host: options.address,
@@ -137,9 +135,9 @@
       status: response.statusCode ?? 0,
       headers: response.headers,
     };
-    const problem =
-      validateHeads.validateHead(response, this.#acceptEncoding) ??
-        this.#checkHead?.(head);
+    const acceptEncoding = this.#request.getHeader("accept-encoding");
+    const problem = validateHeads.validateHead(response, acceptEncoding) ??
+      this.#checkHead?.(head);
     if (problem !== undefined) return this.#fail(problem);
     this.#listener.onHead(head);
     response.on("data", (chunk: Buffer) => {
--- a/src/http_server/failed_connection_test.ts
+++ b/src/http_server/failed_connection_test.ts
@@ -1,5 +1,6 @@
 import * as net from "node:net";
 import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
 import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as httpListeners from "./http_listener.ts";
 import * as readBodies from "./read_body.ts";
@@ -7,6 +8,7 @@
 
 const ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.63.1`;
 const PORT = 18_463;
+const CLOCK = new clocks.SystemClock();
 const MB = 1_000_000;
 const HEAD = "POST /x HTTP/1.1\r\nHost: a.example\r\n";
 
@@ -54,7 +56,7 @@
       if (body.kind === "failure") {
         return responses.respondFailure(response, body.failure);
       }
-      await new Promise((resolve) => setTimeout(resolve, 5));
+      await clocks.sleep(CLOCK, 5);
       responses.respondJson(response, 200, "x".repeat(MB));
     },
     { headersTimeoutMs: 5_000, requestTimeoutMs: 5_000 },
--- a/src/item_run/cut_streams_test.ts
+++ b/src/item_run/cut_streams_test.ts
@@ -1,3 +1,4 @@
+import type * as net from "node:net";
 import * as chai from "chai";
 import * as serverFixtures from "../fixtures/create_server.ts";
 import * as rawServers from "../fixtures/raw_server.ts";
@@ -90,11 +91,12 @@
   /** Ends a whole stream without a length, then answers reads of the state. */
   function endStreamThen(
     answerRead: (request: rawServers.RawRequest) => void,
+    endStream = (socket: net.Socket, answer: Buffer) => void socket.end(answer),
   ): void {
     engine.handle = (request) => {
       const isRead = request.head.includes(runFixtures.STATE_TARGET);
       if (isRead) return answerRead(request);
-      request.socket.end(formatUnframed(Buffer.from(FIRST_EVENT)));
+      endStream(request.socket, formatUnframed(Buffer.from(FIRST_EVENT)));
     };
   }
 
@@ -153,15 +155,14 @@
   // Guards against a part of a text that a reset cut short between two events, by a
   // server that lives, being listed as completed.
   it("breaks off between two events, without a length, if it is reset", async () => {
-    const answer = formatUnframed(Buffer.from(FIRST_EVENT));
-    engine.handle = ({ head, socket }) => {
-      if (head.includes(runFixtures.STATE_TARGET)) {
-        const state = rawServers.formatRawAnswer(200, {}, `{"born":1}`);
-        return void socket.write(state);
-      }
-      socket.write(answer);
-      socket.resetAndDestroy();
-    };
+    const state = rawServers.formatRawAnswer(200, {}, `{"born":1}`);
+    endStreamThen(
+      ({ socket }) => socket.write(state),
+      (socket, answer) => {
+        socket.write(answer);
+        socket.resetAndDestroy();
+      },
+    );
     const progress = new textProgresses.TextProgress();
     chai.expect(await run(progress)).to.deep.equal({
       kind: "broken",
--- a/src/rpc/failed_connection_test.ts
+++ b/src/rpc/failed_connection_test.ts
@@ -1,5 +1,6 @@
 import * as net from "node:net";
 import * as chai from "chai";
+import * as clocks from "../clock/mod.ts";
 import * as loopbackNetworks from "../fixtures/loopback_network.ts";
 import * as framing from "./_framing.ts";
 import * as rpcClients from "./rpc_client.ts";
@@ -7,13 +8,10 @@
 
 const ADDRESS = `${loopbackNetworks.LOOPBACK_NETWORK}.64.1`;
 const PORT = 39_464;
+const CLOCK = new clocks.SystemClock();
 const DELAYS_MS = [0, 1, 5, 30];
 const LARGE_TEXT = "x".repeat(2_000_000);
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 // Guards against a failed connection between two boxes ending a process, as an error
 // without a listener does; Mocha reports it as a failure of the test.
 describe("rpc whose connections are reset", () => {
@@ -39,7 +37,7 @@
   it("ends no serving process", async () => {
     const server = new rpcServers.RpcServer();
     server.add("echo", async (params: { text: string }) => {
-      await wait(1);
+      await clocks.sleep(CLOCK, 1);
       return params;
     });
     await server.listen(ADDRESS, PORT);
@@ -51,7 +49,7 @@
         const call = { jsonrpc: "2.0", id, method: "echo", params };
         framing.writeMessage(socket, call);
       }
-      await wait(delayMs);
+      await clocks.sleep(CLOCK, delayMs);
       socket.resetAndDestroy();
     }
     const client = new rpcClients.RpcClient({ address: ADDRESS, port: PORT });
